--- /dev/null
+++ b/include/teaselhill/net/http_client.h
@@ -0,0 +1,99 @@
+/// \file
+/// HTTP client on libcurl's multi interface, driven by an event loop.
+
+#ifndef TEASELHILL_NET_HTTP_CLIENT_H_
+#define TEASELHILL_NET_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "teaselhill/net/event_loop.h"
+#include "teaselhill/net/http_types.h"
+#include "teaselhill/support/result.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::net {
+
+struct ClientRequest {
+  std::string method = "GET";
+  std::string url;
+  Headers headers;
+  std::string body;
+  Duration connect_timeout = std::chrono::seconds(2);
+  Duration total_timeout{};  ///< zero: none
+  /// Local address to connect from; empty: any.
+  std::string source_address;
+  /// Uses a new connection. libcurl sends a request again by itself when a
+  /// reused connection turns out to be dead, so a request that must not be
+  /// sent twice sets this.
+  bool fresh_connection = false;
+  std::string ca_file;  ///< trust anchors for https; empty: the system's
+};
+
+/// How a transfer ended.
+struct TransferEnd {
+  ResultCode code = ResultCode::kOk;  ///< kOk: the response is complete
+  std::string detail;                 ///< the library's diagnostic
+  int status = 0;                     ///< HTTP status; 0 if no head arrived
+  /// Whether any byte of the request may have left this process. When false,
+  /// the other side cannot have seen the request.
+  bool may_have_been_sent = false;
+};
+
+/// Receives the events of one transfer on the loop's thread.
+class TransferHandler {
+ public:
+  virtual ~TransferHandler() = default;
+  virtual void OnHead(int status, const Headers& headers) = 0;
+  virtual void OnData(std::string_view data) = 0;
+  virtual void OnEnd(const TransferEnd& end) = 0;
+};
+
+struct ClientResponse {
+  int status = 0;
+  Headers headers;
+  std::string body;
+};
+
+using TransferId = uint64_t;
+
+/// All functions must be called on the loop's thread.
+class HttpClient {
+ public:
+  /// Keeps at most `max_idle_connections` connections open for reuse.
+  explicit HttpClient(EventLoop& loop, size_t max_idle_connections = 256);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Starts a transfer. The handler is kept until OnEnd() or Cancel().
+  TransferId Start(ClientRequest request,
+                   std::shared_ptr<TransferHandler> handler);
+
+  /// Aborts a transfer; its handler is not called any more.
+  void Cancel(TransferId id);
+
+  /// Stops and resumes reading the response, for flow control.
+  void Pause(TransferId id);
+  void Resume(TransferId id);
+
+  /// Performs a request and collects the response, at most `max_body_bytes`.
+  using FetchCallback = std::function<void(Result<ClientResponse>)>;
+  TransferId Fetch(ClientRequest request,
+                   FetchCallback callback,
+                   size_t max_body_bytes = 16 << 20);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Performs one request and blocks until it ends. For command-line tools.
+Result<ClientResponse> BlockingFetch(ClientRequest request);
+
+}  // namespace teaselhill::net
+
+#endif  // TEASELHILL_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/include/teaselhill/net/http_server.h
@@ -0,0 +1,107 @@
+/// \file
+/// HTTP server on RESTinio with streamed responses.
+
+#ifndef TEASELHILL_NET_HTTP_SERVER_H_
+#define TEASELHILL_NET_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "teaselhill/net/event_loop.h"
+#include "teaselhill/net/http_types.h"
+#include "teaselhill/support/result.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::net {
+
+struct HttpRequest {
+  std::string method;
+  std::string path;   ///< without the query
+  std::string query;  ///< without the question mark
+  Headers headers;
+  std::string body;
+  std::string remote_address;  ///< IP number without the port
+};
+
+/// Writes the response to one request. All functions must be called on the
+/// server's loop thread. After the connection closed they do nothing.
+class ResponseWriter {
+ public:
+  virtual ~ResponseWriter() = default;
+
+  /// Sends a whole response.
+  virtual void Respond(int status, Headers headers, std::string body) = 0;
+
+  /// Sends the head of a streamed response.
+  virtual void Start(int status, Headers headers) = 0;
+
+  /// Sends a piece of the body at once. Start() must have been called.
+  virtual void Write(std::string data) = 0;
+
+  /// Ends a streamed response.
+  virtual void Finish() = 0;
+
+  /// Bytes passed to Write() that the connection has not taken yet.
+  virtual size_t pending_bytes() const = 0;
+
+  /// Sets the function called once when the peer closes the connection before
+  /// the response has ended.
+  virtual void SetCloseHandler(std::function<void()> handler) = 0;
+
+  /// Sets the function called each time a write has completed.
+  virtual void SetDrainHandler(std::function<void()> handler) = 0;
+};
+
+class HttpHandler {
+ public:
+  virtual ~HttpHandler() = default;
+  virtual void Handle(HttpRequest request,
+                      std::shared_ptr<ResponseWriter> response) = 0;
+};
+
+struct HttpServerOptions {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;  ///< 0 picks a free one
+  /// Lets several servers of one process share the port.
+  bool share_port = false;
+  size_t max_body_bytes = 4 << 20;
+  size_t max_header_bytes = 16 << 10;
+  /// Time to receive a whole request after its first byte, and to wait for the
+  /// next request on an idle connection.
+  Duration read_timeout = std::chrono::seconds(15);
+  /// Time within which a blocked write must complete.
+  Duration write_timeout = std::chrono::seconds(30);
+  size_t max_connections = 20000;
+};
+
+/// Serves on one event loop. Destroy it on the loop's thread or after the loop
+/// has stopped.
+class HttpServer {
+ public:
+  HttpServer(EventLoop& loop, HttpServerOptions options, HttpHandler& handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Binds and starts to accept; kBindFailed names the address.
+  Status Start();
+
+  /// Port that is bound; valid after Start().
+  uint16_t port() const;
+
+  /// Stops accepting and closes the connections that are idle.
+  void Stop();
+
+  size_t open_connections() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace teaselhill::net
+
+#endif  // TEASELHILL_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/include/teaselhill/support/ids.h
@@ -0,0 +1,34 @@
+/// \file
+/// Identifiers shared by all parts.
+
+#ifndef TEASELHILL_SUPPORT_IDS_H_
+#define TEASELHILL_SUPPORT_IDS_H_
+
+#include <cstdint>
+#include <string>
+
+namespace teaselhill {
+
+/// Identifies a request inside one host process.
+using RequestId = uint64_t;
+
+/// Offset of a record in a log stream; also the revision of a contract.
+using LogOffset = uint64_t;
+
+/// One run of a host process. A restart under the same name has another
+/// incarnation number.
+struct HostIncarnation {
+  std::string host;
+  uint64_t incarnation = 0;
+
+  friend bool operator==(const HostIncarnation& a, const HostIncarnation& b) {
+    return a.host == b.host && a.incarnation == b.incarnation;
+  }
+  friend bool operator<(const HostIncarnation& a, const HostIncarnation& b) {
+    return a.host != b.host ? a.host < b.host : a.incarnation < b.incarnation;
+  }
+};
+
+}  // namespace teaselhill
+
+#endif  // TEASELHILL_SUPPORT_IDS_H_
--- /dev/null
+++ b/lib/net/http_client.cc
@@ -0,0 +1,485 @@
+/// \file
+/// libcurl adapter of the HTTP client.
+
+#include "teaselhill/net/http_client.h"
+
+#include <curl/curl.h>
+
+#include <asio.hpp>
+#include <cstring>
+#include <optional>
+#include <unordered_map>
+
+namespace teaselhill::net {
+
+namespace {
+
+struct CurlEasyDeleter {
+  void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+};
+struct CurlMultiDeleter {
+  void operator()(CURLM* handle) const { curl_multi_cleanup(handle); }
+};
+struct CurlListDeleter {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+using CurlEasy = std::unique_ptr<CURL, CurlEasyDeleter>;
+using CurlMulti = std::unique_ptr<CURLM, CurlMultiDeleter>;
+using CurlList = std::unique_ptr<curl_slist, CurlListDeleter>;
+
+void InitializeLibraryOnce() {
+  static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
+  assert(initialized == CURLE_OK && "libcurl could not be initialized");
+  (void)initialized;
+}
+
+long CurlMilliseconds(Duration duration) {
+  return static_cast<long>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+ResultCode CodeOf(CURLcode code) {
+  switch (code) {
+    case CURLE_OK:
+      return ResultCode::kOk;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_INTERFACE_FAILED:
+    case CURLE_SSL_CONNECT_ERROR:
+    case CURLE_PEER_FAILED_VERIFICATION:
+      return ResultCode::kConnectFailed;
+    case CURLE_OPERATION_TIMEDOUT:
+      return ResultCode::kTimedOut;
+    case CURLE_PARTIAL_FILE:
+    case CURLE_SEND_ERROR:
+    case CURLE_RECV_ERROR:
+    case CURLE_GOT_NOTHING:
+      return ResultCode::kConnectionLost;
+    default:
+      return ResultCode::kProtocolError;
+  }
+}
+
+/// One transfer and everything libcurl needs to live as long as it.
+class Transfer {
+ public:
+  Transfer(TransferId id,
+           ClientRequest request,
+           std::shared_ptr<TransferHandler> handler)
+      : id_(id),
+        request_(std::move(request)),
+        handler_(std::move(handler)),
+        easy_(curl_easy_init()) {
+    Configure();
+  }
+
+  TransferId id() const { return id_; }
+  CURL* easy() const { return easy_.get(); }
+
+  void End(CURLcode code) {
+    DeliverHead();
+    TransferEnd end;
+    end.code = CodeOf(code);
+    if (code != CURLE_OK)
+      end.detail = error_[0] ? error_ : curl_easy_strerror(code);
+    end.status = status();
+    long request_bytes = 0;
+    curl_easy_getinfo(easy(), CURLINFO_REQUEST_SIZE, &request_bytes);
+    end.may_have_been_sent = request_bytes > 0;
+    handler_->OnEnd(end);
+  }
+
+ private:
+  void Configure() {
+    CURL* easy = easy_.get();
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(easy, CURLOPT_URL, request_.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, error_);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     CurlMilliseconds(request_.connect_timeout));
+    if (request_.total_timeout > Duration::zero())
+      curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                       CurlMilliseconds(request_.total_timeout));
+    if (!request_.source_address.empty())
+      curl_easy_setopt(easy, CURLOPT_INTERFACE,
+                       request_.source_address.c_str());
+    if (!request_.ca_file.empty())
+      curl_easy_setopt(easy, CURLOPT_CAINFO, request_.ca_file.c_str());
+    if (request_.fresh_connection)
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    ConfigureBody();
+    ConfigureHeaders();
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Transfer::OnHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+  }
+
+  void ConfigureBody() {
+    if (request_.method == "GET" && request_.body.empty())
+      return;
+    curl_easy_setopt(easy(), CURLOPT_POSTFIELDS, request_.body.data());
+    curl_easy_setopt(easy(), CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request_.body.size()));
+    curl_easy_setopt(easy(), CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+  }
+
+  void ConfigureHeaders() {
+    curl_slist* list = nullptr;
+    for (const Header& header : request_.headers)
+      list =
+          curl_slist_append(list, (header.name + ": " + header.value).c_str());
+    // Without this libcurl waits a second for "100 Continue" on large bodies.
+    list = curl_slist_append(list, "Expect:");
+    headers_list_.reset(list);
+    curl_easy_setopt(easy(), CURLOPT_HTTPHEADER, list);
+  }
+
+  int status() const {
+    long status = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    return static_cast<int>(status);
+  }
+
+  void DeliverHead() {
+    if (head_delivered_ || status() == 0)
+      return;
+    head_delivered_ = true;
+    handler_->OnHead(status(), response_headers_);
+  }
+
+  static size_t OnHeaderLine(char* data,
+                             size_t size,
+                             size_t count,
+                             void* self) {
+    auto* transfer = static_cast<Transfer*>(self);
+    std::string_view line(data, size * count);
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+      line.remove_suffix(1);
+    if (line.substr(0, 5) == "HTTP/") {
+      // A new status line also follows an interim response.
+      transfer->response_headers_.clear();
+      return size * count;
+    }
+    if (line.empty()) {
+      if (transfer->status() >= 200)
+        transfer->DeliverHead();
+      return size * count;
+    }
+    const size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+      return size * count;
+    std::string_view value = line.substr(colon + 1);
+    while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
+      value.remove_prefix(1);
+    transfer->response_headers_.push_back(
+        {std::string(line.substr(0, colon)), std::string(value)});
+    return size * count;
+  }
+
+  static size_t OnBody(char* data, size_t size, size_t count, void* self) {
+    auto* transfer = static_cast<Transfer*>(self);
+    transfer->DeliverHead();
+    transfer->handler_->OnData(std::string_view(data, size * count));
+    return size * count;
+  }
+
+  TransferId id_;
+  ClientRequest request_;
+  std::shared_ptr<TransferHandler> handler_;
+  CurlEasy easy_;
+  CurlList headers_list_;
+  Headers response_headers_;
+  char error_[CURL_ERROR_SIZE] = {0};
+  bool head_delivered_ = false;
+};
+
+/// Waits for readiness of one socket that libcurl owns.
+class SocketWatch : public std::enable_shared_from_this<SocketWatch> {
+ public:
+  using ReadyFunction = std::function<void(curl_socket_t, int)>;
+
+  SocketWatch(asio::io_context& context,
+              curl_socket_t socket,
+              ReadyFunction ready)
+      : descriptor_(context, socket), ready_(std::move(ready)) {}
+  ~SocketWatch() { Release(); }
+
+  void SetInterest(int what) {
+    interest_ = what;
+    if ((what & CURL_POLL_IN) && !reading_)
+      Wait(asio::posix::stream_descriptor::wait_read, CURL_CSELECT_IN,
+           CURL_POLL_IN, &reading_);
+    if ((what & CURL_POLL_OUT) && !writing_)
+      Wait(asio::posix::stream_descriptor::wait_write, CURL_CSELECT_OUT,
+           CURL_POLL_OUT, &writing_);
+  }
+
+  /// Gives the socket back to libcurl without closing it.
+  void Release() {
+    interest_ = 0;
+    if (descriptor_.is_open())
+      descriptor_.release();
+  }
+
+ private:
+  void Wait(asio::posix::stream_descriptor::wait_type type,
+            int event,
+            int wanted,
+            bool* waiting) {
+    *waiting = true;
+    descriptor_.async_wait(
+        type, [weak = weak_from_this(), event, wanted, waiting,
+               type](const asio::error_code& error) {
+          const std::shared_ptr<SocketWatch> self = weak.lock();
+          if (!self)
+            return;
+          *waiting = false;
+          if (!self->descriptor_.is_open() || !(self->interest_ & wanted))
+            return;
+          const curl_socket_t socket = self->descriptor_.native_handle();
+          self->ready_(socket, error ? CURL_CSELECT_ERR : event);
+          if (self->descriptor_.is_open() && (self->interest_ & wanted) &&
+              !*waiting)
+            self->Wait(type, event, wanted, waiting);
+        });
+  }
+
+  asio::posix::stream_descriptor descriptor_;
+  ReadyFunction ready_;
+  int interest_ = 0;
+  bool reading_ = false;
+  bool writing_ = false;
+};
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  Impl(EventLoop& loop, size_t max_idle_connections) : loop_(loop) {
+    InitializeLibraryOnce();
+    multi_.reset(curl_multi_init());
+    CURLM* multi = multi_.get();
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS,
+                      static_cast<long>(max_idle_connections));
+  }
+
+  ~Impl() {
+    for (auto& [id, transfer] : transfers_)
+      curl_multi_remove_handle(multi_.get(), transfer->easy());
+    transfers_.clear();
+    multi_.reset();
+  }
+
+  TransferId Start(ClientRequest request,
+                   std::shared_ptr<TransferHandler> handler) {
+    const TransferId id = ++last_id_;
+    auto transfer =
+        std::make_unique<Transfer>(id, std::move(request), std::move(handler));
+    curl_multi_add_handle(multi_.get(), transfer->easy());
+    transfers_.emplace(id, std::move(transfer));
+    return id;
+  }
+
+  void Cancel(TransferId id) {
+    const auto found = transfers_.find(id);
+    if (found == transfers_.end())
+      return;
+    // libcurl may be inside a callback of this very transfer, where it must
+    // not be removed.
+    std::shared_ptr<Transfer> transfer = std::move(found->second);
+    transfers_.erase(found);
+    if (!in_curl_) {
+      curl_multi_remove_handle(multi_.get(), transfer->easy());
+      return;
+    }
+    loop_.Post([this, alive = std::weak_ptr<int>(alive_), transfer] {
+      if (alive.lock())
+        curl_multi_remove_handle(multi_.get(), transfer->easy());
+    });
+  }
+
+  bool IsActive(TransferId id) const { return transfers_.count(id) > 0; }
+
+  void SetPaused(TransferId id, bool paused) {
+    const auto found = transfers_.find(id);
+    if (found == transfers_.end())
+      return;
+    curl_easy_pause(found->second->easy(),
+                    paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+  }
+
+ private:
+  static int OnSocket(CURL* easy,
+                      curl_socket_t socket,
+                      int what,
+                      void* self,
+                      void* socket_data) {
+    static_cast<Impl*>(self)->WatchSocket(socket, what);
+    return 0;
+  }
+
+  static int OnTimer(CURLM* multi, long timeout_ms, void* self) {
+    static_cast<Impl*>(self)->SetTimer(timeout_ms);
+    return 0;
+  }
+
+  void WatchSocket(curl_socket_t socket, int what) {
+    const auto found = watches_.find(socket);
+    if (what == CURL_POLL_REMOVE) {
+      if (found == watches_.end())
+        return;
+      found->second->Release();
+      watches_.erase(found);
+      return;
+    }
+    if (found != watches_.end()) {
+      found->second->SetInterest(what);
+      return;
+    }
+    auto watch = std::make_shared<SocketWatch>(
+        loop_.context(), socket,
+        [this](curl_socket_t ready, int event) { Drive(ready, event); });
+    watches_.emplace(socket, watch);
+    watch->SetInterest(what);
+  }
+
+  void SetTimer(long timeout_ms) {
+    timer_.Cancel();
+    if (timeout_ms < 0)
+      return;
+    timer_ = loop_.timers().After(
+        std::chrono::milliseconds(timeout_ms),
+        [this](TimePoint) { Drive(CURL_SOCKET_TIMEOUT, 0); });
+  }
+
+  void Drive(curl_socket_t socket, int event) {
+    const std::weak_ptr<int> alive = alive_;
+    int running = 0;
+    in_curl_ = true;
+    curl_multi_socket_action(multi_.get(), socket, event, &running);
+    in_curl_ = false;
+    CollectEnded(alive);
+  }
+
+  void CollectEnded(const std::weak_ptr<int>& alive) {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_.get(), &left)) {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      Transfer* ended = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &ended);
+      const CURLcode code = message->data.result;
+      const auto found = transfers_.find(ended->id());
+      // A cancelled transfer is removed by the function that Cancel() posted.
+      if (found == transfers_.end())
+        continue;
+      const std::shared_ptr<Transfer> transfer = std::move(found->second);
+      transfers_.erase(found);
+      curl_multi_remove_handle(multi_.get(), transfer->easy());
+      transfer->End(code);
+      if (alive.expired())
+        return;
+    }
+  }
+
+  EventLoop& loop_;
+  CurlMulti multi_;
+  TransferId last_id_ = 0;
+  bool in_curl_ = false;
+  std::unordered_map<TransferId, std::shared_ptr<Transfer>> transfers_;
+  std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> watches_;
+  TimerSubscription timer_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+HttpClient::HttpClient(EventLoop& loop, size_t max_idle_connections)
+    : impl_(std::make_unique<Impl>(loop, max_idle_connections)) {}
+
+HttpClient::~HttpClient() = default;
+
+TransferId HttpClient::Start(ClientRequest request,
+                             std::shared_ptr<TransferHandler> handler) {
+  return impl_->Start(std::move(request), std::move(handler));
+}
+
+void HttpClient::Cancel(TransferId id) {
+  impl_->Cancel(id);
+}
+
+void HttpClient::Pause(TransferId id) {
+  impl_->SetPaused(id, true);
+}
+
+void HttpClient::Resume(TransferId id) {
+  impl_->SetPaused(id, false);
+}
+
+namespace {
+
+class FetchHandler : public TransferHandler {
+ public:
+  FetchHandler(HttpClient::FetchCallback callback, size_t max_body_bytes)
+      : callback_(std::move(callback)), max_body_bytes_(max_body_bytes) {}
+
+  void OnHead(int status, const Headers& headers) override {
+    response_.status = status;
+    response_.headers = headers;
+  }
+
+  void OnData(std::string_view data) override {
+    if (response_.body.size() + data.size() > max_body_bytes_) {
+      too_large_ = true;
+      return;
+    }
+    response_.body.append(data);
+  }
+
+  void OnEnd(const TransferEnd& end) override {
+    if (too_large_) {
+      callback_({ResultCode::kProtocolError, "response body too large"});
+      return;
+    }
+    if (end.code != ResultCode::kOk) {
+      callback_({end.code, end.detail});
+      return;
+    }
+    callback_(std::move(response_));
+  }
+
+ private:
+  HttpClient::FetchCallback callback_;
+  size_t max_body_bytes_;
+  ClientResponse response_;
+  bool too_large_ = false;
+};
+
+}  // namespace
+
+TransferId HttpClient::Fetch(ClientRequest request,
+                             FetchCallback callback,
+                             size_t max_body_bytes) {
+  return Start(std::move(request), std::make_shared<FetchHandler>(
+                                       std::move(callback), max_body_bytes));
+}
+
+Result<ClientResponse> BlockingFetch(ClientRequest request) {
+  EventLoop loop;
+  HttpClient client(loop);
+  std::optional<Result<ClientResponse>> result;
+  client.Fetch(std::move(request), [&](Result<ClientResponse> fetched) {
+    result.emplace(std::move(fetched));
+    loop.Stop();
+  });
+  loop.Run();
+  return std::move(*result);
+}
+
+}  // namespace teaselhill::net
--- /dev/null
+++ b/lib/net/http_server.cc
@@ -0,0 +1,368 @@
+/// \file
+/// RESTinio adapter of the HTTP server.
+
+#include "teaselhill/net/http_server.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <restinio/all.hpp>
+#include <unordered_map>
+
+namespace teaselhill::net {
+
+namespace {
+
+/// An answer may take minutes; the router's own deadlines end it, not RESTinio.
+constexpr std::chrono::hours kHandlingTimeout{24};
+
+/// With a second request allowed in the pipeline RESTinio keeps reading while
+/// the first is handled, and so notices that the caller has disconnected.
+constexpr size_t kPipelinedRequests = 2;
+
+class ConnectionTable;
+
+/// Tells the open responses of a connection that it has been closed.
+class ConnectionListener {
+ public:
+  explicit ConnectionListener(std::shared_ptr<ConnectionTable> table)
+      : table_(std::move(table)) {}
+  void state_changed(
+      const restinio::connection_state::notice_t& notice) noexcept;
+
+ private:
+  std::shared_ptr<ConnectionTable> table_;
+};
+
+struct ServerTraits : restinio::default_single_thread_traits_t {
+  using connection_state_listener_t = ConnectionListener;
+};
+
+using RestinioServer = restinio::http_server_t<ServerTraits>;
+using ReusePort =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+restinio::http_status_line_t StatusLine(int status) {
+  static const std::unordered_map<int, const char*> reasons = {
+      {200, "OK"},
+      {202, "Accepted"},
+      {204, "No Content"},
+      {400, "Bad Request"},
+      {401, "Unauthorized"},
+      {403, "Forbidden"},
+      {404, "Not Found"},
+      {405, "Method Not Allowed"},
+      {408, "Request Timeout"},
+      {409, "Conflict"},
+      {410, "Gone"},
+      {413, "Payload Too Large"},
+      {422, "Unprocessable Entity"},
+      {429, "Too Many Requests"},
+      {431, "Request Header Fields Too Large"},
+      {500, "Internal Server Error"},
+      {502, "Bad Gateway"},
+      {503, "Service Unavailable"},
+      {504, "Gateway Timeout"}};
+  const auto reason = reasons.find(status);
+  return {restinio::http_status_code_t(static_cast<uint16_t>(status)),
+          reason == reasons.end() ? "Status" : reason->second};
+}
+
+/// Hop-by-hop headers belong to a connection and are set by RESTinio itself.
+bool IsManagedByServer(std::string_view name) {
+  return SameHeaderName(name, "Connection") ||
+         SameHeaderName(name, "Keep-Alive") ||
+         SameHeaderName(name, "Content-Length") ||
+         SameHeaderName(name, "Transfer-Encoding");
+}
+
+class RestinioResponse : public ResponseWriter,
+                         public std::enable_shared_from_this<RestinioResponse> {
+ public:
+  RestinioResponse(restinio::request_handle_t request,
+                   std::weak_ptr<ConnectionTable> table)
+      : request_(std::move(request)),
+        connection_(request_->connection_id()),
+        table_(std::move(table)) {}
+  ~RestinioResponse() override;
+
+  void Respond(int status, Headers headers, std::string body) override {
+    if (closed_ || ended_)
+      return;
+    auto response = request_->create_response(StatusLine(status));
+    AddHeaders(response, headers);
+    response.set_body(std::move(body));
+    End();
+    response.done();
+    request_.reset();
+  }
+
+  void Start(int status, Headers headers) override {
+    if (closed_ || ended_ || stream_)
+      return;
+    stream_.emplace(request_->create_response<restinio::chunked_output_t>(
+        StatusLine(status)));
+    AddHeaders(*stream_, headers);
+    stream_->flush();
+    request_.reset();
+  }
+
+  void Write(std::string data) override {
+    if (closed_ || ended_ || data.empty())
+      return;
+    assert(stream_ && "Write() called before Start()");
+    const size_t size = data.size();
+    pending_bytes_ += size;
+    stream_->append_chunk(std::move(data));
+    stream_->flush(
+        [self = shared_from_this(), size](const asio::error_code& error) {
+          self->OnWritten(size, error);
+        });
+  }
+
+  void Finish() override {
+    if (closed_ || ended_ || !stream_)
+      return;
+    End();
+    stream_->done();
+    stream_.reset();
+  }
+
+  size_t pending_bytes() const override { return pending_bytes_; }
+
+  void SetCloseHandler(std::function<void()> handler) override {
+    close_handler_ = std::move(handler);
+  }
+
+  void SetDrainHandler(std::function<void()> handler) override {
+    drain_handler_ = std::move(handler);
+  }
+
+  void OnConnectionClosed() {
+    if (closed_)
+      return;
+    closed_ = true;
+    drain_handler_ = nullptr;
+    const std::function<void()> handler = std::move(close_handler_);
+    close_handler_ = nullptr;
+    if (handler && !ended_)
+      handler();
+  }
+
+ private:
+  template <typename Builder>
+  static void AddHeaders(Builder& response, const Headers& headers) {
+    for (const Header& header : headers) {
+      if (!IsManagedByServer(header.name))
+        response.append_header(header.name, header.value);
+    }
+  }
+
+  void End() {
+    ended_ = true;
+    close_handler_ = nullptr;
+    drain_handler_ = nullptr;
+  }
+
+  void OnWritten(size_t size, const asio::error_code& error) {
+    pending_bytes_ -= size;
+    if (error || closed_)
+      return;
+    // The handler may replace itself or end the response.
+    const std::function<void()> handler = drain_handler_;
+    if (handler)
+      handler();
+  }
+
+  restinio::request_handle_t request_;
+  std::optional<restinio::response_builder_t<restinio::chunked_output_t>>
+      stream_;
+  restinio::connection_id_t connection_;
+  std::weak_ptr<ConnectionTable> table_;
+  std::function<void()> close_handler_;
+  std::function<void()> drain_handler_;
+  size_t pending_bytes_ = 0;
+  bool closed_ = false;
+  bool ended_ = false;
+};
+
+/// Open responses by connection.
+class ConnectionTable {
+ public:
+  void Add(restinio::connection_id_t connection,
+           const std::shared_ptr<RestinioResponse>& response) {
+    responses_.emplace(connection, response);
+  }
+
+  void Remove(restinio::connection_id_t connection,
+              const RestinioResponse* response) {
+    auto [entry, last] = responses_.equal_range(connection);
+    while (entry != last) {
+      const std::shared_ptr<RestinioResponse> other = entry->second.lock();
+      if (!other || other.get() == response)
+        entry = responses_.erase(entry);
+      else
+        ++entry;
+    }
+  }
+
+  void OnOpened() { ++open_; }
+
+  void OnClosed(restinio::connection_id_t connection) {
+    --open_;
+    std::vector<std::shared_ptr<RestinioResponse>> affected;
+    const auto [first, last] = responses_.equal_range(connection);
+    for (auto entry = first; entry != last; ++entry) {
+      if (auto response = entry->second.lock())
+        affected.push_back(std::move(response));
+    }
+    responses_.erase(first, last);
+    for (const auto& response : affected)
+      response->OnConnectionClosed();
+  }
+
+  size_t open() const { return open_; }
+
+ private:
+  std::unordered_multimap<restinio::connection_id_t,
+                          std::weak_ptr<RestinioResponse>>
+      responses_;
+  size_t open_ = 0;
+};
+
+RestinioResponse::~RestinioResponse() {
+  if (const auto table = table_.lock())
+    table->Remove(connection_, this);
+}
+
+void ConnectionListener::state_changed(
+    const restinio::connection_state::notice_t& notice) noexcept {
+  const auto cause = notice.cause();
+  if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+          cause))
+    table_->OnOpened();
+  if (restinio::holds_alternative<restinio::connection_state::closed_t>(cause))
+    table_->OnClosed(notice.connection_id());
+}
+
+HttpRequest ToRequest(restinio::request_t& request) {
+  HttpRequest converted;
+  converted.method = request.header().method().c_str();
+  converted.path = std::string(request.header().path());
+  converted.query = std::string(request.header().query());
+  converted.body = std::move(request.body());
+  converted.remote_address = request.remote_endpoint().address().to_string();
+  request.header().for_each_field(
+      [&converted](const restinio::http_header_field_t& field) {
+        converted.headers.push_back({field.name(), field.value()});
+      });
+  return converted;
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(EventLoop& loop, HttpServerOptions options, HttpHandler& handler)
+      : loop_(loop),
+        options_(std::move(options)),
+        handler_(handler),
+        port_(options_.port),
+        table_(std::make_shared<ConnectionTable>()) {}
+
+  Status Start() {
+    try {
+      server_ = std::make_unique<RestinioServer>(
+          restinio::external_io_context(loop_.context()),
+          [this](auto& settings) { Configure(settings); });
+      server_->open_sync();
+    } catch (const std::exception& failure) {
+      server_.reset();
+      return {ResultCode::kBindFailed, "cannot listen on " + options_.address +
+                                           ":" + std::to_string(options_.port) +
+                                           ": " + failure.what()};
+    }
+    return Ok{};
+  }
+
+  void Stop() {
+    if (server_)
+      server_->close_sync();
+  }
+
+  uint16_t port() const { return port_; }
+  size_t open_connections() const { return table_->open(); }
+
+ private:
+  void Configure(restinio::server_settings_t<ServerTraits>& settings) {
+    settings.address(options_.address)
+        .port(options_.port)
+        .acceptor_options_setter([this](auto& acceptor) {
+          acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+          if (options_.share_port)
+            acceptor.set_option(ReusePort(true));
+        })
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
+          port_ = acceptor.local_endpoint().port();
+        })
+        .socket_options_setter([](auto& socket) {
+          socket.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .connection_state_listener(std::make_shared<ConnectionListener>(table_))
+        .max_pipelined_requests(kPipelinedRequests)
+        .concurrent_accepts_count(4)
+        .read_next_http_message_timelimit(options_.read_timeout)
+        .write_http_response_timelimit(options_.write_timeout)
+        .handle_request_timeout(kHandlingTimeout)
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(options_.max_header_bytes)
+                .max_field_name_size(256)
+                .max_field_value_size(options_.max_header_bytes)
+                .max_field_count(100)
+                .max_body_size(options_.max_body_bytes))
+        .request_handler([this](restinio::request_handle_t request) {
+          return Handle(std::move(request));
+        });
+  }
+
+  restinio::request_handling_status_t Handle(
+      restinio::request_handle_t request) {
+    auto response = std::make_shared<RestinioResponse>(request, table_);
+    table_->Add(request->connection_id(), response);
+    handler_.Handle(ToRequest(*request), std::move(response));
+    return restinio::request_accepted();
+  }
+
+  EventLoop& loop_;
+  HttpServerOptions options_;
+  HttpHandler& handler_;
+  uint16_t port_;
+  std::shared_ptr<ConnectionTable> table_;
+  std::unique_ptr<RestinioServer> server_;
+};
+
+HttpServer::HttpServer(EventLoop& loop,
+                       HttpServerOptions options,
+                       HttpHandler& handler)
+    : impl_(std::make_unique<Impl>(loop, std::move(options), handler)) {}
+
+HttpServer::~HttpServer() = default;
+
+Status HttpServer::Start() {
+  return impl_->Start();
+}
+
+uint16_t HttpServer::port() const {
+  return impl_->port();
+}
+
+void HttpServer::Stop() {
+  impl_->Stop();
+}
+
+size_t HttpServer::open_connections() const {
+  return impl_->open_connections();
+}
+
+}  // namespace teaselhill::net
--- /dev/null
+++ b/unittests/net/http_test.cc
@@ -0,0 +1,135 @@
+/// \file
+/// Guards the HTTP adapters: streaming, disconnects and connect failures.
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "teaselhill/net/http_client.h"
+#include "teaselhill/net/http_server.h"
+
+namespace teaselhill::net {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Answers /echo at once, streams /stream, and keeps /hold open.
+class TestHandler : public HttpHandler {
+ public:
+  void Handle(HttpRequest request,
+              std::shared_ptr<ResponseWriter> response) override {
+    if (request.path == "/echo") {
+      response->Respond(200, {{"X-Method", request.method}}, request.body);
+      return;
+    }
+    response->Start(200, {});
+    response->Write("first");
+    if (request.path == "/hold") {
+      held = response;
+      response->SetCloseHandler([this] { closed = true; });
+      return;
+    }
+    response->Write("second");
+    response->Finish();
+  }
+
+  std::shared_ptr<ResponseWriter> held;
+  bool closed = false;
+};
+
+struct Fixture {
+  Fixture() : server(loop, {}, handler), client(loop) {
+    REQUIRE(server.Start().ok());
+  }
+
+  std::string Url(const std::string& path) const {
+    return "http://127.0.0.1:" + std::to_string(server.port()) + path;
+  }
+
+  /// Runs the loop until `done` holds, at most 5 s.
+  void RunUntil(const std::function<bool()>& done) {
+    const auto poll = loop.timers().Subscribe(milliseconds(1), [&](TimePoint) {
+      if (done())
+        loop.Stop();
+    });
+    const auto limit =
+        loop.timers().After(seconds(5), [&](TimePoint) { loop.Stop(); });
+    loop.Run();
+    REQUIRE(done());
+  }
+
+  EventLoop loop;
+  TestHandler handler;
+  HttpServer server;
+  HttpClient client;
+};
+
+class CountingTransfer : public TransferHandler {
+ public:
+  void OnHead(int, const Headers&) override { ++heads; }
+  void OnData(std::string_view data) override { body.append(data); }
+  void OnEnd(const TransferEnd& ended) override { end = ended; }
+
+  int heads = 0;
+  std::string body;
+  std::optional<TransferEnd> end;
+};
+
+}  // namespace
+
+TEST_CASE("bodies arrive whole in both directions") {
+  Fixture fixture;
+  const std::string body =
+      GENERATE(as<std::string>(), "", "x", std::string(300000, 'y'));
+  ClientRequest request;
+  request.method = "POST";
+  request.url = fixture.Url("/echo");
+  request.body = body;
+  std::optional<Result<ClientResponse>> result;
+  fixture.client.Fetch(request, [&](auto fetched) { result.emplace(fetched); });
+  fixture.RunUntil([&] { return result.has_value(); });
+  REQUIRE(result->ok());
+  CHECK((*result)->status == 200);
+  CHECK((*result)->body == body);
+  CHECK(FindHeader((*result)->headers, "x-method") == "POST");
+}
+
+TEST_CASE("a streamed answer arrives in one head and its pieces") {
+  Fixture fixture;
+  auto transfer = std::make_shared<CountingTransfer>();
+  ClientRequest request;
+  request.url = fixture.Url("/stream");
+  fixture.client.Start(request, transfer);
+  fixture.RunUntil([&] { return transfer->end.has_value(); });
+  CHECK(transfer->heads == 1);
+  CHECK(transfer->body == "firstsecond");
+  CHECK(transfer->end->code == ResultCode::kOk);
+}
+
+TEST_CASE("the server notices a caller that disconnects during an answer") {
+  Fixture fixture;
+  auto transfer = std::make_shared<CountingTransfer>();
+  ClientRequest request;
+  request.url = fixture.Url("/hold");
+  const TransferId id = fixture.client.Start(request, transfer);
+  fixture.RunUntil([&] { return transfer->body == "first"; });
+  fixture.client.Cancel(id);
+  fixture.RunUntil([&] { return fixture.handler.closed; });
+  CHECK_FALSE(transfer->end.has_value());
+}
+
+TEST_CASE("a refused connection is known not to have carried the request") {
+  Fixture fixture;
+  auto transfer = std::make_shared<CountingTransfer>();
+  ClientRequest request;
+  request.method = "POST";
+  request.body = "x";
+  request.url = "http://127.0.0.1:1/";
+  fixture.client.Start(request, transfer);
+  fixture.RunUntil([&] { return transfer->end.has_value(); });
+  CHECK(transfer->end->code == ResultCode::kConnectFailed);
+  CHECK_FALSE(transfer->end->may_have_been_sent);
+}
+
+}  // namespace teaselhill::net
