--- a/cmake/Teaselhill.cmake
+++ b/cmake/Teaselhill.cmake
@@ -23,6 +23,8 @@
   add_executable(${name}_tests ${tests} ${CMAKE_SOURCE_DIR}/unittests/main.cc)
   teaselhill_link(${name}_tests PRIVATE ${name})
   target_link_libraries(${name}_tests PRIVATE rapidcheck)
+  target_compile_definitions(${name}_tests PRIVATE
+    TEASELHILL_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   add_test(NAME ${name}_tests COMMAND ${name}_tests)
   set_tests_properties(${name}_tests PROPERTIES TIMEOUT 120)
 endfunction()
