--- /dev/null
+++ b/include/teaselhill/routing/prefix_index.h
@@ -0,0 +1,59 @@
+/// \file
+/// Which upstream probably holds which prompt prefix in its cache.
+
+#ifndef TEASELHILL_ROUTING_PREFIX_INDEX_H_
+#define TEASELHILL_ROUTING_PREFIX_INDEX_H_
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::routing {
+
+/// Bytes of prompt text per prefix block.
+constexpr size_t kPrefixBlockBytes = 256;
+
+/// Returns one hash for each whole block of `prompt`; each covers the text from
+/// the start to the end of its block. At most `max_blocks` are returned.
+std::vector<uint64_t> PrefixBlocks(std::string_view model,
+                                   std::string_view prompt,
+                                   size_t max_blocks = 64);
+
+/// Fixed-size set-associative table of (block, upstream) pairs. The oldest pair
+/// of a set is replaced. A pair is a hint whose confidence halves with age.
+class PrefixIndex {
+ public:
+  PrefixIndex();
+
+  void Add(uint64_t block, uint32_t upstream, TimePoint now);
+  void Remove(uint64_t block, uint32_t upstream);
+  void RemoveUpstream(uint32_t upstream);
+
+  struct Match {
+    uint32_t upstream = 0;
+    uint32_t blocks = 0;    ///< leading blocks held
+    double confidence = 0;  ///< 0 to 1
+  };
+  /// Upstreams that hold a leading part of `blocks`, longest first.
+  std::vector<Match> Find(const std::vector<uint64_t>& blocks,
+                          TimePoint now) const;
+
+  size_t MemoryBytes() const { return entries_.size() * sizeof(Entry); }
+
+ private:
+  struct Entry {
+    uint64_t block = 0;
+    uint32_t upstream = 0;
+    uint32_t seconds = 0;  ///< time of the last sign; 0: empty
+  };
+  static constexpr size_t kSets = 8192;
+  static constexpr size_t kWays = 8;
+
+  std::vector<Entry> entries_;
+};
+
+}  // namespace teaselhill::routing
+
+#endif  // TEASELHILL_ROUTING_PREFIX_INDEX_H_
--- /dev/null
+++ b/include/teaselhill/routing/upstream_table.h
@@ -0,0 +1,255 @@
+/// \file
+/// Soft state of every upstream that this host may send to.
+
+#ifndef TEASELHILL_ROUTING_UPSTREAM_TABLE_H_
+#define TEASELHILL_ROUTING_UPSTREAM_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "teaselhill/routing/messages.h"
+#include "teaselhill/routing/prefix_index.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::routing {
+
+using Tier = int;  ///< 0 is the most urgent
+constexpr Tier kUrgentTier = 0;
+
+enum class UpstreamKind { kEngine, kService };
+
+/// What is configured of one upstream.
+struct UpstreamSpec {
+  std::string name;
+  UpstreamKind kind = UpstreamKind::kEngine;
+  std::string domain;
+  std::vector<std::string> models;  ///< of an engine
+  std::string service;              ///< of a plain service
+  int max_concurrency = 0;          ///< 0: as reported
+  bool draining = false;            ///< the operator takes it out
+};
+
+/// An engine's answer to `GET /v1/load`.
+struct LoadReport {
+  int running = 0;
+  int waiting = 0;
+  int max_batch = 0;
+  double tokens_per_second = 0;
+  Duration age{};  ///< time between measurement and receipt
+};
+
+/// Identifies one attempt of a request on this host.
+using AttemptId = uint64_t;
+
+/// An attempt that the router starts.
+struct SentAttempt {
+  AttemptId attempt = 0;
+  std::string upstream;
+  uint32_t prompt_tokens = 0;
+  uint32_t predicted_output_tokens = 0;
+  std::vector<uint64_t> prefix_blocks;
+  bool resumable = true;  ///< false for a non-idempotent request
+  bool suspect = false;   ///< the crash tracker asked for isolation
+};
+
+/// How an attempt ended, as far as the upstream's health is concerned.
+enum class EndKind {
+  kCompleted,
+  kCancelled,  ///< by this host or the caller; says nothing of health
+  kConnectFailed,
+  kRefused,  ///< 503 before running
+  kStreamBroken,
+  kTimeout,
+};
+
+/// Where a leaving mark comes from.
+enum class LeavingSign : uint8_t {
+  kHostList = 1,
+  kOperator = 2,
+  kRefusal = 4,  ///< 503; expires after `kRefusalHold`
+  kPeer = 8,     ///< expires after `kPeerLeavingHold` unless renewed
+};
+
+constexpr Duration kRefusalHold = std::chrono::seconds(5);
+constexpr Duration kPeerLeavingHold = std::chrono::seconds(10);
+
+enum class CacheEventKind { kStored, kRemoved, kCleared };
+
+struct CacheEvent {
+  CacheEventKind kind = CacheEventKind::kStored;
+  uint64_t block = 0;  ///< as of `PrefixBlocks`; unused by kCleared
+};
+
+enum class Health { kHealthy, kEjected, kProbing };
+
+/// One change of an upstream's load that its last report does not contain.
+struct LoadChange {
+  TimePoint at;
+  int32_t delta = 0;
+};
+
+struct PeerLoad {
+  uint32_t peer = 0;
+  uint32_t in_flight = 0;
+  uint32_t non_resumable = 0;
+  uint32_t suspects = 0;
+  TimePoint at;
+};
+
+/// The state of one upstream. Policies read it; only `UpstreamTable` writes it.
+struct Upstream {
+  UpstreamSpec spec;
+  uint32_t index = 0;
+  uint8_t leaving = 0;  ///< bits of LeavingSign
+  TimePoint refused_at;
+
+  Health health = Health::kHealthy;
+  uint32_t ejections = 0;  ///< in a row
+  TimePoint ejected_until;
+  TimePoint failed_at;
+
+  bool has_report = false;
+  LoadReport report;
+  TimePoint report_taken;
+  std::vector<LoadChange> changes;  ///< since `report_taken`
+  std::vector<PeerLoad> peers;
+
+  uint32_t own_in_flight = 0;
+  uint32_t own_non_resumable = 0;
+  uint32_t own_suspects = 0;
+  int64_t own_tokens_owed = 0;
+  uint32_t sent_since_message = 0;
+  uint32_t ended_since_message = 0;
+
+  double seconds_per_token = 0;  ///< seen on own streams; 0: not seen
+  double pace_samples = 0;       ///< tokens behind it, halved with age
+  TimePoint pace_at;
+  bool straggler = false;
+};
+
+/// Seen pace of the engines of one model.
+struct ModelPace {
+  double median_seconds_per_token = 0;  ///< 0: not known
+  double mean_output_tokens = 0;        ///< 0: not known
+};
+
+class UpstreamTable {
+ public:
+  explicit UpstreamTable(HostIncarnation self);
+
+  /// Replaces the set of configured upstreams. State of the upstreams that stay
+  /// is kept; attempts in flight on removed ones may still end.
+  void Apply(const std::vector<UpstreamSpec>& specs, TimePoint now);
+
+  void OnReport(const std::string& upstream,
+                const LoadReport& report,
+                TimePoint now);
+  void OnSent(const SentAttempt& attempt, TimePoint now);
+  void OnFirstToken(AttemptId attempt, TimePoint now);
+  /// `tokens` is the number of tokens received in this attempt so far.
+  void OnProgress(AttemptId attempt, uint32_t tokens, TimePoint now);
+  /// Unknown attempts are ignored, so a repeated call counts once.
+  void OnEnded(AttemptId attempt, EndKind kind, TimePoint now);
+  /// `gap` says that events were lost before these.
+  void OnCacheEvents(const std::string& upstream,
+                     const std::vector<CacheEvent>& events,
+                     bool gap,
+                     TimePoint now);
+
+  /// Returns true when the upstream took new work until now; the caller then
+  /// sends `MakeLeavingMessage` at once.
+  bool MarkLeaving(const std::string& upstream,
+                   LeavingSign sign,
+                   TimePoint now);
+  /// Withdraws one sign; other signs stay.
+  void ClearLeaving(const std::string& upstream,
+                    LeavingSign sign,
+                    TimePoint now);
+
+  void OnPeerSends(const UpstreamSends& message, TimePoint now);
+  void OnPeerLeaving(const UpstreamLeaving& message, TimePoint now);
+  UpstreamSends MakeSendsMessage(TimePoint now);
+  UpstreamLeaving MakeLeavingMessage(TimePoint now);
+
+  /// Forgets peers that are gone, expires marks, updates medians and
+  /// stragglers. Call about every 250 ms.
+  void Tick(TimePoint now);
+
+  const Upstream* Find(const std::string& upstream) const;
+  const Upstream& At(uint32_t index) const { return upstreams_[index]; }
+  /// Indices of the engines that are configured to serve `model`.
+  const std::vector<uint32_t>& ServingModel(const std::string& model) const;
+  const std::vector<uint32_t>& ServingService(const std::string& service) const;
+  ModelPace PaceOf(const std::string& model) const;
+  const PrefixIndex& prefixes() const { return prefixes_; }
+
+  /// Requests at the upstream now: the report corrected by what was sent and
+  /// has ended since, or the attempts in flight when there is no report.
+  int CorrectedLoad(const Upstream& upstream, TimePoint now) const;
+  /// Requests that it runs at a time.
+  int MaxBatch(const Upstream& upstream) const;
+  /// Attempts of all known hosts that may not be repeated, or are suspects.
+  int NonResumable(const Upstream& upstream, TimePoint now) const;
+  int Suspects(const Upstream& upstream, TimePoint now) const;
+  bool IsLeaving(const Upstream& upstream, TimePoint now) const;
+
+  size_t size() const { return by_name_.size(); }
+  /// Bytes held, for the memory bound in docs/decisions/routing.md.
+  size_t MemoryBytes() const;
+
+ private:
+  struct Attempt {
+    uint32_t upstream = 0;
+    TimePoint sent_at;
+    TimePoint progress_at;
+    uint32_t tokens = 0;
+    uint32_t predicted = 0;
+    bool first_token = false;
+    bool resumable = true;
+    bool suspect = false;
+  };
+  struct Peer {
+    uint32_t number = 0;
+    uint64_t incarnation = 0;
+    uint64_t sends_sequence = 0;
+    uint64_t leaving_sequence = 0;
+    TimePoint leaving_at;
+    TimePoint heard_at;
+    std::vector<std::string> leaving;
+  };
+
+  Upstream* Mutable(const std::string& name);
+  Peer& PeerOf(const HostIncarnation& host, TimePoint now);
+  void AddChange(Upstream& upstream, TimePoint at, int delta);
+  void RecordPace(Upstream& upstream,
+                  double seconds,
+                  uint32_t tokens,
+                  TimePoint now);
+  void OnFailure(Upstream& upstream, TimePoint now);
+  void OnSuccess(Upstream& upstream);
+  void RefreshPeerMarks(TimePoint now);
+  void RefreshStalls(TimePoint now);
+  void RefreshStragglers(TimePoint now);
+  void Rebuild();
+
+  HostIncarnation self_;
+  uint64_t sends_sequence_ = 0;
+  uint64_t leaving_sequence_ = 0;
+  uint32_t next_peer_ = 0;
+  std::vector<Upstream> upstreams_;
+  std::vector<uint32_t> free_;
+  std::unordered_map<std::string, uint32_t> by_name_;
+  std::unordered_map<std::string, std::vector<uint32_t>> by_model_;
+  std::unordered_map<std::string, std::vector<uint32_t>> by_service_;
+  std::unordered_map<std::string, ModelPace> pace_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::map<std::string, Peer> peers_;
+  PrefixIndex prefixes_;
+};
+
+}  // namespace teaselhill::routing
+
+#endif  // TEASELHILL_ROUTING_UPSTREAM_TABLE_H_
