--- /dev/null
+++ b/include/teaselhill/claims/key.h
@@ -0,0 +1,53 @@
+/// \file
+/// Idempotency keys: UUIDv7 values and tokens that a host issues.
+
+#ifndef TEASELHILL_CLAIMS_KEY_H_
+#define TEASELHILL_CLAIMS_KEY_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "teaselhill/support/hash.h"
+#include "teaselhill/support/ids.h"
+#include "teaselhill/support/result.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::claims {
+
+/// A key that the caller made; its age comes from the UUIDv7 time.
+struct UuidKey {
+  Hash128 hash;  ///< of customer and key
+  WallTime time;
+};
+
+/// A token that only `issuer` runs. The signature covers customer and number.
+struct TokenKey {
+  Hash128 hash;
+  HostIncarnation issuer;
+  uint64_t number = 0;
+};
+
+using Key = std::variant<UuidKey, TokenKey>;
+
+inline const Hash128& KeyHash(const Key& key) {
+  return std::visit([](const auto& k) -> const Hash128& { return k.hash; },
+                    key);
+}
+
+/// Parses an Idempotency-Key header. Fails with kInvalidIdempotencyKey when it
+/// is neither a UUIDv7 nor a token signed with `secret` for `customer`.
+Result<Key> ParseKey(std::string_view customer,
+                     std::string_view text,
+                     std::string_view secret);
+
+/// Text of a token: `thk1.<host>.<incarnation>.<number>.<signature>`.
+std::string FormatToken(std::string_view customer,
+                        const HostIncarnation& issuer,
+                        uint64_t number,
+                        std::string_view secret);
+
+}  // namespace teaselhill::claims
+
+#endif  // TEASELHILL_CLAIMS_KEY_H_
--- /dev/null
+++ b/include/teaselhill/claims/messages.h
@@ -0,0 +1,77 @@
+/// \file
+/// Records of stream `claims` and messages that pass a request to the host that
+/// holds its key.
+
+#ifndef TEASELHILL_CLAIMS_MESSAGES_H_
+#define TEASELHILL_CLAIMS_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "teaselhill/support/hash.h"
+#include "teaselhill/support/ids.h"
+#include "teaselhill/support/result.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::claims {
+
+/// A claim of one key. `body` is a hash of the request body.
+struct Claim {
+  Hash128 key;
+  uint64_t body = 0;
+  WallTime key_time;  ///< from the UUIDv7
+  /// Next offset of the claimer's reader when the request arrived. A claim that
+  /// had not yet read a release of its key loses to it.
+  LogOffset seen = 0;
+};
+
+/// The holder gave up before it sent; a later claim may win.
+struct Release {
+  Hash128 key;
+};
+
+/// One record of stream `claims`: everything one host appends at a time.
+struct ClaimBatch {
+  HostIncarnation holder;
+  uint64_t number = 0;  ///< identifies the batch within the incarnation
+  std::vector<Claim> claims;
+  std::vector<Release> releases;
+};
+
+/// JSON text of a batch, as stored under `data` in a log record.
+std::string EncodeBatch(const ClaimBatch& batch);
+Result<ClaimBatch> DecodeBatch(const std::string& json);
+
+/// A complete answer. `code` is kOk when it was delivered by an upstream.
+struct Answer {
+  ResultCode code = ResultCode::kOk;
+  int http_status = 200;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+};
+
+/// Asks the holder (or issuer) of a key for the answer. Carries the whole
+/// request, because the issuer of a token may be the one to run it.
+struct ClaimForward {
+  uint64_t forward_id = 0;  ///< chosen by the sender
+  HostIncarnation holder;   ///< refused as unknown by any other incarnation
+  std::string customer;
+  std::string key_text;  ///< the Idempotency-Key header
+  uint64_t body_hash = 0;
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+};
+
+/// Answers a ClaimForward whole.
+struct AnswerRelay {
+  uint64_t forward_id = 0;
+  Answer answer;
+};
+
+}  // namespace teaselhill::claims
+
+#endif  // TEASELHILL_CLAIMS_MESSAGES_H_
--- /dev/null
+++ b/include/teaselhill/membership/member_table.h
@@ -0,0 +1,176 @@
+/// \file
+/// Host liveness by probes and piggybacked updates, with the host list as a
+/// hint.
+
+#ifndef TEASELHILL_MEMBERSHIP_MEMBER_TABLE_H_
+#define TEASELHILL_MEMBERSHIP_MEMBER_TABLE_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "teaselhill/membership/messages.h"
+#include "teaselhill/support/rng.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::membership {
+
+struct MemberOptions {
+  Duration probe_period = std::chrono::milliseconds(500);
+  Duration probe_timeout = std::chrono::milliseconds(150);
+  Duration indirect_timeout = std::chrono::milliseconds(350);
+  Duration suspect_timeout = std::chrono::seconds(2);
+  /// A longer time between two ticks means that this process was paused.
+  Duration pause_threshold = std::chrono::milliseconds(400);
+  /// Dead members are remembered this long, so that late updates do not revive
+  /// them.
+  Duration dead_keep = std::chrono::seconds(30);
+  Duration leaving_keep = std::chrono::minutes(5);
+  /// A member that was heard of within this time counts as reachable.
+  Duration reachable_age = std::chrono::seconds(10);
+  size_t indirect_probes = 2;
+  size_t max_updates_per_message = 6;
+  size_t max_members = 2000;
+  size_t max_leaving = 1000;
+  /// Every this many probes one goes to another failure domain.
+  int cross_domain_every = 4;
+};
+
+/// A message and where to send it.
+struct Send {
+  std::string to;  ///< host name
+  std::string address;
+  Message message;
+};
+
+enum class MemberEventKind { kUp, kSuspect, kDown, kLeaving };
+
+struct MemberEvent {
+  MemberEventKind kind = MemberEventKind::kUp;
+  HostIncarnation id;
+};
+
+/// What the router has to do after a call.
+struct Output {
+  std::vector<Send> sends;
+  std::vector<MemberEvent> events;
+  std::vector<std::string> leaving_upstreams;  ///< newly learned
+};
+
+struct HostListEntry {
+  std::string name;
+  std::string address;
+  std::string domain;
+  bool leaving = false;
+};
+
+struct UpstreamListEntry {
+  std::string name;
+  std::string domain;
+  bool leaving = false;
+};
+
+struct DomainStatus {
+  std::string domain;
+  size_t known = 0;
+  size_t reachable = 0;
+};
+
+struct MemberView {
+  MemberUpdate member;
+  Duration last_heard{};  ///< age of the last direct or indirect sign of life
+};
+
+/// The state machine of one host.
+class MemberTable {
+ public:
+  MemberTable(MemberUpdate self, MemberOptions options);
+
+  /// Called at least every 50 ms.
+  Output OnTick(TimePoint now, Rng* rng);
+  Output OnMessage(const Message& message, TimePoint now, Rng* rng);
+
+  /// Adds hosts that are unknown, marks leaving hosts and upstreams, and drops
+  /// hosts that are neither listed nor heard of.
+  Output OnHostList(const std::vector<HostListEntry>& hosts,
+                    const std::vector<UpstreamListEntry>& upstreams,
+                    TimePoint now);
+
+  /// A sign seen by this host: a 503, an operator or the host list.
+  Output MarkUpstreamLeaving(const std::string& upstream,
+                             const std::string& domain,
+                             uint64_t sequence,
+                             TimePoint now);
+
+  /// This host is shutting down.
+  Output MarkSelfLeaving(TimePoint now);
+
+  std::vector<MemberView> Members(TimePoint now) const;
+  /// Alive or leaving under exactly this incarnation, or suspected.
+  bool IsUp(const HostIncarnation& id) const;
+  /// Reachable share per failure domain, this host's own domain included.
+  std::vector<DomainStatus> Domains(TimePoint now) const;
+  const MemberUpdate& self() const { return self_; }
+
+ private:
+  struct Member {
+    MemberUpdate update;
+    TimePoint state_since;
+    std::optional<TimePoint> heard;  // sign of life
+    bool listed = false;
+  };
+  struct Probe {
+    std::string target;
+    uint64_t sequence = 0;
+    TimePoint sent;
+    bool indirect = false;
+  };
+  struct Relay {
+    std::string requester;
+    uint64_t their_sequence = 0;
+    TimePoint sent;
+  };
+  struct Queued {
+    int sent = 0;
+    MemberUpdate update;
+  };
+  struct Leaving {
+    UpstreamLeaving report;
+    TimePoint since;
+    int sent = 0;
+  };
+
+  Gossip TakeGossip();
+  void Merge(const MemberUpdate& update, TimePoint now, Output* out);
+  void MergeGossip(const Gossip& gossip, TimePoint now, Output* out);
+  void Learn(const UpstreamLeaving& report, TimePoint now, Output* out);
+  void Heard(const MemberUpdate& from, TimePoint now, Output* out);
+  void SetState(Member* member, MemberState state, TimePoint now, Output* out);
+  void Enqueue(const MemberUpdate& update);
+  void SendTo(const std::string& host, Message message, Output* out) const;
+  void StartProbe(TimePoint now, Rng* rng, Output* out);
+  void CheckProbe(TimePoint now, Rng* rng, Output* out);
+  void Expire(TimePoint now, Output* out);
+  void AfterPause(TimePoint now);
+  std::string PickTarget(Rng* rng);
+  int GossipLimit() const;
+
+  MemberUpdate self_;
+  MemberOptions options_;
+  std::map<std::string, Member> members_;  // without this host
+  std::map<std::string, Queued> queue_;    // updates still to spread
+  std::map<std::string, Leaving> leaving_;
+  std::vector<std::string> order_;  // shuffled probe order of the own domain
+  std::optional<Probe> probe_;
+  std::map<uint64_t, Relay> relays_;  // by our own sequence
+  std::optional<TimePoint> last_tick_;
+  TimePoint next_probe_;
+  uint64_t next_sequence_ = 1;
+  int probes_ = 0;
+};
+
+}  // namespace teaselhill::membership
+
+#endif  // TEASELHILL_MEMBERSHIP_MEMBER_TABLE_H_
