--- a/include/teaselhill/routing/prefix_index.h
+++ b/include/teaselhill/routing/prefix_index.h
@@ -48,7 +48,7 @@
     uint32_t upstream = 0;
     uint32_t seconds = 0;  ///< time of the last sign; 0: empty
   };
-  static constexpr size_t kSets = 8192;
+  static constexpr size_t kSets = 32768;
   static constexpr size_t kWays = 8;
 
   std::vector<Entry> entries_;
--- a/include/teaselhill/routing/upstream_table.h
+++ b/include/teaselhill/routing/upstream_table.h
@@ -83,6 +83,7 @@
   uint64_t block = 0;  ///< as of `PrefixBlocks`; unused by kCleared
 };
 
+/// A probing upstream takes one attempt at a time until one succeeds.
 enum class Health { kHealthy, kEjected, kProbing };
 
 /// One change of an upstream's load that its last report does not contain.
@@ -106,10 +107,12 @@
   uint8_t leaving = 0;  ///< bits of LeavingSign
   TimePoint refused_at;
 
-  Health health = Health::kHealthy;
-  uint32_t ejections = 0;  ///< in a row
+  bool ejected = false;    ///< see `UpstreamTable::HealthOf`
+  uint32_t failures = 0;   ///< weight of failures since the last success
+  uint32_t ejections = 0;  ///< without a longer healthy time between them
   TimePoint ejected_until;
   TimePoint failed_at;
+  AttemptId probe = 0;  ///< the attempt that tries a probing upstream
 
   bool has_report = false;
   LoadReport report;
@@ -195,6 +198,7 @@
   int NonResumable(const Upstream& upstream, TimePoint now) const;
   int Suspects(const Upstream& upstream, TimePoint now) const;
   bool IsLeaving(const Upstream& upstream, TimePoint now) const;
+  Health HealthOf(const Upstream& upstream, TimePoint now) const;
 
   size_t size() const { return by_name_.size(); }
   /// Bytes held, for the memory bound in docs/decisions/routing.md.
@@ -221,6 +225,8 @@
     std::vector<std::string> leaving;
   };
 
+  static int64_t Owed(const Attempt& attempt);
+  bool Accepts(const HostIncarnation& sender) const;
   Upstream* Mutable(const std::string& name);
   Peer& PeerOf(const HostIncarnation& host, TimePoint now);
   void AddChange(Upstream& upstream, TimePoint at, int delta);
@@ -229,11 +235,12 @@
                   uint32_t tokens,
                   TimePoint now);
   void OnFailure(Upstream& upstream, TimePoint now);
-  void OnSuccess(Upstream& upstream);
+  void OnSuccess(Upstream& upstream, TimePoint sent_at, TimePoint now);
   void RefreshPeerMarks(TimePoint now);
   void RefreshStalls(TimePoint now);
   void RefreshStragglers(TimePoint now);
-  void Rebuild();
+  void IndexTargets();
+  void Release(uint32_t index);
 
   HostIncarnation self_;
   uint64_t sends_sequence_ = 0;
--- /dev/null
+++ b/lib/routing/adaptive_policy.cc
@@ -0,0 +1,377 @@
+/// \file
+/// Policy that weighs expected time: queueing, prefill, decode and crossing.
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+
+#include "teaselhill/routing/routing_policy.h"
+
+namespace teaselhill::routing {
+
+namespace {
+
+/// Output length until one is known or predicted.
+constexpr double kDefaultOutputTokens = 128;
+/// Relative growth of the time per token from an empty to a full batch.
+constexpr double kFullBatchSlowdown = 0.5;
+/// Expected time that each request in flight adds on a plain service.
+constexpr double kServiceSecondsPerRequest = 0.005;
+/// Share of a straggler's batch that lower tiers may use.
+constexpr double kStragglerBatchShare = 0.5;
+/// An urgent idempotent request may probe an upstream that no other request has
+/// probed for this long after its ejection, any request after the second time.
+constexpr Duration kUrgentProbeAfter = std::chrono::seconds(5);
+constexpr Duration kAnyProbeAfter = std::chrono::seconds(15);
+/// Share of the requests fit for it that probe an upstream after its ejection.
+constexpr double kEjectedProbeShare = 0.25;
+constexpr size_t kMaxPrefixCandidates = 4;
+constexpr size_t kMaxChoices = 16;
+
+struct Candidate {
+  uint32_t index = 0;
+  int load = 0;
+  int room = 0;
+};
+
+struct Scan {
+  std::vector<Candidate> eligible;
+  std::vector<Candidate> probes;
+  std::vector<Candidate> ejected;
+  int serving = 0;  ///< and not leaving
+  int leaving = 0;
+  int out = 0;  ///< ejected or probing
+  int full = 0;
+  int unfit = 0;
+};
+
+class AdaptivePolicy : public RoutingPolicy {
+ public:
+  explicit AdaptivePolicy(RoutingOptions options)
+      : options_(std::move(options)) {}
+
+  RouteResult Choose(const RouteRequest& request,
+                     const UpstreamTable& table,
+                     Rng& rng,
+                     TimePoint now) override {
+    matches_.clear();
+    ScanUpstreams(request, table, rng, now);
+    if (scan_.serving == 0)
+      return NoUpstream{scan_.leaving};
+    if (!scan_.probes.empty()) {
+      const Candidate probe = scan_.probes[rng.Below(scan_.probes.size())];
+      return MakeChoice(request, table, {probe}, ChoiceReason::kProbe, rng,
+                        now);
+    }
+    if (!scan_.eligible.empty())
+      return ChooseFrom(request, table, scan_.eligible, false, rng, now);
+    // With most upstreams ejected the fault is more likely on this side, and
+    // the rest could not carry the load.
+    if (2 * scan_.out > scan_.serving && !scan_.ejected.empty())
+      return ChooseFrom(request, table, scan_.ejected, true, rng, now);
+    return NoCapacity{scan_.serving, scan_.out, scan_.full, scan_.unfit};
+  }
+
+ private:
+  const std::vector<uint32_t>& Serving(const RouteRequest& request,
+                                       const UpstreamTable& table) const {
+    return request.kind == UpstreamKind::kEngine
+               ? table.ServingModel(request.target)
+               : table.ServingService(request.target);
+  }
+
+  /// Places for the request's tier on an upstream that runs `batch` at a time.
+  int Limit(const RouteRequest& request,
+            const Upstream& upstream,
+            int batch) const {
+    if (request.tier == kUrgentTier) {
+      const int headroom =
+          static_cast<int>(std::ceil(batch * options_.urgent_headroom));
+      return batch + std::max(1, headroom);
+    }
+    if (upstream.straggler)
+      return std::max(1, static_cast<int>(batch * kStragglerBatchShare));
+    return batch;
+  }
+
+  static bool IsApart(const RouteRequest& request,
+                      const Upstream& upstream,
+                      const UpstreamTable& table,
+                      TimePoint now) {
+    if (request.isolated)
+      return table.Suspects(upstream, now) == 0 &&
+             table.NonResumable(upstream, now) == 0;
+    return request.idempotent || table.Suspects(upstream, now) == 0;
+  }
+
+  bool MayProbeEjected(const RouteRequest& request,
+                       const Upstream& upstream,
+                       Rng& rng,
+                       TimePoint now) const {
+    if (upstream.probe != 0 || request.isolated)
+      return false;
+    const Duration overdue = now - upstream.ejected_until;
+    if (overdue > kAnyProbeAfter)
+      return true;
+    if (!request.idempotent)
+      return false;
+    if (request.tier == kUrgentTier && overdue < kUrgentProbeAfter)
+      return false;
+    return rng.Uniform() < kEjectedProbeShare;
+  }
+
+  void ScanUpstreams(const RouteRequest& request,
+                     const UpstreamTable& table,
+                     Rng& rng,
+                     TimePoint now) {
+    scan_.eligible.clear();
+    scan_.probes.clear();
+    scan_.ejected.clear();
+    scan_.serving = scan_.leaving = scan_.out = scan_.full = scan_.unfit = 0;
+    stragglers_.clear();
+    const bool urgent = request.tier == kUrgentTier;
+    const bool probes_straggler = !urgent && request.idempotent &&
+                                  !request.isolated &&
+                                  rng.Uniform() < options_.probe_share;
+    int steady = 0;
+    for (const uint32_t index : Serving(request, table)) {
+      const Upstream& upstream = table.At(index);
+      if (table.IsLeaving(upstream, now)) {
+        // A refusal alone passes by itself, so the request may wait for it.
+        const bool refusal_only =
+            upstream.leaving == static_cast<uint8_t>(LeavingSign::kRefusal);
+        scan_.serving += refusal_only ? 1 : 0;
+        scan_.unfit += refusal_only ? 1 : 0;
+        scan_.leaving += refusal_only ? 0 : 1;
+        continue;
+      }
+      ++scan_.serving;
+      const Health health = table.HealthOf(upstream, now);
+      scan_.out += health == Health::kHealthy ? 0 : 1;
+      steady += health == Health::kHealthy && !upstream.straggler ? 1 : 0;
+      if (IsExcluded(request, upstream) ||
+          !IsApart(request, upstream, table, now)) {
+        ++scan_.unfit;
+        continue;
+      }
+      const int load = table.CorrectedLoad(upstream, now);
+      const int limit = Limit(request, upstream, table.MaxBatch(upstream));
+      if (load >= limit) {
+        ++scan_.full;
+        continue;
+      }
+      const Candidate candidate{index, load, limit - load};
+      if (health != Health::kHealthy) {
+        scan_.ejected.push_back(candidate);
+        if (health == Health::kProbing &&
+            MayProbeEjected(request, upstream, rng, now))
+          scan_.probes.push_back(candidate);
+      } else if (!upstream.straggler) {
+        scan_.eligible.push_back(candidate);
+      } else if (urgent || probes_straggler) {
+        stragglers_.push_back(candidate);
+      } else {
+        scan_.eligible.push_back(candidate);
+      }
+    }
+    if (probes_straggler) {
+      for (const Candidate& straggler : stragglers_)
+        scan_.probes.push_back(straggler);
+    } else if (steady == 0) {
+      for (const Candidate& straggler : stragglers_)
+        scan_.eligible.push_back(straggler);
+    } else {
+      scan_.unfit += static_cast<int>(stragglers_.size());
+    }
+  }
+
+  static bool IsExcluded(const RouteRequest& request,
+                         const Upstream& upstream) {
+    return !request.excluded.empty() &&
+           std::find(request.excluded.begin(), request.excluded.end(),
+                     upstream.spec.name) != request.excluded.end();
+  }
+
+  RouteResult ChooseFrom(const RouteRequest& request,
+                         const UpstreamTable& table,
+                         const std::vector<Candidate>& from,
+                         bool panic,
+                         Rng& rng,
+                         TimePoint now) {
+    if (request.isolated)
+      return MakeChoice(request, table, LeastLoaded(from, rng),
+                        ChoiceReason::kIsolation, rng, now);
+    const ChoiceReason reason = panic ? ChoiceReason::kPanic
+                                : from.size() == 1
+                                    ? ChoiceReason::kOnlyCandidate
+                                    : ChoiceReason::kLeastCost;
+    return MakeChoice(request, table, Sample(request, table, from, rng, now),
+                      reason, rng, now);
+  }
+
+  /// Fewest other streams to lose when the suspect crashes the upstream.
+  static std::vector<Candidate> LeastLoaded(const std::vector<Candidate>& from,
+                                            Rng& rng) {
+    int least = from.front().load;
+    for (const Candidate& candidate : from)
+      least = std::min(least, candidate.load);
+    std::vector<Candidate> best;
+    for (const Candidate& candidate : from) {
+      if (candidate.load == least)
+        best.push_back(candidate);
+    }
+    return {best[rng.Below(best.size())]};
+  }
+
+  /// A few candidates drawn by free places, and the best prefix holders. Hosts
+  /// with the same stale reports draw differently.
+  std::vector<Candidate> Sample(const RouteRequest& request,
+                                const UpstreamTable& table,
+                                const std::vector<Candidate>& from,
+                                Rng& rng,
+                                TimePoint now) {
+    const size_t wanted =
+        std::min<size_t>(std::max(1, options_.choices), kMaxChoices);
+    std::vector<Candidate> sample;
+    sample.reserve(wanted + kMaxPrefixCandidates);
+    const auto add = [&](const Candidate& candidate) {
+      const auto same = [&](const Candidate& known) {
+        return known.index == candidate.index;
+      };
+      if (std::none_of(sample.begin(), sample.end(), same))
+        sample.push_back(candidate);
+    };
+    uint64_t room = 0;
+    for (const Candidate& candidate : from)
+      room += static_cast<uint64_t>(candidate.room);
+    std::array<uint64_t, kMaxChoices> draws{};
+    for (size_t i = 0; i < wanted; ++i)
+      draws[i] = rng.Below(room);
+    std::sort(draws.begin(),
+              draws.begin() + static_cast<std::ptrdiff_t>(wanted));
+    uint64_t passed = 0;
+    size_t next = 0;
+    for (const Candidate& candidate : from) {
+      passed += static_cast<uint64_t>(candidate.room);
+      while (next < wanted && draws[next] < passed) {
+        add(candidate);
+        ++next;
+      }
+    }
+    matches_ = request.prefix_blocks.empty()
+                   ? std::vector<PrefixIndex::Match>{}
+                   : table.prefixes().Find(request.prefix_blocks, now);
+    size_t holders = 0;
+    for (const PrefixIndex::Match& match : matches_) {
+      const auto held = std::find_if(
+          from.begin(), from.end(),
+          [&](const Candidate& c) { return c.index == match.upstream; });
+      if (held == from.end())
+        continue;
+      add(*held);
+      if (++holders == kMaxPrefixCandidates)
+        break;
+    }
+    return sample;
+  }
+
+  CandidateFigures Figures(const RouteRequest& request,
+                           const UpstreamTable& table,
+                           const Candidate& candidate,
+                           TimePoint now) const {
+    const Upstream& upstream = table.At(candidate.index);
+    CandidateFigures figures;
+    figures.upstream = upstream.spec.name;
+    figures.load = candidate.load;
+    figures.max_batch = std::max(1, table.MaxBatch(upstream));
+    if (upstream.has_report)
+      figures.report_age = now - upstream.report_taken;
+    if (upstream.spec.domain != options_.own_domain)
+      figures.crossing = options_.crossing_cost;
+    if (request.kind == UpstreamKind::kService) {
+      figures.queueing =
+          FromSeconds(candidate.load * kServiceSecondsPerRequest);
+    } else {
+      AddEngineTimes(request, table, upstream, figures);
+    }
+    figures.total =
+        figures.queueing + figures.prefill + figures.decode + figures.crossing;
+    return figures;
+  }
+
+  void AddEngineTimes(const RouteRequest& request,
+                      const UpstreamTable& table,
+                      const Upstream& upstream,
+                      CandidateFigures& figures) const {
+    const ModelPace model = table.PaceOf(request.target);
+    const double usual = model.median_seconds_per_token > 0
+                             ? model.median_seconds_per_token
+                             : ToSeconds(options_.default_between_tokens);
+    const double pace =
+        upstream.seconds_per_token > 0 ? upstream.seconds_per_token : usual;
+    const double mean_output = model.mean_output_tokens > 0
+                                   ? model.mean_output_tokens
+                                   : kDefaultOutputTokens;
+    const double output = request.predicted_output_tokens > 0
+                              ? request.predicted_output_tokens
+                              : mean_output;
+    const double fill = static_cast<double>(figures.load) / figures.max_batch;
+    figures.decode = FromSeconds(
+        output * pace * (1 + kFullBatchSlowdown * std::min(1.0, fill)));
+    // With a full batch, a place comes free about max_batch times per answer.
+    const int ahead = figures.load - figures.max_batch + 1;
+    if (ahead > 0)
+      figures.queueing =
+          FromSeconds(ahead * mean_output * pace / figures.max_batch);
+    double cached = 0;
+    for (const PrefixIndex::Match& match : matches_) {
+      if (match.upstream != upstream.index)
+        continue;
+      figures.cached_blocks = match.blocks;
+      cached = match.confidence * match.blocks / request.prefix_blocks.size();
+    }
+    figures.prefill = FromSeconds((1 - cached) * request.prompt_tokens /
+                                  options_.prefill_tokens_per_second);
+  }
+
+  Choice MakeChoice(const RouteRequest& request,
+                    const UpstreamTable& table,
+                    const std::vector<Candidate>& sample,
+                    ChoiceReason reason,
+                    Rng& rng,
+                    TimePoint now) const {
+    Choice choice;
+    choice.eligible = static_cast<int>(scan_.eligible.size());
+    choice.candidates.reserve(sample.size());
+    size_t best = 0;
+    for (const Candidate& candidate : sample) {
+      choice.candidates.push_back(Figures(request, table, candidate, now));
+      if (choice.candidates.back().total < choice.candidates[best].total)
+        best = choice.candidates.size() - 1;
+    }
+    std::swap(choice.candidates.front(), choice.candidates[best]);
+    const CandidateFigures& chosen = choice.candidates.front();
+    choice.upstream = chosen.upstream;
+    choice.reason = reason;
+    if (reason == ChoiceReason::kLeastCost && chosen.cached_blocks > 0)
+      choice.reason = ChoiceReason::kPrefixAffinity;
+    return choice;
+  }
+
+  RoutingOptions options_;
+  // Kept between calls so that a choice does not allocate for each candidate.
+  Scan scan_;
+  std::vector<Candidate> stragglers_;
+  std::vector<PrefixIndex::Match> matches_;
+};
+
+const RoutingPolicyRegistration kAdaptiveRegistration(
+    "adaptive",
+    [](RoutingOptions options) -> std::unique_ptr<RoutingPolicy> {
+      return std::make_unique<AdaptivePolicy>(std::move(options));
+    });
+
+}  // namespace
+
+}  // namespace teaselhill::routing
