--- a/include/teaselhill/retry/crash_tracker.h
+++ b/include/teaselhill/retry/crash_tracker.h
@@ -5,11 +5,12 @@
 #define TEASELHILL_RETRY_CRASH_TRACKER_H_
 
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "teaselhill/retry/messages.h"
@@ -25,20 +26,27 @@
 Hash128 Fingerprint(std::string_view target, std::string_view body);
 
 struct CrashTrackerOptions {
-  /// Breaks on one upstream within this time are one crash.
-  Duration merge_window = std::chrono::seconds(2);
-  /// A suspect is run with care for this long after its last crash.
+  /// Breaks on one upstream within this time are one crash. Shorter than the
+  /// first ejection of an upstream.
+  Duration merge_window = std::chrono::seconds(3);
+  /// A suspect of one crash is run with care for this long.
   Duration suspicion = std::chrono::minutes(10);
-  /// Refusal of a fingerprint that alone explains two crashes.
+  /// Crashes are remembered for this long.
+  Duration memory = std::chrono::hours(1);
+  /// Refusal of a fingerprint that alone explains two crashes, from the last
+  /// of them; doubled for each further crash.
   Duration quarantine = std::chrono::minutes(10);
-  /// Refusal of fingerprints that cannot be told apart after two crashes.
+  /// Refusal of fingerprints that two crashes do not tell apart.
   Duration ambiguous_quarantine = std::chrono::minutes(1);
-  /// Breaks on this many upstreams within `merge_window` are taken for a
-  /// network fault, unless one fingerprint was on two of them.
+  /// Longest wait for a run of a suspect on a host that is not heard of again.
+  Duration run_hold = std::chrono::seconds(60);
+  Duration wait_retry_after = std::chrono::milliseconds(500);
+  /// Crashes of this many upstreams within `merge_window` are taken for a
+  /// network fault, except for fingerprints that were on two of them.
   size_t burst_upstreams = 4;
-  size_t max_crashes = 256;
-  size_t max_suspects_per_crash = 128;
-  size_t max_exonerations = 4096;
+  size_t max_reports = 256;
+  size_t max_suspects_per_report = 128;
+  size_t max_runs = 1024;
 };
 
 enum class Care {
@@ -46,16 +54,18 @@
   /// Run apart from other suspects and from streams that cannot be resumed,
   /// and do not hedge.
   kIsolate,
+  /// A suspect that is in flight already, here or on another host.
+  kWait,
   kRefuse,  ///< with kQuarantined
 };
 
 struct CareAdvice {
   Care care = Care::kNone;
-  Duration retry_after{};  ///< of kRefuse
-  int crashes = 0;         ///< that the fingerprint was in
+  Duration retry_after{};  ///< of kWait and kRefuse
+  int crashes = 0;         ///< that count against the fingerprint
 };
 
-/// What the router does after new evidence.
+/// What the router does after a change.
 struct CrashActions {
   /// To be sent to every peer at once when it is not empty.
   CrashSuspicion message;
@@ -72,54 +82,90 @@
   /// Consulted before each attempt, also before a retry or a resumption.
   CareAdvice Advise(const Hash128& fingerprint, TimePoint now) const;
 
-  void OnStarted(AttemptId attempt,
-                 const Hash128& fingerprint,
-                 const std::string& upstream,
-                 TimePoint now);
+  CrashActions OnStarted(AttemptId attempt,
+                         const Hash128& fingerprint,
+                         const std::string& upstream,
+                         TimePoint now);
   /// The attempt delivered its whole answer, which clears its fingerprint of
   /// earlier crashes.
   CrashActions OnCompleted(AttemptId attempt, TimePoint now);
   /// The attempt ended in a way that is no sign of a crash.
-  void OnEnded(AttemptId attempt);
-  /// The upstream dropped the stream of `attempt`. Not to be called for an
-  /// upstream that announced to stop.
+  CrashActions OnEnded(AttemptId attempt, TimePoint now);
+  /// The upstream dropped the stream of `attempt`. Every request in flight on
+  /// the upstream becomes a suspect. Not to be called for an upstream that
+  /// announced to stop.
   CrashActions OnBroken(AttemptId attempt, TimePoint now);
   CrashActions OnMessage(const CrashSuspicion& message, TimePoint now);
 
   /// Everything known, for a host that joins.
-  CrashSuspicion Snapshot(TimePoint now) const;
+  CrashSuspicion Snapshot(TimePoint now);
+  /// Drops what is too old. Call about once a second.
   void Expire(TimePoint now);
 
-  size_t crashes() const { return crashes_.size(); }
+  size_t reports() const { return reports_.size(); }
 
  private:
   struct Attempt {
     Hash128 fingerprint;
     std::string upstream;
     TimePoint started;
+    bool announced = false;  ///< as a run of a suspect
   };
+  struct Report {
+    HostIncarnation observer;
+    uint64_t number = 0;
+    std::string upstream;
+    TimePoint at;
+    std::vector<Hash128> suspects;
+  };
+  /// Reports of one crash by all hosts.
   struct Crash {
+    TimePoint at;
     std::string upstream;
+    std::vector<Hash128> suspects;  ///< ascending, not yet cleared
+    bool burst = false;
+    bool explained = false;  ///< holds a fingerprint that is convicted
+  };
+  struct Verdict {
+    int crashes = 0;
+    int unexplained = 0;  ///< of these, without a convicted fingerprint
+    bool convicted = false;
+    TimePoint last;
+  };
+  struct Run {
+    uint64_t sequence = 0;
+    bool running = false;
     TimePoint at;
-    std::vector<Hash128> suspects;  ///< ascending
   };
 
-  Crash& CrashAt(const std::string& upstream, TimePoint at, TimePoint newer);
-  bool AddSuspect(Crash& crash, const Hash128& fingerprint);
+  Attempt TakeAttempt(AttemptId attempt);
+  bool KnowsReport(const HostIncarnation& observer, uint64_t number) const;
+  void AddReport(Report report);
+  bool Clear(const Hash128& fingerprint, TimePoint at);
   bool IsCleared(const Hash128& fingerprint, TimePoint crash_at) const;
-  bool IsBurst(const Crash& crash) const;
-  /// Crashes that count against `fingerprint`, in order of time.
-  std::vector<const Crash*> Evidence(const Hash128& fingerprint,
-                                     TimePoint now) const;
-  std::vector<AttemptId> RefusedAttempts(TimePoint now) const;
-  CrashReport ToReport(const Crash& crash, TimePoint now) const;
+  /// Whether the fingerprint is a suspect in any remembered crash.
+  bool IsNamed(const Hash128& fingerprint) const;
+  bool IsRunning(const Hash128& fingerprint, TimePoint now) const;
+  /// Derives verdicts from reports; the result depends on no order.
+  void Judge();
+  std::vector<Crash> GroupReports() const;
+  static void MarkBursts(std::vector<Crash>& crashes,
+                         const CrashTrackerOptions& options);
+  void EndRun(const Attempt& attempt, CrashActions& actions);
+  /// Adds sender, sequence and the attempts to cancel.
+  CrashActions Finish(CrashActions actions, TimePoint now);
+  CrashReport ToMessage(const Report& report, TimePoint now) const;
 
   HostIncarnation self_;
   CrashTrackerOptions options_;
+  uint64_t next_number_ = 0;
+  uint64_t sequence_ = 0;
   std::unordered_map<AttemptId, Attempt> attempts_;
   std::unordered_map<std::string, std::unordered_set<AttemptId>> by_upstream_;
-  std::vector<Crash> crashes_;
+  std::vector<Report> reports_;
   std::unordered_map<Hash128, TimePoint, Hash128Hasher> cleared_;
+  std::unordered_map<Hash128, Verdict, Hash128Hasher> verdicts_;
+  std::map<std::pair<Hash128, std::string>, Run> runs_;  ///< of other hosts
 };
 
 }  // namespace teaselhill::retry
