Tell two quick crashes of one upstream apart by their observer

A host reports each crash once, so a second report by it is of another crash even within the merge window. The first ejection is 4 s, longer than that window. Exonerations that overtake the crash report are kept.

--- a/include/teaselhill/retry/crash_tracker.h
+++ b/include/teaselhill/retry/crash_tracker.h
@@ -47,6 +47,7 @@
   size_t max_reports = 256;
   size_t max_suspects_per_report = 128;
   size_t max_runs = 1024;
+  size_t max_exonerations = 4096;
 };
 
 enum class Care {
@@ -133,6 +134,7 @@
     TimePoint last;
   };
   struct Run {
+    uint64_t incarnation = 0;
     uint64_t sequence = 0;
     bool running = false;
     TimePoint at;
--- a/lib/retry/crash_tracker.cc
+++ b/lib/retry/crash_tracker.cc
@@ -168,17 +168,20 @@
     changed = true;
   }
   for (const Exoneration& exoneration : message.exonerations) {
-    if (IsNamed(exoneration.fingerprint))
-      changed |= Clear(exoneration.fingerprint,
-                       now - std::max(exoneration.age, Duration{}));
+    // It may overtake the report of the crash, so it is kept in any case.
+    const Duration age = std::max(exoneration.age, Duration{});
+    if (age < options_.memory)
+      changed |= Clear(exoneration.fingerprint, now - age);
   }
   for (const SuspectRun& run : message.runs) {
     const auto key = std::make_pair(run.fingerprint, message.sender.host);
     if (runs_.count(key) == 0 && runs_.size() >= options_.max_runs)
       continue;
     Run& known = runs_[key];
-    if (message.sequence > known.sequence)
-      known = Run{message.sequence, run.running, now};
+    const uint64_t incarnation = message.sender.incarnation;
+    if (std::tie(incarnation, message.sequence) >
+        std::tie(known.incarnation, known.sequence))
+      known = Run{incarnation, message.sequence, run.running, now};
   }
   if (changed)
     Judge();
@@ -231,6 +234,9 @@
 }
 
 bool CrashTracker::Clear(const Hash128& fingerprint, TimePoint at) {
+  if (cleared_.size() >= options_.max_exonerations &&
+      cleared_.count(fingerprint) == 0)
+    return false;
   const auto [it, added] = cleared_.emplace(fingerprint, at);
   if (added)
     return true;
@@ -257,17 +263,24 @@
   std::vector<const Report*> ordered;
   for (const Report& report : reports_)
     ordered.push_back(&report);
-  std::sort(
-      ordered.begin(), ordered.end(), [](const Report* a, const Report* b) {
-        return std::tie(a->upstream, a->at) < std::tie(b->upstream, b->at);
-      });
+  std::sort(ordered.begin(), ordered.end(),
+            [](const Report* a, const Report* b) {
+              return std::tie(a->upstream, a->at, a->observer, a->number) <
+                     std::tie(b->upstream, b->at, b->observer, b->number);
+            });
   std::vector<Crash> crashes;
+  std::set<HostIncarnation> observers;
   for (const Report* report : ordered) {
+    // A host reports a crash once, so its next report is of the next crash.
     const bool same = !crashes.empty() &&
                       crashes.back().upstream == report->upstream &&
-                      report->at - crashes.back().at < options_.merge_window;
-    if (!same)
+                      report->at - crashes.back().at < options_.merge_window &&
+                      observers.count(report->observer) == 0;
+    if (!same) {
       crashes.push_back({report->at, report->upstream, {}});
+      observers.clear();
+    }
+    observers.insert(report->observer);
     for (const Hash128& suspect : report->suspects) {
       if (!IsCleared(suspect, report->at))
         crashes.back().suspects.push_back(suspect);
--- a/lib/routing/upstream_table.cc
+++ b/lib/routing/upstream_table.cc
@@ -24,7 +24,7 @@
 
 /// The first ejection must outlast `CrashTrackerOptions::merge_window`, within
 /// which two crashes of an upstream count as one.
-constexpr Duration kFirstEjection = std::chrono::seconds(3);
+constexpr Duration kFirstEjection = std::chrono::seconds(4);
 constexpr Duration kLongestEjection = std::chrono::seconds(60);
 /// After this long without a failure the back-off starts afresh.
 constexpr Duration kBackoffForgotten = std::chrono::seconds(60);
