Add claims: index of stream claims, claim table, keys and tokens

A claim carries how far its host had read the log when the request arrived; a claim that had not read a release of its key loses to it, so a send made before a caller was told "not run" does not win afterwards. A release names the offset of its claim, because a delayed copy would otherwise free the same holder's next claim of the key. Claims of keys more than max_skew ahead of the log's time never win, which bounds a key's claims by the log's clock alone.

--- a/include/teaselhill/claims/claim_index.h
+++ b/include/teaselhill/claims/claim_index.h
@@ -14,14 +14,16 @@
 
 namespace teaselhill::claims {
 
+/// Times are in milliseconds, because a UUIDv7 time in nanoseconds may
+/// overflow.
 struct ClaimIndexOptions {
   /// Greatest difference between a caller's clock and the log's clock,
   /// including backward steps of the log's clock. Claims of keys from further
   /// in the future never win, so a key's claims cannot be older than its time
   /// minus this.
-  Duration max_skew = std::chrono::seconds(60);
+  std::chrono::milliseconds max_skew = std::chrono::seconds(60);
   /// Claims older than this, by the log's clock, are dropped.
-  Duration window = std::chrono::minutes(15);
+  std::chrono::milliseconds window = std::chrono::minutes(15);
   size_t max_entries = 400000;
 };
 
@@ -39,7 +41,8 @@
  public:
   explicit ClaimIndex(ClaimIndexOptions options) : options_(options) {}
 
-  /// Records between the last one read and `offset` are lost.
+  /// Reading starts at `first_retained`; records before it that were not read
+  /// are lost to retention.
   void Restart(LogOffset first_retained, LogOffset next_offset);
 
   /// Applies one record. An unreadable batch hides claims like a gap.
@@ -52,6 +55,8 @@
   /// Whether every claim of a key of this time that can win is in the index.
   bool Covers(WallTime key_time) const;
 
+  /// Whether it is still open which keys Covers() will accept.
+  bool floor_pending() const { return floor_pending_; }
   bool caught_up() const { return started_ && next_offset_ >= catch_up_to_; }
   LogOffset next_offset() const { return next_offset_; }
   size_t size() const { return entries_.size(); }
@@ -78,6 +83,10 @@
                   WallTime time,
                   const HostIncarnation& holder,
                   const Claim& claim);
+  void ApplyRelease(LogOffset offset,
+                    const HostIncarnation& holder,
+                    const Release& release);
+  void RaiseFloor(WallTime time);
   void DropOld(WallTime time);
   void DropHolder(uint32_t holder);
   uint32_t InternHolder(const HostIncarnation& holder);
@@ -92,8 +101,8 @@
   LogOffset next_offset_ = 0;
   LogOffset catch_up_to_ = 0;
   /// Records that are not in the index have at most this log time; unset when
-  /// nothing is missing. While floor_pending_, nothing is covered until a
-  /// record tells the time.
+  /// nothing is missing. While floor_pending_, records are missing and none
+  /// that was read yet tells the time.
   bool floor_pending_ = false;
   std::optional<WallTime> floor_;
 };
--- a/include/teaselhill/claims/claim_table.h
+++ b/include/teaselhill/claims/claim_table.h
@@ -28,9 +28,9 @@
   /// Pause before a batch whose append failed is appended again.
   Duration append_retry = std::chrono::milliseconds(200);
   size_t max_claims_per_batch = 1000;
-  /// Requests that may wait for the log; beyond it a request gets
+  /// Requests without a final decision; beyond it a request gets
   /// kClaimUnknown.
-  size_t max_waiting = 10000;
+  size_t max_open = 10000;
   /// A release is appended this long after the last caller was told "not run",
   /// so that a send made before the answer arrives nowhere as a later one.
   Duration release_delay = std::chrono::seconds(1);
@@ -119,6 +119,9 @@
   std::vector<Action> OnReadStart(LogOffset first_retained,
                                   LogOffset next_offset);
 
+  /// Where to read on.
+  LogOffset next_offset() const { return index_.next_offset(); }
+
   /// The batch to append now, if any. One append is in flight at a time.
   std::optional<ClaimBatch> TakeBatch(TimePoint now);
   void OnAppendResult(uint64_t batch_number,
@@ -174,7 +177,9 @@
     bool is_token = false;
     uint64_t token_number = 0;
     Claim claim;
-    RequestId owner = 0;  // the request that runs; 0 when gone
+    uint64_t batch = 0;          // that carries the claim
+    LogOffset claim_offset = 0;  // once won
+    RequestId owner = 0;         // the request that runs; 0 when gone
     std::vector<Waiter> waiters;
     Answer answer;
     bool answer_kept = false;
@@ -200,12 +205,24 @@
   Decision ByIndex(const IndexEntry& found,
                    uint64_t body,
                    bool forwarded) const;
-  void Settle(Hash128 key, std::vector<Action>* actions, TimePoint now);
+  static bool IsWaiting(const Entry& entry) {
+    return entry.state == State::kQueued || entry.state == State::kAppending;
+  }
+  void TrimQueue();
+  void Settle(Entry* entry, TimePoint now, std::vector<Action>* actions);
+  void SettleOwnBatch(const ClaimBatch& batch,
+                      TimePoint now,
+                      std::vector<Action>* actions);
+  void DropUnsettled(std::vector<Action>* actions);
+  void FillBatch(TimePoint now, ClaimBatch* batch);
   void RefuseAll(Entry* entry, ResultCode code, std::vector<Action>* actions);
-  void EraseEntry(Entries::iterator at);
-  Entries::iterator FindByRequest(RequestId request);
+  void EraseEntry(const Hash128& key);
+  Entry* FindByRequest(RequestId request);
+  Entry* OwnedBy(RequestId request);
+  void PromoteWaiter(Entry* entry);
   void KeepAnswer(Entry* entry, Answer answer);
-  void EvictAnswers(TimePoint now);
+  void DropAnswer(Entry* entry);
+  void ForgetTokens();
 
   HostIncarnation self_;
   ClaimOptions options_;
@@ -216,14 +233,13 @@
   std::deque<Hash128> finished_;         // kAnswered and kLost, oldest first
   std::deque<Hash128> gave_up_;          // kGaveUp, checked for release
   std::optional<ClaimBatch> in_flight_;  // also kept while it is retried
+  std::deque<Hash128> used_tokens_;      // finished, without an answer
   bool append_open_ = false;             // its result is still to come
   bool start_marker_due_ = true;
   TimePoint next_append_;
   uint64_t next_batch_ = 1;
   uint64_t last_token_ = 0;
   uint64_t token_floor_ = 0;  // tokens up to it and not in entries_ are too old
-  size_t waiting_ = 0;
-  size_t tokens_ = 0;
   size_t answer_bytes_ = 0;
 };
 
--- a/include/teaselhill/claims/messages.h
+++ b/include/teaselhill/claims/messages.h
@@ -31,6 +31,9 @@
 /// The holder gave up before it sent; a later claim may win.
 struct Release {
   Hash128 key;
+  /// Offset of the released claim: a delayed copy of the release must not free
+  /// the same holder's next claim of the key.
+  LogOffset claim_offset = 0;
 };
 
 /// One record of stream `claims`: everything one host appends at a time.
--- /dev/null
+++ b/lib/claims/claim_table.cc
@@ -0,0 +1,487 @@
+/// \file
+/// At-most-once execution of keyed requests on one host.
+
+#include "teaselhill/claims/claim_table.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace teaselhill::claims {
+
+ClaimTable::ClaimTable(HostIncarnation self, ClaimOptions options)
+    : self_(std::move(self)), options_(options), index_(options.index) {}
+
+Decision ClaimTable::OnRequest(RequestId request,
+                               const Key& key,
+                               uint64_t body_hash,
+                               bool forwarded,
+                               TimePoint now) {
+  assert(by_request_.count(request) == 0 && "request id is already open");
+  if (const auto* token = std::get_if<TokenKey>(&key))
+    return OnToken(request, *token, body_hash, forwarded, now);
+  return OnUuid(request, std::get<UuidKey>(key), body_hash, forwarded, now);
+}
+
+Decision ClaimTable::OnUuid(RequestId request,
+                            const UuidKey& key,
+                            uint64_t body,
+                            bool forwarded,
+                            TimePoint now) {
+  const auto at = entries_.find(key.hash);
+  if (at != entries_.end())
+    return Join(&at->second, request, body, forwarded, now);
+  if (!index_.caught_up() || index_.floor_pending())
+    return Refuse{ResultCode::kClaimUnknown};
+  if (!index_.Covers(key.time))
+    return Refuse{ResultCode::kKeyTooOld};
+  const auto found = index_.Find(key.hash);
+  if (found && !found->released)
+    return ByIndex(*found, body, forwarded);
+  // A forwarded request is for a key that this host held and has released, and
+  // a new claim would be the send of another host.
+  if (forwarded || by_request_.size() >= options_.max_open)
+    return Refuse{ResultCode::kClaimUnknown};
+  Entry entry;
+  entry.claim = {key.hash, body, key.time, index_.next_offset()};
+  entry.owner = request;
+  entry.since = now;
+  entries_.emplace(key.hash, std::move(entry));
+  by_request_[request] = key.hash;
+  queue_.push_back(key.hash);
+  TrimQueue();
+  return Wait{};
+}
+
+Decision ClaimTable::OnToken(RequestId request,
+                             const TokenKey& key,
+                             uint64_t body,
+                             bool forwarded,
+                             TimePoint now) {
+  if (!(key.issuer == self_)) {
+    if (forwarded)
+      return Refuse{ResultCode::kClaimUnknown};
+    if (key.issuer.host == self_.host)
+      return Refuse{ResultCode::kHolderUnreachable};
+    return ForwardToHolder{key.issuer};
+  }
+  const auto at = entries_.find(key.hash);
+  if (at != entries_.end())
+    return Join(&at->second, request, body, forwarded, now);
+  if (key.number <= token_floor_ || key.number > last_token_)
+    return Refuse{ResultCode::kKeyTooOld};
+  Entry entry;
+  entry.state = State::kWon;
+  entry.is_token = true;
+  entry.token_number = key.number;
+  entry.claim.key = key.hash;
+  entry.claim.body = body;
+  entry.owner = request;
+  entry.since = now;
+  entries_.emplace(key.hash, std::move(entry));
+  by_request_[request] = key.hash;
+  return RunNow{};
+}
+
+Decision ClaimTable::Join(Entry* entry,
+                          RequestId request,
+                          uint64_t body,
+                          bool forwarded,
+                          TimePoint now) {
+  if (entry->claim.body != body)
+    return Refuse{ResultCode::kKeyReused};
+  switch (entry->state) {
+    case State::kQueued:
+    case State::kAppending:
+    case State::kWon:
+    case State::kRunning:
+      if (by_request_.size() >= options_.max_open)
+        return Refuse{ResultCode::kClaimUnknown};
+      by_request_[request] = entry->claim.key;
+      entry->waiters.push_back({request, body, forwarded});
+      if (entry->owner == 0 && IsWaiting(*entry))
+        PromoteWaiter(entry);
+      return Wait{};
+    case State::kAnswered:
+      if (entry->answer_kept)
+        return Replay{entry->answer};
+      return Refuse{ResultCode::kAnswerNotKept};
+    case State::kLost:
+      return Refuse{ResultCode::kUpstreamLost};
+    case State::kGaveUp:
+      // After the delay the claim is still this host's, so a later send may run
+      // without the log.
+      if (now - entry->since >= options_.release_delay &&
+          (entry->is_token || !forwarded)) {
+        entry->state = State::kWon;
+        entry->since = now;
+        entry->owner = request;
+        by_request_[request] = entry->claim.key;
+        return RunNow{};
+      }
+      entry->since = now;
+      return Refuse{ResultCode::kClaimReleased};
+    case State::kReleasing:
+      return Refuse{ResultCode::kClaimUnknown};
+  }
+  return Refuse{ResultCode::kInternal};
+}
+
+Decision ClaimTable::ByIndex(const IndexEntry& found,
+                             uint64_t body,
+                             bool forwarded) const {
+  if (found.body != body)
+    return Refuse{ResultCode::kKeyReused};
+  if (found.holder == self_)
+    return Refuse{ResultCode::kAnswerNotKept};
+  if (forwarded)
+    return Refuse{ResultCode::kClaimUnknown};
+  if (found.holder.host == self_.host)
+    return Refuse{ResultCode::kHolderUnreachable};
+  return ForwardToHolder{found.holder};
+}
+
+std::vector<Action> ClaimTable::OnRecords(
+    const std::vector<ClaimRecord>& records,
+    TimePoint now) {
+  std::vector<Action> actions;
+  for (const ClaimRecord& record : records) {
+    if (record.offset < index_.next_offset())
+      continue;
+    if (record.offset > index_.next_offset())
+      DropUnsettled(&actions);
+    index_.Apply(record.offset, record.time, record.batch);
+    if (record.batch && record.batch->holder == self_)
+      SettleOwnBatch(*record.batch, now, &actions);
+  }
+  return actions;
+}
+
+std::vector<Action> ClaimTable::OnReadStart(LogOffset first_retained,
+                                            LogOffset next_offset) {
+  std::vector<Action> actions;
+  if (first_retained > index_.next_offset())
+    DropUnsettled(&actions);
+  index_.Restart(first_retained, next_offset);
+  return actions;
+}
+
+// The verdicts on claims and releases under way may be among lost records.
+void ClaimTable::DropUnsettled(std::vector<Action>* actions) {
+  std::vector<Hash128> dropped;
+  for (auto& [key, entry] : entries_) {
+    if (IsWaiting(entry) || entry.state == State::kReleasing) {
+      RefuseAll(&entry, ResultCode::kClaimUnknown, actions);
+      dropped.push_back(key);
+    }
+  }
+  for (const Hash128& key : dropped)
+    EraseEntry(key);
+}
+
+void ClaimTable::SettleOwnBatch(const ClaimBatch& batch,
+                                TimePoint now,
+                                std::vector<Action>* actions) {
+  if (in_flight_ && in_flight_->number == batch.number) {
+    in_flight_.reset();
+    append_open_ = false;
+  }
+  for (const Release& release : batch.releases) {
+    const auto at = entries_.find(release.key);
+    if (at != entries_.end() && at->second.state == State::kReleasing)
+      EraseEntry(release.key);
+  }
+  for (const Claim& claim : batch.claims) {
+    const auto at = entries_.find(claim.key);
+    if (at != entries_.end() && at->second.state == State::kAppending &&
+        at->second.batch == batch.number)
+      Settle(&at->second, now, actions);
+  }
+}
+
+void ClaimTable::Settle(Entry* entry,
+                        TimePoint now,
+                        std::vector<Action>* actions) {
+  const Hash128 key = entry->claim.key;
+  const auto found = index_.Find(key);
+  if (!found || found->released || !index_.Covers(entry->claim.key_time)) {
+    RefuseAll(entry, ResultCode::kClaimUnknown, actions);
+    EraseEntry(key);
+    return;
+  }
+  if (found->holder == self_) {
+    entry->claim_offset = found->offset;
+    entry->since = now;
+    entry->state = entry->owner != 0 ? State::kWon : State::kGaveUp;
+    if (entry->owner != 0) {
+      actions->push_back({entry->owner, RunNow{}});
+      return;
+    }
+    RefuseAll(entry, ResultCode::kClaimReleased, actions);
+    gave_up_.push_back(key);
+    return;
+  }
+  if (entry->owner != 0)
+    entry->waiters.push_back({entry->owner, entry->claim.body, false});
+  entry->owner = 0;
+  for (const Waiter& waiter : entry->waiters) {
+    actions->push_back(
+        {waiter.request, ByIndex(*found, waiter.body, waiter.forwarded)});
+    by_request_.erase(waiter.request);
+  }
+  EraseEntry(key);
+}
+
+std::optional<ClaimBatch> ClaimTable::TakeBatch(TimePoint now) {
+  if (append_open_ || now < next_append_)
+    return std::nullopt;
+  if (!in_flight_) {
+    ClaimBatch batch;
+    FillBatch(now, &batch);
+    if (batch.claims.empty() && batch.releases.empty() && !start_marker_due_)
+      return std::nullopt;
+    start_marker_due_ = false;
+    batch.holder = self_;
+    batch.number = next_batch_++;
+    in_flight_ = std::move(batch);
+  }
+  append_open_ = true;
+  next_append_ = now + options_.append_interval;
+  return in_flight_;
+}
+
+void ClaimTable::FillBatch(TimePoint now, ClaimBatch* batch) {
+  while (!queue_.empty() &&
+         batch->claims.size() < options_.max_claims_per_batch) {
+    const auto at = entries_.find(queue_.front());
+    queue_.pop_front();
+    if (at == entries_.end() || at->second.state != State::kQueued)
+      continue;
+    at->second.state = State::kAppending;
+    at->second.batch = next_batch_;
+    batch->claims.push_back(at->second.claim);
+  }
+  for (size_t left = gave_up_.size(); left > 0; --left) {
+    const Hash128 key = gave_up_.front();
+    gave_up_.pop_front();
+    const auto at = entries_.find(key);
+    if (at == entries_.end() || at->second.state != State::kGaveUp)
+      continue;
+    if (now - at->second.since < options_.release_delay) {
+      gave_up_.push_back(key);
+      continue;
+    }
+    if (at->second.is_token) {
+      EraseEntry(key);
+      continue;
+    }
+    at->second.state = State::kReleasing;
+    batch->releases.push_back({key, at->second.claim_offset});
+  }
+}
+
+void ClaimTable::OnAppendResult(uint64_t batch_number,
+                                AppendOutcome outcome,
+                                TimePoint now) {
+  if (!in_flight_ || in_flight_->number != batch_number)
+    return;
+  append_open_ = false;
+  if (outcome == AppendOutcome::kAppended)
+    in_flight_.reset();
+  else
+    next_append_ = now + options_.append_retry;
+}
+
+void ClaimTable::OnDispatchDecided(RequestId request) {
+  Entry* entry = OwnedBy(request);
+  if (entry == nullptr)
+    return;
+  assert(entry->state == State::kWon && "dispatch without the claim");
+  entry->state = State::kRunning;
+}
+
+void ClaimTable::OnNotDelivered(RequestId request) {
+  Entry* entry = OwnedBy(request);
+  if (entry != nullptr && entry->state == State::kRunning)
+    entry->state = State::kWon;
+}
+
+ResultCode ClaimTable::OnGaveUp(RequestId request,
+                                ResultCode reason,
+                                TimePoint now,
+                                std::vector<Action>* actions) {
+  Entry* entry = FindByRequest(request);
+  if (entry == nullptr || entry->state == State::kRunning)
+    return ResultCode::kClaimUnknown;
+  by_request_.erase(request);
+  if (entry->owner != request) {
+    auto& waiters = entry->waiters;
+    waiters.erase(
+        std::remove_if(waiters.begin(), waiters.end(),
+                       [&](const Waiter& w) { return w.request == request; }),
+        waiters.end());
+    return ResultCode::kClaimUnknown;
+  }
+  entry->owner = 0;
+  if (entry->state == State::kWon) {
+    RefuseAll(entry, ResultCode::kClaimReleased, actions);
+    entry->state = State::kGaveUp;
+    entry->since = now;
+    gave_up_.push_back(entry->claim.key);
+    return reason;
+  }
+  PromoteWaiter(entry);
+  if (entry->owner == 0 && entry->state == State::kQueued)
+    EraseEntry(entry->claim.key);
+  return ResultCode::kClaimUnknown;
+}
+
+std::vector<Action> ClaimTable::OnFinished(RequestId request,
+                                           FinishKind kind,
+                                           Answer answer,
+                                           TimePoint now) {
+  std::vector<Action> actions;
+  Entry* entry = OwnedBy(request);
+  if (entry == nullptr)
+    return actions;
+  by_request_.erase(request);
+  entry->owner = 0;
+  if (kind == FinishKind::kLost) {
+    entry->state = State::kLost;
+    RefuseAll(entry, ResultCode::kUpstreamLost, &actions);
+  } else {
+    entry->state = State::kAnswered;
+    for (const Waiter& waiter : entry->waiters) {
+      actions.push_back({waiter.request, Replay{answer}});
+      by_request_.erase(waiter.request);
+    }
+    entry->waiters.clear();
+    KeepAnswer(entry, std::move(answer));
+  }
+  entry->since = now;
+  finished_.push_back(entry->claim.key);
+  return actions;
+}
+
+static size_t SizeOf(const Answer& answer) {
+  size_t size = answer.body.size();
+  for (const auto& [name, value] : answer.headers)
+    size += name.size() + value.size();
+  return size;
+}
+
+void ClaimTable::KeepAnswer(Entry* entry, Answer answer) {
+  if (SizeOf(answer) > options_.max_answer_bytes)
+    return;
+  entry->answer = std::move(answer);
+  entry->answer_kept = true;
+  answer_bytes_ += SizeOf(entry->answer);
+  for (auto at = finished_.begin();
+       answer_bytes_ > options_.max_answer_bytes && at != finished_.end();
+       ++at) {
+    const auto oldest = entries_.find(*at);
+    if (oldest != entries_.end())
+      DropAnswer(&oldest->second);
+  }
+}
+
+void ClaimTable::DropAnswer(Entry* entry) {
+  if (!entry->answer_kept)
+    return;
+  answer_bytes_ -= SizeOf(entry->answer);
+  entry->answer = Answer();
+  entry->answer_kept = false;
+}
+
+void ClaimTable::OnTick(TimePoint now) {
+  while (!finished_.empty()) {
+    const auto at = entries_.find(finished_.front());
+    if (at != entries_.end()) {
+      if (now - at->second.since < options_.answer_keep)
+        break;
+      DropAnswer(&at->second);
+      // The index answers for a UUIDv7 key; only the entry remembers a token.
+      if (at->second.is_token)
+        used_tokens_.push_back(at->first);
+      else
+        EraseEntry(at->first);
+    }
+    finished_.pop_front();
+  }
+  ForgetTokens();
+}
+
+void ClaimTable::ForgetTokens() {
+  while (used_tokens_.size() > options_.max_tokens) {
+    const auto at = entries_.find(used_tokens_.front());
+    token_floor_ = std::max(token_floor_, at->second.token_number);
+    EraseEntry(used_tokens_.front());
+    used_tokens_.pop_front();
+  }
+}
+
+ClaimStats ClaimTable::Stats() const {
+  ClaimStats stats;
+  stats.indexed = index_.size();
+  for (const auto& [key, entry] : entries_)
+    ++(IsWaiting(entry) ? stats.waiting : stats.held);
+  stats.answer_bytes = answer_bytes_;
+  stats.caught_up = index_.caught_up() && !index_.floor_pending();
+  return stats;
+}
+
+void ClaimTable::RefuseAll(Entry* entry,
+                           ResultCode code,
+                           std::vector<Action>* actions) {
+  if (entry->owner != 0) {
+    actions->push_back({entry->owner, Refuse{code}});
+    by_request_.erase(entry->owner);
+    entry->owner = 0;
+  }
+  for (const Waiter& waiter : entry->waiters) {
+    actions->push_back({waiter.request, Refuse{code}});
+    by_request_.erase(waiter.request);
+  }
+  entry->waiters.clear();
+}
+
+void ClaimTable::PromoteWaiter(Entry* entry) {
+  const auto own =
+      std::find_if(entry->waiters.begin(), entry->waiters.end(),
+                   [](const Waiter& waiter) { return !waiter.forwarded; });
+  if (own == entry->waiters.end())
+    return;
+  entry->owner = own->request;
+  entry->waiters.erase(own);
+}
+
+// Drops keys of requests that were given up while the log was down.
+void ClaimTable::TrimQueue() {
+  if (queue_.size() <= 2 * options_.max_open)
+    return;
+  std::deque<Hash128> kept;
+  for (const Hash128& key : queue_) {
+    const auto at = entries_.find(key);
+    if (at != entries_.end() && at->second.state == State::kQueued)
+      kept.push_back(key);
+  }
+  queue_.swap(kept);
+}
+
+void ClaimTable::EraseEntry(const Hash128& key) {
+  entries_.erase(key);
+}
+
+ClaimTable::Entry* ClaimTable::FindByRequest(RequestId request) {
+  const auto key = by_request_.find(request);
+  if (key == by_request_.end())
+    return nullptr;
+  const auto at = entries_.find(key->second);
+  return at == entries_.end() ? nullptr : &at->second;
+}
+
+ClaimTable::Entry* ClaimTable::OwnedBy(RequestId request) {
+  Entry* entry = FindByRequest(request);
+  return entry != nullptr && entry->owner == request ? entry : nullptr;
+}
+
+}  // namespace teaselhill::claims
--- /dev/null
+++ b/unittests/claims/claims_fixture.h
@@ -0,0 +1,117 @@
+/// \file
+/// Several claim tables on one in-memory log.
+
+#ifndef TEASELHILL_UNITTESTS_CLAIMS_CLAIMS_FIXTURE_H_
+#define TEASELHILL_UNITTESTS_CLAIMS_CLAIMS_FIXTURE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "teaselhill/claims/claim_table.h"
+
+namespace teaselhill::claims {
+
+constexpr uint64_t kBody = 42;
+const WallTime kStart{std::chrono::hours(24 * 365 * 50)};
+
+template <typename T>
+bool Is(const Decision& decision) {
+  return std::holds_alternative<T>(decision);
+}
+
+inline ResultCode CodeOf(const Decision& decision) {
+  const auto* refuse = std::get_if<Refuse>(&decision);
+  return refuse ? refuse->code : ResultCode::kOk;
+}
+
+inline Answer AnswerOf(std::string body) {
+  Answer answer;
+  answer.body = std::move(body);
+  return answer;
+}
+
+class Fleet {
+ public:
+  explicit Fleet(size_t hosts, ClaimOptions options = {}) {
+    for (size_t i = 0; i < hosts; ++i) {
+      tables_.push_back(std::make_unique<ClaimTable>(id(i), options));
+      tables_[i]->OnReadStart(0, 0);
+    }
+    for (size_t i = 0; i < hosts; ++i)
+      Append(i);  // the start marker
+    for (size_t i = 0; i < hosts; ++i)
+      Sync(i);
+  }
+
+  HostIncarnation id(size_t host) const {
+    return {"host" + std::to_string(host), 1};
+  }
+  ClaimTable& table(size_t host) { return *tables_[host]; }
+  LogOffset end() const { return log_.size(); }
+  const ClaimRecord& record(LogOffset offset) const { return log_[offset]; }
+
+  Decision SendUuid(size_t host,
+                    RequestId request,
+                    UuidKey key,
+                    uint64_t body) {
+    return table(host).OnRequest(request, key, body, false, now);
+  }
+  Decision SendKey(size_t host, RequestId request, uint64_t key) {
+    return SendUuid(host, request, {{0, key}, kStart}, kBody);
+  }
+  Decision Send(size_t host,
+                RequestId request,
+                uint64_t body = kBody,
+                bool forwarded = false) {
+    const UuidKey key{{0, 1}, kStart};
+    return table(host).OnRequest(request, key, body, forwarded, now);
+  }
+  ResultCode GiveUp(size_t host, RequestId request) {
+    std::vector<Action> actions;
+    return table(host).OnGaveUp(request, ResultCode::kQueueFull, now, &actions);
+  }
+
+  void Land(const ClaimBatch& batch) {
+    log_.push_back({log_.size(), wall, batch});
+  }
+  void Append(size_t host) {
+    now += std::chrono::milliseconds(20);
+    const auto batch = table(host).TakeBatch(now);
+    if (!batch)
+      return;
+    Land(*batch);
+    table(host).OnAppendResult(batch->number, AppendOutcome::kAppended, now);
+  }
+  std::vector<Action> Sync(size_t host) {
+    const auto from = log_.begin() + table(host).next_offset();
+    return table(host).OnRecords({from, log_.end()}, now);
+  }
+  /// Appends, reads and returns the number of requests that may run.
+  int SyncRuns(size_t host) {
+    Append(host);
+    int runs = 0;
+    for (const Action& action : Sync(host))
+      runs += Is<RunNow>(action.decision);
+    return runs;
+  }
+  /// All records up to now are lost; the next one has this time.
+  void LoseBefore(WallTime time) {
+    for (auto& table : tables_) {
+      table->OnReadStart(log_.size() + 3, log_.size() + 4);
+      table->OnRecords({{log_.size() + 3, time, ClaimBatch()}}, now);
+    }
+    log_.resize(log_.size() + 4);
+  }
+
+  TimePoint now;
+  WallTime wall = kStart;  // the log's clock
+
+ private:
+  std::vector<ClaimRecord> log_;
+  std::vector<std::unique_ptr<ClaimTable>> tables_;
+};
+
+}  // namespace teaselhill::claims
+
+#endif  // TEASELHILL_UNITTESTS_CLAIMS_CLAIMS_FIXTURE_H_
--- /dev/null
+++ b/unittests/claims/key_test.cc
@@ -0,0 +1,61 @@
+/// \file
+/// Guards against forged tokens, misread key ages and lossy log records.
+
+#include "teaselhill/claims/key.h"
+
+#include <catch2/catch.hpp>
+
+#include "teaselhill/claims/messages.h"
+
+namespace teaselhill::claims {
+
+TEST_CASE("a key that no rule covers is refused before anything runs") {
+  const std::string token = FormatToken("brazos", {"host.a", 7}, 3, "secret");
+  std::string forged = token;
+  forged.replace(forged.find(".3."), 3, ".4.");
+  const auto [customer, text, ok] =
+      GENERATE_COPY(table<std::string, std::string, bool>({
+          {"brazos", token, true},
+          {"punjab", token, false},  // issued to another customer
+          {"brazos", forged, false},
+          {"brazos", "thk1.", false},
+          {"brazos", "018bcfe5-6800-7000-8000-000000000001", true},
+          {"brazos", "018BCFE5-6800-7000-8000-000000000001", true},
+          {"brazos", "018bcfe5-6800-4000-8000-000000000001", false},
+          {"brazos", "018bcfe5-6800-7000-c000-000000000001", false},
+          {"brazos", "018bcfe5-68000-700-8000-000000000001", false},
+          {"brazos", "", false},
+      }));
+  INFO(text);
+  CHECK(ParseKey(customer, text, "secret").ok() == ok);
+}
+
+TEST_CASE("token and UUID parts are read back exactly") {
+  const auto token =
+      ParseKey("c", FormatToken("c", {"host.a", 7}, 3, "s"), "s");
+  REQUIRE(token.ok());
+  CHECK(std::get<TokenKey>(*token).issuer == HostIncarnation{"host.a", 7});
+  CHECK(std::get<TokenKey>(*token).number == 3);
+  const auto uuid = ParseKey("c", "018bcfe5-6800-7000-8000-000000000001", "s");
+  REQUIRE(uuid.ok());
+  CHECK(std::get<UuidKey>(*uuid).time.time_since_epoch().count() ==
+        0x018bcfe56800);
+}
+
+TEST_CASE("a batch survives the log and a damaged one is an error") {
+  ClaimBatch batch;
+  batch.holder = {"a", 2};
+  batch.number = 9;
+  batch.claims = {{{1, 2}, ~uint64_t{0}, WallTime(std::chrono::seconds(5)), 4}};
+  batch.releases = {{{3, 4}, 11}};
+  const std::string text = EncodeBatch(batch);
+  const auto read = DecodeBatch(text);
+  REQUIRE(read.ok());
+  CHECK(EncodeBatch(*read) == text);
+  CHECK(read->claims[0].body == ~uint64_t{0});
+  CHECK(read->releases[0].claim_offset == 11);
+  CHECK_FALSE(DecodeBatch(text.substr(0, text.size() / 2)).ok());
+  CHECK_FALSE(DecodeBatch("{}").ok());
+}
+
+}  // namespace teaselhill::claims
