Add stand-in engine and log

Other parts need upstreams and a log to run against. The engine batches all streams on one step timer; the log bounds appends and retention.

--- /dev/null
+++ b/include/teaselhill/standin/assignment.h
@@ -0,0 +1,68 @@
+/// \file
+/// Orders to a stand-in engine and the assignment that results from them.
+
+#ifndef TEASELHILL_STANDIN_ASSIGNMENT_H_
+#define TEASELHILL_STANDIN_ASSIGNMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "teaselhill/support/result.h"
+
+namespace teaselhill::standin {
+
+enum class OrderKind { kLoadModel, kUnloadModel, kLoadAdapter, kSetRole };
+
+/// One `POST /v1/orders`.
+struct Order {
+  uint64_t fencing = 0;
+  OrderKind kind = OrderKind::kLoadModel;
+  std::string model;
+  std::string version;
+  std::string adapter;
+  std::string role;
+};
+
+struct ModelState {
+  std::string version;
+  bool ready = false;
+  std::set<std::string> adapters;
+  uint64_t load_number = 0;  ///< tells a repeated load from an earlier one
+};
+
+/// What the engine has been told to serve. A model that is loading is not
+/// served.
+class Assignment {
+ public:
+  explicit Assignment(bool checks_fencing) : checks_fencing_(checks_fencing) {}
+
+  void AddReady(const std::string& model) { models_[model].ready = true; }
+
+  /// Applies an order. Returns the number of the load to start, or 0 if nothing
+  /// has to be loaded; kOrderStale for an old fencing number when these are
+  /// checked, kMalformedBody for an order that lacks a field.
+  Result<uint64_t> Apply(const Order& order);
+
+  /// Ends a load, unless another order has replaced it.
+  void FinishLoad(const std::string& model, uint64_t load_number);
+
+  bool Serves(const std::string& model) const;
+
+  uint64_t fencing() const { return fencing_; }
+  const std::string& role() const { return role_; }
+  const std::map<std::string, ModelState>& models() const { return models_; }
+
+ private:
+  bool checks_fencing_;
+  uint64_t fencing_ = 0;
+  uint64_t last_load_ = 0;
+  std::string role_ = "mixed";
+  std::map<std::string, ModelState> models_;
+};
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_ASSIGNMENT_H_
--- /dev/null
+++ b/include/teaselhill/standin/engine_batch.h
@@ -0,0 +1,119 @@
+/// \file
+/// Continuous batching of a stand-in engine, driven by one step timer.
+
+#ifndef TEASELHILL_STANDIN_ENGINE_BATCH_H_
+#define TEASELHILL_STANDIN_ENGINE_BATCH_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "teaselhill/standin/answer.h"
+#include "teaselhill/standin/journal.h"
+#include "teaselhill/standin/prefix_cache.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::standin {
+
+struct BatchConfig {
+  uint32_t max_batch = 16;
+  /// Time per token of a stream that runs alone; zero: as fast as
+  /// `max_step_tokens` allows.
+  Duration token_time = std::chrono::milliseconds(20);
+  /// Added to the time per token for each further stream, as a share of it.
+  double batch_slowdown = 0.03;
+  double prefill_tokens_per_second = 20000;
+  /// Tokens that one stream may emit in one step.
+  uint32_t max_step_tokens = 32;
+};
+
+/// One request as the batch sees it.
+struct RunSpec {
+  std::string request_id;
+  std::string key;
+  std::string model;
+  int priority = 5;  ///< 0 is most urgent
+  std::string prompt;
+  std::vector<PrefixBlock> blocks;
+  uint32_t prompt_tokens = 0;
+  std::vector<std::string> answer;
+  uint32_t resume_offset = 0;  ///< tokens of the answer to leave out
+};
+
+/// Receives the output of one run.
+class RunSink {
+ public:
+  virtual ~RunSink() = default;
+  /// Tokens [first, first + count) of the answer have been produced.
+  virtual void OnTokens(const RunSpec& run, size_t first, size_t count) = 0;
+  virtual void OnFinished(const RunSpec& run) = 0;
+  /// The run was cancelled by request id.
+  virtual void OnCancelled(const RunSpec& run) = 0;
+};
+
+class EngineBatch {
+ public:
+  using RunNumber = uint64_t;
+  using StartHook = std::function<void(const RunSpec&)>;
+
+  EngineBatch(BatchConfig config, PrefixCache& cache, Journal& journal)
+      : config_(config), cache_(cache), journal_(journal) {}
+
+  /// Sets the function called when a run leaves the waiting queue.
+  void SetStartHook(StartHook hook) { start_hook_ = std::move(hook); }
+
+  RunNumber Submit(RunSpec spec, std::shared_ptr<RunSink> sink);
+
+  /// Stops a waiting or running request without telling its sink.
+  void Drop(RunNumber number);
+
+  /// Cancels all runs of `request_id`; returns false if there is none.
+  bool Cancel(const std::string& request_id);
+
+  /// Produces what falls due between the last step and `now`. `slow_factor`
+  /// stretches all times.
+  void Step(TimePoint now, double slow_factor);
+
+  size_t running() const { return running_.size(); }
+  size_t waiting() const { return waiting_.size(); }
+  uint64_t tokens_total() const { return tokens_total_; }
+
+  /// Returns the run with `request_id`, or null.
+  const RunSpec* Find(const std::string& request_id) const;
+
+ private:
+  struct Run {
+    RunNumber number = 0;
+    RunSpec spec;
+    std::shared_ptr<RunSink> sink;
+    Journal::Handle journal_run = 0;
+    double prefill_left = 0;
+    double credit = 0;  ///< tokens due, with the fraction of the next one
+    size_t produced = 0;
+    bool ended = false;
+  };
+
+  void StartWaiting(TimePoint now);
+  void Prefill(Duration elapsed, double slow_factor, TimePoint now);
+  void Decode(Duration elapsed, double slow_factor);
+  void End(Run& run, RunEnd end);
+  void RemoveEnded();
+
+  BatchConfig config_;
+  PrefixCache& cache_;
+  Journal& journal_;
+  StartHook start_hook_;
+  RunNumber last_number_ = 0;
+  std::map<std::pair<int, RunNumber>, Run> waiting_;
+  std::vector<std::unique_ptr<Run>> running_;
+  TimePoint last_step_{};
+  uint64_t tokens_total_ = 0;
+};
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_ENGINE_BATCH_H_
--- /dev/null
+++ b/include/teaselhill/standin/faults.h
@@ -0,0 +1,81 @@
+/// \file
+/// Injected faults of a stand-in.
+
+#ifndef TEASELHILL_STANDIN_FAULTS_H_
+#define TEASELHILL_STANDIN_FAULTS_H_
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaselhill/support/rng.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::standin {
+
+enum class FaultKind {
+  kFreeze,
+  kSlow,
+  kCrash,
+  kCrashOn,
+  kRefuse,
+  kLoseAnswer,
+  kCutOff,
+  kClear,
+};
+
+/// One `POST /control/fault`.
+struct FaultCommand {
+  FaultKind kind = FaultKind::kClear;
+  Duration for_time{};                 ///< zero: until cleared
+  double factor = 1;                   ///< slow: how many times slower
+  double probability = 1;              ///< lose_answer
+  std::string marker;                  ///< crash_on
+  std::vector<std::string> addresses;  ///< cut_off: source addresses
+};
+
+/// The faults in force. The caller acts on them.
+class Faults {
+ public:
+  explicit Faults(uint64_t seed) : rng_(seed) {}
+
+  /// kCrash is the caller's to carry out.
+  void Apply(const FaultCommand& command, TimePoint now);
+
+  bool frozen(TimePoint now) const { return now < frozen_until_; }
+  TimePoint frozen_until() const { return frozen_until_; }
+  bool refusing(TimePoint now) const { return now < refuse_until_; }
+  double slow_factor(TimePoint now) const {
+    return now < slow_until_ ? slow_factor_ : 1.0;
+  }
+  bool cut_off(const std::string& address, TimePoint now) const {
+    return now < cut_off_until_ && cut_off_.count(address) > 0;
+  }
+
+  /// Draws whether the answer to a new request is to be lost.
+  bool DrawLoseAnswer(TimePoint now) {
+    return now < lose_until_ && rng_.Uniform() < lose_probability_;
+  }
+
+  /// Whether a run of `prompt` crashes the process.
+  bool CrashesOn(std::string_view prompt) const {
+    return !marker_.empty() && prompt.find(marker_) != std::string_view::npos;
+  }
+
+ private:
+  Rng rng_;
+  TimePoint frozen_until_{};
+  TimePoint refuse_until_{};
+  TimePoint slow_until_{};
+  double slow_factor_ = 1;
+  TimePoint lose_until_{};
+  double lose_probability_ = 0;
+  TimePoint cut_off_until_{};
+  std::set<std::string> cut_off_;
+  std::string marker_;
+};
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_FAULTS_H_
--- /dev/null
+++ b/include/teaselhill/standin/journal.h
@@ -0,0 +1,71 @@
+/// \file
+/// Record of the runs that a stand-in began.
+
+#ifndef TEASELHILL_STANDIN_JOURNAL_H_
+#define TEASELHILL_STANDIN_JOURNAL_H_
+
+#include <cstdint>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::standin {
+
+enum class RunEnd { kRunning, kFinished, kCancelled };
+
+struct JournalRun {
+  std::string request_id;
+  std::string key;
+  std::string model;
+  int64_t started_ms = 0;  ///< wall clock
+  uint64_t tokens_out = 0;
+  RunEnd end = RunEnd::kRunning;
+};
+
+/// Runs in the order in which they began. Runs past the limit are counted in
+/// `dropped()` only.
+class Journal {
+ public:
+  using Handle = size_t;
+
+  /// Converts a monotonic time to wall time by the given pair of both.
+  Journal(TimePoint steady, WallTime wall) : steady_(steady), wall_(wall) {}
+
+  /// Also writes each begin and end to `path`, so that a crash of the process
+  /// does not lose them. Returns false if the file cannot be written.
+  bool OpenFile(const std::string& path);
+
+  Handle Begin(std::string request_id,
+               std::string key,
+               std::string model,
+               TimePoint now);
+  void AddTokens(Handle run, uint64_t tokens);
+  void AddPrefill(uint64_t tokens) { prefill_tokens_ += tokens; }
+  void End(Handle run, RunEnd end);
+
+  const std::vector<JournalRun>& runs() const { return runs_; }
+  uint64_t tokens_out() const { return tokens_out_; }
+  uint64_t prefill_tokens() const { return prefill_tokens_; }
+  uint64_t dropped() const { return dropped_; }
+
+ private:
+  struct FileCloser {
+    void operator()(std::FILE* file) const { std::fclose(file); }
+  };
+  void WriteLine(const JournalRun& run);
+
+  TimePoint steady_;
+  WallTime wall_;
+  std::vector<JournalRun> runs_;
+  uint64_t tokens_out_ = 0;
+  uint64_t prefill_tokens_ = 0;
+  uint64_t dropped_ = 0;
+  std::unique_ptr<std::FILE, FileCloser> file_;
+};
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_JOURNAL_H_
--- /dev/null
+++ b/include/teaselhill/standin/log.h
@@ -0,0 +1,52 @@
+/// \file
+/// Stand-in append-only log service.
+
+#ifndef TEASELHILL_STANDIN_LOG_H_
+#define TEASELHILL_STANDIN_LOG_H_
+
+#include <list>
+#include <string>
+
+#include "teaselhill/standin/log_store.h"
+#include "teaselhill/standin/standin.h"
+
+namespace teaselhill::standin {
+
+struct LogOptions {
+  StandInOptions common;
+  LogConfig store;
+};
+
+class Log : public StandIn {
+ public:
+  Log(net::EventLoop& loop, const LogOptions& options)
+      : StandIn(loop, options.common), store_(options.store) {}
+
+ protected:
+  void Serve(net::HttpRequest request, Response response) override;
+
+ private:
+  struct Reader {
+    std::string stream;
+    uint64_t from = 1;
+    size_t limit = 0;
+    Response response;
+    TimerSubscription timeout;
+  };
+
+  void Append(const std::string& stream,
+              const net::HttpRequest& request,
+              const Response& response);
+  void Read(const std::string& stream,
+            const net::HttpRequest& request,
+            Response response);
+  void Answer(const Reader& reader);
+  void WakeReaders(const std::string& stream);
+
+  LogStore store_;
+  std::list<Reader> readers_;  ///< long polls
+};
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_LOG_H_
--- /dev/null
+++ b/include/teaselhill/standin/log_store.h
@@ -0,0 +1,67 @@
+/// \file
+/// Streams of the stand-in log: offsets, append rate and retention.
+
+#ifndef TEASELHILL_STANDIN_LOG_STORE_H_
+#define TEASELHILL_STANDIN_LOG_STORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "teaselhill/standin/messages.h"
+#include "teaselhill/support/result.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::standin {
+
+struct LogConfig {
+  double appends_per_second = 400;  ///< records a second over all streams
+  Duration retention = std::chrono::hours(24);
+  uint64_t retained_records = 100000;  ///< in each stream
+};
+
+class LogStore {
+ public:
+  explicit LogStore(LogConfig config)
+      : config_(config), tokens_(config.appends_per_second) {}
+
+  /// Returns the offset of the first record; kLogRateLimited above the rate.
+  Result<uint64_t> Append(const std::string& stream,
+                          std::vector<std::string> records,
+                          TimePoint now,
+                          WallTime wall);
+
+  /// Returns at most `limit` records from offset `from` on; kOffsetDropped if
+  /// the record at `from` is not retained any more.
+  Result<LogPage> Read(const std::string& stream,
+                       uint64_t from,
+                       size_t limit,
+                       TimePoint now);
+
+  /// First offset that is still retained in `stream`.
+  uint64_t first_retained(const std::string& stream, TimePoint now);
+
+ private:
+  struct Stored {
+    LogRecord record;
+    TimePoint at;
+  };
+  struct Stream {
+    uint64_t next_offset = 1;
+    std::deque<Stored> records;
+  };
+
+  Stream& Retained(const std::string& stream, TimePoint now);
+  bool TakeRate(size_t records, TimePoint now);
+
+  LogConfig config_;
+  double tokens_;
+  TimePoint refilled_{};
+  std::map<std::string, Stream> streams_;
+};
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_LOG_STORE_H_
--- /dev/null
+++ b/include/teaselhill/standin/messages.h
@@ -0,0 +1,86 @@
+/// \file
+/// JSON messages of the stand-ins.
+
+#ifndef TEASELHILL_STANDIN_MESSAGES_H_
+#define TEASELHILL_STANDIN_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaselhill/standin/answer.h"
+#include "teaselhill/standin/assignment.h"
+#include "teaselhill/standin/faults.h"
+#include "teaselhill/standin/journal.h"
+#include "teaselhill/standin/prefix_cache.h"
+#include "teaselhill/support/result.h"
+
+namespace teaselhill::standin {
+
+struct ChatRequest {
+  std::string model;
+  std::vector<Message> messages;
+  uint32_t max_tokens = 256;
+  bool stream = false;
+};
+
+struct LoadReport {
+  size_t running = 0;
+  size_t waiting = 0;
+  uint32_t max_batch = 0;
+  double tokens_per_second = 0;
+  Duration age{};
+  std::vector<std::string> models;
+};
+
+/// KV cache of one request, as exported and imported.
+struct KvExport {
+  std::string request_id;
+  std::vector<PrefixBlock> blocks;
+};
+
+struct LogRecord {
+  uint64_t offset = 0;
+  int64_t time_ms = 0;
+  std::string data;  ///< JSON text
+};
+
+struct LogPage {
+  uint64_t first_retained = 1;
+  uint64_t next_offset = 1;
+  std::vector<LogRecord> records;
+};
+
+// All Parse functions return kMalformedBody for input of another form.
+Result<ChatRequest> ParseChatRequest(std::string_view body);
+Result<FaultCommand> ParseFault(std::string_view body);
+Result<Order> ParseOrder(std::string_view body);
+Result<KvExport> ParseKv(std::string_view body);
+
+/// Returns the records of an append, each as JSON text.
+Result<std::vector<std::string>> ParseAppend(std::string_view body);
+
+/// Returns the model named by a fetch from the weight store.
+Result<std::string> ParseFetch(std::string_view body);
+
+/// Returns the time until fetched weights are ready.
+Result<Duration> ParseFetchAnswer(std::string_view body);
+
+/// Checks that `body` has the form of the host list.
+Status CheckHostList(std::string_view body);
+
+std::string ToJson(const LoadReport& report);
+std::string ToJson(const Assignment& assignment);
+std::string ToJson(const CacheEvents& events);
+std::string ToJson(const KvExport& kv);
+std::string ToJson(const Journal& journal);
+std::string ToJson(const JournalRun& run);
+std::string ToJson(const LogPage& page);
+
+/// Returns the JSON error body `{"error":{"message":...}}`.
+std::string ErrorBody(std::string_view message);
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_MESSAGES_H_
--- /dev/null
+++ b/include/teaselhill/standin/prefix_cache.h
@@ -0,0 +1,68 @@
+/// \file
+/// Prompt-prefix cache of a stand-in engine with its late, gappy events.
+
+#ifndef TEASELHILL_STANDIN_PREFIX_CACHE_H_
+#define TEASELHILL_STANDIN_PREFIX_CACHE_H_
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include "teaselhill/standin/answer.h"
+#include "teaselhill/support/rng.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::standin {
+
+struct CacheEvent {
+  uint64_t seq = 0;
+  bool stored = false;  ///< false: evicted
+  PrefixBlock block;
+  TimePoint visible_at;
+};
+
+struct CacheEvents {
+  uint64_t next = 1;  ///< pass as `from` in the next call
+  std::vector<CacheEvent> events;
+};
+
+struct PrefixCacheConfig {
+  uint64_t capacity_tokens = 200000;
+  Duration event_lag = std::chrono::milliseconds(300);
+  double event_loss = 0.05;  ///< share of events that are never published
+  uint64_t seed = 1;
+};
+
+/// Least recently used blocks are evicted first.
+class PrefixCache {
+ public:
+  explicit PrefixCache(PrefixCacheConfig config)
+      : config_(config), rng_(config.seed) {}
+
+  /// Returns how many leading prompt tokens are cached, and marks them used.
+  uint32_t Match(const std::vector<PrefixBlock>& blocks);
+
+  void Store(const std::vector<PrefixBlock>& blocks, TimePoint now);
+
+  /// Events with a sequence number of at least `from` that are visible at
+  /// `now`.
+  CacheEvents EventsFrom(uint64_t from, TimePoint now) const;
+
+ private:
+  using Order = std::list<PrefixBlock>;  // most recently used first
+
+  void Publish(bool stored, const PrefixBlock& block, TimePoint now);
+
+  PrefixCacheConfig config_;
+  Rng rng_;
+  Order order_;
+  std::unordered_map<uint64_t, Order::iterator> index_;
+  uint64_t next_seq_ = 1;
+  std::deque<CacheEvent> events_;
+};
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_PREFIX_CACHE_H_
--- /dev/null
+++ b/include/teaselhill/standin/standin.h
@@ -0,0 +1,88 @@
+/// \file
+/// What all stand-ins share: faults, the journal and the control paths.
+
+#ifndef TEASELHILL_STANDIN_STANDIN_H_
+#define TEASELHILL_STANDIN_STANDIN_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "teaselhill/net/event_loop.h"
+#include "teaselhill/net/http_server.h"
+#include "teaselhill/standin/faults.h"
+#include "teaselhill/standin/journal.h"
+
+namespace teaselhill::standin {
+
+/// Exit code of an injected crash.
+constexpr int kCrashExitCode = 70;
+
+struct StandInOptions {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+  std::string name = "standin";
+  uint64_t seed = 1;
+  Duration latency{};        ///< delay before a request is served
+  std::string crash_on;      ///< marker that crashes the process from its start
+  std::string journal_file;  ///< empty: the journal is in memory only
+};
+
+/// Answers `/control/...` and applies faults to everything else.
+class StandIn : public net::HttpHandler {
+ public:
+  StandIn(net::EventLoop& loop, const StandInOptions& options);
+
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override;
+
+ protected:
+  using Response = std::shared_ptr<net::ResponseWriter>;
+
+  virtual void Serve(net::HttpRequest request, Response response) = 0;
+
+  /// Serves further paths under `/control/`; returns false for unknown ones.
+  virtual bool ServeControl(const net::HttpRequest& request,
+                            const Response& response);
+
+  /// Whether `slow` delays requests. The engine stretches its runs instead.
+  virtual bool delays_requests() const { return true; }
+
+  /// Calls `function` once after `delay`.
+  void Later(Duration delay, std::function<void()> function);
+
+  void CrashOnMarker(std::string_view prompt);
+  [[noreturn]] void Crash();
+
+  TimePoint Now() const { return loop_.timers().Now(); }
+
+  net::EventLoop& loop_;
+  Faults faults_;
+  Journal journal_;
+
+ private:
+  struct HeldRequest {
+    net::HttpRequest request;
+    Response response;
+  };
+
+  void HandleControl(const net::HttpRequest& request, const Response& response);
+  void HandleFault(const net::HttpRequest& request, const Response& response);
+  void Admit(net::HttpRequest request, Response response);
+  void ReleaseHeld();
+
+  Duration latency_;
+  uint64_t last_timer_ = 0;
+  std::map<uint64_t, TimerSubscription> timers_;
+  std::deque<HeldRequest> held_;  ///< arrived while frozen
+  std::deque<Response> unanswered_;
+};
+
+/// Sends a JSON body.
+void RespondJson(net::ResponseWriter& response, int status, std::string body);
+
+}  // namespace teaselhill::standin
+
+#endif  // TEASELHILL_STANDIN_STANDIN_H_
--- /dev/null
+++ b/lib/standin/prefix_cache.cc
@@ -0,0 +1,69 @@
+/// \file
+/// Prompt-prefix cache.
+
+#include "teaselhill/standin/prefix_cache.h"
+
+namespace teaselhill::standin {
+
+namespace {
+/// Older events are forgotten; a reader sees them as a gap.
+constexpr size_t kMaxEvents = 20000;
+constexpr size_t kMaxEventsPerRead = 2000;
+}  // namespace
+
+uint32_t PrefixCache::Match(const std::vector<PrefixBlock>& blocks) {
+  size_t matched = 0;
+  while (matched < blocks.size() && index_.count(blocks[matched].hash) > 0)
+    ++matched;
+  // The deepest block is marked first, so that it is evicted before the blocks
+  // it builds on.
+  for (size_t i = matched; i-- > 0;)
+    order_.splice(order_.begin(), order_, index_[blocks[i].hash]);
+  return matched == 0 ? 0 : blocks[matched - 1].tokens;
+}
+
+void PrefixCache::Store(const std::vector<PrefixBlock>& blocks, TimePoint now) {
+  const size_t capacity = config_.capacity_tokens / kBlockTokens;
+  for (size_t i = blocks.size(); i-- > 0;) {
+    const auto found = index_.find(blocks[i].hash);
+    if (found != index_.end()) {
+      order_.splice(order_.begin(), order_, found->second);
+      continue;
+    }
+    order_.push_front(blocks[i]);
+    index_[blocks[i].hash] = order_.begin();
+    Publish(true, blocks[i], now);
+  }
+  while (order_.size() > capacity) {
+    index_.erase(order_.back().hash);
+    Publish(false, order_.back(), now);
+    order_.pop_back();
+  }
+}
+
+void PrefixCache::Publish(bool stored,
+                          const PrefixBlock& block,
+                          TimePoint now) {
+  const uint64_t seq = next_seq_++;
+  if (rng_.Uniform() < config_.event_loss)
+    return;
+  events_.push_back({seq, stored, block, now + config_.event_lag});
+  if (events_.size() > kMaxEvents)
+    events_.pop_front();
+}
+
+CacheEvents PrefixCache::EventsFrom(uint64_t from, TimePoint now) const {
+  CacheEvents result;
+  result.next = from == 0 ? 1 : from;
+  for (const CacheEvent& event : events_) {
+    if (event.visible_at > now || result.events.size() >= kMaxEventsPerRead)
+      break;
+    if (event.seq < from)
+      continue;
+    result.events.push_back(event);
+    result.next = event.seq + 1;
+  }
+  return result;
+}
+
+}  // namespace teaselhill::standin
