--- /dev/null
+++ b/lib/standin/host_list.cc
@@ -0,0 +1,52 @@
+/// \file
+/// Stand-in host list.
+
+#include "teaselhill/standin/host_list.h"
+
+#include "teaselhill/standin/messages.h"
+
+namespace teaselhill::standin {
+
+namespace {
+/// Versions not yet visible; the oldest becomes visible early beyond this.
+constexpr size_t kMaxComing = 1000;
+}  // namespace
+
+void LaggingText::Set(std::string text, TimePoint now) {
+  coming_.push_back({now + lag_, std::move(text)});
+  if (coming_.size() > kMaxComing)
+    Get(coming_.front().visible_at);
+}
+
+const std::string& LaggingText::Get(TimePoint now) {
+  while (!coming_.empty() && coming_.front().visible_at <= now) {
+    visible_ = std::move(coming_.front().text);
+    coming_.pop_front();
+  }
+  return visible_;
+}
+
+HostList::HostList(net::EventLoop& loop, const HostListOptions& options)
+    : StandIn(loop, options.common),
+      list_(options.lag, R"({"hosts":[],"upstreams":[]})") {}
+
+void HostList::Serve(net::HttpRequest request, Response response) {
+  if (request.method == "GET" && request.path == "/v1/hosts")
+    RespondJson(*response, 200, list_.Get(Now()));
+  else
+    RespondJson(*response, 404, ErrorBody("no such path"));
+}
+
+bool HostList::ServeControl(const net::HttpRequest& request,
+                            const Response& response) {
+  if (request.method != "PUT" || request.path != "/control/hosts")
+    return false;
+  const Status checked = CheckHostList(request.body);
+  if (checked)
+    list_.Set(request.body, Now());
+  RespondJson(*response, checked ? 200 : 400,
+              checked ? "{}" : ErrorBody(checked.error().message));
+  return true;
+}
+
+}  // namespace teaselhill::standin
