--- a/lib/claims/claim_table.cc
+++ b/lib/claims/claim_table.cc
@@ -310,7 +310,8 @@
                                 TimePoint now,
                                 std::vector<Action>* actions) {
   Entry* entry = FindByRequest(request);
-  if (entry == nullptr || entry->state == State::kRunning)
+  if (entry == nullptr ||
+      (entry->owner == request && entry->state == State::kRunning))
     return ResultCode::kClaimUnknown;
   by_request_.erase(request);
   if (entry->owner != request) {
--- a/unittests/claims/claim_table_test.cc
+++ b/unittests/claims/claim_table_test.cc
@@ -154,6 +154,41 @@
   CHECK(Is<ForwardToHolder>(fleet.Send(1, 3)));
 }
 
+TEST_CASE(
+    "while a release may be on the log, its host neither runs nor denies") {
+  Fleet fleet(2);
+  fleet.Send(0, 1);
+  fleet.SyncRuns(0);
+  fleet.GiveUp(0, 1);
+  // A send just after "not run" may have been made before it was told.
+  CHECK(CodeOf(fleet.Send(0, 2)) == ResultCode::kClaimReleased);
+  fleet.now += ClaimOptions().release_delay;
+  const bool taken = GENERATE(true, false);
+  if (taken) {
+    REQUIRE(fleet.table(0).TakeBatch(fleet.now).has_value());
+    CHECK(CodeOf(fleet.Send(0, 3)) == ResultCode::kClaimUnknown);
+  } else {
+    CHECK(Is<RunNow>(fleet.Send(0, 3)));
+  }
+}
+
+TEST_CASE("a restarted host does not run what its earlier run claimed") {
+  Fleet fleet(1);
+  ClaimTable restarted({"host0", 2}, ClaimOptions());
+  restarted.OnReadStart(0, fleet.end());
+  restarted.OnRecords({fleet.record(0)}, {});
+  const UuidKey key{{0, 1}, kStart};
+  REQUIRE(Is<Wait>(restarted.OnRequest(1, key, kBody, false, {})));
+  const auto batch = restarted.TakeBatch(TimePoint());
+  REQUIRE(batch.has_value());
+  ClaimBatch earlier = *batch;
+  earlier.holder.incarnation = 1;
+  CHECK(restarted.OnRecords({{1, kStart, earlier}}, {}).empty());
+  const auto actions = restarted.OnRecords({{2, kStart, *batch}}, {});
+  REQUIRE(actions.size() == 1);
+  CHECK(CodeOf(actions[0].decision) == ResultCode::kHolderUnreachable);
+}
+
 TEST_CASE("a claim whose append answer was lost is settled by reading") {
   Fleet fleet(1);
   fleet.Send(0, 1);
