--- a/include/teaselhill/membership/member_table.h
+++ b/include/teaselhill/membership/member_table.h
@@ -19,23 +19,39 @@
 
 struct MemberOptions {
   Duration probe_period = std::chrono::milliseconds(500);
+  /// Without an answer by then, other hosts are asked to probe.
   Duration probe_timeout = std::chrono::milliseconds(150);
-  Duration indirect_timeout = std::chrono::milliseconds(350);
+  /// Without an answer by then, counted from the probe, the target is
+  /// suspected.
+  Duration suspect_after = std::chrono::milliseconds(450);
+  /// A suspected host that does not refute in this time is dead.
   Duration suspect_timeout = std::chrono::seconds(2);
   /// A longer time between two ticks means that this process was paused.
-  Duration pause_threshold = std::chrono::milliseconds(400);
-  /// Dead members are remembered this long, so that late updates do not revive
-  /// them.
+  Duration pause_threshold = std::chrono::milliseconds(200);
+  /// Dead members that the host list does not name are remembered this long, so
+  /// that late updates do not revive them.
   Duration dead_keep = std::chrono::seconds(30);
+  /// Members of other domains that are neither listed nor heard of are dropped
+  /// after this time, in case the update about their death was lost.
+  Duration unlisted_keep = std::chrono::minutes(10);
   Duration leaving_keep = std::chrono::minutes(5);
-  /// A member that was heard of within this time counts as reachable.
-  Duration reachable_age = std::chrono::seconds(10);
   size_t indirect_probes = 2;
   size_t max_updates_per_message = 6;
+  /// Of these, updates about live hosts. They may be late without harm, and a
+  /// start of the whole fleet makes hundreds of them.
+  size_t max_alive_per_message = 2;
   size_t max_members = 2000;
   size_t max_leaving = 1000;
-  /// Every this many probes one goes to another failure domain.
-  int cross_domain_every = 4;
+  size_t max_relays = 64;
+  /// Up to this many members all are probed in turn. With more, the own
+  /// domain's are, and one host per other domain, so that connections stay few.
+  size_t small_group = 16;
+  /// Every this many probes one goes to another domain, or to a dead member.
+  int cross_domain_every = 2;
+  int dead_every = 7;
+  /// Hosts of the own domain that hear at once of a leaving upstream; the
+  /// others hear by piggybacked updates.
+  size_t leaving_fanout = 40;
 };
 
 /// A message and where to send it.
@@ -111,14 +127,16 @@
   /// Alive or leaving under exactly this incarnation, or suspected.
   bool IsUp(const HostIncarnation& id) const;
   /// Reachable share per failure domain, this host's own domain included.
+  /// Another domain counts as cut off once two hosts of it failed to answer in
+  /// a row.
   std::vector<DomainStatus> Domains(TimePoint now) const;
   const MemberUpdate& self() const { return self_; }
 
  private:
   struct Member {
-    MemberUpdate update;
+    MemberUpdate update;  // incarnation 0: known from the host list only
     TimePoint state_since;
-    std::optional<TimePoint> heard;  // sign of life
+    TimePoint heard;
     bool listed = false;
   };
   struct Probe {
@@ -132,10 +150,6 @@
     uint64_t their_sequence = 0;
     TimePoint sent;
   };
-  struct Queued {
-    int sent = 0;
-    MemberUpdate update;
-  };
   struct Leaving {
     UpstreamLeaving report;
     TimePoint since;
@@ -144,25 +158,37 @@
 
   Gossip TakeGossip();
   void Merge(const MemberUpdate& update, TimePoint now, Output* out);
+  void MergeSelf(const MemberUpdate& update);
+  void AddMember(const MemberUpdate& update, TimePoint now, Output* out);
   void MergeGossip(const Gossip& gossip, TimePoint now, Output* out);
-  void Learn(const UpstreamLeaving& report, TimePoint now, Output* out);
+  bool Learn(const UpstreamLeaving& report, TimePoint now, Output* out);
   void Heard(const MemberUpdate& from, TimePoint now, Output* out);
   void SetState(Member* member, MemberState state, TimePoint now, Output* out);
-  void Enqueue(const MemberUpdate& update);
   void SendTo(const std::string& host, Message message, Output* out) const;
+  void Reply(const MemberUpdate& to, uint64_t sequence, Output* out);
+  void OnPing(const Ping& ping, TimePoint now, Output* out);
+  void OnAck(const Ack& ack, TimePoint now, Output* out);
+  void OnIndirectPing(const IndirectPing& ping, TimePoint now, Output* out);
   void StartProbe(TimePoint now, Rng* rng, Output* out);
   void CheckProbe(TimePoint now, Rng* rng, Output* out);
   void Expire(TimePoint now, Output* out);
+  void DropUnlisted(TimePoint now, Output* out);
   void AfterPause(TimePoint now);
   std::string PickTarget(Rng* rng);
-  int GossipLimit() const;
+  std::string PickOtherDomain();
+  std::string PickDead(Rng* rng) const;
+  bool IsNear(const Member& member) const;
+  int SpreadLimit() const;
 
   MemberUpdate self_;
   MemberOptions options_;
   std::map<std::string, Member> members_;  // without this host
-  std::map<std::string, Queued> queue_;    // updates still to spread
+  std::map<std::string, int> queue_;       // updates to spread: times sent
   std::map<std::string, Leaving> leaving_;
-  std::vector<std::string> order_;  // shuffled probe order of the own domain
+  std::map<std::string, int> failures_;  // probes in a row, by other domain
+  std::string retry_domain_;        // probed next, to tell host from domain
+  std::string last_domain_;         // of the last probe to another domain
+  std::vector<std::string> order_;  // shuffled targets of this round
   std::optional<Probe> probe_;
   std::map<uint64_t, Relay> relays_;  // by our own sequence
   std::optional<TimePoint> last_tick_;
--- /dev/null
+++ b/unittests/membership/member_table_test.cc
@@ -0,0 +1,340 @@
+/// \file
+/// Guards against late or false death notices, lost returns, slow spread of
+/// leaving upstreams, growth and traffic, on a simulated network.
+
+#include "teaselhill/membership/member_table.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace teaselhill::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kTick{50};
+constexpr milliseconds kLatency{5};
+
+size_t SizeOf(const MemberUpdate& update) {
+  // CBOR map with field names: text lengths plus about 70 bytes.
+  return update.id.host.size() + update.address.size() + update.domain.size() +
+         70;
+}
+
+size_t SizeOf(const Message& message) {
+  return std::visit(
+      [](const auto& m) {
+        size_t size = 60 + SizeOf(m.from);  // headers of frame, TCP and IP too
+        for (const MemberUpdate& update : m.gossip.members)
+          size += SizeOf(update);
+        for (const UpstreamLeaving& report : m.gossip.leaving)
+          size += 50 + report.upstream.size() + report.domain.size();
+        return size;
+      },
+      message);
+}
+
+class Network {
+ public:
+  Network(size_t hosts, size_t domains, uint64_t seed = 1) : rng_(seed) {
+    for (size_t i = 0; i < hosts; ++i) {
+      Node node;
+      node.name = "host" + std::to_string(i);
+      node.domain = "zone" + std::to_string(i % domains);
+      nodes_.push_back(std::move(node));
+    }
+    for (size_t i = 0; i < hosts; ++i)
+      Start(i);
+  }
+
+  void Start(size_t i) {
+    Node& node = nodes_[i];
+    ++node.incarnation;
+    node.running = true;
+    node.table = std::make_unique<MemberTable>(
+        MemberUpdate{{node.name, node.incarnation},
+                     0,
+                     MemberState::kAlive,
+                     "127.0.1." + std::to_string(i),
+                     node.domain},
+        MemberOptions());
+    List(i);
+  }
+  void List(size_t i) {
+    std::vector<HostListEntry> list;
+    for (const Node& node : nodes_)
+      list.push_back({node.name, "127.0.1.1", node.domain, false});
+    Deliver(i, nodes_[i].table->OnHostList(list, {}, now));
+  }
+  void Kill(size_t i) { nodes_[i].running = false; }
+  void Freeze(size_t i, bool frozen) { nodes_[i].frozen = frozen; }
+  MemberTable& table(size_t i) { return *nodes_[i].table; }
+  size_t size() const { return nodes_.size(); }
+  const std::string& domain(size_t i) const { return nodes_[i].domain; }
+  HostIncarnation id(size_t i) const {
+    return {nodes_[i].name, nodes_[i].incarnation};
+  }
+
+  void Deliver(size_t from, Output output) {
+    for (const MemberEvent& event : output.events)
+      nodes_[from].events.push_back(event);
+    for (const std::string& upstream : output.leaving_upstreams)
+      nodes_[from].leaving.insert(upstream);
+    for (Send& send : output.sends) {
+      const size_t to = std::stoul(send.to.substr(4));
+      sent_bytes += SizeOf(send.message);
+      if (cut(from, to) || rng_.Uniform() < loss)
+        continue;
+      nodes_[to].inbox.push_back({now + kLatency, std::move(send.message)});
+    }
+  }
+
+  void Run(Duration duration) {
+    for (const TimePoint end = now + duration; now < end; now += kLatency) {
+      for (size_t i = 0; i < nodes_.size(); ++i)
+        Step(i);
+    }
+  }
+
+  /// Runs until `done` holds and returns the time it took; at most `limit`.
+  Duration Until(const std::function<bool()>& done, Duration limit) {
+    const TimePoint start = now;
+    while (!done() && now - start < limit)
+      Run(kTick);
+    return now - start;
+  }
+
+  bool AllSee(size_t target, bool up) {
+    for (size_t i = 0; i < size(); ++i) {
+      if (i != target && nodes_[i].running && !nodes_[i].frozen &&
+          nodes_[i].table->IsUp(id(target)) != up)
+        return false;
+    }
+    return true;
+  }
+  size_t Downs() const {
+    size_t count = 0;
+    for (const Node& node : nodes_)
+      for (const MemberEvent& event : node.events)
+        count += event.kind == MemberEventKind::kDown;
+    return count;
+  }
+  bool Knows(size_t i, const std::string& upstream) const {
+    return nodes_[i].leaving.count(upstream) > 0;
+  }
+
+  TimePoint now;
+  double loss = 0;
+  size_t sent_bytes = 0;
+  std::function<bool(size_t, size_t)> cut = [](size_t, size_t) {
+    return false;
+  };
+
+ private:
+  struct Mail {
+    TimePoint at;
+    Message message;
+  };
+  struct Node {
+    std::string name;
+    std::string domain;
+    uint64_t incarnation = 0;
+    bool running = false;
+    bool frozen = false;
+    std::unique_ptr<MemberTable> table;
+    std::deque<Mail> inbox;
+    std::vector<MemberEvent> events;
+    std::set<std::string> leaving;
+  };
+
+  void Step(size_t i) {
+    Node& node = nodes_[i];
+    if (!node.running) {
+      node.inbox.clear();
+      return;
+    }
+    if (node.frozen)
+      return;
+    const auto phase = (now.time_since_epoch() / kLatency + i) % 10;
+    if (phase == 0)
+      Deliver(i, node.table->OnTick(now, &rng_));
+    while (!node.inbox.empty() && node.inbox.front().at <= now) {
+      const Mail mail = std::move(node.inbox.front());
+      node.inbox.pop_front();
+      Deliver(i, node.table->OnMessage(mail.message, now, &rng_));
+    }
+  }
+
+  Rng rng_;
+  std::vector<Node> nodes_;
+};
+
+}  // namespace
+
+TEST_CASE("death, freeze and return are seen within seconds") {
+  const auto [hosts, domains, frozen] = GENERATE(table<int, int, bool>(
+      {{7, 3, false}, {7, 3, true}, {2, 1, false}, {60, 3, true}}));
+  Network network(hosts, domains);
+  network.Run(seconds(5));
+  REQUIRE(network.Downs() == 0);
+  REQUIRE(network.AllSee(1, true));
+  frozen ? network.Freeze(1, true) : network.Kill(1);
+  CHECK(network.Until([&] { return network.AllSee(1, false); }, seconds(20)) <=
+        seconds(8));
+  frozen ? network.Freeze(1, false) : network.Start(1);
+  CHECK(network.Until([&] { return network.AllSee(1, true); }, seconds(30)) <=
+        seconds(12));
+  // The host that was away must not hold the others dead.
+  network.Run(seconds(5));
+  for (size_t i = 0; i < network.size(); ++i)
+    CHECK((i == 1 || network.table(1).IsUp(network.id(i))));
+}
+
+TEST_CASE("a host that was paused declares nobody dead") {
+  const int pause_ms = GENERATE(100, 300, 1000, 5000, 60000);
+  Network network(7, 3);
+  network.Run(seconds(5));
+  // Suspicion that was under way at the pause must not run out in it.
+  network.Kill(2);
+  network.Run(milliseconds(700));
+  network.Freeze(1, true);
+  network.Start(2);
+  network.Run(milliseconds(pause_ms));
+  network.Freeze(1, false);
+  network.Run(milliseconds(2000));
+  for (size_t i = 0; i < network.size(); ++i)
+    CHECK(network.table(1).IsUp(network.id(i)));
+}
+
+TEST_CASE("a leaving upstream is known in its domain within 3 s") {
+  const auto [hosts, domains, loss] = GENERATE(table<int, int, double>(
+      {{7, 3, 0}, {87, 3, 0}, {7, 3, 0.2}, {87, 3, 0.2}}));
+  Network network(hosts, domains);
+  network.Run(seconds(5));
+  network.loss = loss;
+  network.Deliver(
+      0, network.table(0).MarkUpstreamLeaving("gpu", "zone0", 1, network.now));
+  const auto known = [&] {
+    for (size_t i = 0; i < network.size(); ++i)
+      if (network.domain(i) == "zone0" && !network.Knows(i, "gpu"))
+        return false;
+    return true;
+  };
+  CHECK(network.Until(known, seconds(10)) <= seconds(3));
+}
+
+TEST_CASE("a host cut off from other domains knows it and recovers") {
+  const auto [hosts, domains] = GENERATE(table<int, int>({{7, 3}, {60, 4}}));
+  Network network(hosts, domains);
+  network.Run(seconds(5));
+  const auto in_zone0 = [&](size_t i) { return network.domain(i) == "zone0"; };
+  network.cut = [&](size_t a, size_t b) { return in_zone0(a) != in_zone0(b); };
+  const auto cut_off = [&](bool expected) {
+    for (const DomainStatus& status : network.table(0).Domains(network.now)) {
+      const bool own = status.domain == "zone0";
+      if (!own && (status.reachable == 0) != expected)
+        return false;
+      if (own && status.reachable != status.known)
+        return false;
+    }
+    return true;
+  };
+  CHECK(network.Until([&] { return cut_off(true); }, seconds(60)) <=
+        seconds(20));
+  network.Run(seconds(60));
+  network.cut = [](size_t, size_t) { return false; };
+  CHECK(network.Until([&] { return cut_off(false); }, seconds(120)) <=
+        seconds(60));
+}
+
+TEST_CASE("hosts that are gone leave nothing behind") {
+  MemberTable table({{"a", 1}, 0, MemberState::kAlive, "127.0.1.1", "z"},
+                    MemberOptions());
+  Rng rng(1);
+  TimePoint now;
+  for (int i = 0; i < 300; ++i) {
+    const std::string name = "h" + std::to_string(i);
+    table.OnMessage(Ping{{{name, 1}, 0, MemberState::kAlive, "x", "z"}, 1, {}},
+                    now, &rng);
+    for (int tick = 0; tick < 40; ++tick)
+      table.OnTick(now += kTick, &rng);
+  }
+  CHECK(table.Members(now).size() < 40);
+  // A host list entry that was never heard of goes with the list.
+  table.OnHostList({{"new", "x", "other", false}}, {}, now);
+  table.OnHostList({}, {}, now);
+  for (const MemberView& view : table.Members(now))
+    CHECK(view.member.id.host != "new");
+}
+
+TEST_CASE("late updates do not undo later ones") {
+  MemberTable table({{"a", 1}, 0, MemberState::kAlive, "127.0.1.1", "z"},
+                    MemberOptions());
+  Rng rng(1);
+  const auto say = [&](uint64_t incarnation, uint64_t refutation,
+                       MemberState state) {
+    Ping ping{{{"c", 1}, 0, MemberState::kAlive, "x", "z"}, 1, {}};
+    ping.gossip.members.push_back(
+        {{"b", incarnation}, refutation, state, "x", "z"});
+    table.OnMessage(ping, TimePoint(), &rng);
+    return table.IsUp({"b", incarnation});
+  };
+  CHECK(say(1, 0, MemberState::kAlive));
+  CHECK_FALSE(say(1, 0, MemberState::kDead));
+  CHECK_FALSE(say(1, 0, MemberState::kAlive));
+  CHECK(say(1, 1, MemberState::kAlive));
+  CHECK(say(2, 0, MemberState::kAlive));
+  CHECK_FALSE(say(1, 5, MemberState::kAlive));
+  CHECK(table.IsUp({"b", 2}));
+}
+
+TEST_CASE("traffic at 380 hosts in 13 domains stays under 6 KB/s") {
+  Network network(380, 13);
+  network.Run(seconds(10));
+  network.sent_bytes = 0;
+  constexpr int kSeconds = 20;
+  network.Kill(5);
+  network.Run(seconds(kSeconds));
+  const double rate = static_cast<double>(network.sent_bytes) / 380 / kSeconds;
+  INFO("bytes a second sent by a host: " << rate);
+  CHECK(2 * rate < 4000);  // sent and received, while all hosts are new
+  CHECK(network.AllSee(5, false));
+}
+
+TEST_CASE("members agree again after any faults") {
+  rc::prop("kills, freezes, loss and partitions", [] {
+    Network network(6, 2, *rc::gen::inRange<uint64_t>(1, 1000));
+    network.Run(seconds(2));
+    const auto faults = *rc::gen::container<std::vector<int>>(
+        rc::gen::resize(100, rc::gen::inRange(0, 36)));
+    for (const int fault : faults) {
+      const size_t host = fault % 6;
+      if (fault / 6 == 0)
+        network.Freeze(host, true);
+      else if (fault / 6 == 1)
+        network.Freeze(host, false);
+      else if (fault / 6 == 2)
+        network.Start(host);
+      else if (fault / 6 == 3)
+        network.cut = [host](size_t a, size_t b) {
+          return a < host && b >= host;
+        };
+      else
+        network.loss = 0.3 * (fault % 2);
+      network.Run(milliseconds(300) * (1 + fault % 3));
+    }
+    network.cut = [](size_t, size_t) { return false; };
+    network.loss = 0;
+    for (size_t i = 0; i < network.size(); ++i)
+      network.Freeze(i, false);
+    network.Run(seconds(25));
+    for (size_t i = 0; i < network.size(); ++i)
+      RC_ASSERT(network.AllSee(i, true));
+  });
+}
+
+}  // namespace teaselhill::membership
