Add open-loop load generator

Arrivals are drawn before the run, so that a slow router does not slow the load. Answers are checked while they arrive; journals of the stand-ins tell duplicate runs, wasted tokens and false not-run answers.

--- /dev/null
+++ b/include/teaselhill/load/runner.h
@@ -0,0 +1,92 @@
+/// \file
+/// Sends the requests of a plan and records what happens to them.
+
+#ifndef TEASELHILL_LOAD_RUNNER_H_
+#define TEASELHILL_LOAD_RUNNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "teaselhill/load/answer_checker.h"
+#include "teaselhill/load/arrivals.h"
+#include "teaselhill/load/plan.h"
+#include "teaselhill/load/report.h"
+#include "teaselhill/net/http_client.h"
+
+namespace teaselhill::load {
+
+/// Counts shown while a run is in progress.
+struct RunProgress {
+  Duration elapsed{};
+  size_t arrivals = 0;
+  size_t arrived = 0;
+  size_t open = 0;
+};
+
+class Runner {
+ public:
+  Runner(net::EventLoop& loop, Plan plan);
+  ~Runner();
+  Runner(const Runner&) = delete;
+  Runner& operator=(const Runner&) = delete;
+
+  /// Runs the plan, then reads the journals and calls `done` once.
+  void Start(std::function<void()> done);
+
+  RunProgress progress() const;
+  const std::vector<RequestRecord>& requests() const { return records_; }
+  Summary MakeSummary() const;
+
+ private:
+  class Send;
+  struct Active;
+
+  Duration Elapsed() const { return loop_.timers().Now() - start_; }
+  void ScheduleArrivals();
+  void Arrive(const Arrival& arrival);
+  void Prepare(size_t request, const std::string& router);
+  void StartSend(size_t request, const std::string& router);
+  std::string PickRouter();
+  void OnSendEnded(size_t request,
+                   size_t send,
+                   const net::TransferEnd& end,
+                   Duration retry_after);
+  void ScheduleResend(size_t request);
+  void ScheduleDisconnect(size_t request);
+  void Release(size_t request);
+  void PostFault(const FaultPlan& fault);
+  void MaybeFinish();
+  void CancelOpen();
+  void ReadJournals();
+  void Later(Duration delay, std::function<void()> function);
+  GapTracker& Gap(size_t request);
+
+  net::EventLoop& loop_;
+  Plan plan_;
+  Rng rng_;
+  net::HttpClient client_;
+  std::string run_id_;
+  TimePoint start_{};
+  std::vector<Arrival> arrivals_;
+  size_t next_arrival_ = 0;
+  uint64_t next_router_ = 0;
+  std::vector<RequestRecord> records_;
+  std::map<size_t, Active> active_;
+  std::map<std::string, GapTracker> gaps_;
+  Journals journals_;
+  size_t journals_open_ = 0;
+  bool draining_ = false;  ///< no sends are started any more
+  std::function<void()> done_;
+  TimerSubscription arrival_timer_;
+  TimerSubscription drain_timer_;
+  uint64_t last_timer_ = 0;
+  std::map<uint64_t, TimerSubscription> timers_;
+};
+
+}  // namespace teaselhill::load
+
+#endif  // TEASELHILL_LOAD_RUNNER_H_
--- /dev/null
+++ b/lib/load/report.cc
@@ -0,0 +1,250 @@
+/// \file
+/// Summary of a load run.
+
+#include "teaselhill/load/report.h"
+
+#include <algorithm>
+#include <sstream>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace teaselhill::load {
+
+namespace {
+
+/// A class whose requests were refused counts as idle, not as starved, when the
+/// next request comes later than this.
+constexpr Duration kIdleTime = std::chrono::seconds(1);
+
+using RunCounts =
+    std::unordered_map<std::string, std::vector<const JournaledRun*>>;
+
+/// Runs by key and by request id.
+struct RunIndex {
+  explicit RunIndex(const Journals& journals) {
+    for (const JournaledRun& run : journals.runs) {
+      if (!run.key.empty())
+        by_key[run.key].push_back(&run);
+      if (!run.request_id.empty())
+        by_request[run.request_id].push_back(&run);
+    }
+  }
+
+  size_t CountOf(const RequestRecord& request) const {
+    std::unordered_set<const JournaledRun*> runs;
+    const auto collect = [&runs](const RunCounts& counts,
+                                 const std::string& name) {
+      const auto found = counts.find(name);
+      if (found != counts.end())
+        runs.insert(found->second.begin(), found->second.end());
+    };
+    if (!request.key.empty())
+      collect(by_key, request.key);
+    for (const SendRecord& send : request.sends)
+      collect(by_request, send.request_id);
+    return runs.size();
+  }
+
+  RunCounts by_key;
+  RunCounts by_request;
+};
+
+/// Whether the request was told not-run although it ran: all its sends were
+/// told so and it has a run, or one was told so and has a run of its own.
+bool IsFalseNotRun(const RequestRecord& request, const RunIndex& index) {
+  bool all_not_run = !request.sends.empty();
+  for (const SendRecord& send : request.sends) {
+    const bool not_run = send.ending == Ending::kNotRun;
+    all_not_run = all_not_run && not_run;
+    if (not_run && index.by_request.count(send.request_id) > 0)
+      return true;
+  }
+  return all_not_run && index.CountOf(request) > 0;
+}
+
+std::optional<Duration> EarliestEnd(const RequestRecord& request) {
+  std::optional<Duration> earliest;
+  for (const SendRecord& send : request.sends) {
+    if (send.ending == Ending::kAnswered && (!earliest || send.end < earliest))
+      earliest = send.end;
+  }
+  return earliest;
+}
+
+std::optional<Duration> EarliestToken(const RequestRecord& request) {
+  std::optional<Duration> earliest;
+  for (const SendRecord& send : request.sends) {
+    if (send.first_token && (!earliest || send.first_token < earliest))
+      earliest = send.first_token;
+  }
+  return earliest;
+}
+
+bool IsWithinTarget(const StreamPlan& stream, const RequestRecord& request) {
+  const auto end = EarliestEnd(request);
+  if (!end)
+    return false;
+  if (stream.target && *end - request.arrival > *stream.target)
+    return false;
+  const auto token = EarliestToken(request);
+  return !stream.first_token_target ||
+         (token && *token - request.arrival <= *stream.first_token_target);
+}
+
+double PercentileMs(const std::vector<Duration>& sorted, double share) {
+  if (sorted.empty())
+    return 0;
+  const auto rank =
+      static_cast<size_t>(share * static_cast<double>(sorted.size()));
+  return ToMilliseconds(sorted[std::min(rank, sorted.size() - 1)]);
+}
+
+Percentiles MakePercentiles(std::vector<Duration> times) {
+  std::sort(times.begin(), times.end());
+  return {PercentileMs(times, 0.5), PercentileMs(times, 0.95),
+          PercentileMs(times, 0.99)};
+}
+
+}  // namespace
+
+std::string_view EndingName(Ending ending) {
+  switch (ending) {
+    case Ending::kAnswered:
+      return "answered";
+    case Ending::kIncomplete:
+      return "incomplete";
+    case Ending::kCutShort:
+      return "cut_short";
+    case Ending::kUnknown:
+      return "unknown";
+    case Ending::kUnanswered:
+      return "unanswered";
+    case Ending::kNotRun:
+      return "not_run";
+    case Ending::kDisconnected:
+      return "disconnected";
+  }
+  return "";
+}
+
+const std::string& ClassOf(const StreamPlan& stream) {
+  return stream.request_class.empty() ? stream.name : stream.request_class;
+}
+
+void GapTracker::OnArrival(TimePoint now) {
+  if (waiting_ == 0 && (satisfied_ || now - last_demand_ > kIdleTime))
+    since_ = now;
+  satisfied_ = false;
+  ++waiting_;
+}
+
+void GapTracker::OnProgress(TimePoint now) {
+  Measure(now);
+  since_ = now;
+  satisfied_ = true;
+}
+
+void GapTracker::OnEnded(bool answered, TimePoint now) {
+  Measure(now);
+  satisfied_ = satisfied_ && answered;
+  last_demand_ = now;
+  --waiting_;
+}
+
+void GapTracker::Measure(TimePoint now) {
+  longest_ = std::max(longest_, now - since_);
+}
+
+double ClassSummary::attainment() const {
+  const auto gone = endings.find(Ending::kDisconnected);
+  const uint64_t counted = sent - (gone == endings.end() ? 0 : gone->second);
+  return counted == 0 ? 1.0
+                      : static_cast<double>(within_target) /
+                            static_cast<double>(counted);
+}
+
+Ending EndingOf(const RequestRecord& request) {
+  if (request.sends.empty())
+    return Ending::kUnanswered;
+  Ending ending = Ending::kDisconnected;
+  for (const SendRecord& send : request.sends)
+    ending = std::min(ending, send.ending);
+  return ending;
+}
+
+Summary Summarize(const Plan& plan,
+                  const std::vector<RequestRecord>& requests,
+                  const Journals& journals,
+                  const std::map<std::string, GapTracker>& gaps) {
+  Summary summary;
+  summary.seed = plan.seed;
+  summary.journals_read = journals.read;
+  summary.journals_missing = journals.missing;
+  summary.engine_tokens = journals.tokens_out;
+  const RunIndex index(journals);
+  std::map<std::string, std::vector<Duration>> first_tokens;
+  std::map<std::string, std::vector<Duration>> ends;
+  for (const StreamPlan& stream : plan.streams)
+    summary.classes[ClassOf(stream)];
+  for (const RequestRecord& request : requests) {
+    const StreamPlan& stream = plan.streams[request.stream];
+    const std::string& name = ClassOf(stream);
+    ClassSummary& entry = summary.classes[name];
+    const Ending ending = EndingOf(request);
+    ++entry.sent;
+    ++entry.endings[ending];
+    entry.within_target += IsWithinTarget(stream, request);
+    if (ending == Ending::kAnswered) {
+      summary.goodput_tokens += request.answer_tokens;
+      ends[name].push_back(*EarliestEnd(request) - request.arrival);
+    }
+    if (const auto token = EarliestToken(request))
+      first_tokens[name].push_back(*token - request.arrival);
+    // A wrong answer to any send is a fault, even if another was answered.
+    for (const SendRecord& send : request.sends)
+      summary.incomplete_answers += send.ending == Ending::kIncomplete;
+    summary.unanswered += ending == Ending::kUnanswered;
+    summary.false_not_run += IsFalseNotRun(request, index);
+    summary.duplicate_runs +=
+        stream.non_idempotent && index.CountOf(request) > 1;
+  }
+  for (auto& [name, entry] : summary.classes) {
+    entry.first_token = MakePercentiles(std::move(first_tokens[name]));
+    entry.whole = MakePercentiles(std::move(ends[name]));
+    const auto gap = gaps.find(name);
+    if (gap != gaps.end())
+      entry.longest_gap = gap->second.longest();
+  }
+  // Without journals nothing is known about the work done.
+  if (journals.tokens_out > summary.goodput_tokens)
+    summary.wasted_tokens = journals.tokens_out - summary.goodput_tokens;
+  return summary;
+}
+
+std::string ToCsv(const Plan& plan,
+                  const std::vector<RequestRecord>& requests) {
+  std::ostringstream out;
+  out << "stream,class,tier,arrival_s,first_token_s,end_s,ending,outcome,"
+         "status,sends,key,request_id,answer_tokens\n";
+  const auto seconds = [&out](const std::optional<Duration>& time) {
+    if (time)
+      out << ToSeconds(*time);
+    out << ',';
+  };
+  for (const RequestRecord& request : requests) {
+    const StreamPlan& stream = plan.streams[request.stream];
+    const SendRecord last =
+        request.sends.empty() ? SendRecord{} : request.sends.back();
+    const auto end = EarliestEnd(request);
+    out << stream.name << ',' << ClassOf(stream) << ',' << stream.tier << ',';
+    seconds(request.arrival);
+    seconds(EarliestToken(request));
+    seconds(end ? end : last.end);
+    out << EndingName(EndingOf(request)) << ',' << last.outcome << ','
+        << last.status << ',' << request.sends.size() << ',' << request.key
+        << ',' << last.request_id << ',' << request.answer_tokens << '\n';
+  }
+  return out.str();
+}
+
+}  // namespace teaselhill::load
--- /dev/null
+++ b/lib/load/runner.cc
@@ -0,0 +1,395 @@
+/// \file
+/// Open-loop sender.
+
+#include "teaselhill/load/runner.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+#include "teaselhill/load/json.h"
+
+namespace teaselhill::load {
+
+namespace {
+
+constexpr Duration kJournalTimeout = std::chrono::seconds(30);
+constexpr size_t kMaxJournalBytes = size_t{512} << 20;
+constexpr Duration kFaultTimeout = std::chrono::seconds(5);
+constexpr Duration kTokenTimeout = std::chrono::seconds(10);
+constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
+
+Duration ReadRetryAfter(const net::Headers& headers) {
+  const auto text = net::FindHeader(headers, "Retry-After");
+  int64_t seconds = 0;
+  if (!text ||
+      std::from_chars(text->data(), text->data() + text->size(), seconds).ec !=
+          std::errc())
+    return kDefaultRetryAfter;
+  return std::chrono::seconds(std::clamp<int64_t>(seconds, 0, 3600));
+}
+
+AnswerForm FormOf(const StreamPlan& stream) {
+  if (!stream.service.empty())
+    return AnswerForm::kServiceBody;
+  return stream.streamed ? AnswerForm::kEventStream : AnswerForm::kChatBody;
+}
+
+std::string PathOf(const StreamPlan& stream) {
+  return stream.service.empty()
+             ? "/v1/chat/completions"
+             : "/services/" + stream.service + "/" + stream.path;
+}
+
+}  // namespace
+
+/// A request with sends that are open or still to come.
+struct Runner::Active {
+  Request request;
+  std::vector<net::TransferId> transfers;  ///< one for each send; 0: ended
+  size_t open = 0;                         ///< transfers and timers
+  uint32_t retries_left = 0;
+  size_t connects_left = 0;  ///< routers to try when a connection fails
+};
+
+class Runner::Send : public net::TransferHandler {
+ public:
+  Send(Runner& runner, size_t request, size_t send, AnswerChecker checker)
+      : runner_(runner),
+        request_(request),
+        send_(send),
+        checker_(std::move(checker)) {}
+
+  void OnHead(int status, const net::Headers& headers) override {
+    SendRecord& record = Record();
+    record.status = status;
+    record.outcome =
+        net::FindHeader(headers, "X-Teaselhill-Outcome").value_or("");
+    retry_after_ = ReadRetryAfter(headers);
+  }
+
+  void OnData(std::string_view data) override {
+    SendRecord& record = Record();
+    if (record.status != 200 || !checker_.Feed(data))
+      return;
+    if (!record.first_token)
+      record.first_token = runner_.Elapsed();
+    runner_.Gap(request_).OnProgress(runner_.loop_.timers().Now());
+  }
+
+  void OnEnd(const net::TransferEnd& end) override {
+    Record().ending = EndingOf(end);
+    runner_.OnSendEnded(request_, send_, end, retry_after_);
+  }
+
+ private:
+  SendRecord& Record() { return runner_.records_[request_].sends[send_]; }
+
+  Ending EndingOf(const net::TransferEnd& end) {
+    const SendRecord& record = Record();
+    if (record.status == 200) {
+      if (end.code == ResultCode::kOk && checker_.Complete())
+        return Ending::kAnswered;
+      return checker_.error_outcome().empty() ? Ending::kIncomplete
+                                              : Ending::kCutShort;
+    }
+    if (end.code != ResultCode::kOk)
+      return Ending::kUnanswered;
+    return record.outcome == "not-run" ? Ending::kNotRun : Ending::kUnknown;
+  }
+
+  Runner& runner_;
+  size_t request_;
+  size_t send_;
+  AnswerChecker checker_;
+  Duration retry_after_ = kDefaultRetryAfter;
+};
+
+Runner::Runner(net::EventLoop& loop, Plan plan)
+    : loop_(loop), plan_(std::move(plan)), rng_(plan_.seed), client_(loop) {}
+
+Runner::~Runner() = default;
+
+void Runner::Start(std::function<void()> done) {
+  done_ = std::move(done);
+  start_ = loop_.timers().Now();
+  // Request ids must differ from those of earlier runs in the same journals.
+  run_id_ = "load-" + std::to_string(plan_.seed) + "-" +
+            std::to_string(WallNow().time_since_epoch().count());
+  arrivals_ = MakeArrivals(plan_);
+  records_.reserve(arrivals_.size());
+  for (const FaultPlan& fault : plan_.faults)
+    Later(fault.at, [this, fault] { PostFault(fault); });
+  drain_timer_ = loop_.timers().After(plan_.duration + plan_.drain,
+                                      [this](TimePoint) { CancelOpen(); });
+  ScheduleArrivals();
+}
+
+RunProgress Runner::progress() const {
+  return {Elapsed(), arrivals_.size(), next_arrival_, active_.size()};
+}
+
+Summary Runner::MakeSummary() const {
+  return Summarize(plan_, records_, journals_, gaps_);
+}
+
+GapTracker& Runner::Gap(size_t request) {
+  return gaps_[ClassOf(plan_.streams[records_[request].stream])];
+}
+
+void Runner::ScheduleArrivals() {
+  while (next_arrival_ < arrivals_.size() &&
+         arrivals_[next_arrival_].at <= Elapsed())
+    Arrive(arrivals_[next_arrival_++]);
+  if (next_arrival_ == arrivals_.size()) {
+    MaybeFinish();
+    return;
+  }
+  arrival_timer_ = loop_.timers().After(
+      std::max(Duration::zero(), arrivals_[next_arrival_].at - Elapsed()),
+      [this](TimePoint) { ScheduleArrivals(); });
+}
+
+void Runner::Arrive(const Arrival& arrival) {
+  const StreamPlan& stream = plan_.streams[arrival.stream];
+  const size_t request = records_.size();
+  Active& active = active_[request];
+  active.request = MakeRequest(stream, request, rng_);
+  active.retries_left = stream.retries;
+  active.connects_left = plan_.routers.size() - 1;
+  RequestRecord record;
+  record.stream = arrival.stream;
+  record.arrival = arrival.at;
+  record.answer_tokens = active.request.answer_tokens;
+  if (stream.key_kind == KeyKind::kUuid7)
+    record.key = MakeUuid7(WallNow(), rng_);
+  records_.push_back(std::move(record));
+  Gap(request).OnArrival(loop_.timers().Now());
+  const std::string router = PickRouter();
+  if (stream.key_kind == KeyKind::kToken)
+    Prepare(request, router);
+  else
+    StartSend(request, router);
+  if (rng_.Uniform() < stream.resend_share)
+    ScheduleResend(request);
+  if (rng_.Uniform() < stream.disconnect_share)
+    ScheduleDisconnect(request);
+}
+
+std::string Runner::PickRouter() {
+  const std::vector<size_t> routers = RoutersAt(plan_, Elapsed());
+  return plan_.routers[routers[next_router_++ % routers.size()]];
+}
+
+void Runner::Prepare(size_t request, const std::string& router) {
+  net::ClientRequest issue;
+  issue.method = "POST";
+  issue.url = router + "/v1/tokens";
+  issue.headers.push_back(
+      {"Authorization",
+       "Bearer " + plan_.streams[records_[request].stream].bearer_key});
+  issue.total_timeout = kTokenTimeout;
+  ++active_[request].open;
+  client_.Fetch(std::move(issue), [this, request,
+                                   router](Result<net::ClientResponse> answer) {
+    if (draining_)
+      return;
+    const auto token = answer ? ReadToken(answer->body) : std::nullopt;
+    if (token && answer->status < 300) {
+      records_[request].key = *token;
+      StartSend(request, router);
+    } else {
+      // Without a token nothing was sent that an upstream could run.
+      SendRecord failed;
+      failed.sent = Elapsed();
+      failed.end = Elapsed();
+      failed.status = answer ? answer->status : 0;
+      failed.ending = answer ? Ending::kNotRun : Ending::kUnanswered;
+      records_[request].sends.push_back(std::move(failed));
+      active_[request].transfers.push_back(0);
+    }
+    Release(request);
+  });
+}
+
+void Runner::StartSend(size_t request, const std::string& router) {
+  RequestRecord& record = records_[request];
+  const StreamPlan& stream = plan_.streams[record.stream];
+  Active& active = active_[request];
+  const size_t number = record.sends.size();
+  SendRecord send;
+  send.request_id =
+      run_id_ + "-" + std::to_string(request) + "-" + std::to_string(number);
+  send.sent = Elapsed();
+  net::ClientRequest http;
+  http.method = "POST";
+  http.url = router + PathOf(stream);
+  http.body = active.request.body;
+  http.fresh_connection = stream.non_idempotent;
+  http.headers = {{"Content-Type", "application/json"},
+                  {"Authorization", "Bearer " + stream.bearer_key},
+                  {"X-Request-Id", send.request_id}};
+  if (!stream.request_class.empty())
+    http.headers.push_back({"X-Teaselhill-Class", stream.request_class});
+  if (!record.key.empty())
+    http.headers.push_back({"Idempotency-Key", record.key});
+  if (stream.deadline) {
+    const auto ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*stream.deadline);
+    http.headers.push_back(
+        {"X-Teaselhill-Deadline-Ms", std::to_string(ms.count())});
+  }
+  record.sends.push_back(std::move(send));
+  ++active.open;
+  active.transfers.push_back(client_.Start(
+      std::move(http),
+      std::make_shared<Send>(
+          *this, request, number,
+          AnswerChecker(FormOf(stream), active.request.expected))));
+}
+
+void Runner::OnSendEnded(size_t request,
+                         size_t send,
+                         const net::TransferEnd& end,
+                         Duration retry_after) {
+  RequestRecord& record = records_[request];
+  Active& active = active_[request];
+  active.transfers[send] = 0;
+  record.sends[send].end = Elapsed();
+  const Ending ending = record.sends[send].ending;
+  const bool not_sent =
+      ending == Ending::kUnanswered && !end.may_have_been_sent;
+  if (not_sent && active.connects_left > 0 && !draining_) {
+    // The platform's load balancer passes over a host that takes no connection.
+    --active.connects_left;
+    record.sends[send].ending = Ending::kNotRun;
+    StartSend(request, PickRouter());
+  } else if (ending == Ending::kNotRun && active.retries_left > 0) {
+    --active.retries_left;
+    ++active.open;
+    Later(retry_after, [this, request] {
+      StartSend(request, PickRouter());
+      Release(request);
+    });
+  }
+  Release(request);
+}
+
+void Runner::ScheduleResend(size_t request) {
+  const StreamPlan& stream = plan_.streams[records_[request].stream];
+  ++active_[request].open;
+  Later(FromSeconds(ToSeconds(stream.resend_after) * 2 * rng_.Uniform()),
+        [this, request] {
+          if (!records_[request].key.empty())
+            StartSend(request, PickRouter());
+          Release(request);
+        });
+}
+
+void Runner::ScheduleDisconnect(size_t request) {
+  const StreamPlan& stream = plan_.streams[records_[request].stream];
+  Later(FromSeconds(ToSeconds(stream.disconnect_after) * 2 * rng_.Uniform()),
+        [this, request] {
+          const auto active = active_.find(request);
+          if (active == active_.end())
+            return;
+          // Counts as open until all sends have been looked at.
+          ++active->second.open;
+          auto& transfers = active->second.transfers;
+          for (size_t send = 0; send < transfers.size(); ++send) {
+            if (transfers[send] == 0)
+              continue;
+            client_.Cancel(transfers[send]);
+            transfers[send] = 0;
+            records_[request].sends[send].ending = Ending::kDisconnected;
+            records_[request].sends[send].end = Elapsed();
+            --active->second.open;
+          }
+          active->second.retries_left = 0;
+          Release(request);
+        });
+}
+
+void Runner::Release(size_t request) {
+  const auto active = active_.find(request);
+  if (--active->second.open > 0)
+    return;
+  const bool answered = EndingOf(records_[request]) == Ending::kAnswered;
+  Gap(request).OnEnded(answered, loop_.timers().Now());
+  active_.erase(active);
+  MaybeFinish();
+}
+
+void Runner::PostFault(const FaultPlan& fault) {
+  net::ClientRequest request;
+  request.method = "POST";
+  request.url = fault.url;
+  request.body = fault.body;
+  request.total_timeout = kFaultTimeout;
+  // A stand-in told to crash does not answer.
+  client_.Fetch(std::move(request), [](Result<net::ClientResponse>) {});
+}
+
+void Runner::MaybeFinish() {
+  if (!draining_ && next_arrival_ == arrivals_.size() && active_.empty())
+    CancelOpen();
+}
+
+void Runner::CancelOpen() {
+  draining_ = true;
+  drain_timer_.Cancel();
+  for (auto& [request, active] : active_) {
+    for (const net::TransferId transfer : active.transfers) {
+      if (transfer != 0)
+        client_.Cancel(transfer);
+    }
+    Gap(request).OnEnded(false, loop_.timers().Now());
+  }
+  active_.clear();
+  loop_.Post([this] { ReadJournals(); });
+}
+
+void Runner::ReadJournals() {
+  for (const std::string& path : plan_.journal_files) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file || !AddJournalLines(text.str(), &journals_))
+      ++journals_.missing;
+  }
+  journals_open_ = plan_.journals.size() + 1;
+  const auto ended = [this] {
+    if (--journals_open_ == 0)
+      done_();
+  };
+  for (const std::string& url : plan_.journals) {
+    net::ClientRequest request;
+    request.url = url;
+    request.total_timeout = kJournalTimeout;
+    client_.Fetch(
+        std::move(request),
+        [this, ended](Result<net::ClientResponse> answer) {
+          if (!answer || answer->status != 200 ||
+              !AddJournal(answer->body, &journals_))
+            ++journals_.missing;
+          ended();
+        },
+        kMaxJournalBytes);
+  }
+  ended();
+}
+
+void Runner::Later(Duration delay, std::function<void()> function) {
+  const uint64_t id = ++last_timer_;
+  timers_[id] = loop_.timers().After(
+      delay, [this, id, function = std::move(function)](TimePoint) {
+        // The timer keeps this callback alive until it returns.
+        const TimerSubscription fired = std::move(timers_[id]);
+        timers_.erase(id);
+        if (!draining_)
+          function();
+      });
+}
+
+}  // namespace teaselhill::load
