--- a/include/teaselhill/load/report.h
+++ b/include/teaselhill/load/report.h
@@ -25,8 +25,8 @@
   kCutShort,      ///< cut off, and the caller was told so
   kUnknown,       ///< told that the outcome is unknown
   kUnanswered,    ///< connection lost, or no end before the drain time ran out
-  kNotRun,        ///< told that it was not run
   kDisconnected,  ///< the caller closed the connection
+  kNotRun,        ///< told that it was not run
 };
 
 std::string_view EndingName(Ending ending);
--- a/include/teaselhill/load/runner.h
+++ b/include/teaselhill/load/runner.h
@@ -48,13 +48,13 @@
   Duration Elapsed() const { return loop_.timers().Now() - start_; }
   void ScheduleArrivals();
   void Arrive(const Arrival& arrival);
-  void Prepare(size_t request, const std::string& router);
-  void StartSend(size_t request, const std::string& router);
-  std::string PickRouter();
-  void OnSendEnded(size_t request,
-                   size_t send,
-                   const net::TransferEnd& end,
-                   Duration retry_after);
+  void Prepare(size_t request, size_t router);
+  void StartSend(size_t request, size_t router);
+  void Launch(size_t request, size_t send, size_t router);
+  size_t PickRouter();
+  size_t RouterAfter(size_t router);
+  void OnSendEnded(const Send& ended, const net::TransferEnd& end);
+  void ScheduleRetry(size_t request, Duration delay);
   void ScheduleResend(size_t request);
   void ScheduleDisconnect(size_t request);
   void Release(size_t request);
--- a/lib/load/report.cc
+++ b/lib/load/report.cc
@@ -166,7 +166,7 @@
 Ending EndingOf(const RequestRecord& request) {
   if (request.sends.empty())
     return Ending::kUnanswered;
-  Ending ending = Ending::kDisconnected;
+  Ending ending = Ending::kNotRun;
   for (const SendRecord& send : request.sends)
     ending = std::min(ending, send.ending);
   return ending;
--- a/lib/load/runner.cc
+++ b/lib/load/runner.cc
@@ -51,16 +51,27 @@
   size_t open = 0;                         ///< transfers and timers
   uint32_t retries_left = 0;
   size_t connects_left = 0;  ///< routers to try when a connection fails
+  bool gone = false;         ///< the caller disconnected
 };
 
 class Runner::Send : public net::TransferHandler {
  public:
-  Send(Runner& runner, size_t request, size_t send, AnswerChecker checker)
+  Send(Runner& runner,
+       size_t request,
+       size_t send,
+       size_t router,
+       AnswerChecker checker)
       : runner_(runner),
         request_(request),
         send_(send),
+        router_(router),
         checker_(std::move(checker)) {}
 
+  size_t request() const { return request_; }
+  size_t send() const { return send_; }
+  size_t router() const { return router_; }
+  Duration retry_after() const { return retry_after_; }
+
   void OnHead(int status, const net::Headers& headers) override {
     SendRecord& record = Record();
     record.status = status;
@@ -80,7 +91,7 @@
 
   void OnEnd(const net::TransferEnd& end) override {
     Record().ending = EndingOf(end);
-    runner_.OnSendEnded(request_, send_, end, retry_after_);
+    runner_.OnSendEnded(*this, end);
   }
 
  private:
@@ -102,6 +113,7 @@
   Runner& runner_;
   size_t request_;
   size_t send_;
+  size_t router_;
   AnswerChecker checker_;
   Duration retry_after_ = kDefaultRetryAfter;
 };
@@ -166,7 +178,7 @@
     record.key = MakeUuid7(WallNow(), rng_);
   records_.push_back(std::move(record));
   Gap(request).OnArrival(loop_.timers().Now());
-  const std::string router = PickRouter();
+  const size_t router = PickRouter();
   if (stream.key_kind == KeyKind::kToken)
     Prepare(request, router);
   else
@@ -177,15 +189,23 @@
     ScheduleDisconnect(request);
 }
 
-std::string Runner::PickRouter() {
+size_t Runner::PickRouter() {
+  const std::vector<size_t> routers = RoutersAt(plan_, Elapsed());
+  return routers[next_router_++ % routers.size()];
+}
+
+size_t Runner::RouterAfter(size_t router) {
   const std::vector<size_t> routers = RoutersAt(plan_, Elapsed());
-  return plan_.routers[routers[next_router_++ % routers.size()]];
+  const auto found = std::find(routers.begin(), routers.end(), router);
+  if (found == routers.end())
+    return PickRouter();
+  return routers[(found - routers.begin() + 1) % routers.size()];
 }
 
-void Runner::Prepare(size_t request, const std::string& router) {
+void Runner::Prepare(size_t request, size_t router) {
   net::ClientRequest issue;
   issue.method = "POST";
-  issue.url = router + "/v1/tokens";
+  issue.url = plan_.routers[router] + "/v1/tokens";
   issue.headers.push_back(
       {"Authorization",
        "Bearer " + plan_.streams[records_[request].stream].bearer_key});
@@ -196,7 +216,9 @@
     if (draining_)
       return;
     const auto token = answer ? ReadToken(answer->body) : std::nullopt;
-    if (token && answer->status < 300) {
+    if (active_[request].gone) {
+      // The caller left while it waited for its token.
+    } else if (token && answer->status < 300) {
       records_[request].key = *token;
       StartSend(request, router);
     } else {
@@ -213,18 +235,24 @@
   });
 }
 
-void Runner::StartSend(size_t request, const std::string& router) {
+void Runner::StartSend(size_t request, size_t router) {
+  const size_t send = records_[request].sends.size();
+  records_[request].sends.emplace_back();
+  active_[request].transfers.push_back(0);
+  Launch(request, send, router);
+}
+
+void Runner::Launch(size_t request, size_t number, size_t router) {
   RequestRecord& record = records_[request];
   const StreamPlan& stream = plan_.streams[record.stream];
   Active& active = active_[request];
-  const size_t number = record.sends.size();
   SendRecord send;
   send.request_id =
       run_id_ + "-" + std::to_string(request) + "-" + std::to_string(number);
   send.sent = Elapsed();
   net::ClientRequest http;
   http.method = "POST";
-  http.url = router + PathOf(stream);
+  http.url = plan_.routers[router] + PathOf(stream);
   http.body = active.request.body;
   http.fresh_connection = stream.non_idempotent;
   http.headers = {{"Content-Type", "application/json"},
@@ -240,47 +268,50 @@
     http.headers.push_back(
         {"X-Teaselhill-Deadline-Ms", std::to_string(ms.count())});
   }
-  record.sends.push_back(std::move(send));
+  record.sends[number] = std::move(send);
   ++active.open;
-  active.transfers.push_back(client_.Start(
+  active.transfers[number] = client_.Start(
       std::move(http),
       std::make_shared<Send>(
-          *this, request, number,
-          AnswerChecker(FormOf(stream), active.request.expected))));
+          *this, request, number, router,
+          AnswerChecker(FormOf(stream), active.request.expected)));
 }
 
-void Runner::OnSendEnded(size_t request,
-                         size_t send,
-                         const net::TransferEnd& end,
-                         Duration retry_after) {
-  RequestRecord& record = records_[request];
+void Runner::OnSendEnded(const Send& ended, const net::TransferEnd& end) {
+  const size_t request = ended.request();
+  SendRecord& record = records_[request].sends[ended.send()];
   Active& active = active_[request];
-  active.transfers[send] = 0;
-  record.sends[send].end = Elapsed();
-  const Ending ending = record.sends[send].ending;
+  active.transfers[ended.send()] = 0;
+  record.end = Elapsed();
   const bool not_sent =
-      ending == Ending::kUnanswered && !end.may_have_been_sent;
-  if (not_sent && active.connects_left > 0 && !draining_) {
+      record.ending == Ending::kUnanswered && !end.may_have_been_sent;
+  if (not_sent && active.connects_left > 0) {
     // The platform's load balancer passes over a host that takes no connection.
     --active.connects_left;
-    record.sends[send].ending = Ending::kNotRun;
-    StartSend(request, PickRouter());
-  } else if (ending == Ending::kNotRun && active.retries_left > 0) {
+    Launch(request, ended.send(), RouterAfter(ended.router()));
+  } else if (record.ending == Ending::kNotRun && active.retries_left > 0) {
     --active.retries_left;
-    ++active.open;
-    Later(retry_after, [this, request] {
-      StartSend(request, PickRouter());
-      Release(request);
-    });
+    ScheduleRetry(request, ended.retry_after());
   }
   Release(request);
 }
 
+void Runner::ScheduleRetry(size_t request, Duration delay) {
+  ++active_[request].open;
+  Later(delay, [this, request] {
+    // The caller may have gone while it waited.
+    if (!active_[request].gone)
+      StartSend(request, PickRouter());
+    Release(request);
+  });
+}
+
 void Runner::ScheduleResend(size_t request) {
   const StreamPlan& stream = plan_.streams[records_[request].stream];
   ++active_[request].open;
   Later(FromSeconds(ToSeconds(stream.resend_after) * 2 * rng_.Uniform()),
         [this, request] {
+          // A token may not have been issued.
           if (!records_[request].key.empty())
             StartSend(request, PickRouter());
           Release(request);
@@ -307,6 +338,7 @@
             --active->second.open;
           }
           active->second.retries_left = 0;
+          active->second.gone = true;
           Release(request);
         });
 }
