--- /dev/null
+++ b/unittests/load/runner_test.cc
@@ -0,0 +1,118 @@
+/// \file
+/// Guards the load tool against missing the faults of a router: each case runs
+/// a short plan against a router with one known fault.
+
+#include "teaselhill/load/runner.h"
+
+#include <catch2/catch.hpp>
+
+#include "teaselhill/net/http_server.h"
+#include "teaselhill/standin/answer.h"
+#include "teaselhill/standin/journal.h"
+#include "teaselhill/standin/messages.h"
+
+namespace teaselhill::load {
+
+namespace {
+
+enum class Misbehaviour {
+  kNone,
+  kWrongAnswer,
+  kCutsOff,
+  kRunsTwice,
+  kFalseNotRun,
+  kHonestNotRun,
+  kNeverAnswers,
+};
+
+/// A router and its upstream in one: answers and keeps the journal.
+class TestRouter : public net::HttpHandler {
+ public:
+  explicit TestRouter(Misbehaviour misbehaviour)
+      : misbehaviour_(misbehaviour) {}
+
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override {
+    if (request.path == "/control/journal") {
+      response->Respond(200, {}, standin::ToJson(journal_));
+      return;
+    }
+    const std::string key(
+        net::FindHeader(request.headers, "Idempotency-Key").value_or(""));
+    const auto run = [&] {
+      journal_.End(journal_.Begin("own-id", key, "m", SteadyNow()),
+                   standin::RunEnd::kFinished);
+    };
+    const bool not_run = misbehaviour_ == Misbehaviour::kFalseNotRun ||
+                         misbehaviour_ == Misbehaviour::kHonestNotRun;
+    if (misbehaviour_ != Misbehaviour::kHonestNotRun)
+      run();
+    if (misbehaviour_ == Misbehaviour::kRunsTwice)
+      run();
+    if (misbehaviour_ == Misbehaviour::kNeverAnswers) {
+      held_.push_back(response);
+      return;
+    }
+    if (not_run) {
+      response->Respond(503, {{"X-Teaselhill-Outcome", "not-run"}}, "{}");
+      return;
+    }
+    std::string answer =
+        standin::MakeServiceAnswer(request.method, request.body);
+    if (misbehaviour_ == Misbehaviour::kWrongAnswer)
+      answer = standin::MakeServiceAnswer(request.method, "another request");
+    if (misbehaviour_ == Misbehaviour::kCutsOff)
+      answer.pop_back();
+    response->Respond(200, {{"X-Teaselhill-Outcome", "answered"}}, answer);
+  }
+
+ private:
+  Misbehaviour misbehaviour_;
+  standin::Journal journal_{SteadyNow(), WallNow()};
+  std::vector<std::shared_ptr<net::ResponseWriter>> held_;
+};
+
+}  // namespace
+
+TEST_CASE("the report shows each fault of a router") {
+  using M = Misbehaviour;
+  struct Row {
+    Misbehaviour misbehaviour;
+    Ending ending;
+    uint64_t Summary::*counter;
+  };
+  const Row row = GENERATE(
+      Row{M::kNone, Ending::kAnswered, nullptr},
+      Row{M::kWrongAnswer, Ending::kIncomplete, &Summary::incomplete_answers},
+      Row{M::kCutsOff, Ending::kIncomplete, &Summary::incomplete_answers},
+      Row{M::kRunsTwice, Ending::kAnswered, &Summary::duplicate_runs},
+      Row{M::kFalseNotRun, Ending::kNotRun, &Summary::false_not_run},
+      Row{M::kHonestNotRun, Ending::kNotRun, nullptr},
+      Row{M::kNeverAnswers, Ending::kUnanswered, &Summary::unanswered});
+  net::EventLoop loop;
+  TestRouter router(row.misbehaviour);
+  net::HttpServer server(loop, {}, router);
+  REQUIRE(server.Start().ok());
+  const std::string url = "http://127.0.0.1:" + std::to_string(server.port());
+  const auto plan =
+      ParsePlan(R"({"duration_s":0.1,"drain_s":0.2,"routers":[")" + url +
+                R"("],"journals":[")" + url + R"(/control/journal"],"streams":[{
+        "name":"s","service":"x","rate":200,"non_idempotent":true}]})");
+  REQUIRE(plan.ok());
+  Runner runner(loop, *plan);
+  runner.Start([&loop] { loop.Stop(); });
+  const auto limit = loop.timers().After(std::chrono::seconds(20),
+                                         [&](TimePoint) { loop.Stop(); });
+  loop.Run();
+  const Summary summary = runner.MakeSummary();
+  const ClassSummary& entry = summary.classes.at("s");
+  CHECK(summary.journals_read == 1);
+  REQUIRE(entry.sent > 5);
+  CHECK(entry.endings.at(row.ending) == entry.sent);
+  for (const auto counter :
+       {&Summary::incomplete_answers, &Summary::duplicate_runs,
+        &Summary::false_not_run, &Summary::unanswered})
+    CHECK(summary.*counter == (counter == row.counter ? entry.sent : 0));
+}
+
+}  // namespace teaselhill::load
