Start suspects of a crash in slots and test the crash tracker

A simulated fleet showed innocents refused when two suspects of one crash were placed on one upstream before either was known to the other host.

--- a/include/teaselhill/retry/crash_tracker.h
+++ b/include/teaselhill/retry/crash_tracker.h
@@ -38,6 +38,16 @@
   Duration quarantine = std::chrono::minutes(10);
   /// Refusal of fingerprints that two crashes do not tell apart.
   Duration ambiguous_quarantine = std::chrono::minutes(1);
+  /// Reports of a crash by other hosts have arrived after this time.
+  Duration settle = std::chrono::milliseconds(150);
+  /// Suspects of one crash start in slots of this length, each in the first
+  /// fifth of its slot, so that a host knows where the ones before are running
+  /// and chooses another upstream. This holds while peers learn of a start
+  /// within 150 ms and see the crash within 50 ms of each other. The slots
+  /// recur, for a suspect that found no upstream.
+  Duration start_slot = std::chrono::milliseconds(250);
+  /// Most slots before they recur.
+  int max_slots = 16;
   /// Longest wait for a run of a suspect on a host that is not heard of again.
   Duration run_hold = std::chrono::seconds(60);
   Duration wait_retry_after = std::chrono::milliseconds(500);
@@ -53,9 +63,10 @@
 enum class Care {
   kNone,
   /// Run apart from other suspects and from streams that cannot be resumed,
-  /// and do not hedge.
+  /// and do not hedge. Peers must learn of the start within 150 ms.
   kIsolate,
-  /// A suspect that is in flight already, here or on another host.
+  /// A suspect whose turn has not come, or that is in flight already, here or
+  /// on another host.
   kWait,
   kRefuse,  ///< with kQuarantined
 };
@@ -124,6 +135,8 @@
     TimePoint at;
     std::string upstream;
     std::vector<Hash128> suspects;  ///< ascending, not yet cleared
+    /// Ascending, with the cleared ones: slots must not shift as they clear.
+    std::vector<Hash128> named;
     bool burst = false;
     bool explained = false;  ///< holds a fingerprint that is convicted
   };
@@ -132,6 +145,8 @@
     int unexplained = 0;  ///< of these, without a convicted fingerprint
     bool convicted = false;
     TimePoint last;
+    TimePoint run_after;     ///< its first slot
+    Duration slot_period{};  ///< between its slots
   };
   struct Run {
     uint64_t incarnation = 0;
@@ -145,11 +160,14 @@
   void AddReport(Report report);
   bool Clear(const Hash128& fingerprint, TimePoint at);
   bool IsCleared(const Hash128& fingerprint, TimePoint crash_at) const;
+  /// Time until a suspect may start; zero: now.
+  Duration UntilSlot(const Verdict& verdict, TimePoint now) const;
   /// Whether the fingerprint is a suspect in any remembered crash.
   bool IsNamed(const Hash128& fingerprint) const;
   bool IsRunning(const Hash128& fingerprint, TimePoint now) const;
   /// Derives verdicts from reports; the result depends on no order.
   void Judge();
+  void AssignSlots(const Crash& crash);
   std::vector<Crash> GroupReports() const;
   static void MarkBursts(std::vector<Crash>& crashes,
                          const CrashTrackerOptions& options);
--- a/lib/retry/crash_tracker.cc
+++ b/lib/retry/crash_tracker.cc
@@ -13,6 +13,8 @@
 
 constexpr int kConvictingCrashes = 2;
 constexpr int kMaxDoublings = 2;
+/// Part of a slot, as its divisor, in which a suspect may start.
+constexpr int kStartShare = 5;
 
 bool Contains(const std::vector<Hash128>& sorted, const Hash128& fingerprint) {
   return std::binary_search(sorted.begin(), sorted.end(), fingerprint);
@@ -52,13 +54,26 @@
     return {};
   }
   advice.care = Care::kIsolate;
-  if (IsRunning(fingerprint, now)) {
+  advice.retry_after = UntilSlot(verdict, now);
+  if (advice.retry_after > Duration{}) {
+    advice.care = Care::kWait;
+  } else if (IsRunning(fingerprint, now)) {
     advice.care = Care::kWait;
     advice.retry_after = options_.wait_retry_after;
   }
   return advice;
 }
 
+Duration CrashTracker::UntilSlot(const Verdict& verdict, TimePoint now) const {
+  if (now < verdict.run_after)
+    return verdict.run_after - now;
+  if (verdict.slot_period <= options_.start_slot)
+    return {};
+  const Duration into = (now - verdict.run_after) % verdict.slot_period;
+  return into < options_.start_slot / kStartShare ? Duration{}
+                                                  : verdict.slot_period - into;
+}
+
 bool CrashTracker::IsRunning(const Hash128& fingerprint, TimePoint now) const {
   for (const auto& [id, attempt] : attempts_) {
     if (attempt.fingerprint == fingerprint)
@@ -277,20 +292,21 @@
                       report->at - crashes.back().at < options_.merge_window &&
                       observers.count(report->observer) == 0;
     if (!same) {
-      crashes.push_back({report->at, report->upstream, {}});
+      crashes.push_back({report->at, report->upstream, {}, {}});
       observers.clear();
     }
     observers.insert(report->observer);
     for (const Hash128& suspect : report->suspects) {
+      crashes.back().named.push_back(suspect);
       if (!IsCleared(suspect, report->at))
         crashes.back().suspects.push_back(suspect);
     }
   }
   for (Crash& crash : crashes) {
-    auto& suspects = crash.suspects;
-    std::sort(suspects.begin(), suspects.end());
-    suspects.erase(std::unique(suspects.begin(), suspects.end()),
-                   suspects.end());
+    for (std::vector<Hash128>* list : {&crash.suspects, &crash.named}) {
+      std::sort(list->begin(), list->end());
+      list->erase(std::unique(list->begin(), list->end()), list->end());
+    }
   }
   return crashes;
 }
@@ -355,14 +371,35 @@
     crash.explained = std::any_of(
         crash.suspects.begin(), crash.suspects.end(),
         [&](const Hash128& suspect) { return verdicts_[suspect].convicted; });
+    if (!crash.explained) {
+      AssignSlots(crash);
+      continue;
+    }
     for (const Hash128& suspect : crash.suspects) {
       Verdict& verdict = verdicts_[suspect];
-      if (verdict.convicted || !crash.explained)
-        ++verdict.unexplained;
+      verdict.unexplained += verdict.convicted ? 1 : 0;
     }
   }
 }
 
+void CrashTracker::AssignSlots(const Crash& crash) {
+  const int slots =
+      std::min(static_cast<int>(crash.named.size()), options_.max_slots);
+  for (const Hash128& suspect : crash.suspects) {
+    Verdict& verdict = verdicts_[suspect];
+    ++verdict.unexplained;
+    const auto rank =
+        std::lower_bound(crash.named.begin(), crash.named.end(), suspect) -
+        crash.named.begin();
+    const TimePoint first =
+        crash.at + options_.settle + options_.start_slot * rank;
+    if (first < verdict.run_after)
+      continue;
+    verdict.run_after = first;
+    verdict.slot_period = options_.start_slot * slots;
+  }
+}
+
 CrashReport CrashTracker::ToMessage(const Report& report, TimePoint now) const {
   return {report.observer, report.number, report.upstream, now - report.at,
           report.suspects};
--- /dev/null
+++ b/unittests/retry/crash_tracker_test.cc
@@ -0,0 +1,521 @@
+/// \file
+/// Guards against a request that goes on crashing upstreams, and against
+/// refusal of the innocent requests beside it.
+
+#include "teaselhill/retry/crash_tracker.h"
+
+#include <rapidcheck/catch.h>
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "teaselhill/support/rng.h"
+
+namespace teaselhill::retry {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const TimePoint kStart{std::chrono::hours(2)};
+
+Hash128 Print(uint64_t number) {
+  return Hash128{0, number};
+}
+
+CrashTracker Tracker(const std::string& host) {
+  return CrashTracker(HostIncarnation{host, 1});
+}
+
+/// What a simulated fleet does with the tracker's advice.
+enum class Mode {
+  kFull,
+  kNoIsolation,  ///< suspects run anywhere, only refusals are heeded
+  kIgnored,
+};
+
+struct FleetFigures {
+  int crashes = 0;
+  int innocent_refusals = 0;
+  int innocent_finished = 0;
+  int lost_non_idempotent = 0;
+  double longest_innocent_ms = 0;
+};
+
+/// Hosts that share engines; callers of one poisonous request send it again
+/// whenever it has failed, each time to any host.
+class Fleet {
+ public:
+  Fleet(uint64_t seed, int hosts, int engines, Mode mode)
+      : rng_(seed), mode_(mode), engines_(static_cast<size_t>(engines)) {
+    for (int i = 0; i < hosts; ++i)
+      trackers_.push_back(Tracker("h" + std::to_string(i)));
+  }
+
+  FleetFigures Run(Duration length) {
+    Send({kPoison, true, now_});
+    for (; now_ - kStart < length; now_ += milliseconds(5)) {
+      if (rng_.Below(4) == 0)
+        Send({++last_print_, rng_.Below(10) != 0, now_});
+      Deliver();
+      const size_t pending = pending_.size();
+      for (size_t i = 0; i < pending; ++i) {
+        Request request = pending_.front();
+        pending_.pop_front();
+        Place(request);
+      }
+      RunEngines();
+    }
+    return figures_;
+  }
+
+ private:
+  static constexpr uint64_t kPoison = 1;
+  static constexpr size_t kBatch = 8;
+
+  struct Request {
+    uint64_t print = 0;
+    bool idempotent = true;
+    TimePoint arrived;
+    size_t host = 0;
+    TimePoint retry_at{};
+  };
+  struct Stream {
+    Request request;
+    AttemptId attempt = 0;
+    bool suspect = false;
+    TimePoint started;
+    TimePoint visible{};  ///< to other hosts
+    TimePoint ends{};
+  };
+  struct Engine {
+    TimePoint up_at;
+    std::vector<Stream> streams;
+  };
+  struct Delivery {
+    TimePoint due;
+    size_t to = 0;
+    CrashSuspicion message;
+  };
+
+  void Send(Request request) {
+    request.host = rng_.Below(trackers_.size());
+    pending_.push_back(request);
+  }
+
+  void Act(size_t host, const CrashActions& actions) {
+    if (mode_ == Mode::kIgnored)
+      return;
+    for (const AttemptId id : actions.cancel)
+      cancelled_.insert(id);
+    if (actions.message.empty())
+      return;
+    for (size_t to = 0; to < trackers_.size(); ++to) {
+      if (to != host)
+        deliveries_.push_back(
+            {now_ + milliseconds(rng_.Below(50)), to, actions.message});
+    }
+  }
+
+  void Deliver() {
+    for (size_t i = 0; i < deliveries_.size();) {
+      if (deliveries_[i].due > now_) {
+        ++i;
+        continue;
+      }
+      const Delivery delivery = deliveries_[i];
+      deliveries_.erase(deliveries_.begin() + static_cast<std::ptrdiff_t>(i));
+      Act(delivery.to,
+          trackers_[delivery.to].OnMessage(delivery.message, now_));
+    }
+  }
+
+  void Answer(const Request& request, bool refused) {
+    if (request.print == kPoison) {
+      // Its caller tries again, also after a refusal.
+      Request again{kPoison, true, now_};
+      again.retry_at = now_ + milliseconds(500 + rng_.Below(2000));
+      Send(again);
+    } else if (refused) {
+      ++figures_.innocent_refusals;
+    }
+  }
+
+  void Place(Request& request) {
+    if (now_ < request.retry_at) {
+      pending_.push_back(request);
+      return;
+    }
+    CareAdvice advice;
+    if (mode_ != Mode::kIgnored)
+      advice = trackers_[request.host].Advise(Print(request.print), now_);
+    if (mode_ == Mode::kNoIsolation && advice.care != Care::kRefuse)
+      advice = {};
+    if (advice.care == Care::kRefuse) {
+      Answer(request, true);
+      return;
+    }
+    const bool isolate = advice.care == Care::kIsolate;
+    std::vector<size_t> fit;
+    for (size_t i = 0; i < engines_.size(); ++i) {
+      if (now_ >= engines_[i].up_at && engines_[i].streams.size() < kBatch &&
+          Fits(engines_[i], request, isolate))
+        fit.push_back(i);
+    }
+    if (advice.care == Care::kWait || fit.empty()) {
+      pending_.push_back(request);
+      return;
+    }
+    const size_t chosen = fit[rng_.Below(fit.size())];
+    Stream stream{request, ++last_attempt_, isolate, now_};
+    stream.visible = now_ + milliseconds(rng_.Below(150));
+    stream.ends =
+        now_ +
+        milliseconds(50 + rng_.Below(request.print == kPoison ? 500 : 2000));
+    engines_[chosen].streams.push_back(stream);
+    Act(request.host,
+        trackers_[request.host].OnStarted(stream.attempt, Print(request.print),
+                                          "e" + std::to_string(chosen), now_));
+  }
+
+  bool Fits(const Engine& engine, const Request& request, bool isolate) const {
+    for (const Stream& stream : engine.streams) {
+      if (stream.request.host != request.host && now_ < stream.visible)
+        continue;
+      if (isolate && (stream.suspect || !stream.request.idempotent))
+        return false;
+      if (!request.idempotent && stream.suspect)
+        return false;
+    }
+    return true;
+  }
+
+  void RunEngines() {
+    for (Engine& engine : engines_) {
+      bool crashed = false;
+      std::vector<Stream> going;
+      for (const Stream& stream : engine.streams) {
+        CrashTracker& tracker = trackers_[stream.request.host];
+        if (cancelled_.erase(stream.attempt) != 0) {
+          Act(stream.request.host, tracker.OnEnded(stream.attempt, now_));
+          Answer(stream.request, true);
+        } else if (stream.ends > now_) {
+          going.push_back(stream);
+        } else if (stream.request.print == kPoison) {
+          crashed = true;
+          going.push_back(stream);
+        } else {
+          Act(stream.request.host, tracker.OnCompleted(stream.attempt, now_));
+          ++figures_.innocent_finished;
+          figures_.longest_innocent_ms =
+              std::max(figures_.longest_innocent_ms,
+                       ToMilliseconds(now_ - stream.request.arrived));
+        }
+      }
+      engine.streams = std::move(going);
+      if (crashed)
+        Crash(engine);
+    }
+  }
+
+  void Crash(Engine& engine) {
+    ++figures_.crashes;
+    engine.up_at = now_ + seconds(4);
+    std::vector<Stream> broken;
+    broken.swap(engine.streams);
+    for (const Stream& stream : broken) {
+      Request request = stream.request;
+      Act(request.host, trackers_[request.host].OnBroken(stream.attempt, now_));
+      if (!request.idempotent)
+        ++figures_.lost_non_idempotent;
+      else if (request.print == kPoison && rng_.Below(2) == 0)
+        Answer(request, false);
+      else
+        pending_.push_back(request);
+    }
+  }
+
+  Rng rng_;
+  Mode mode_;
+  TimePoint now_ = kStart;
+  uint64_t last_print_ = kPoison;
+  AttemptId last_attempt_ = 0;
+  std::vector<CrashTracker> trackers_;
+  std::vector<Engine> engines_;
+  std::deque<Request> pending_;
+  std::vector<Delivery> deliveries_;
+  std::set<AttemptId> cancelled_;
+  FleetFigures figures_;
+};
+
+}  // namespace
+
+TEST_CASE("a poisonous request crashes at most two upstreams of the fleet") {
+  rc::prop("any fleet and any order of sends", [] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    const int hosts = *rc::gen::inRange(1, 8);
+    const int engines = *rc::gen::inRange(3, 20);
+    const FleetFigures figures =
+        Fleet(seed, hosts, engines, Mode::kFull).Run(seconds(25));
+    RC_ASSERT(figures.crashes == 2);
+    RC_ASSERT(figures.innocent_refusals == 0);
+    RC_ASSERT(figures.innocent_finished > 400);
+  });
+}
+
+// Guards against hosts that refuse different requests because messages came in
+// another order, twice or from an earlier snapshot.
+TEST_CASE("hosts with the same reports give the same advice") {
+  rc::prop("any crashes, exonerations and order of messages", [] {
+    CrashTracker source = Tracker("h0");
+    CrashTracker straight = Tracker("h1");
+    CrashTracker shuffled = Tracker("h2");
+    std::vector<CrashSuspicion> messages;
+    TimePoint now = kStart;
+    AttemptId next = 0;
+    std::vector<AttemptId> open;
+    const auto operations =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+    const auto keep = [&](const CrashActions& actions) {
+      if (!actions.message.empty())
+        messages.push_back(actions.message);
+    };
+    for (const int operation : operations) {
+      now += milliseconds(700);
+      if (operation < 50 || open.empty()) {
+        open.push_back(++next);
+        keep(source.OnStarted(next, Print(operation % 5),
+                              "e" + std::to_string(operation / 5 % 3), now));
+      } else {
+        const size_t index = static_cast<size_t>(operation) % open.size();
+        const AttemptId id = open[index];
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
+        keep(operation < 60   ? source.OnCompleted(id, now)
+             : operation < 65 ? source.OnEnded(id, now)
+                              : source.OnBroken(id, now));
+      }
+    }
+    // Ages are as of the end, as in a snapshot; what is in flight at the
+    // source is waited for there only.
+    const CrashSuspicion all = source.Snapshot(now);
+    std::vector<CrashSuspicion> parts;
+    for (const CrashReport& crash : all.crashes)
+      parts.push_back({all.sender, 1, {crash}, {}, {}});
+    for (const Exoneration& exoneration : all.exonerations)
+      parts.push_back({all.sender, 1, {}, {exoneration}, {}});
+    for (const CrashSuspicion& part : parts)
+      straight.OnMessage(part, now);
+    for (const int pick :
+         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100))) {
+      if (!parts.empty())
+        shuffled.OnMessage(parts[static_cast<size_t>(pick) % parts.size()],
+                           now);
+    }
+    std::reverse(parts.begin(), parts.end());
+    for (const CrashSuspicion& part : parts)
+      shuffled.OnMessage(part, now);
+    for (uint64_t print = 0; print < 5; ++print) {
+      const CareAdvice a = straight.Advise(Print(print), now);
+      const CareAdvice b = shuffled.Advise(Print(print), now);
+      const CareAdvice own = source.Advise(Print(print), now);
+      RC_ASSERT(a.care == b.care);
+      RC_ASSERT(a.crashes == b.crashes);
+      RC_ASSERT(a.retry_after == b.retry_after);
+      RC_ASSERT((own.care == Care::kRefuse) == (a.care == Care::kRefuse));
+      RC_ASSERT((own.care == Care::kNone) == (a.care == Care::kNone));
+    }
+  });
+}
+
+TEST_CASE("evidence of crashes leads to the least care that it asks for") {
+  struct Crash {
+    std::string upstream;
+    int at_ms;
+    std::vector<uint64_t> prints;
+  };
+  struct Row {
+    std::string name;
+    std::vector<Crash> crashes;
+    int cleared_at_ms;  // print 1 completes; 0: it does not
+    Duration asked_after;
+    Care care;  // of print 1
+  };
+  const auto row = GENERATE(values<Row>({
+      {"unknown", {{"a", 1000, {2, 3}}}, 0, seconds(9), Care::kNone},
+      {"one crash", {{"a", 1000, {1, 2}}}, 0, seconds(9), Care::kIsolate},
+      {"its slot has not come",
+       {{"a", 1000, {0, 1}}},
+       0,
+       milliseconds(1200),
+       Care::kWait},
+      {"one crash long ago",
+       {{"a", 1000, {1, 2}}},
+       0,
+       minutes(11),
+       Care::kNone},
+      {"alone in two",
+       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 3}}},
+       0,
+       seconds(9),
+       Care::kRefuse},
+      {"beside the one in two",
+       {{"a", 1000, {1, 2}}, {"b", 6000, {2, 3}}},
+       0,
+       seconds(9),
+       Care::kNone},
+      {"not told apart",
+       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 2}}},
+       0,
+       seconds(9),
+       Care::kRefuse},
+      {"not told apart, later",
+       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 2}}},
+       0,
+       seconds(67),
+       Care::kIsolate},
+      {"told apart by a third",
+       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 2}}, {"c", 70000, {2, 4}}},
+       0,
+       seconds(71),
+       Care::kNone},
+      {"refusal ends",
+       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 3}}},
+       0,
+       minutes(11),
+       Care::kIsolate},
+      {"completed between",
+       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 3}}},
+       3000,
+       seconds(9),
+       Care::kIsolate},
+      {"network fault",
+       {{"a", 1000, {1}},
+        {"b", 1100, {2}},
+        {"c", 1200, {3}},
+        {"d", 1300, {4}},
+        {"a", 9000, {5}},
+        {"b", 9100, {1}},
+        {"c", 9200, {6}},
+        {"d", 9300, {7}}},
+       0,
+       seconds(12),
+       Care::kNone},
+      {"sent to many at once",
+       {{"a", 1000, {1, 5}},
+        {"b", 1100, {1, 2}},
+        {"c", 1200, {1, 3}},
+        {"d", 1300, {1, 4}}},
+       0,
+       seconds(9),
+       Care::kRefuse},
+      {"two crashes of the only upstream",
+       {{"a", 1000, {1, 2}}, {"a", 2500, {1, 3}}},
+       0,
+       seconds(9),
+       Care::kRefuse},
+  }));
+  INFO(row.name);
+  CrashTracker tracker = Tracker("h0");
+  AttemptId next = 0;
+  for (const Crash& crash : row.crashes) {
+    const TimePoint at = kStart + milliseconds(crash.at_ms);
+    if (row.cleared_at_ms > 0 && row.cleared_at_ms < crash.at_ms) {
+      const TimePoint cleared = kStart + milliseconds(row.cleared_at_ms);
+      tracker.OnStarted(++next, Print(1), "z", cleared);
+      tracker.OnCompleted(next, cleared);
+    }
+    std::vector<AttemptId> broken;
+    for (const uint64_t print : crash.prints) {
+      tracker.OnStarted(++next, Print(print), crash.upstream,
+                        at - milliseconds(10));
+      broken.push_back(next);
+    }
+    const auto first = tracker.OnBroken(broken[0], at);
+    CHECK(first.message.crashes.size() == 1);
+    for (size_t i = 1; i < broken.size(); ++i)
+      CHECK(tracker.OnBroken(broken[i], at).message.crashes.empty());
+  }
+  const TimePoint asked = kStart + row.asked_after;
+  CareAdvice advice = tracker.Advise(Print(1), asked);
+  if (advice.care == Care::kWait && row.care != Care::kWait)
+    advice = tracker.Advise(Print(1), asked + advice.retry_after);
+  CHECK(advice.care == row.care);
+  // The stated bound on the refusal of an innocent request.
+  CHECK(advice.retry_after <= minutes(40));
+}
+
+// Guards against a suspect that runs on two hosts at once, and against one that
+// waits for good for a host that is gone.
+TEST_CASE("a suspect runs once at a time in the fleet") {
+  CrashTracker a = Tracker("h0");
+  CrashTracker b = Tracker("h1");
+  a.OnStarted(1, Print(1), "x", kStart);
+  b.OnMessage(a.OnBroken(1, kStart).message, kStart);
+  const TimePoint turn = kStart + milliseconds(150);
+  REQUIRE(b.Advise(Print(1), turn).care == Care::kIsolate);
+  const auto started = a.OnStarted(2, Print(1), "y", turn);
+  b.OnMessage(started.message, turn);
+  CHECK(b.Advise(Print(1), turn).care == Care::kWait);
+  CHECK(a.Advise(Print(1), turn).care == Care::kWait);
+  CHECK(b.Advise(Print(1), turn + minutes(1)).care == Care::kIsolate);
+  const auto ended = a.OnEnded(2, turn);
+  b.OnMessage(ended.message, turn);
+  b.OnMessage(started.message, turn);  // late and repeated
+  CHECK(b.Advise(Print(1), turn).care == Care::kIsolate);
+}
+
+// Guards against state that grows with traffic or with hostile peers.
+TEST_CASE("crash state is bounded and expires") {
+  CrashTracker tracker = Tracker("h0");
+  for (uint64_t i = 0; i < 2000; ++i) {
+    CrashSuspicion message{{"h1", 1}, i + 1, {}, {}, {}};
+    CrashReport report{{"h1", 1}, i, "e", seconds(i % 100), {}};
+    for (uint64_t print = 0; print < 300; ++print)
+      report.suspects.push_back(Print(i * 300 + print));
+    message.crashes.push_back(report);
+    message.runs.push_back({Print(i), true});
+    message.exonerations.push_back({Print(i), Duration{}});
+    if (i < 400)
+      tracker.OnMessage(message, kStart);
+  }
+  CHECK(tracker.reports() <= 256);
+  const CrashSuspicion all = tracker.Snapshot(kStart);
+  for (const CrashReport& report : all.crashes)
+    CHECK(report.suspects.size() <= 128);
+  tracker.Expire(kStart + std::chrono::hours(2));
+  CHECK(tracker.reports() == 0);
+  CHECK(tracker.Snapshot(kStart + std::chrono::hours(2)).empty());
+}
+
+// Prints the ways weighed in docs/decisions/crashing-requests.md.
+TEST_CASE("comparison of ways to find the crashing request", "[.measure]") {
+  const std::pair<std::string, Mode> modes[] = {
+      {"full", Mode::kFull},
+      {"no isolation", Mode::kNoIsolation},
+      {"ignored", Mode::kIgnored}};
+  for (const auto& [name, mode] : modes) {
+    FleetFigures sum;
+    int most = 0;
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+      const FleetFigures one = Fleet(seed, 6, 12, mode).Run(seconds(60));
+      most = std::max(most, one.crashes);
+      sum.crashes += one.crashes;
+      sum.innocent_refusals += one.innocent_refusals;
+      sum.innocent_finished += one.innocent_finished;
+      sum.lost_non_idempotent += one.lost_non_idempotent;
+      sum.longest_innocent_ms =
+          std::max(sum.longest_innocent_ms, one.longest_innocent_ms);
+    }
+    WARN(name << ": crashes " << sum.crashes << " (at most " << most
+              << "), innocent refusals " << sum.innocent_refusals
+              << ", lost non-idempotent " << sum.lost_non_idempotent
+              << ", longest innocent " << sum.longest_innocent_ms
+              << " ms, innocent finished " << sum.innocent_finished);
+  }
+}
+
+}  // namespace teaselhill::retry
