--- a/include/teaselhill/standin/engine_batch.h
+++ b/include/teaselhill/standin/engine_batch.h
@@ -63,7 +63,8 @@
   EngineBatch(BatchConfig config, PrefixCache& cache, Journal& journal)
       : config_(config), cache_(cache), journal_(journal) {}
 
-  /// Sets the function called when a run leaves the waiting queue.
+  /// Sets the function called when a run has left the waiting queue and is in
+  /// the journal.
   void SetStartHook(StartHook hook) { start_hook_ = std::move(hook); }
 
   RunNumber Submit(RunSpec spec, std::shared_ptr<RunSink> sink);
--- a/lib/load/runner.cc
+++ b/lib/load/runner.cc
@@ -215,19 +215,20 @@
                                    router](Result<net::ClientResponse> answer) {
     if (draining_)
       return;
+    const bool gone = active_[request].gone;
     const auto token = answer ? ReadToken(answer->body) : std::nullopt;
-    if (active_[request].gone) {
-      // The caller left while it waited for its token.
-    } else if (token && answer->status < 300) {
+    if (token && answer->status < 300 && !gone) {
       records_[request].key = *token;
       StartSend(request, router);
     } else {
-      // Without a token nothing was sent that an upstream could run.
+      // Nothing was sent that an upstream could run.
       SendRecord failed;
       failed.sent = Elapsed();
       failed.end = Elapsed();
       failed.status = answer ? answer->status : 0;
       failed.ending = answer ? Ending::kNotRun : Ending::kUnanswered;
+      if (gone)
+        failed.ending = Ending::kDisconnected;
       records_[request].sends.push_back(std::move(failed));
       active_[request].transfers.push_back(0);
     }
--- a/lib/standin/engine_batch.cc
+++ b/lib/standin/engine_batch.cc
@@ -77,10 +77,10 @@
   while (running_.size() < config_.max_batch && !waiting_.empty()) {
     auto run = std::make_unique<Run>(std::move(waiting_.begin()->second));
     waiting_.erase(waiting_.begin());
-    if (start_hook_)
-      start_hook_(run->spec);
     run->journal_run = journal_.Begin(run->spec.request_id, run->spec.key,
                                       run->spec.model, now);
+    if (start_hook_)
+      start_hook_(run->spec);
     // A resumed answer needs its earlier tokens in the KV cache as well.
     const uint32_t cached = cache_.Match(run->spec.blocks);
     run->prefill_left = run->spec.prompt_tokens -
--- a/lib/standin/program.cc
+++ b/lib/standin/program.cc
@@ -86,6 +86,11 @@
 int RunStandIn(net::EventLoop& loop,
                StandIn& standin,
                const StandInOptions& options) {
+  if (options.address.rfind("127.", 0) != 0 && options.address != "::1") {
+    std::fprintf(stderr, "%s is not a loopback address\n",
+                 options.address.c_str());
+    return 1;
+  }
   net::HttpServerOptions server_options;
   server_options.address = options.address;
   server_options.port = options.port;
--- a/lib/standin/service.cc
+++ b/lib/standin/service.cc
@@ -8,13 +8,13 @@
 namespace teaselhill::standin {
 
 void Service::Serve(net::HttpRequest request, Response response) {
-  CrashOnMarker(request.body);
   const TimePoint now = Now();
   const auto header = [&](std::string_view name) {
     return std::string(net::FindHeader(request.headers, name).value_or(""));
   };
   const Journal::Handle run = journal_.Begin(
       header("X-Request-Id"), header("Idempotency-Key"), request.path, now);
+  CrashOnMarker(request.body);
   const double factor = faults_.slow_factor(now);
   Later(FromSeconds(ToSeconds(work_time_) * factor),
         [this, run, response,
--- a/unittests/load/runner_test.cc
+++ b/unittests/load/runner_test.cc
@@ -5,6 +5,7 @@
 #include "teaselhill/load/runner.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "teaselhill/net/http_server.h"
 #include "teaselhill/standin/answer.h"
@@ -23,6 +24,7 @@
   kFalseNotRun,
   kHonestNotRun,
   kNeverAnswers,
+  kNotRunOnce,
 };
 
 /// A router and its upstream in one: answers and keeps the journal.
@@ -37,15 +39,21 @@
       response->Respond(200, {}, standin::ToJson(journal_));
       return;
     }
+    if (request.path == "/v1/tokens") {
+      response->Respond(200, {},
+                        "{\"token\":\"t" + std::to_string(++tokens_) + "\"}");
+      return;
+    }
     const std::string key(
         net::FindHeader(request.headers, "Idempotency-Key").value_or(""));
     const auto run = [&] {
       journal_.End(journal_.Begin("own-id", key, "m", SteadyNow()),
                    standin::RunEnd::kFinished);
     };
-    const bool not_run = misbehaviour_ == Misbehaviour::kFalseNotRun ||
-                         misbehaviour_ == Misbehaviour::kHonestNotRun;
-    if (misbehaviour_ != Misbehaviour::kHonestNotRun)
+    const bool refused = misbehaviour_ == Misbehaviour::kHonestNotRun ||
+                         (misbehaviour_ == Misbehaviour::kNotRunOnce &&
+                          seen_.insert(key).second);
+    if (!refused)
       run();
     if (misbehaviour_ == Misbehaviour::kRunsTwice)
       run();
@@ -53,8 +61,10 @@
       held_.push_back(response);
       return;
     }
-    if (not_run) {
-      response->Respond(503, {{"X-Teaselhill-Outcome", "not-run"}}, "{}");
+    if (refused || misbehaviour_ == Misbehaviour::kFalseNotRun) {
+      response->Respond(
+          503, {{"X-Teaselhill-Outcome", "not-run"}, {"Retry-After", "0"}},
+          "{}");
       return;
     }
     std::string answer =
@@ -68,6 +78,8 @@
 
  private:
   Misbehaviour misbehaviour_;
+  uint64_t tokens_ = 0;
+  std::set<std::string> seen_;  ///< keys
   standin::Journal journal_{SteadyNow(), WallNow()};
   std::vector<std::shared_ptr<net::ResponseWriter>> held_;
 };
@@ -80,6 +92,7 @@
     Misbehaviour misbehaviour;
     Ending ending;
     uint64_t Summary::*counter;
+    std::string fields{};  ///< of the stream in the plan
   };
   const Row row = GENERATE(
       Row{M::kNone, Ending::kAnswered, nullptr},
@@ -88,7 +101,14 @@
       Row{M::kRunsTwice, Ending::kAnswered, &Summary::duplicate_runs},
       Row{M::kFalseNotRun, Ending::kNotRun, &Summary::false_not_run},
       Row{M::kHonestNotRun, Ending::kNotRun, nullptr},
-      Row{M::kNeverAnswers, Ending::kUnanswered, &Summary::unanswered});
+      Row{M::kNeverAnswers, Ending::kUnanswered, &Summary::unanswered},
+      // Callers that send again, retry and disconnect.
+      Row{M::kNone, Ending::kAnswered, &Summary::duplicate_runs,
+          R"(,"resend_share":1,"resend_after_ms":5)"},
+      Row{M::kNotRunOnce, Ending::kAnswered, nullptr, R"(,"retries":1)"},
+      Row{M::kNeverAnswers, Ending::kDisconnected, nullptr,
+          R"(,"disconnect_share":1,"disconnect_after_ms":5)"});
+  const std::string key_kind = GENERATE(as<std::string>(), "uuidv7", "token");
   net::EventLoop loop;
   TestRouter router(row.misbehaviour);
   net::HttpServer server(loop, {}, router);
@@ -97,7 +117,9 @@
   const auto plan =
       ParsePlan(R"({"duration_s":0.1,"drain_s":0.2,"routers":[")" + url +
                 R"("],"journals":[")" + url + R"(/control/journal"],"streams":[{
-        "name":"s","service":"x","rate":200,"non_idempotent":true}]})");
+        "name":"s","service":"x","rate":200,"non_idempotent":true,
+        "key_kind":")" +
+                key_kind + "\"" + row.fields + "}]}");
   REQUIRE(plan.ok());
   Runner runner(loop, *plan);
   runner.Start([&loop] { loop.Stop(); });
--- a/unittests/standin/engine_batch_test.cc
+++ b/unittests/standin/engine_batch_test.cc
@@ -90,8 +90,11 @@
 TEST_CASE("waiting requests start in order of priority, then of arrival") {
   Fixture fixture(1);
   std::vector<std::string> started;
-  fixture.batch->SetStartHook(
-      [&](const RunSpec& run) { started.push_back(run.request_id); });
+  fixture.batch->SetStartHook([&](const RunSpec& run) {
+    started.push_back(run.request_id);
+    // A run that crashes the process at its start must be in the journal.
+    CHECK(fixture.journal.runs().back().request_id == run.request_id);
+  });
   fixture.Submit("running", 9);
   fixture.Run(milliseconds(5));
   fixture.Submit("late", 7);
