--- a/unittests/retry/crash_tracker_test.cc
+++ b/unittests/retry/crash_tracker_test.cc
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <sstream>
 
 #include "teaselhill/support/rng.h"
 
@@ -332,114 +333,60 @@
 }
 
 TEST_CASE("evidence of crashes leads to the least care that it asks for") {
-  struct Crash {
-    std::string upstream;
-    int at_ms;
-    std::vector<uint64_t> prints;
-  };
   struct Row {
     std::string name;
-    std::vector<Crash> crashes;
-    int cleared_at_ms;  // print 1 completes; 0: it does not
-    Duration asked_after;
+    /// "upstream time_ms print...; ...": crashes with the requests in flight;
+    /// "ok" in place of an upstream: the requests complete.
+    std::string events;
+    int asked_ms;
     Care care;  // of print 1
   };
   const auto row = GENERATE(values<Row>({
-      {"unknown", {{"a", 1000, {2, 3}}}, 0, seconds(9), Care::kNone},
-      {"one crash", {{"a", 1000, {1, 2}}}, 0, seconds(9), Care::kIsolate},
-      {"its slot has not come",
-       {{"a", 1000, {0, 1}}},
-       0,
-       milliseconds(1200),
-       Care::kWait},
-      {"one crash long ago",
-       {{"a", 1000, {1, 2}}},
-       0,
-       minutes(11),
-       Care::kNone},
-      {"alone in two",
-       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 3}}},
-       0,
-       seconds(9),
-       Care::kRefuse},
-      {"beside the one in two",
-       {{"a", 1000, {1, 2}}, {"b", 6000, {2, 3}}},
-       0,
-       seconds(9),
-       Care::kNone},
-      {"not told apart",
-       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 2}}},
-       0,
-       seconds(9),
-       Care::kRefuse},
-      {"not told apart, later",
-       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 2}}},
-       0,
-       seconds(67),
+      {"unknown", "a 1000 2 3", 9000, Care::kNone},
+      {"one crash", "a 1000 1 2", 9000, Care::kIsolate},
+      {"its slot has not come", "a 1000 0 1", 1200, Care::kWait},
+      {"one crash long ago", "a 1000 1 2", 660000, Care::kNone},
+      {"alone in two", "a 1000 1 2; b 6000 1 3", 9000, Care::kRefuse},
+      {"beside the one in two", "a 1000 1 2; b 6000 2 3", 9000, Care::kNone},
+      {"not told apart", "a 1000 1 2; b 6000 1 2", 9000, Care::kRefuse},
+      {"not told apart, later", "a 1000 1 2; b 6000 1 2", 67000,
        Care::kIsolate},
-      {"told apart by a third",
-       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 2}}, {"c", 70000, {2, 4}}},
-       0,
-       seconds(71),
+      {"told apart by a third", "a 1000 1 2; b 6000 1 2; c 70000 2 4", 71000,
        Care::kNone},
-      {"refusal ends",
-       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 3}}},
-       0,
-       minutes(11),
-       Care::kIsolate},
-      {"completed between",
-       {{"a", 1000, {1, 2}}, {"b", 6000, {1, 3}}},
-       3000,
-       seconds(9),
+      {"refusal ends", "a 1000 1 2; b 6000 1 3", 660000, Care::kIsolate},
+      {"completed between", "a 1000 1 2; ok 3000 1; b 6000 1 3", 9000,
        Care::kIsolate},
       {"network fault",
-       {{"a", 1000, {1}},
-        {"b", 1100, {2}},
-        {"c", 1200, {3}},
-        {"d", 1300, {4}},
-        {"a", 9000, {5}},
-        {"b", 9100, {1}},
-        {"c", 9200, {6}},
-        {"d", 9300, {7}}},
-       0,
-       seconds(12),
-       Care::kNone},
-      {"sent to many at once",
-       {{"a", 1000, {1, 5}},
-        {"b", 1100, {1, 2}},
-        {"c", 1200, {1, 3}},
-        {"d", 1300, {1, 4}}},
-       0,
-       seconds(9),
-       Care::kRefuse},
-      {"two crashes of the only upstream",
-       {{"a", 1000, {1, 2}}, {"a", 2500, {1, 3}}},
-       0,
-       seconds(9),
+       "a 1000 1; b 1100 2; c 1200 3; d 1300 4; a 9000 5; b 9100 1; c 9200 6; "
+       "d 9300 7",
+       12000, Care::kNone},
+      {"sent to many at once", "a 1000 1 5; b 1100 1 2; c 1200 1 3; d 1300 1 4",
+       9000, Care::kRefuse},
+      {"two crashes of the only upstream", "a 1000 1 2; a 2500 1 3", 9000,
        Care::kRefuse},
   }));
   INFO(row.name);
   CrashTracker tracker = Tracker("h0");
   AttemptId next = 0;
-  for (const Crash& crash : row.crashes) {
-    const TimePoint at = kStart + milliseconds(crash.at_ms);
-    if (row.cleared_at_ms > 0 && row.cleared_at_ms < crash.at_ms) {
-      const TimePoint cleared = kStart + milliseconds(row.cleared_at_ms);
-      tracker.OnStarted(++next, Print(1), "z", cleared);
-      tracker.OnCompleted(next, cleared);
-    }
-    std::vector<AttemptId> broken;
-    for (const uint64_t print : crash.prints) {
-      tracker.OnStarted(++next, Print(print), crash.upstream,
-                        at - milliseconds(10));
-      broken.push_back(next);
+  std::istringstream events(row.events);
+  for (std::string event; std::getline(events, event, ';');) {
+    std::istringstream fields(event);
+    std::string upstream;
+    int at_ms = 0;
+    fields >> upstream >> at_ms;
+    const TimePoint at = kStart + milliseconds(at_ms);
+    std::vector<AttemptId> sent;
+    for (uint64_t print = 0; fields >> print; sent.push_back(next))
+      tracker.OnStarted(++next, Print(print), upstream, at - milliseconds(10));
+    for (const AttemptId id : sent) {
+      if (upstream == "ok")
+        tracker.OnCompleted(id, at);
+      else  // One report per crash, however many streams break.
+        CHECK(tracker.OnBroken(id, at).message.crashes.size() ==
+              (id == sent[0] ? 1u : 0u));
     }
-    const auto first = tracker.OnBroken(broken[0], at);
-    CHECK(first.message.crashes.size() == 1);
-    for (size_t i = 1; i < broken.size(); ++i)
-      CHECK(tracker.OnBroken(broken[i], at).message.crashes.empty());
   }
-  const TimePoint asked = kStart + row.asked_after;
+  const TimePoint asked = kStart + milliseconds(row.asked_ms);
   CareAdvice advice = tracker.Advise(Print(1), asked);
   if (advice.care == Care::kWait && row.care != Care::kWait)
     advice = tracker.Advise(Print(1), asked + advice.retry_after);
--- a/unittests/routing/herd_simulation_test.cc
+++ b/unittests/routing/herd_simulation_test.cc
@@ -7,7 +7,7 @@
 #include <cmath>
 #include <deque>
 
-#include "teaselhill/routing/routing_policy.h"
+#include "testing.h"
 
 namespace teaselhill::routing {
 
@@ -23,8 +23,7 @@
 constexpr Duration kStep = milliseconds(5);
 constexpr Duration kLength = seconds(120);
 constexpr Duration kBetweenTokens = milliseconds(20);
-constexpr Duration kReportPeriod = milliseconds(500);
-constexpr Duration kReportLag = milliseconds(500);
+constexpr Duration kReportPeriod = milliseconds(500);  // and lag
 constexpr Duration kPeerPeriod = milliseconds(100);
 
 struct Setup {
@@ -41,7 +40,6 @@
   double start_p95_ms = 0;        ///< in host and engine queues together
   double total_p99_ms = 0;
   int longest_queue = 0;
-  int finished = 0;
 };
 
 struct Job {
@@ -63,22 +61,10 @@
 class Simulation {
  public:
   explicit Simulation(const Setup& setup) : setup_(setup), rng_(kSeed) {
-    std::vector<UpstreamSpec> specs;
-    for (int i = 0; i < kEngines; ++i) {
-      UpstreamSpec spec;
-      spec.name = Name(i);
-      spec.domain = "a";
-      spec.models = {"m"};
-      specs.push_back(spec);
-    }
     for (int i = 0; i < kHosts; ++i) {
       tables_.emplace_back(HostIncarnation{"h" + std::to_string(i), 1});
-      tables_.back().Apply(specs, now_);
-      RoutingOptions options;
-      options.own_domain = "a";
-      options.choices = setup.choices;
-      policies_.push_back(std::move(
-          *RoutingPolicyRegistry::Instance().Create(setup.policy, options)));
+      tables_.back().Apply(Engines(kEngines), now_);
+      policies_.push_back(Policy(setup.policy, setup.choices));
       rngs_.emplace_back(kSeed + 1 + static_cast<uint64_t>(i));
     }
   }
@@ -94,7 +80,6 @@
     figures_.engine_wait_p95_ms = Quantile(engine_waits_, 0.95);
     figures_.start_p95_ms = Quantile(starts_, 0.95);
     figures_.total_p99_ms = Quantile(totals_, 0.99);
-    figures_.finished = static_cast<int>(totals_.size());
     return figures_;
   }
 
@@ -103,14 +88,6 @@
     std::vector<Job> running;
     std::deque<Job> waiting;
   };
-  struct Pending {
-    TimePoint due;
-    int engine;
-    LoadReport report;
-  };
-
-  static std::string Name(int engine) { return "e" + std::to_string(engine); }
-
   void Arrive() {
     constexpr double kMeanTokens = 120;
     const double slots = (kEngines - 1 + 1.0 / setup_.slow_factor) * kMaxBatch;
@@ -139,10 +116,7 @@
         if (choice == nullptr)
           break;
         job.sent = now_;
-        SentAttempt sent;
-        sent.attempt = job.attempt;
-        sent.upstream = choice->upstream;
-        tables_[host].OnSent(sent, now_);
+        tables_[host].OnSent(Attempt(job.attempt, choice->upstream), now_);
         engines_[std::stoi(choice->upstream.substr(1))].waiting.push_back(job);
         queues_[host].pop_front();
       }
@@ -179,21 +153,14 @@
   }
 
   void Report(Duration elapsed) {
-    if (elapsed % kReportPeriod == Duration{}) {
-      for (int i = 0; i < kEngines; ++i) {
-        LoadReport report;
-        report.running = static_cast<int>(engines_[i].running.size());
-        report.waiting = static_cast<int>(engines_[i].waiting.size());
-        report.max_batch = kMaxBatch;
-        report.age = kReportLag;
-        pending_.push_back({now_ + kReportLag, i, report});
-      }
-    }
-    for (; !pending_.empty() && pending_.front().due <= now_;
-         pending_.pop_front()) {
+    // A report is delivered when the next one is taken.
+    for (int i = 0; elapsed % kReportPeriod == Duration{} && i < kEngines;
+         ++i) {
       for (UpstreamTable& table : tables_)
-        table.OnReport(Name(pending_.front().engine), pending_.front().report,
-                       now_);
+        table.OnReport("e" + std::to_string(i), reports_[i], now_);
+      reports_[i] = {static_cast<int>(engines_[i].running.size()),
+                     static_cast<int>(engines_[i].waiting.size()), kMaxBatch, 0,
+                     kReportPeriod};
     }
     if (setup_.peers && elapsed % kPeerPeriod == Duration{}) {
       for (int from = 0; from < kHosts; ++from) {
@@ -210,14 +177,14 @@
 
   Setup setup_;
   Rng rng_;
-  TimePoint now_{std::chrono::hours(1)};
+  TimePoint now_ = kStart;
   AttemptId last_attempt_ = 0;
   std::vector<UpstreamTable> tables_;
   std::vector<std::unique_ptr<RoutingPolicy>> policies_;
   std::vector<Rng> rngs_;
   std::deque<Job> queues_[kHosts];
   Engine engines_[kEngines];
-  std::deque<Pending> pending_;
+  LoadReport reports_[kEngines];
   std::vector<double> engine_waits_;
   std::vector<double> starts_;
   std::vector<double> totals_;
@@ -230,8 +197,7 @@
                   << ", engine wait p95 " << figures.engine_wait_p95_ms
                   << " ms, start p95 " << figures.start_p95_ms
                   << " ms, total p99 " << figures.total_p99_ms
-                  << " ms, longest engine queue " << figures.longest_queue
-                  << ", finished " << figures.finished);
+                  << " ms, longest engine queue " << figures.longest_queue);
   return figures;
 }
 
--- a/unittests/routing/routing_policy_test.cc
+++ b/unittests/routing/routing_policy_test.cc
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 
+#include "testing.h"
+
 namespace teaselhill::routing {
 
 namespace {
@@ -14,24 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const TimePoint kStart{std::chrono::hours(1)};
-
-std::unique_ptr<RoutingPolicy> Policy(const std::string& name) {
-  RoutingOptions options;
-  options.own_domain = "a";
-  auto policy = RoutingPolicyRegistry::Instance().Create(name, options);
-  REQUIRE(policy.ok());
-  return std::move(*policy);
-}
-
-UpstreamSpec Engine(const std::string& name, const std::string& domain = "a") {
-  UpstreamSpec spec;
-  spec.name = name;
-  spec.domain = domain;
-  spec.models = {"m"};
-  return spec;
-}
-
 LoadReport Load(int requests, int max_batch = 8) {
   LoadReport report;
   report.running = std::min(requests, max_batch);
@@ -57,11 +41,9 @@
 }
 
 void Break(UpstreamTable& table, const std::string& name, TimePoint now) {
-  SentAttempt sent;
-  sent.attempt = 1000000 + table.Find(name)->index;
-  sent.upstream = name;
-  table.OnSent(sent, now);
-  table.OnEnded(sent.attempt, EndKind::kConnectFailed, now);
+  const AttemptId id = 1000000 + table.Find(name)->index;
+  table.OnSent(Attempt(id, name), now);
+  table.OnEnded(id, EndKind::kConnectFailed, now);
 }
 
 }  // namespace
@@ -86,9 +68,7 @@
   }));
   INFO(row.name);
   UpstreamTable table({"h0", 1});
-  std::vector<UpstreamSpec> specs;
-  for (size_t i = 0; i < row.loads.size(); ++i)
-    specs.push_back(Engine("e" + std::to_string(i)));
+  const auto specs = Engines(static_cast<int>(row.loads.size()));
   table.Apply(specs, kStart);
   for (size_t i = 0; i < row.loads.size(); ++i) {
     if (row.loads[i] < 0)
@@ -127,9 +107,8 @@
   RouteRequest request = Request(5);
   request.prefix_blocks = PrefixBlocks("m", std::string(4096, 'p'));
   for (int i = 0; i < 2; ++i) {
-    SentAttempt sent;
-    sent.attempt = static_cast<AttemptId>(i);
-    sent.upstream = "e" + std::to_string(i);
+    SentAttempt sent =
+        Attempt(static_cast<AttemptId>(i), "e" + std::to_string(i));
     if (row.prefix_holder == i)
       sent.prefix_blocks = request.prefix_blocks;
     table.OnSent(sent, kStart);
@@ -160,9 +139,7 @@
     const auto policy = Policy("adaptive");
     UpstreamTable table({"h0", 1});
     const int count = *rc::gen::inRange(1, 7);
-    std::vector<UpstreamSpec> specs;
-    for (int i = 0; i < count; ++i)
-      specs.push_back(Engine("e" + std::to_string(i)));
+    const auto specs = Engines(count);
     table.Apply(specs, kStart);
     RouteRequest request = Request(*rc::gen::inRange(0, 3));
     request.idempotent = *rc::gen::arbitrary<bool>();
@@ -238,7 +215,7 @@
   }));
   INFO(row.name);
   UpstreamTable table({"h0", 1});
-  table.Apply({Engine("e0"), Engine("e1"), Engine("e2")}, kStart);
+  table.Apply(Engines(3), kStart);
   Break(table, "e0", kStart);
   RouteRequest request = Request(row.tier);
   request.idempotent = row.idempotent;
@@ -252,10 +229,7 @@
     if (choice.upstream != "e0")
       continue;
     ++probes;
-    SentAttempt sent;
-    sent.attempt = 1;
-    sent.upstream = "e0";
-    table.OnSent(sent, kStart + row.after);  // and stays in flight
+    table.OnSent(Attempt(1, "e0"), kStart + row.after);  // stays in flight
   }
   CHECK(probes == (row.probes ? 1 : 0));
 }
@@ -285,10 +259,7 @@
   for (AttemptId id = 0; id < 8; ++id) {
     const auto result = policy->Choose(request, table, rng, kStart);
     REQUIRE(Kind(result) == Answer::kChoice);
-    SentAttempt sent;
-    sent.attempt = id;
-    sent.upstream = std::get<Choice>(result).upstream;
-    table.OnSent(sent, kStart);
+    table.OnSent(Attempt(id, std::get<Choice>(result).upstream), kStart);
   }
   CHECK(table.Find("s0")->own_in_flight == 4);
   CHECK(table.Find("s1")->own_in_flight == 4);
@@ -318,9 +289,7 @@
     for (const UpstreamSpec& spec : specs)
       peer.entries.push_back({spec.name, 1, 1, 1, 0, 0});
     table.OnPeerSends(peer, kStart);
-    SentAttempt sent;
-    sent.attempt = static_cast<AttemptId>(i);
-    sent.upstream = name;
+    SentAttempt sent = Attempt(static_cast<AttemptId>(i), name);
     sent.prefix_blocks = request.prefix_blocks;
     table.OnSent(sent, kStart);
     table.OnEnded(sent.attempt, EndKind::kCompleted, kStart);
--- /dev/null
+++ b/unittests/routing/testing.h
@@ -0,0 +1,50 @@
+/// \file
+/// Upstreams and attempts for the tests of the routing part.
+
+#ifndef TEASELHILL_UNITTESTS_ROUTING_TESTING_H_
+#define TEASELHILL_UNITTESTS_ROUTING_TESTING_H_
+
+#include "teaselhill/routing/routing_policy.h"
+
+namespace teaselhill::routing {
+
+inline const TimePoint kStart{std::chrono::hours(1)};
+
+inline UpstreamSpec Engine(const std::string& name,
+                           const std::string& domain = "a") {
+  UpstreamSpec spec;
+  spec.name = name;
+  spec.domain = domain;
+  spec.models = {"m"};
+  return spec;
+}
+
+/// Engines e0, e1 and so on.
+inline std::vector<UpstreamSpec> Engines(int count) {
+  std::vector<UpstreamSpec> specs;
+  for (int i = 0; i < count; ++i)
+    specs.push_back(Engine("e" + std::to_string(i)));
+  return specs;
+}
+
+inline SentAttempt Attempt(AttemptId id, const std::string& upstream) {
+  SentAttempt sent;
+  sent.attempt = id;
+  sent.upstream = upstream;
+  sent.predicted_output_tokens = 10;
+  return sent;
+}
+
+inline std::unique_ptr<RoutingPolicy> Policy(const std::string& name,
+                                             int choices = 2) {
+  RoutingOptions options;
+  options.own_domain = "a";
+  options.choices = choices;
+  auto policy = RoutingPolicyRegistry::Instance().Create(name, options);
+  assert(policy.ok() && "the policy is not registered");
+  return std::move(*policy);
+}
+
+}  // namespace teaselhill::routing
+
+#endif  // TEASELHILL_UNITTESTS_ROUTING_TESTING_H_
--- a/unittests/routing/upstream_table_test.cc
+++ b/unittests/routing/upstream_table_test.cc
@@ -9,6 +9,8 @@
 #include <map>
 #include <optional>
 
+#include "testing.h"
+
 namespace teaselhill::routing {
 
 namespace {
@@ -16,28 +18,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const TimePoint kStart{std::chrono::hours(1)};
-
-std::vector<UpstreamSpec> Engines(int count) {
-  std::vector<UpstreamSpec> specs;
-  for (int i = 0; i < count; ++i) {
-    UpstreamSpec spec;
-    spec.name = "e" + std::to_string(i);
-    spec.domain = "a";
-    spec.models = {"m"};
-    specs.push_back(spec);
-  }
-  return specs;
-}
-
-SentAttempt Attempt(AttemptId id, const std::string& upstream) {
-  SentAttempt sent;
-  sent.attempt = id;
-  sent.upstream = upstream;
-  sent.predicted_output_tokens = 10;
-  return sent;
-}
-
 struct Operation {
   int kind;
   uint32_t argument;
