--- a/include/teaselhill/config/snapshot_schedule.h
+++ b/include/teaselhill/config/snapshot_schedule.h
@@ -41,9 +41,17 @@
            TimePoint now,
            Rng& rng);
 
-  /// Makes a snapshot due now, whatever its rank. Used once when the log
-  /// restarted with less, so that new hosts find the state in force.
-  void Force() { forced_ = true; }
+  /// Makes a snapshot due whatever the number of records, on the hosts of the
+  /// first three ranks. Call it when the log restarted with less, so that new
+  /// hosts and clients find the state in force.
+  void Force() {
+    forced_ = true;
+    waiting_for_.reset();
+  }
+
+  /// Reports that the log took the snapshot. The caller then announces it with
+  /// EncodeSnapshotNote().
+  void OnWritten() { forced_ = false; }
 
   /// Reports that the append failed; the next attempt waits one step.
   void OnWriteFailed(TimePoint now);
--- /dev/null
+++ b/lib/config/config_state.cc
@@ -0,0 +1,575 @@
+/// \file
+/// Replay of the `config` stream.
+
+#include "teaselhill/config/config_state.h"
+
+#include <algorithm>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+
+#include "codec.h"
+#include "object_table.h"
+#include "snapshot.h"
+
+namespace teaselhill::config {
+
+namespace {
+
+constexpr size_t kMaxChangeIdLength = 128;
+constexpr size_t kMaxAuthorLength = 128;
+/// Keeps the history of an object small when a refusal lists many faults.
+constexpr size_t kMaxStoredReason = 400;
+
+struct SeenChange {
+  LogOffset offset = 0;
+  VerdictKind kind = VerdictKind::kNote;
+};
+
+/// The part of a record that every format version keeps. `complete` is false
+/// when a field other than the object is missing or malformed.
+struct RecordHeader {
+  ObjectId object;
+  bool complete = false;
+  std::string change_id;
+  std::string author;
+  LogOffset base_revision = kNoRevision;
+};
+
+std::optional<ObjectId> ReadObjectId(const Json& json) {
+  if (!json.is_object() || !json.contains("object") || !json.contains("name") ||
+      !json["object"].is_string() || !json["name"].is_string())
+    return std::nullopt;
+  const auto kind = ParseObjectKind(json["object"].get<std::string>());
+  std::string name = json["name"].get<std::string>();
+  if (!kind || !IsName(name))
+    return std::nullopt;
+  return ObjectId{*kind, std::move(name)};
+}
+
+bool ReadShortText(const Json& json,
+                   const char* field,
+                   size_t longest,
+                   std::string* text) {
+  if (!json.contains(field) || !json[field].is_string())
+    return false;
+  *text = json[field].get<std::string>();
+  return !text->empty() && text->size() <= longest;
+}
+
+RecordHeader ReadHeader(const Json& json, ObjectId object) {
+  RecordHeader header;
+  header.object = std::move(object);
+  bool complete =
+      ReadShortText(json, "change_id", kMaxChangeIdLength, &header.change_id);
+  complete &= ReadShortText(json, "author", kMaxAuthorLength, &header.author);
+  if (json.contains("base_revision") &&
+      json["base_revision"].is_number_unsigned())
+    header.base_revision = json["base_revision"].get<LogOffset>();
+  else
+    complete &=
+        json.contains("base_revision") && json["base_revision"].is_null();
+  header.complete = complete;
+  return header;
+}
+
+/// Cuts after a whole UTF-8 character, because a snapshot must hold valid text.
+std::string Shorten(std::string text) {
+  if (text.size() <= kMaxStoredReason)
+    return text;
+  size_t end = kMaxStoredReason;
+  while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0) == 0x80)
+    --end;
+  text.resize(end);
+  return text;
+}
+
+/// Parses the body with the reader of its kind.
+template <typename Body>
+std::shared_ptr<const Body> ReadBody(const Json& json,
+                                     Body (*read)(const Json&, Faults*),
+                                     Faults* faults) {
+  auto body = std::make_shared<Body>(read(json, faults));
+  return faults->empty() ? body : nullptr;
+}
+
+std::string DescribeRevision(LogOffset revision) {
+  return revision == kNoRevision ? "no revision"
+                                 : "revision " + std::to_string(revision);
+}
+
+}  // namespace
+
+class ConfigState::Impl {
+ public:
+  explicit Impl(ConfigLimits limits) : limits_(limits) {}
+
+  Verdict Apply(LogOffset offset, std::string_view record);
+  Result<SnapshotOutcome> Adopt(std::string_view text);
+  std::string Export() const;
+  std::shared_ptr<const ConfigView> View() const;
+
+  const ObjectTable& objects() const { return objects_; }
+  LogOffset next_offset() const { return next_; }
+  LogOffset snapshot_next() const { return snapshot_next_; }
+  uint64_t unattributed() const { return unattributed_; }
+
+ private:
+  Verdict Judge(LogOffset offset, std::string_view record);
+  Verdict ApplyNote(const Json& json, Verdict verdict);
+  void JudgeChange(const Json& json, const RecordHeader& header, Verdict*);
+  void JudgeBody(const Json& json, Verdict* verdict);
+  void Delete(Verdict* verdict);
+  void Put(const Json& body, Verdict* verdict);
+  void Close(const std::string& reason, Verdict* verdict);
+  ConfiguredObject& Accept(const Verdict& verdict);
+  void Remember(const Verdict& verdict);
+  void RememberId(const std::string& change_id, SeenChange seen);
+  void ForgetDeleted();
+  std::string ExportState() const;
+  Status LoadState(const std::string& text);
+  void LoadObject(const Json& json);
+
+  ConfigLimits limits_;
+  ObjectTable objects_;
+  std::unordered_map<std::string, SeenChange> seen_;
+  std::deque<std::string> seen_order_;  ///< oldest first
+  LogOffset next_ = 0;
+  LogOffset snapshot_next_ = 0;
+  uint64_t unattributed_ = 0;
+  mutable std::shared_ptr<const ConfigView> view_;
+};
+
+Verdict ConfigState::Impl::Apply(LogOffset offset, std::string_view record) {
+  Verdict verdict;
+  verdict.offset = offset;
+  if (offset < next_) {
+    verdict.kind = VerdictKind::kCovered;
+    verdict.reason = "the configuration in force reaches offset " +
+                     std::to_string(next_ - 1);
+    return verdict;
+  }
+  if (offset > next_) {
+    verdict.kind = VerdictKind::kGap;
+    verdict.reason =
+        "the record at offset " + std::to_string(next_) + " is missing";
+    return verdict;
+  }
+  verdict = Judge(offset, record);
+  next_ = offset + 1;
+  Remember(verdict);
+  return verdict;
+}
+
+Verdict ConfigState::Impl::Judge(LogOffset offset, std::string_view record) {
+  Verdict verdict;
+  verdict.offset = offset;
+  const Json json = Json::parse(record.begin(), record.end(), nullptr, false);
+  if (json.is_object() && json.contains("note"))
+    return ApplyNote(json, std::move(verdict));
+  const auto object = ReadObjectId(json);
+  if (!object) {
+    ++unattributed_;
+    verdict.kind = VerdictKind::kUnreadable;
+    verdict.reason = "the record names no object that this version knows";
+    return verdict;
+  }
+  const RecordHeader header = ReadHeader(json, *object);
+  verdict.object = header.object;
+  verdict.change_id = header.change_id;
+  verdict.author = header.author;
+  verdict.base_revision = header.base_revision;
+  if (!header.complete) {
+    verdict.change_id.clear();
+    Close("the head of the record cannot be read", &verdict);
+    return verdict;
+  }
+  JudgeChange(json, header, &verdict);
+  return verdict;
+}
+
+Verdict ConfigState::Impl::ApplyNote(const Json& json, Verdict verdict) {
+  verdict.kind = VerdictKind::kNote;
+  if (json["note"] != "snapshot" || !json.contains("through_offset") ||
+      !json["through_offset"].is_number_unsigned())
+    return verdict;
+  // A note about records that do not exist yet would keep the hosts from
+  // writing snapshots of them.
+  const LogOffset through = json["through_offset"].get<LogOffset>();
+  if (through < verdict.offset)
+    snapshot_next_ = std::max(snapshot_next_, through + 1);
+  return verdict;
+}
+
+void ConfigState::Impl::JudgeChange(const Json& json,
+                                    const RecordHeader& header,
+                                    Verdict* verdict) {
+  const auto seen = seen_.find(header.change_id);
+  if (seen != seen_.end()) {
+    verdict->kind = VerdictKind::kDuplicate;
+    verdict->first_offset = seen->second.offset;
+    verdict->first_kind = seen->second.kind;
+    verdict->reason = "the change was first seen at offset " +
+                      std::to_string(seen->second.offset);
+    return;
+  }
+  const auto found = objects_.find(header.object);
+  const LogOffset current =
+      found == objects_.end() ? kNoRevision : found->second.revision;
+  if (header.base_revision != current) {
+    verdict->kind = VerdictKind::kConflict;
+    verdict->current_revision = current;
+    verdict->current_author =
+        found == objects_.end() ? "" : found->second.author;
+    verdict->reason =
+        DescribeObject(header.object) + " is at " + DescribeRevision(current) +
+        (current == kNoRevision ? "" : " by " + verdict->current_author) +
+        ", the change was made against " +
+        DescribeRevision(header.base_revision);
+    return;
+  }
+  JudgeBody(json, verdict);
+}
+
+void ConfigState::Impl::JudgeBody(const Json& json, Verdict* verdict) {
+  if (!json.contains("format") || !json["format"].is_number_unsigned() ||
+      json["format"].get<uint64_t>() != kRecordFormat) {
+    Close("the record's format is not known to this version", verdict);
+    return;
+  }
+  const Json action = json.value("action", Json());
+  if (action == "delete") {
+    Delete(verdict);
+  } else if (action == "put" && json.contains("body")) {
+    Put(json["body"], verdict);
+  } else {
+    Close("the record's action cannot be read", verdict);
+  }
+}
+
+void ConfigState::Impl::Delete(Verdict* verdict) {
+  verdict->action = ChangeAction::kDelete;
+  const ObjectId& id = *verdict->object;
+  const auto found = objects_.find(id);
+  if (found == objects_.end() || !found->second.live) {
+    verdict->kind = VerdictKind::kInvalid;
+    verdict->reason = DescribeObject(id) + " does not exist";
+    return;
+  }
+  if (id.kind == ObjectKind::kAssignment) {
+    verdict->reason = CheckAssignmentChange(objects_, id.name, nullptr);
+    if (!verdict->reason.empty()) {
+      verdict->kind = VerdictKind::kUnsafe;
+      return;
+    }
+  }
+  ConfiguredObject& object = Accept(*verdict);
+  verdict->kind = VerdictKind::kAccepted;
+  object.live = false;
+  object.contract.reset();
+  object.assignment.reset();
+}
+
+void ConfigState::Impl::Put(const Json& body, Verdict* verdict) {
+  const ObjectId& id = *verdict->object;
+  const bool is_contract = id.kind == ObjectKind::kContract;
+  Faults faults;
+  std::shared_ptr<const Contract> contract;
+  std::shared_ptr<const UpstreamAssignment> assignment;
+  if (is_contract)
+    contract = ReadBody<Contract>(body, &ReadContract, &faults);
+  else
+    assignment = ReadBody<UpstreamAssignment>(body, &ReadAssignment, &faults);
+  if (faults.empty() &&
+      (is_contract ? contract->customer : assignment->name) != id.name)
+    faults.Add(is_contract ? "customer" : "name",
+               "differs from the name of the change, '" + id.name + "'");
+  if (!faults.empty()) {
+    verdict->kind = VerdictKind::kInvalid;
+    verdict->reason = faults.text();
+    return;
+  }
+  verdict->reason =
+      is_contract ? CheckContractPut(objects_, *contract)
+                  : CheckAssignmentChange(objects_, id.name, assignment.get());
+  if (!verdict->reason.empty()) {
+    verdict->kind = VerdictKind::kUnsafe;
+    return;
+  }
+  ConfiguredObject& object = Accept(*verdict);
+  verdict->kind = VerdictKind::kAccepted;
+  object.live = true;
+  object.contract = std::move(contract);
+  object.assignment = std::move(assignment);
+}
+
+void ConfigState::Impl::Close(const std::string& reason, Verdict* verdict) {
+  verdict->kind = VerdictKind::kUnreadable;
+  verdict->reason = reason;
+  // The record may be a change that a newer version accepted, so its offset
+  // becomes the revision and what was in force is not used any more.
+  ConfiguredObject& object = Accept(*verdict);
+  object.live = true;
+  object.closed = true;
+}
+
+/// Makes the change at the verdict's offset the current one.
+ConfiguredObject& ConfigState::Impl::Accept(const Verdict& verdict) {
+  ConfiguredObject& object = objects_[*verdict.object];
+  object.revision = verdict.offset;
+  object.author = verdict.author;
+  object.closed = false;
+  view_.reset();
+  return object;
+}
+
+void ConfigState::Impl::Remember(const Verdict& verdict) {
+  if (!verdict.object)
+    return;
+  if (!verdict.change_id.empty() && verdict.kind != VerdictKind::kDuplicate)
+    RememberId(verdict.change_id, {verdict.offset, verdict.kind});
+  ConfiguredObject& object = objects_[*verdict.object];
+  object.touched = verdict.offset;
+  Verdict stored = verdict;
+  stored.reason = Shorten(std::move(stored.reason));
+  object.history.push_back(std::move(stored));
+  const size_t longest = verdict.object->kind == ObjectKind::kContract
+                             ? limits_.contract_history
+                             : limits_.assignment_history;
+  while (object.history.size() > longest)
+    object.history.pop_front();
+  ForgetDeleted();
+}
+
+void ConfigState::Impl::RememberId(const std::string& change_id,
+                                   SeenChange seen) {
+  seen_[change_id] = seen;
+  seen_order_.push_back(change_id);
+  while (seen_order_.size() > limits_.change_ids) {
+    seen_.erase(seen_order_.front());
+    seen_order_.pop_front();
+  }
+}
+
+/// Drops the objects that do not exist and were not touched for longest.
+void ConfigState::Impl::ForgetDeleted() {
+  std::vector<std::pair<LogOffset, ObjectId>> gone;
+  for (const auto& [id, object] : objects_)
+    if (!object.live)
+      gone.emplace_back(object.touched, id);
+  if (gone.size() <= limits_.deleted_objects)
+    return;
+  std::sort(gone.begin(), gone.end());
+  gone.resize(gone.size() - limits_.deleted_objects);
+  for (const auto& [touched, id] : gone)
+    objects_.erase(id);
+}
+
+std::string ConfigState::Impl::Export() const {
+  if (next_ == 0)
+    return "";
+  return SealSnapshot({next_ - 1, ExportState()});
+}
+
+std::string ConfigState::Impl::ExportState() const {
+  Json json = {{"snapshot_next", snapshot_next_},
+               {"unattributed", unattributed_},
+               {"changes", Json::array()},
+               {"objects", Json::array()}};
+  for (const std::string& id : seen_order_) {
+    const SeenChange& seen = seen_.at(id);
+    json["changes"].push_back({id, seen.offset, static_cast<int>(seen.kind)});
+  }
+  for (const auto& [id, object] : objects_) {
+    Json entry = {{"object", ObjectKindName(id.kind)},
+                  {"name", id.name},
+                  {"touched", object.touched},
+                  {"author", object.author},
+                  {"live", object.live},
+                  {"closed", object.closed},
+                  {"history", Json::array()}};
+    if (object.revision != kNoRevision)
+      entry["revision"] = object.revision;
+    if (object.contract)
+      entry["body"] = ToJson(*object.contract);
+    if (object.assignment)
+      entry["body"] = ToJson(*object.assignment);
+    for (const Verdict& verdict : object.history)
+      entry["history"].push_back(ToJson(verdict));
+    json["objects"].push_back(std::move(entry));
+  }
+  return json.dump();
+}
+
+Result<SnapshotOutcome> ConfigState::Impl::Adopt(std::string_view text) {
+  const auto snapshot = OpenSnapshot(text);
+  if (!snapshot)
+    return snapshot.error();
+  if (snapshot->through_offset < next_)
+    return SnapshotOutcome::kOlder;
+  Impl loaded(limits_);
+  const Status status = loaded.LoadState(snapshot->state);
+  if (!status)
+    return status.error();
+  loaded.next_ = snapshot->through_offset + 1;
+  *this = std::move(loaded);
+  return SnapshotOutcome::kAdopted;
+}
+
+Status ConfigState::Impl::LoadState(const std::string& text) {
+  try {
+    const Json json = Json::parse(text);
+    snapshot_next_ = json.at("snapshot_next").get<LogOffset>();
+    unattributed_ = json.at("unattributed").get<uint64_t>();
+    for (const Json& entry : json.at("changes"))
+      RememberId(entry.at(0).get<std::string>(),
+                 {entry.at(1).get<LogOffset>(),
+                  static_cast<VerdictKind>(entry.at(2).get<int>())});
+    for (const Json& entry : json.at("objects"))
+      LoadObject(entry);
+  } catch (const Json::exception& e) {
+    return {
+        ResultCode::kSnapshotInvalid,
+        std::string("the state in the snapshot cannot be read: ") + e.what()};
+  }
+  return Ok{};
+}
+
+void ConfigState::Impl::LoadObject(const Json& json) {
+  const auto kind = ParseObjectKind(json.at("object").get<std::string>());
+  if (!kind)
+    return;
+  const ObjectId id{*kind, json.at("name").get<std::string>()};
+  ConfiguredObject object;
+  object.revision = json.value("revision", kNoRevision);
+  object.touched = json.at("touched").get<LogOffset>();
+  object.author = json.at("author").get<std::string>();
+  object.live = json.at("live").get<bool>();
+  object.closed = json.at("closed").get<bool>();
+  if (json.contains("body")) {
+    Faults faults;
+    if (*kind == ObjectKind::kContract)
+      object.contract =
+          ReadBody<Contract>(json["body"], &ReadContract, &faults);
+    else
+      object.assignment =
+          ReadBody<UpstreamAssignment>(json["body"], &ReadAssignment, &faults);
+    object.closed |= !faults.empty();
+  }
+  for (const Json& verdict : json.at("history")) {
+    object.history.push_back(ReadVerdict(verdict));
+    object.history.back().object = id;
+  }
+  objects_[id] = std::move(object);
+}
+
+std::shared_ptr<const ConfigView> ConfigState::Impl::View() const {
+  if (view_)
+    return view_;
+  auto view = std::make_shared<ConfigView>();
+  view->next_offset = next_;
+  for (const auto& [id, object] : objects_) {
+    if (!object.live)
+      continue;
+    if (id.kind == ObjectKind::kContract) {
+      view->contracts[id.name] = {object.contract, object.revision,
+                                  object.author, object.closed};
+      if (!object.contract)
+        continue;
+      for (const Team& team : object.contract->teams)
+        for (const std::string& key : team.key_hashes)
+          view->keys[key] = {object.contract, &team, object.closed};
+      continue;
+    }
+    auto assignment = object.assignment;
+    if (object.closed && assignment) {
+      auto drained = std::make_shared<UpstreamAssignment>(*assignment);
+      drained->draining = true;
+      assignment = std::move(drained);
+    }
+    view->assignments[id.name] = {assignment, object.revision, object.author,
+                                  object.closed};
+    if (assignment)
+      view->assignments_by_domain[assignment->domain].push_back(assignment);
+  }
+  view_ = std::move(view);
+  return view_;
+}
+
+ConfigState::ConfigState(ConfigLimits limits)
+    : impl_(std::make_unique<Impl>(limits)) {}
+ConfigState::~ConfigState() = default;
+ConfigState::ConfigState(ConfigState&&) noexcept = default;
+ConfigState& ConfigState::operator=(ConfigState&&) noexcept = default;
+
+Verdict ConfigState::Apply(LogOffset offset, std::string_view record) {
+  return impl_->Apply(offset, record);
+}
+
+Result<SnapshotOutcome> ConfigState::Adopt(std::string_view snapshot) {
+  return impl_->Adopt(snapshot);
+}
+
+std::string ConfigState::Export() const {
+  return impl_->Export();
+}
+
+LogCondition ConfigState::Judge(LogOffset first_retained,
+                                LogOffset log_next) const {
+  if (log_next < impl_->next_offset())
+    return LogCondition::kRestartedWithLess;
+  return first_retained > impl_->next_offset() ? LogCondition::kGap
+                                               : LogCondition::kFollowing;
+}
+
+LogOffset ConfigState::next_offset() const {
+  return impl_->next_offset();
+}
+
+LogOffset ConfigState::snapshot_next() const {
+  return impl_->snapshot_next();
+}
+
+uint64_t ConfigState::unattributed_records() const {
+  return impl_->unattributed();
+}
+
+std::shared_ptr<const ConfigView> ConfigState::View() const {
+  return impl_->View();
+}
+
+LogOffset ConfigState::Revision(const ObjectId& id) const {
+  const auto found = impl_->objects().find(id);
+  return found == impl_->objects().end() ? kNoRevision : found->second.revision;
+}
+
+std::vector<Verdict> ConfigState::History(const ObjectId& id) const {
+  const auto found = impl_->objects().find(id);
+  if (found == impl_->objects().end())
+    return {};
+  return {found->second.history.begin(), found->second.history.end()};
+}
+
+std::optional<size_t> BestSnapshot(const std::vector<std::string>& snapshots) {
+  std::optional<size_t> best;
+  ConfigState furthest;
+  for (size_t i = 0; i < snapshots.size(); ++i) {
+    const auto outcome = furthest.Adopt(snapshots[i]);
+    if (outcome && *outcome == SnapshotOutcome::kAdopted)
+      best = i;
+  }
+  return best;
+}
+
+const KeyOwner* ConfigView::FindKey(const std::string& key_hash) const {
+  const auto found = keys.find(key_hash);
+  return found == keys.end() ? nullptr : &found->second;
+}
+
+const ContractEntry* ConfigView::FindContract(
+    const std::string& customer) const {
+  const auto found = contracts.find(customer);
+  return found == contracts.end() ? nullptr : &found->second;
+}
+
+}  // namespace teaselhill::config
--- /dev/null
+++ b/lib/config/contract_format.cc
@@ -0,0 +1,552 @@
+/// \file
+/// Reading, checking and writing of contracts and assignments.
+
+#include "teaselhill/config/contract_format.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <set>
+#include <vector>
+
+#include "codec.h"
+
+namespace teaselhill::config {
+
+namespace {
+
+constexpr size_t kMaxNameLength = 64;
+constexpr size_t kMaxModelLength = 128;
+constexpr double kMaxWeight = 1e6;
+constexpr double kMaxRate = 1e9;
+constexpr int kMaxConcurrency = 1'000'000;
+constexpr Duration kMaxDuration = std::chrono::hours(24);
+constexpr int kMaxFractionDigits = 9;
+constexpr int kMaxWholeDigits = 14;
+constexpr int kMaxPort = 65535;
+
+struct Unit {
+  std::string_view suffix;
+  int64_t nanoseconds;
+};
+
+/// From the longest to the shortest.
+constexpr Unit kUnits[] = {{"m", 60'000'000'000},
+                           {"s", 1'000'000'000},
+                           {"ms", 1'000'000},
+                           {"us", 1'000},
+                           {"ns", 1}};
+
+bool IsDigit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+bool IsNameCharacter(char c) {
+  return IsDigit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         c == '.' || c == '_' || c == '-';
+}
+
+/// Model names may also hold `/`, `:`, `@` and `+`.
+bool IsModelName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxModelLength &&
+         std::all_of(name.begin(), name.end(), [](char c) {
+           return IsNameCharacter(c) ||
+                  std::string_view("/:@+").find(c) != std::string_view::npos;
+         });
+}
+
+bool IsKeyHash(std::string_view text) {
+  return text.size() == 64 && std::all_of(text.begin(), text.end(), [](char c) {
+           return IsDigit(c) || (c >= 'a' && c <= 'f');
+         });
+}
+
+std::string Indexed(const std::string& path, size_t index) {
+  return path + "[" + std::to_string(index) + "]";
+}
+
+/// Reads the fields of one JSON object and reports unknown ones.
+class FieldReader {
+ public:
+  FieldReader(const Json& json, std::string path, Faults* faults)
+      : json_(json), path_(std::move(path)), faults_(faults) {
+    if (!json_.is_object())
+      faults_->Add(path_.empty() ? "document" : path_, "must be an object");
+  }
+
+  std::string PathOf(const std::string& field) const {
+    return path_.empty() ? field : path_ + "." + field;
+  }
+
+  void Fault(const std::string& field, const std::string& text) {
+    faults_->Add(PathOf(field), text);
+  }
+
+  const Json* Find(const char* field) {
+    known_.insert(field);
+    if (!json_.is_object())
+      return nullptr;
+    const auto found = json_.find(field);
+    return found == json_.end() ? nullptr : &*found;
+  }
+
+  std::string Text(const char* field, bool required) {
+    const Json* value = Find(field);
+    if (!value) {
+      if (required && json_.is_object())
+        Fault(field, "is missing");
+      return "";
+    }
+    if (!value->is_string()) {
+      Fault(field, "must be a string");
+      return "";
+    }
+    return value->get<std::string>();
+  }
+
+  std::string Name(const char* field) {
+    std::string name = Text(field, true);
+    if (Find(field) && Find(field)->is_string() && !IsName(name))
+      Fault(field, "must be 1 to 64 letters, digits, '.', '_' or '-'");
+    return name;
+  }
+
+  double Number(const char* field,
+                double fallback,
+                double minimum,
+                double maximum) {
+    const Json* value = Find(field);
+    if (!value)
+      return fallback;
+    if (!value->is_number() || !std::isfinite(value->get<double>()) ||
+        value->get<double>() < minimum || value->get<double>() > maximum) {
+      char text[80];
+      std::snprintf(text, sizeof(text), "must be a number from %g to %g",
+                    minimum, maximum);
+      Fault(field, text);
+      return fallback;
+    }
+    return value->get<double>();
+  }
+
+  int Integer(const char* field, int fallback, int minimum, int maximum) {
+    const Json* value = Find(field);
+    if (!value)
+      return fallback;
+    // Compared as int64_t only when the value fits; an unsigned value over
+    // INT64_MAX would wrap to a negative one.
+    const bool fits =
+        value->is_number_unsigned()
+            ? value->get<uint64_t>() <= static_cast<uint64_t>(maximum)
+            : value->is_number_integer();
+    if (!fits || value->get<int64_t>() < minimum ||
+        value->get<int64_t>() > maximum) {
+      Fault(field, "must be a whole number from " + std::to_string(minimum) +
+                       " to " + std::to_string(maximum));
+      return fallback;
+    }
+    return value->get<int>();
+  }
+
+  bool Flag(const char* field, bool fallback) {
+    const Json* value = Find(field);
+    if (!value)
+      return fallback;
+    if (!value->is_boolean()) {
+      Fault(field, "must be true or false");
+      return fallback;
+    }
+    return value->get<bool>();
+  }
+
+  Duration Time(const char* field) {
+    const Json* value = Find(field);
+    if (!value)
+      return Duration{};
+    if (!value->is_string()) {
+      Fault(field, "must be a string such as \"1800ms\"");
+      return Duration{};
+    }
+    const auto parsed = ParseDuration(value->get<std::string>());
+    if (!parsed)
+      Fault(field, parsed.error().message);
+    return parsed ? *parsed : Duration{};
+  }
+
+  /// Returns the elements of an array, or none.
+  const Json& Array(const char* field) {
+    static const Json empty = Json::array();
+    const Json* value = Find(field);
+    if (!value)
+      return empty;
+    if (!value->is_array()) {
+      Fault(field, "must be an array");
+      return empty;
+    }
+    return *value;
+  }
+
+  std::vector<std::string> Texts(const char* field,
+                                 bool (*valid)(std::string_view),
+                                 const char* rule) {
+    std::vector<std::string> texts;
+    const Json& array = Array(field);
+    for (size_t i = 0; i < array.size(); ++i) {
+      const std::string path = Indexed(PathOf(field), i);
+      const std::string text =
+          array[i].is_string() ? array[i].get<std::string>() : "";
+      if (!array[i].is_string() || !valid(text))
+        faults_->Add(path, rule);
+      else if (std::find(texts.begin(), texts.end(), text) != texts.end())
+        faults_->Add(path, "'" + text + "' is listed twice");
+      texts.push_back(text);
+    }
+    return texts;
+  }
+
+  /// Reports fields that no call has asked for.
+  void Finish() {
+    if (!json_.is_object())
+      return;
+    for (const auto& [field, value] : json_.items())
+      if (known_.count(field) == 0)
+        Fault(field, "is not a known field");
+  }
+
+ private:
+  const Json& json_;
+  std::string path_;
+  Faults* faults_;
+  std::set<std::string> known_;
+};
+
+Limits ReadLimits(FieldReader& parent, Faults* faults) {
+  Limits limits;
+  const Json* json = parent.Find("limits");
+  if (!json)
+    return limits;
+  FieldReader fields(*json, parent.PathOf("limits"), faults);
+  limits.requests_per_second =
+      fields.Number("requests_per_second", 0, 0, kMaxRate);
+  limits.tokens_per_second = fields.Number("tokens_per_second", 0, 0, kMaxRate);
+  limits.concurrency = fields.Integer("concurrency", 0, 0, kMaxConcurrency);
+  fields.Finish();
+  return limits;
+}
+
+Team ReadTeam(const Json& json, const std::string& path, Faults* faults) {
+  FieldReader fields(json, path, faults);
+  Team team;
+  team.name = fields.Name("name");
+  team.weight = fields.Number("weight", 1, 1 / kMaxWeight, kMaxWeight);
+  team.key_hashes =
+      fields.Texts("key_hashes", &IsKeyHash,
+                   "must be a SHA-256 in 64 lower-case hexadecimal digits");
+  fields.Finish();
+  return team;
+}
+
+ClassPolicy ReadClass(const Json& json,
+                      const std::string& path,
+                      Faults* faults) {
+  FieldReader fields(json, path, faults);
+  ClassPolicy policy;
+  policy.name = fields.Name("name");
+  if (!fields.Find("tier") && json.is_object())
+    fields.Fault("tier", "is missing");
+  policy.tier = fields.Integer("tier", kMaxTier, kUrgentTier, kMaxTier);
+  policy.target_total = fields.Time("target_total");
+  policy.target_first_token = fields.Time("target_first_token");
+  policy.target_between_tokens = fields.Time("target_between_tokens");
+  policy.default_deadline = fields.Time("default_deadline");
+  policy.idempotent = fields.Flag("idempotent", true);
+  fields.Finish();
+  return policy;
+}
+
+/// Reports names and keys that occur twice within the contract.
+void CheckContract(const Contract& contract, Faults* faults) {
+  std::set<std::string> class_names;
+  for (size_t i = 0; i < contract.classes.size(); ++i)
+    if (!class_names.insert(contract.classes[i].name).second)
+      faults->Add(Indexed("classes", i) + ".name",
+                  "'" + contract.classes[i].name + "' is used twice");
+  if (contract.classes.empty())
+    faults->Add("classes", "must name at least one class");
+  else if (class_names.count(contract.default_class) == 0)
+    faults->Add("default_class",
+                "'" + contract.default_class + "' is not in classes");
+  std::set<std::string> team_names;
+  std::set<std::string> keys;
+  for (size_t i = 0; i < contract.teams.size(); ++i) {
+    const Team& team = contract.teams[i];
+    if (!team_names.insert(team.name).second)
+      faults->Add(Indexed("teams", i) + ".name",
+                  "'" + team.name + "' is used twice");
+    for (size_t k = 0; k < team.key_hashes.size(); ++k)
+      if (!team.key_hashes[k].empty() &&
+          !keys.insert(team.key_hashes[k]).second)
+        faults->Add(Indexed(Indexed("teams", i) + ".key_hashes", k),
+                    "belongs to two teams or is listed twice");
+  }
+}
+
+/// Returns whether `url` is http://address:port or https://address:port.
+bool IsUpstreamUrl(const std::string& url) {
+  const size_t scheme = url.find("://");
+  if (scheme == std::string::npos ||
+      (url.substr(0, scheme) != "http" && url.substr(0, scheme) != "https"))
+    return false;
+  const std::string rest = url.substr(scheme + 3);
+  const size_t colon = rest.rfind(':');
+  if (colon == std::string::npos || colon == 0)
+    return false;
+  const std::string address = rest.substr(0, colon);
+  const std::string port = rest.substr(colon + 1);
+  if (port.empty() || port.size() > 5 ||
+      !std::all_of(port.begin(), port.end(), IsDigit))
+    return false;
+  const int number = std::stoi(port);
+  return number > 0 && number <= kMaxPort &&
+         address.find_first_not_of("0123456789abcdefABCDEF.:[]") ==
+             std::string::npos;
+}
+
+/// Rejects fields that appear twice in one object, of which the JSON library
+/// would silently keep the last.
+class DuplicateFieldCheck {
+ public:
+  explicit DuplicateFieldCheck(Faults* faults) : faults_(faults) {}
+
+  bool operator()(int depth, Json::parse_event_t event, Json& parsed) {
+    if (event == Json::parse_event_t::object_start) {
+      open_.emplace_back();
+    } else if (event == Json::parse_event_t::object_end) {
+      open_.pop_back();
+    } else if (event == Json::parse_event_t::key && !open_.empty() &&
+               !open_.back().insert(parsed.get<std::string>()).second) {
+      faults_->Add(parsed.get<std::string>(), "appears twice in one object");
+    }
+    return true;
+  }
+
+ private:
+  Faults* faults_;
+  std::vector<std::set<std::string>> open_;
+};
+
+/// Parses text with comments; a syntax fault names its line and column.
+Json ParseText(std::string_view text, Faults* faults) {
+  try {
+    DuplicateFieldCheck check(faults);
+    return Json::parse(
+        text.begin(), text.end(),
+        [&check](int depth, Json::parse_event_t event, Json& parsed) {
+          return check(depth, event, parsed);
+        },
+        true, true);
+  } catch (const Json::exception& e) {
+    // The library's message is `[json.exception...] parse error at line ...`.
+    std::string message = e.what();
+    const size_t bracket = message.find("] ");
+    if (bracket != std::string::npos)
+      message.erase(0, bracket + 2);
+    faults->Add("syntax", message);
+    return nullptr;
+  }
+}
+
+template <typename Object>
+Result<Object> ParseObject(std::string_view text,
+                           Object (*read)(const Json&, Faults*)) {
+  Faults faults;
+  const Json json = ParseText(text, &faults);
+  if (!faults.empty())
+    return {ResultCode::kChangeInvalid, faults.text()};
+  Object object = read(json, &faults);
+  if (!faults.empty())
+    return {ResultCode::kChangeInvalid, faults.text()};
+  return object;
+}
+
+void PutDuration(Json* json, const char* field, Duration duration) {
+  if (duration != Duration{})
+    (*json)[field] = FormatDuration(duration);
+}
+
+}  // namespace
+
+bool IsName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxNameLength &&
+         std::all_of(name.begin(), name.end(), &IsNameCharacter);
+}
+
+Contract ReadContract(const Json& json, Faults* faults) {
+  FieldReader fields(json, "", faults);
+  Contract contract;
+  contract.customer = fields.Name("customer");
+  contract.weight = fields.Number("weight", 1, 1 / kMaxWeight, kMaxWeight);
+  contract.limits = ReadLimits(fields, faults);
+  const Json& teams = fields.Array("teams");
+  for (size_t i = 0; i < teams.size(); ++i)
+    contract.teams.push_back(ReadTeam(teams[i], Indexed("teams", i), faults));
+  const Json& classes = fields.Array("classes");
+  for (size_t i = 0; i < classes.size(); ++i)
+    contract.classes.push_back(
+        ReadClass(classes[i], Indexed("classes", i), faults));
+  contract.default_class = fields.Text("default_class", true);
+  contract.models = fields.Texts(
+      "models", &IsModelName,
+      "must be a model name of 1 to 128 characters without spaces");
+  contract.services = fields.Texts("services", &IsName,
+                                   "must be 1 to 64 letters, digits, '.', '_' "
+                                   "or '-'");
+  fields.Finish();
+  if (json.is_object())
+    CheckContract(contract, faults);
+  return contract;
+}
+
+UpstreamAssignment ReadAssignment(const Json& json, Faults* faults) {
+  FieldReader fields(json, "", faults);
+  UpstreamAssignment assignment;
+  assignment.name = fields.Name("name");
+  assignment.url = fields.Text("url", true);
+  if (!assignment.url.empty() && !IsUpstreamUrl(assignment.url))
+    fields.Fault("url", "must be http://address:port or https://address:port");
+  assignment.domain = fields.Name("domain");
+  const std::string kind = fields.Text("kind", true);
+  if (kind == "service")
+    assignment.kind = UpstreamKind::kService;
+  else if (kind != "engine" && !kind.empty())
+    fields.Fault("kind", "must be \"engine\" or \"service\"");
+  assignment.models = fields.Texts(
+      "models", &IsModelName,
+      "must be a model name of 1 to 128 characters without spaces");
+  assignment.service = fields.Text("service", false);
+  const bool is_service = assignment.kind == UpstreamKind::kService;
+  if (is_service && !IsName(assignment.service))
+    fields.Fault("service", "must name the service of a plain service");
+  if (!is_service && !assignment.service.empty())
+    fields.Fault("service", "only a plain service has one");
+  if (is_service && !assignment.models.empty())
+    fields.Fault("models", "only an engine has them");
+  assignment.max_concurrency =
+      fields.Integer("max_concurrency", 0, 0, kMaxConcurrency);
+  assignment.draining = fields.Flag("draining", false);
+  assignment.checks_fencing = fields.Flag("checks_fencing", true);
+  fields.Finish();
+  return assignment;
+}
+
+Json ToJson(const Contract& contract) {
+  Json json = {{"customer", contract.customer},
+               {"weight", contract.weight},
+               {"default_class", contract.default_class},
+               {"models", contract.models},
+               {"services", contract.services},
+               {"teams", Json::array()},
+               {"classes", Json::array()}};
+  json["limits"] = {
+      {"requests_per_second", contract.limits.requests_per_second},
+      {"tokens_per_second", contract.limits.tokens_per_second},
+      {"concurrency", contract.limits.concurrency}};
+  for (const Team& team : contract.teams)
+    json["teams"].push_back({{"name", team.name},
+                             {"weight", team.weight},
+                             {"key_hashes", team.key_hashes}});
+  for (const ClassPolicy& policy : contract.classes) {
+    Json entry = {{"name", policy.name},
+                  {"tier", policy.tier},
+                  {"idempotent", policy.idempotent}};
+    PutDuration(&entry, "target_total", policy.target_total);
+    PutDuration(&entry, "target_first_token", policy.target_first_token);
+    PutDuration(&entry, "target_between_tokens", policy.target_between_tokens);
+    PutDuration(&entry, "default_deadline", policy.default_deadline);
+    json["classes"].push_back(std::move(entry));
+  }
+  return json;
+}
+
+Json ToJson(const UpstreamAssignment& assignment) {
+  const bool is_service = assignment.kind == UpstreamKind::kService;
+  Json json = {{"name", assignment.name},
+               {"url", assignment.url},
+               {"domain", assignment.domain},
+               {"kind", is_service ? "service" : "engine"},
+               {"max_concurrency", assignment.max_concurrency},
+               {"draining", assignment.draining},
+               {"checks_fencing", assignment.checks_fencing}};
+  if (is_service)
+    json["service"] = assignment.service;
+  else
+    json["models"] = assignment.models;
+  return json;
+}
+
+Result<Contract> ParseContract(std::string_view text) {
+  return ParseObject<Contract>(text, &ReadContract);
+}
+
+Result<UpstreamAssignment> ParseAssignment(std::string_view text) {
+  return ParseObject<UpstreamAssignment>(text, &ReadAssignment);
+}
+
+std::string FormatContract(const Contract& contract) {
+  return ToJson(contract).dump(2) + "\n";
+}
+
+std::string FormatAssignment(const UpstreamAssignment& assignment) {
+  return ToJson(assignment).dump(2) + "\n";
+}
+
+Result<Duration> ParseDuration(std::string_view text) {
+  const Error fault{ResultCode::kChangeInvalid,
+                    "'" + std::string(text) +
+                        "' is not a duration such as 1800ms, 2s or 5m, at most "
+                        "one day"};
+  size_t at = 0;
+  int64_t whole = 0;
+  while (at < text.size() && IsDigit(text[at]) && at < kMaxWholeDigits)
+    whole = whole * 10 + (text[at++] - '0');
+  if (at == 0)
+    return fault;
+  int64_t fraction = 0;
+  int64_t fraction_scale = 1;
+  if (at < text.size() && text[at] == '.') {
+    const size_t start = ++at;
+    while (at < text.size() && IsDigit(text[at]) &&
+           at - start < kMaxFractionDigits) {
+      fraction = fraction * 10 + (text[at++] - '0');
+      fraction_scale *= 10;
+    }
+    if (at == start)
+      return fault;
+  }
+  const std::string_view suffix = text.substr(at);
+  if (suffix.empty() && whole == 0 && fraction == 0)
+    return Duration{};
+  for (const Unit& unit : kUnits) {
+    if (suffix != unit.suffix)
+      continue;
+    if (whole > kMaxDuration.count() / unit.nanoseconds)
+      return fault;
+    const int64_t scaled = static_cast<int64_t>(
+        static_cast<__int128>(fraction) * unit.nanoseconds / fraction_scale);
+    const Duration duration(whole * unit.nanoseconds + scaled);
+    return duration > kMaxDuration ? Result<Duration>(fault) : duration;
+  }
+  return fault;
+}
+
+std::string FormatDuration(Duration duration) {
+  if (duration == Duration{})
+    return "0s";
+  for (const Unit& unit : kUnits)
+    if (duration.count() % unit.nanoseconds == 0)
+      return std::to_string(duration.count() / unit.nanoseconds) +
+             std::string(unit.suffix);
+  return "0s";
+}
+
+}  // namespace teaselhill::config
--- /dev/null
+++ b/lib/config/snapshot.cc
@@ -0,0 +1,48 @@
+/// \file
+/// Snapshot envelope.
+
+#include "snapshot.h"
+
+#include "codec.h"
+#include "teaselhill/support/hash.h"
+
+namespace teaselhill::config {
+
+namespace {
+
+std::string Checksum(const Snapshot& snapshot) {
+  return ToHex(
+      HashWide(std::to_string(snapshot.through_offset) + ":" + snapshot.state));
+}
+
+}  // namespace
+
+std::string SealSnapshot(const Snapshot& snapshot) {
+  return Json{{"format", kRecordFormat},
+              {"through_offset", snapshot.through_offset},
+              {"checksum", Checksum(snapshot)},
+              {"state", snapshot.state}}
+      .dump();
+}
+
+Result<Snapshot> OpenSnapshot(std::string_view text) {
+  const Json json = Json::parse(text.begin(), text.end(), nullptr, false);
+  if (!json.is_object() || !json.contains("format") ||
+      !json.contains("through_offset") || !json.contains("checksum") ||
+      !json.contains("state") || !json["format"].is_number_unsigned() ||
+      !json["through_offset"].is_number_unsigned() ||
+      !json["checksum"].is_string() || !json["state"].is_string())
+    return {ResultCode::kSnapshotInvalid, "the record is not a snapshot"};
+  if (json["format"].get<uint64_t>() != kRecordFormat)
+    return {ResultCode::kSnapshotInvalid,
+            "snapshot format " + json["format"].dump() + " is unknown"};
+  Snapshot snapshot{json["through_offset"].get<LogOffset>(),
+                    json["state"].get<std::string>()};
+  if (json["checksum"].get<std::string>() != Checksum(snapshot))
+    return {ResultCode::kSnapshotInvalid,
+            "the checksum of the snapshot through offset " +
+                std::to_string(snapshot.through_offset) + " is wrong"};
+  return snapshot;
+}
+
+}  // namespace teaselhill::config
--- /dev/null
+++ b/lib/config/snapshot_schedule.cc
@@ -0,0 +1,69 @@
+/// \file
+/// Rendezvous ranking and timing of snapshot writers.
+
+#include "teaselhill/config/snapshot_schedule.h"
+
+#include <algorithm>
+
+#include "teaselhill/support/hash.h"
+
+namespace teaselhill::config {
+
+namespace {
+
+/// Hosts cannot see an announcement on a log that restarted with less, so only
+/// these ranks write; one or two of them may be down.
+constexpr size_t kForcedWriters = 3;
+
+uint64_t Score(const std::string& host, LogOffset snapshot_next) {
+  return Hash64(host, snapshot_next);
+}
+
+}  // namespace
+
+SnapshotSchedule::SnapshotSchedule(std::string host,
+                                   SnapshotScheduleOptions options)
+    : host_(std::move(host)), options_(options) {}
+
+bool SnapshotSchedule::Due(LogOffset next_offset,
+                           LogOffset snapshot_next,
+                           const std::vector<std::string>& hosts,
+                           TimePoint now,
+                           Rng& rng) {
+  if (next_offset == 0)
+    return false;
+  const size_t rank = Rank(snapshot_next, hosts);
+  forced_ &= rank < kForcedWriters;
+  if (!forced_ && next_offset < snapshot_next + options_.records_between) {
+    waiting_for_.reset();
+    return false;
+  }
+  // When another host's snapshot came first, the next one has other ranks.
+  if (waiting_for_ != snapshot_next) {
+    waiting_for_ = snapshot_next;
+    const auto steps = static_cast<double>(std::min(rank, options_.max_rank));
+    write_at_ = now + FromSeconds(ToSeconds(options_.rank_step) *
+                                  (steps + rng.Uniform()));
+  }
+  if (now < write_at_)
+    return false;
+  // Leaves time for the announcement before writing again.
+  write_at_ =
+      now + options_.rank_step * static_cast<int>(options_.max_rank + 1);
+  return true;
+}
+
+void SnapshotSchedule::OnWriteFailed(TimePoint now) {
+  write_at_ = now + options_.rank_step;
+}
+
+size_t SnapshotSchedule::Rank(LogOffset snapshot_next,
+                              const std::vector<std::string>& hosts) const {
+  const uint64_t own = Score(host_, snapshot_next);
+  return static_cast<size_t>(
+      std::count_if(hosts.begin(), hosts.end(), [&](const std::string& host) {
+        return host != host_ && Score(host, snapshot_next) < own;
+      }));
+}
+
+}  // namespace teaselhill::config
