--- /dev/null
+++ b/lib/platform/backoff.cc
@@ -0,0 +1,17 @@
+/// \file
+/// Backoff steps.
+
+#include "teaselhill/platform/backoff.h"
+
+#include <algorithm>
+
+namespace teaselhill::platform {
+
+Duration Backoff::Next() {
+  step_ = step_ == Duration{} ? options_.first
+                              : std::min(step_ * 2, options_.longest);
+  const Duration half = step_ / 2;
+  return half + FromSeconds(ToSeconds(half) * rng_.Uniform());
+}
+
+}  // namespace teaselhill::platform
--- /dev/null
+++ b/lib/platform/host_list_client.cc
@@ -0,0 +1,106 @@
+/// \file
+/// Host list polling.
+
+#include "teaselhill/platform/host_list_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "teaselhill/support/hash.h"
+
+namespace teaselhill::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kAnswerTimeout = std::chrono::seconds(5);
+constexpr double kPeriodSpread = 0.1;
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+
+}  // namespace
+
+Result<HostList> ParseHostList(std::string_view text) {
+  try {
+    const Json json = Json::parse(text.begin(), text.end());
+    HostList list;
+    for (const Json& entry : json.at("hosts"))
+      list.hosts.push_back({entry.at("name"), entry.at("address"),
+                            entry.at("domain"), entry.value("region", ""),
+                            entry.value("state", "") == "leaving"});
+    for (const Json& entry : json.at("upstreams"))
+      list.upstreams.push_back(
+          {entry.at("name"), entry.at("url"), entry.at("domain"),
+           entry.value("kind", "") == "service" ? config::UpstreamKind::kService
+                                                : config::UpstreamKind::kEngine,
+           entry.value("state", "") == "leaving"});
+    return list;
+  } catch (const Json::exception& e) {
+    return {ResultCode::kProtocolError,
+            std::string("the host list cannot be read: ") + e.what()};
+  }
+}
+
+HttpHostListClient::HttpHostListClient(net::HttpClient& client,
+                                       TimerService& timers,
+                                       Rng& rng,
+                                       HostListOptions options)
+    : client_(client),
+      timers_(timers),
+      rng_(rng),
+      options_(std::move(options)),
+      backoff_(rng, {std::chrono::seconds(1), options_.period}) {}
+
+HttpHostListClient::~HttpHostListClient() = default;
+
+void HttpHostListClient::Start(Callback callback) {
+  callback_ = std::move(callback);
+  Poll();
+}
+
+void HttpHostListClient::Poll() {
+  net::ClientRequest request;
+  request.url = options_.base_url + "/v1/hosts";
+  request.source_address = options_.source_address;
+  request.total_timeout = kAnswerTimeout;
+  if (!etag_.empty())
+    request.headers.push_back({"If-None-Match", etag_});
+  client_.Fetch(std::move(request), [this, alive = std::weak_ptr<int>(alive_)](
+                                        Result<net::ClientResponse> answer) {
+    if (!alive.expired())
+      OnAnswer(std::move(answer));
+  });
+}
+
+void HttpHostListClient::OnAnswer(Result<net::ClientResponse> answer) {
+  const bool unchanged = answer.ok() && answer->status == kNotModified;
+  if (!answer.ok() || (answer->status != kOk && !unchanged)) {
+    PollAfter(backoff_.Next());
+    callback_({ResultCode::kHostListUnavailable,
+               answer.ok()
+                   ? "the host list answered " + std::to_string(answer->status)
+                   : answer.error().message});
+    return;
+  }
+  backoff_.Reset();
+  PollAfter(FromSeconds(ToSeconds(options_.period) *
+                        (1 + kPeriodSpread * (2 * rng_.Uniform() - 1))));
+  if (unchanged)
+    return;
+  const uint64_t hash = Hash64(answer->body);
+  if (hash == last_hash_)
+    return;
+  Result<HostList> list = ParseHostList(answer->body);
+  if (list.ok()) {
+    last_hash_ = hash;
+    etag_ = std::string(net::FindHeader(answer->headers, "ETag").value_or(""));
+  }
+  callback_(std::move(list));
+}
+
+void HttpHostListClient::PollAfter(Duration delay) {
+  timer_ = timers_.After(delay, [this](TimePoint) { Poll(); });
+}
+
+}  // namespace teaselhill::platform
--- /dev/null
+++ b/lib/platform/log_client.cc
@@ -0,0 +1,162 @@
+/// \file
+/// HTTP form of the log client.
+
+#include "teaselhill/platform/log_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace teaselhill::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Time that an answer may take beyond the wait of a long poll.
+constexpr Duration kAnswerTimeout = std::chrono::seconds(5);
+constexpr size_t kMaxPageBytes = 64 << 20;
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstServerError = 500;
+constexpr int kGatewayTimeout = 504;
+
+int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+Result<LogPage> ParsePage(const std::string& body) {
+  try {
+    const Json json = Json::parse(body);
+    LogPage page;
+    page.first_retained = json.at("first_retained").get<LogOffset>();
+    page.next_offset = json.at("next_offset").get<LogOffset>();
+    for (const Json& entry : json.at("records"))
+      page.records.push_back({entry.at("offset").get<LogOffset>(),
+                              WallTime(std::chrono::milliseconds(
+                                  entry.at("time_ms").get<int64_t>())),
+                              entry.at("data").dump()});
+    return page;
+  } catch (const Json::exception& e) {
+    return {ResultCode::kProtocolError,
+            std::string("the log's page cannot be read: ") + e.what()};
+  }
+}
+
+Result<LogPage> ReadAnswer(const Result<net::ClientResponse>& answer) {
+  if (!answer)
+    return {ResultCode::kLogUnavailable, answer.error().message};
+  if (answer->status == kGone)
+    return {ResultCode::kOffsetDropped, "the offset is not retained"};
+  if (answer->status != kOk)
+    return {ResultCode::kLogUnavailable,
+            "the log answered " + std::to_string(answer->status)};
+  return ParsePage(answer->body);
+}
+
+Result<LogOffset> ReadAppendBody(const net::ClientResponse& response) {
+  const Json json = Json::parse(response.body, nullptr, false);
+  if (!json.is_object() || !json.contains("first_offset") ||
+      !json["first_offset"].is_number_unsigned())
+    return {ResultCode::kAppendUnknown,
+            "the log's answer to an append cannot be read"};
+  return json["first_offset"].get<LogOffset>();
+}
+
+/// Collects the answer to an append; needs to know whether the request may have
+/// left, which Fetch() does not tell.
+class AppendTransfer : public net::TransferHandler {
+ public:
+  AppendTransfer(std::weak_ptr<int> alive, AppendCallback callback)
+      : alive_(std::move(alive)), callback_(std::move(callback)) {}
+
+  void OnHead(int status, const net::Headers&) override {
+    response_.status = status;
+  }
+  void OnData(std::string_view data) override { response_.body.append(data); }
+  void OnEnd(const net::TransferEnd& end) override {
+    if (!alive_.expired())
+      callback_(Judge(end));
+  }
+
+ private:
+  Result<LogOffset> Judge(const net::TransferEnd& end) const {
+    if (end.code != ResultCode::kOk)
+      return {end.may_have_been_sent ? ResultCode::kAppendUnknown
+                                     : ResultCode::kLogUnavailable,
+              end.detail};
+    const std::string status =
+        "the log answered " + std::to_string(response_.status);
+    if (response_.status == kTooManyRequests)
+      return {ResultCode::kLogRateLimited, status};
+    if (response_.status == kOk)
+      return ReadAppendBody(response_);
+    // 503 is the log's own refusal; other server errors, for instance from a
+    // load balancer, may come after the append took effect.
+    const bool unknown =
+        response_.status >= kGatewayTimeout ||
+        (response_.status >= kFirstServerError &&
+         response_.status != Describe(ResultCode::kLogUnavailable).http_status);
+    return {unknown ? ResultCode::kAppendUnknown : ResultCode::kLogUnavailable,
+            status};
+  }
+
+  std::weak_ptr<int> alive_;
+  AppendCallback callback_;
+  net::ClientResponse response_;
+};
+
+}  // namespace
+
+HttpLogClient::HttpLogClient(net::HttpClient& client,
+                             std::string base_url,
+                             std::string source_address)
+    : client_(client),
+      base_url_(std::move(base_url)),
+      source_address_(std::move(source_address)) {}
+
+HttpLogClient::~HttpLogClient() = default;
+
+std::string HttpLogClient::RecordsUrl(const std::string& stream) const {
+  return base_url_ + "/v1/streams/" + net::EncodeUrlComponent(stream) +
+         "/records";
+}
+
+void HttpLogClient::Append(const std::string& stream,
+                           std::vector<std::string> records,
+                           AppendCallback callback) {
+  net::ClientRequest request;
+  request.method = "POST";
+  request.url = RecordsUrl(stream);
+  request.headers = {{"Content-Type", "application/json"}};
+  request.source_address = source_address_;
+  request.total_timeout = kAnswerTimeout;
+  // libcurl must not send an append again by itself.
+  request.fresh_connection = true;
+  request.body = "{\"records\":[";
+  for (size_t i = 0; i < records.size(); ++i)
+    request.body += (i == 0 ? "" : ",") + records[i];
+  request.body += "]}";
+  client_.Start(std::move(request),
+                std::make_shared<AppendTransfer>(alive_, std::move(callback)));
+}
+
+void HttpLogClient::Read(const LogRead& read, ReadCallback callback) {
+  net::ClientRequest request;
+  request.url = RecordsUrl(read.stream) + "?from=" + std::to_string(read.from) +
+                "&limit=" + std::to_string(read.limit) +
+                "&wait_ms=" + std::to_string(Milliseconds(read.wait));
+  request.source_address = source_address_;
+  request.total_timeout = read.wait + kAnswerTimeout;
+  client_.Fetch(
+      std::move(request),
+      [alive = std::weak_ptr<int>(alive_), callback = std::move(callback)](
+          const Result<net::ClientResponse>& answer) {
+        if (!alive.expired())
+          callback(ReadAnswer(answer));
+      },
+      kMaxPageBytes);
+}
+
+}  // namespace teaselhill::platform
--- /dev/null
+++ b/lib/platform/log_tail.cc
@@ -0,0 +1,116 @@
+/// \file
+/// Log tail.
+
+#include "teaselhill/platform/log_tail.h"
+
+#include <utility>
+
+namespace teaselhill::platform {
+
+LogTail::LogTail(LogClient& client,
+                 TimerService& timers,
+                 Rng& rng,
+                 LogTailOptions options,
+                 LogTailObserver& observer)
+    : client_(client),
+      timers_(timers),
+      options_(std::move(options)),
+      observer_(observer),
+      backoff_(rng, options_.backoff) {}
+
+LogTail::~LogTail() = default;
+
+void LogTail::Start(LogOffset from) {
+  Seek(from);
+}
+
+void LogTail::Seek(LogOffset from) {
+  next_ = from;
+  epoch_ = std::make_shared<int>(0);
+  reading_ = false;
+  lag_.offset_dropped = false;
+  lag_.ends_before = false;
+  ReadAfter(Duration{});
+}
+
+void LogTail::Poke() {
+  if (!reading_)
+    Read();
+}
+
+void LogTail::ReadAfter(Duration delay) {
+  timer_ = timers_.After(delay, [this](TimePoint) { Read(); });
+}
+
+void LogTail::Read() {
+  timer_.Cancel();
+  reading_ = true;
+  const Duration wait = lag_.ends_before ? Duration{} : options_.poll_wait;
+  client_.Read({options_.stream, next_, options_.batch, wait},
+               [this, epoch = std::weak_ptr<int>(epoch_)](
+                   const Result<LogPage>& answer) {
+                 if (!epoch.expired())
+                   OnAnswer(answer);
+               });
+}
+
+void LogTail::OnAnswer(const Result<LogPage>& answer) {
+  reading_ = false;
+  if (!answer) {
+    OnFailure(answer.error());
+    return;
+  }
+  lag_.reachable = true;
+  lag_.last_answer = timers_.Now();
+  lag_.failures = 0;
+  lag_.offset_dropped = false;
+  backoff_.Reset();
+  if (answer->next_offset < next_) {
+    const bool begins = !lag_.ends_before;
+    lag_.ends_before = true;
+    ReadAfter(options_.recheck);
+    if (begins)
+      observer_.OnLogRestartedWithLess(next_, answer->next_offset);
+    return;
+  }
+  lag_.ends_before = false;
+  Deliver(*answer);
+}
+
+void LogTail::OnFailure(const Error& error) {
+  if (error.code == ResultCode::kOffsetDropped) {
+    lag_.reachable = true;
+    lag_.last_answer = timers_.Now();
+    lag_.failures = 0;
+    lag_.offset_dropped = true;
+    ReadAfter(options_.recheck);
+    observer_.OnGap(next_);
+    return;
+  }
+  lag_.reachable = false;
+  ++lag_.failures;
+  ReadAfter(backoff_.Next());
+}
+
+void LogTail::Deliver(const LogPage& page) {
+  std::vector<LogRecord> records;
+  for (const LogRecord& record : page.records) {
+    if (record.offset != next_ + records.size())
+      break;
+    records.push_back(record);
+  }
+  // A page whose records do not begin at the offset breaks the protocol; it is
+  // asked for again without delivering what follows the hole.
+  if (records.empty() && !page.records.empty()) {
+    OnFailure({ResultCode::kProtocolError, "the page has a hole"});
+    return;
+  }
+  next_ += records.size();
+  lag_.behind = page.next_offset > next_ ? page.next_offset - next_ : 0;
+  // An empty answer that came back at once must not make the tail spin.
+  ReadAfter(records.empty() ? backoff_.Next() : Duration{});
+  if (!records.empty())
+    observer_.OnRecords(records);
+}
+
+}  // namespace teaselhill::platform
--- /dev/null
+++ b/lib/platform/weight_store_client.cc
@@ -0,0 +1,61 @@
+/// \file
+/// Weight store client.
+
+#include "teaselhill/platform/weight_store_client.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace teaselhill::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kAnswerTimeout = std::chrono::seconds(5);
+constexpr int kOk = 200;
+constexpr int kTooManyRequests = 429;
+
+Result<Duration> ReadAnswer(const Result<net::ClientResponse>& answer) {
+  if (!answer)
+    return answer.error();
+  if (answer->status == kTooManyRequests)
+    return {ResultCode::kWeightStoreLimited, "the weight store answered 429"};
+  const Json json = Json::parse(answer->body, nullptr, false);
+  if (answer->status != kOk || !json.is_object() ||
+      !json.contains("ready_in_ms") || !json["ready_in_ms"].is_number())
+    return {ResultCode::kProtocolError,
+            "the weight store answered " + std::to_string(answer->status)};
+  return Duration(
+      std::chrono::milliseconds(json["ready_in_ms"].get<int64_t>()));
+}
+
+}  // namespace
+
+HttpWeightStoreClient::HttpWeightStoreClient(net::HttpClient& client,
+                                             std::string base_url,
+                                             std::string source_address)
+    : client_(client),
+      base_url_(std::move(base_url)),
+      source_address_(std::move(source_address)) {}
+
+HttpWeightStoreClient::~HttpWeightStoreClient() = default;
+
+void HttpWeightStoreClient::Fetch(const std::string& model, Callback callback) {
+  net::ClientRequest request;
+  request.method = "POST";
+  request.url = base_url_ + "/v1/fetches";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = Json{{"model", model}}.dump();
+  request.source_address = source_address_;
+  request.total_timeout = kAnswerTimeout;
+  client_.Fetch(
+      std::move(request),
+      [alive = std::weak_ptr<int>(alive_), callback = std::move(callback)](
+          const Result<net::ClientResponse>& answer) {
+        if (!alive.expired())
+          callback(ReadAnswer(answer));
+      });
+}
+
+}  // namespace teaselhill::platform
--- a/unittests/config/replay_property_test.cc
+++ b/unittests/config/replay_property_test.cc
@@ -107,10 +107,16 @@
       snapshots.push_back(replica.Export());
     }
     ConfigState host(kSmallLimits);
-    while (host.next_offset() < log.size()) {
+    // Positive: adopt the snapshot of this index; otherwise apply a record. The
+    // remaining records are applied when the actions run out.
+    const auto actions =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(-20, 60));
+    for (size_t at = 0; host.next_offset() < log.size(); ++at) {
       const LogOffset before = host.next_offset();
-      const auto pick = *rc::gen::inRange<size_t>(0, log.size());
-      if (*rc::gen::inRange(0, 3) == 0) {
+      const int action = at < actions.size() ? actions[at] : -1;
+      const size_t pick =
+          action < 0 ? 0 : static_cast<size_t>(action) % log.size();
+      if (action >= 0) {
         const auto outcome = host.Adopt(snapshots[pick]);
         RC_ASSERT(outcome.ok());
         RC_ASSERT((*outcome == SnapshotOutcome::kAdopted) == (pick >= before));
