Add teaselhillctl

It replays the config stream with the same state machine as the hosts, so it reports the same verdict. A lost append answer is settled by reading; a change that is not there is appended again under its id, which counts once.

--- /dev/null
+++ b/lib/ctl/config_session.cc
@@ -0,0 +1,127 @@
+/// \file
+/// Replay and append for the client.
+
+#include "teaselhill/ctl/config_session.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace teaselhill::ctl {
+
+namespace {
+
+constexpr size_t kPageLimit = 512;
+/// Past the end of any stream: the answer tells the range that is retained.
+constexpr LogOffset kBeyondEnd = LogOffset{1} << 62;
+constexpr int kAppendAttempts = 4;
+constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
+/// Padding beyond this many records needs an operator's attention.
+constexpr LogOffset kMaxPadding = 10000;
+
+}  // namespace
+
+ConfigSession::ConfigSession(platform::LogClient& log, Waiter& waiter)
+    : log_(log), waiter_(waiter) {}
+
+Result<platform::LogPage> ConfigSession::Read(std::string_view stream,
+                                              LogOffset from) {
+  std::optional<Result<platform::LogPage>> answer;
+  log_.Read(
+      {std::string(stream), from, kPageLimit, Duration{}},
+      [&answer](Result<platform::LogPage> page) { answer = std::move(page); });
+  waiter_.Until([&answer] { return answer.has_value(); });
+  return std::move(*answer);
+}
+
+Status ConfigSession::Load() {
+  const Status status = LoadSnapshots();
+  return status.ok() ? Replay() : status;
+}
+
+Status ConfigSession::LoadSnapshots() {
+  const auto range = Read(config::kSnapshotStream, kBeyondEnd);
+  if (!range)
+    return range.error();
+  LogOffset at = range->first_retained;
+  while (at < range->next_offset) {
+    const auto page = Read(config::kSnapshotStream, at);
+    if (!page)
+      return page.error();
+    if (page->records.empty())
+      break;
+    // A snapshot that cannot be read or is older changes nothing.
+    for (const platform::LogRecord& record : page->records)
+      static_cast<void>(state_.Adopt(record.data).ok());
+    at = page->records.back().offset + 1;
+  }
+  return Ok{};
+}
+
+Status ConfigSession::Replay() {
+  while (true) {
+    const auto page = Read(config::kConfigStream, state_.next_offset());
+    if (!page && page.error().code == ResultCode::kOffsetDropped)
+      return {ResultCode::kOffsetDropped,
+              "the log no longer holds offset " +
+                  std::to_string(state_.next_offset()) +
+                  " and no snapshot covers it"};
+    if (!page)
+      return page.error();
+    log_next_ = page->next_offset;
+    for (const platform::LogRecord& record : page->records) {
+      const config::Verdict verdict = state_.Apply(record.offset, record.data);
+      if (!verdict.change_id.empty())
+        verdicts_.emplace(verdict.change_id, verdict);
+    }
+    if (page->records.empty() || state_.next_offset() >= page->next_offset)
+      return Ok{};
+  }
+}
+
+Result<LogOffset> ConfigSession::Append(const config::Change& change) {
+  std::vector<std::string> records;
+  if (log_restarted_with_less()) {
+    const LogOffset missing = state_.next_offset() - log_next_;
+    if (missing > kMaxPadding)
+      return {ResultCode::kLogUnavailable,
+              "the log ends " + std::to_string(missing) +
+                  " records before the configuration in force"};
+    records.assign(missing, config::EncodePadding());
+  }
+  records.push_back(config::EncodeChange(change));
+  std::optional<Result<LogOffset>> answer;
+  log_.Append(std::string(config::kConfigStream), std::move(records),
+              [&answer](Result<LogOffset> offset) { answer = offset; });
+  waiter_.Until([&answer] { return answer.has_value(); });
+  return std::move(*answer);
+}
+
+Result<config::Verdict> ConfigSession::Submit(const config::Change& change) {
+  Error last{ResultCode::kLogUnavailable, "nothing was appended"};
+  bool may_be_on_log = false;
+  for (int attempt = 0; attempt < kAppendAttempts; ++attempt) {
+    if (attempt > 0)
+      waiter_.Sleep(kRetryDelay);
+    const auto appended = Append(change);
+    if (!appended)
+      last = appended.error();
+    may_be_on_log |= appended.ok() || last.code == ResultCode::kAppendUnknown;
+    const Status status = Replay();
+    if (!status) {
+      last = status.error();
+      continue;
+    }
+    const auto found = verdicts_.find(change.change_id);
+    if (found != verdicts_.end())
+      return found->second;
+  }
+  if (may_be_on_log)
+    return {ResultCode::kAppendUnknown, "it is unknown whether change " +
+                                            change.change_id +
+                                            " is on the log: " + last.message};
+  return last;
+}
+
+}  // namespace teaselhill::ctl
