--- a/lib/admission/fair_queue.cc
+++ b/lib/admission/fair_queue.cc
@@ -44,10 +44,18 @@
 
 void FairQueue::SetWeight(FairNode* node, double weight) {
   if (node->queued > 0)
-    node->parent->waiting_weight += weight - node->weight;
+    AddWaitingWeight(node->parent, weight - node->weight);
   node->weight = weight;
 }
 
+void FairQueue::AddWaitingWeight(FairNode* node, double weight) {
+  node->waiting_weight += weight;
+  if (node->waiting.empty())
+    node->waiting_weight = 0;  // no rounding errors are left behind
+  else if (node->level == NodeLevel::kClass)
+    node->weight = node->waiting_weight;
+}
+
 FairNode* FairQueue::Team(const std::string& class_name,
                           const std::string& customer,
                           double customer_weight,
@@ -69,7 +77,7 @@
     // An idle flow gets no credit for the time in which it had nothing to run.
     node->start = std::max(node->start, node->parent->virtual_time);
     node->parent->waiting.emplace(KeyOf(*node), node);
-    node->parent->waiting_weight += node->weight;
+    AddWaitingWeight(node->parent, node->weight);
   }
 }
 
@@ -79,7 +87,7 @@
     if (--node->queued > 0 || node->parent == nullptr)
       continue;
     node->parent->waiting.erase(KeyOf(*node));
-    node->parent->waiting_weight -= node->weight;
+    AddWaitingWeight(node->parent, -node->weight);
   }
 }
 
@@ -123,7 +131,7 @@
   for (FairNode* node = team; node->parent != nullptr; node = node->parent) {
     if (node->queued > 0)
       node->parent->waiting.erase(KeyOf(*node));
-    node->start += tokens / node->Weight();
+    node->start += tokens / node->weight;
     if (node->queued > 0)
       node->parent->waiting.emplace(KeyOf(*node), node);
   }
@@ -149,8 +157,8 @@
                    ahead * class_node->waiting_weight / customer_weight);
   double weights = 0;
   for (const auto& [key, node] : root_.waiting)
-    weights += node->Weight();
-  return std::min(root_.work, ahead * weights / class_node->Weight());
+    weights += node->weight;
+  return std::min(root_.work, ahead * weights / class_node->weight);
 }
 
 void FairQueue::DropIdleBelow(FairNode* node) {
--- a/lib/admission/fair_queue.h
+++ b/lib/admission/fair_queue.h
@@ -28,28 +28,21 @@
   std::string name;
   FairNode* parent = nullptr;
   uint64_t order = 0;
+  /// The weight of a class is the sum of the weights of its customers that wait
+  /// or waited last, so that more class names give a customer no more service.
   double weight = 1;
   double start = 0;
   double virtual_time = 0;
   double work = 0;  ///< queued, in tokens
   size_t queued = 0;
   size_t running = 0;
-  /// Weights of the children with queued requests. The weight of a class is
-  /// the sum of the weights of its waiting customers, so that more class names
-  /// give a customer no more service.
-  double waiting_weight = 0;
+  double waiting_weight = 0;  ///< of the children with queued requests
   std::map<std::string, std::unique_ptr<FairNode>> children;
   std::map<Key, FairNode*> waiting;
   std::map<uint64_t, Entry*> entries;  ///< team only; by sequence number
 
   /// Class only: last start, or the time at which the class began to wait.
   TimePoint last_start{};
-
-  double Weight() const {
-    return level == NodeLevel::kClass
-               ? (waiting_weight > 0 ? waiting_weight : 1)
-               : weight;
-  }
 };
 
 /// Fair order of the requests of one model and tier.
@@ -95,6 +88,7 @@
  private:
   FairNode* Child(FairNode* parent, const std::string& name, NodeLevel level);
   static void SetWeight(FairNode* node, double weight);
+  static void AddWaitingWeight(FairNode* node, double weight);
   static void AddQueued(FairNode* team, double work);
   static void RemoveQueued(FairNode* team, double work);
   static void DropIdleBelow(FairNode* node);
--- a/unittests/admission/tiered_policy_test.cc
+++ b/unittests/admission/tiered_policy_test.cc
@@ -132,6 +132,32 @@
   CHECK(refused.error.code == ResultCode::kDeadlineUnreachable);
   CHECK(refused.decision.reason == DecisionReason::kDeadlineUnreachable);
   CHECK(ToSeconds(refused.retry_after) == Approx(std::get<2>(row)).margin(1.5));
+  // The backlog is that of one customer and does not delay another.
+  Expect<Admitted>(
+      policy->Offer(MakeRequest(++id, "b", 0, now, seconds(5)), now));
+}
+
+// Guards against a customer or team that gets more by naming more classes or
+// sending more.
+TEST_CASE("teams share their customer's part by weight") {
+  const auto policy = CreatePolicy("tiered");
+  const ModelProbe probe;
+  std::map<std::string, int> starts;
+  for (RequestId id = 1; id <= 900; ++id) {
+    QueuedRequest request = MakeRequest(id, id % 3 ? "a" : "b", 1, {});
+    request.team = id % 3 == 1 ? "small" : "large";
+    request.team_weight = id % 3 == 1 ? 1 : 3;
+    if (id % 3 == 0)
+      request.class_name = "other class of the tier";
+    policy->Offer(request, {});
+  }
+  for (int i = 0; i < 320; ++i) {
+    const Picked picked = *policy->PickNext(probe, {});
+    ++starts[picked.request.customer + " " + picked.request.team];
+  }
+  CHECK(starts["a small"] == Approx(40).margin(2));
+  CHECK(starts["a large"] == Approx(120).margin(2));
+  CHECK(starts["b large"] == Approx(160).margin(2));
 }
 
 // Guards against a lower tier's backlog being counted against urgent requests.
