--- a/unittests/quota/fleet.h
+++ b/unittests/quota/fleet.h
@@ -24,8 +24,11 @@
   static constexpr Duration kStep = milliseconds(50);
   static constexpr const char* kCustomer = "customer";
 
-  Fleet(int hosts, int domains, const config::Limits& limits, uint64_t seed = 1)
-      : limits_(limits), rng_(seed), nodes_(hosts) {
+  Fleet(int hosts,
+        int domains,
+        const config::Limits& limits,
+        const QuotaOptions& options = {})
+      : limits_(limits), options_(options), nodes_(hosts) {
     for (int i = 0; i < hosts; ++i) {
       nodes_[i].identity = {Name(i), "domain" + std::to_string(i % domains), 1};
       nodes_[i].view.assign(hosts, true);
@@ -47,8 +50,7 @@
     Node& node = nodes_[host];
     ++node.identity.incarnation;
     node.up = true;
-    node.share =
-        std::make_unique<LimitShare>(node.identity, QuotaOptions{}, now_);
+    node.share = std::make_unique<LimitShare>(node.identity, options_, now_);
     node.share->ApplyContract(kCustomer, limits_, now_);
     GiveView(host);
   }
@@ -213,7 +215,8 @@
   }
 
   config::Limits limits_;
-  Rng rng_;
+  QuotaOptions options_;
+  Rng rng_{1};
   std::vector<Node> nodes_;
   std::vector<InTransit> transit_;
   TimePoint now_{};
--- a/unittests/quota/limit_share_test.cc
+++ b/unittests/quota/limit_share_test.cc
@@ -254,23 +254,51 @@
 
 // Figures for docs/decisions/quota.md. Run with "[measure]".
 TEST_CASE("time until a moved demand is served", "[.][measure]") {
-  for (int hosts : {7, 40, 380}) {
-    const double limit = 2000;
-    Fleet fleet(hosts, std::min(13, std::max(3, hosts / 10)), Requests(limit));
-    fleet.demand = [&](int host) {
-      return host == 0 ? 0 : 1.5 * limit / hosts;
-    };
-    fleet.Run(seconds(10));
-    fleet.demand = [&](int host) { return host == 0 ? 1.5 * limit : 0; };
-    std::printf("%d hosts: share of the limit at the new host, by time:",
-                hosts);
-    for (int i = 1; i <= 8; ++i) {
-      fleet.Run(milliseconds(500));
-      std::printf(" %.1f s %.0f%% (sum %.0f%%)", i * 0.5,
-                  100 * fleet.RequestShare(0) / limit,
-                  100 * fleet.SumOfShares() / limit);
+  const int hosts = GENERATE(7, 40, 380);
+  const double floor = GENERATE(1.0, 0.2, 0.05, 0.01);  // 1: static split
+  const double limit = 2000;
+  QuotaOptions options;
+  options.floor_fraction = floor;
+  Fleet fleet(hosts, std::min(13, std::max(3, hosts / 10)), Requests(limit),
+              options);
+  fleet.demand = [&](int host) { return host == 0 ? 0 : 1.5 * limit / hosts; };
+  fleet.Run(seconds(10));
+  const double steady = Sum(fleet.Measure(seconds(5)));
+  fleet.demand = [&](int host) { return host == 0 ? 1.5 * limit : 0; };
+  std::printf("%d hosts, floor %.2f: steady %.0f%%; moved to one host:", hosts,
+              floor, 100 * steady / limit);
+  double most = 0;
+  for (int i = 1; i <= 6; ++i) {
+    fleet.Run(milliseconds(500));
+    most = std::max(most, fleet.SumOfShares());
+    std::printf(" %.1f s %.0f%%", i * 0.5, 100 * fleet.RequestShare(0) / limit);
+  }
+  std::printf(", most in all %.0f%%\n", 100 * most / limit);
+}
+
+// Figures for docs/decisions/quota.md. Run with "[measure]".
+TEST_CASE("what a dead host costs until the list drops it", "[.][measure]") {
+  const double minority = GENERATE(0.25, 0.5, 1.0);
+  const double limit = 700;
+  QuotaOptions options;
+  options.minority_fraction = minority;
+  for (int dead : {1, 3, 4, 6}) {
+    Fleet fleet(7, 3, Requests(limit), options);
+    fleet.demand = [](int host) { return 300.0; };
+    fleet.Run(seconds(8));
+    for (int host = 0; host < 7; ++host) {
+      fleet.SetView(host,
+                    [&](int other) { return (other < dead) == (host < dead); });
     }
-    std::printf("\n");
+    fleet.connected = [&](int a, int b) { return (a < dead) == (b < dead); };
+    fleet.Run(seconds(15));
+    const std::vector<double> rates = fleet.Measure(seconds(5));
+    const double cut =
+        std::accumulate(rates.begin(), rates.begin() + dead, 0.0);
+    std::printf(
+        "minority fraction %.2f, %d of 7 cut off: they %.0f%%, the "
+        "others %.0f%%\n",
+        minority, dead, 100 * cut / limit, 100 * (Sum(rates) - cut) / limit);
   }
 }
 
