--- a/include/teaselhill/load/runner.h
+++ b/include/teaselhill/load/runner.h
@@ -49,6 +49,8 @@
   void ScheduleArrivals();
   void Arrive(const Arrival& arrival);
   void Prepare(size_t request, size_t router);
+  /// Also schedules the second send, if there is to be one.
+  void StartFirstSend(size_t request, size_t router);
   void StartSend(size_t request, size_t router);
   void Launch(size_t request, size_t send, size_t router);
   size_t PickRouter();
--- a/lib/load/runner.cc
+++ b/lib/load/runner.cc
@@ -52,6 +52,7 @@
   uint32_t retries_left = 0;
   size_t connects_left = 0;  ///< routers to try when a connection fails
   bool gone = false;         ///< the caller disconnected
+  std::optional<Duration> resend_after;
 };
 
 class Runner::Send : public net::TransferHandler {
@@ -178,13 +179,17 @@
     record.key = MakeUuid7(WallNow(), rng_);
   records_.push_back(std::move(record));
   Gap(request).OnArrival(loop_.timers().Now());
+  // Drawn here, so that the order of draws does not depend on answers.
+  const bool resends = rng_.Uniform() < stream.resend_share;
+  const Duration resend_after =
+      FromSeconds(ToSeconds(stream.resend_after) * 2 * rng_.Uniform());
+  if (resends)
+    active.resend_after = resend_after;
   const size_t router = PickRouter();
   if (stream.key_kind == KeyKind::kToken)
     Prepare(request, router);
   else
-    StartSend(request, router);
-  if (rng_.Uniform() < stream.resend_share)
-    ScheduleResend(request);
+    StartFirstSend(request, router);
   if (rng_.Uniform() < stream.disconnect_share)
     ScheduleDisconnect(request);
 }
@@ -219,7 +224,7 @@
     const auto token = answer ? ReadToken(answer->body) : std::nullopt;
     if (token && answer->status < 300 && !gone) {
       records_[request].key = *token;
-      StartSend(request, router);
+      StartFirstSend(request, router);
     } else {
       // Nothing was sent that an upstream could run.
       SendRecord failed;
@@ -236,6 +241,12 @@
   });
 }
 
+void Runner::StartFirstSend(size_t request, size_t router) {
+  StartSend(request, router);
+  if (active_[request].resend_after)
+    ScheduleResend(request);
+}
+
 void Runner::StartSend(size_t request, size_t router) {
   const size_t send = records_[request].sends.size();
   records_[request].sends.emplace_back();
@@ -308,15 +319,12 @@
 }
 
 void Runner::ScheduleResend(size_t request) {
-  const StreamPlan& stream = plan_.streams[records_[request].stream];
-  ++active_[request].open;
-  Later(FromSeconds(ToSeconds(stream.resend_after) * 2 * rng_.Uniform()),
-        [this, request] {
-          // A token may not have been issued.
-          if (!records_[request].key.empty())
-            StartSend(request, PickRouter());
-          Release(request);
-        });
+  Active& active = active_[request];
+  ++active.open;
+  Later(*active.resend_after, [this, request] {
+    StartSend(request, PickRouter());
+    Release(request);
+  });
 }
 
 void Runner::ScheduleDisconnect(size_t request) {
--- a/unittests/load/runner_test.cc
+++ b/unittests/load/runner_test.cc
@@ -104,7 +104,7 @@
       Row{M::kNeverAnswers, Ending::kUnanswered, &Summary::unanswered},
       // Callers that send again, retry and disconnect.
       Row{M::kNone, Ending::kAnswered, &Summary::duplicate_runs,
-          R"(,"resend_share":1,"resend_after_ms":5)"},
+          R"(,"resend_share":1,"resend_after_ms":0)"},
       Row{M::kNotRunOnce, Ending::kAnswered, nullptr, R"(,"retries":1)"},
       Row{M::kNeverAnswers, Ending::kDisconnected, nullptr,
           R"(,"disconnect_share":1,"disconnect_after_ms":5)"});
