--- a/include/teaselhill/config/config_state.h
+++ b/include/teaselhill/config/config_state.h
@@ -53,7 +53,8 @@
 
   /// Applies the record at `offset` and returns what became of it. A record
   /// below next_offset() is kCovered and one above it is kGap; both change
-  /// nothing. Offsets start at 0 and have no holes.
+  /// nothing. Offsets start at kFirstOffset and have no
+  /// holes.
   Verdict Apply(LogOffset offset, std::string_view record);
 
   /// Takes over a snapshot (see Export()) when it reaches further than this
@@ -63,7 +64,7 @@
   /// Returns the state as one record for the `config-snapshots` stream, which
   /// is also the form in which a host hands its state to another one:
   /// `{"format","through_offset","checksum","state"}`. Empty while
-  /// next_offset() is 0.
+  /// next_offset() is kFirstOffset.
   std::string Export() const;
 
   /// Judges a log that retains [first_retained, log_next).
--- a/include/teaselhill/config/config_view.h
+++ b/include/teaselhill/config/config_view.h
@@ -41,7 +41,8 @@
 /// Never changes after it is built, so any thread may read it.
 class ConfigView {
  public:
-  /// Offset of the first record that is not in force; 0: none is.
+  /// Offset after the last record that changed what is in force; 0: there is no
+  /// configuration yet.
   LogOffset next_offset = 0;
   std::map<std::string, ContractEntry> contracts;      ///< by customer
   std::map<std::string, AssignmentEntry> assignments;  ///< by upstream
--- a/lib/config/change.cc
+++ b/lib/config/change.cc
@@ -35,13 +35,6 @@
   return json.is_null() ? kNoRevision : json.get<LogOffset>();
 }
 
-VerdictKind ReadVerdictKind(const Json& json) {
-  for (const VerdictRow& row : kVerdicts)
-    if (json.get<std::string>() == row.name)
-      return row.kind;
-  return VerdictKind::kUnreadable;
-}
-
 }  // namespace
 
 std::string_view ObjectKindName(ObjectKind kind) {
@@ -96,6 +89,13 @@
   return kVerdicts[static_cast<size_t>(kind)].code;
 }
 
+VerdictKind ReadVerdictKind(const Json& json) {
+  for (const VerdictRow& row : kVerdicts)
+    if (json.get<std::string>() == row.name)
+      return row.kind;
+  return VerdictKind::kUnreadable;
+}
+
 Json ToJson(const Verdict& verdict) {
   Json json = {
       {"offset", verdict.offset},
--- a/lib/config/codec.h
+++ b/lib/config/codec.h
@@ -41,6 +41,7 @@
 
 Json ToJson(const Verdict& verdict);
 Verdict ReadVerdict(const Json& json);
+VerdictKind ReadVerdictKind(const Json& name);
 
 std::string_view ObjectKindName(ObjectKind kind);
 std::optional<ObjectKind> ParseObjectKind(std::string_view name);
--- a/lib/config/config_state.cc
+++ b/lib/config/config_state.cc
@@ -134,8 +134,8 @@
   ObjectTable objects_;
   std::unordered_map<std::string, SeenChange> seen_;
   std::deque<std::string> seen_order_;  ///< oldest first
-  LogOffset next_ = 0;
-  LogOffset snapshot_next_ = 0;
+  LogOffset next_ = kFirstOffset;
+  LogOffset snapshot_next_ = kFirstOffset;
   uint64_t unattributed_ = 0;
   mutable std::shared_ptr<const ConfigView> view_;
 };
@@ -366,7 +366,7 @@
 }
 
 std::string ConfigState::Impl::Export() const {
-  if (next_ == 0)
+  if (next_ == kFirstOffset)
     return "";
   return SealSnapshot({next_ - 1, ExportState()});
 }
@@ -378,7 +378,7 @@
                {"objects", Json::array()}};
   for (const std::string& id : seen_order_) {
     const SeenChange& seen = seen_.at(id);
-    json["changes"].push_back({id, seen.offset, static_cast<int>(seen.kind)});
+    json["changes"].push_back({id, seen.offset, VerdictName(seen.kind)});
   }
   for (const auto& [id, object] : objects_) {
     Json entry = {{"object", ObjectKindName(id.kind)},
@@ -423,8 +423,7 @@
     unattributed_ = json.at("unattributed").get<uint64_t>();
     for (const Json& entry : json.at("changes"))
       RememberId(entry.at(0).get<std::string>(),
-                 {entry.at(1).get<LogOffset>(),
-                  static_cast<VerdictKind>(entry.at(2).get<int>())});
+                 {entry.at(1).get<LogOffset>(), ReadVerdictKind(entry.at(2))});
     for (const Json& entry : json.at("objects"))
       LoadObject(entry);
   } catch (const Json::exception& e) {
@@ -467,7 +466,7 @@
   if (view_)
     return view_;
   auto view = std::make_shared<ConfigView>();
-  view->next_offset = next_;
+  view->next_offset = next_ == kFirstOffset ? 0 : next_;
   for (const auto& [id, object] : objects_) {
     if (!object.live)
       continue;
--- a/lib/config/snapshot_schedule.cc
+++ b/lib/config/snapshot_schedule.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "teaselhill/config/change.h"
 #include "teaselhill/support/hash.h"
 
 namespace teaselhill::config {
@@ -30,7 +31,7 @@
                            const std::vector<std::string>& hosts,
                            TimePoint now,
                            Rng& rng) {
-  if (next_offset == 0)
+  if (next_offset == kFirstOffset)
     return false;
   const size_t rank = Rank(snapshot_next, hosts);
   forced_ &= rank < kForcedWriters;
--- a/lib/ctl/command_line.cc
+++ b/lib/ctl/command_line.cc
@@ -214,8 +214,7 @@
       if (!loaded)
         return loaded;
       const LogOffset next = log.session().state().next_offset();
-      return WaitInForce(settings_, next == 0 ? 0 : next - 1, log.waiter(),
-                         out_);
+      return WaitInForce(settings_, next - 1, log.waiter(), out_);
     }
     if (settings_.offset.size() > 18 ||
         settings_.offset.find_first_not_of("0123456789") != std::string::npos)
--- /dev/null
+++ b/unittests/platform/http_clients_test.cc
@@ -0,0 +1,155 @@
+/// \file
+/// Guards the HTTP clients: an append that may have taken effect reported as
+/// failed, and a host list sent whole at each poll.
+
+#include <catch2/catch.hpp>
+
+#include "teaselhill/net/http_server.h"
+#include "teaselhill/platform/host_list_client.h"
+#include "teaselhill/platform/log_client.h"
+#include "teaselhill/platform/weight_store_client.h"
+
+namespace teaselhill::platform {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Answers every request with one prepared response; status 0 never answers.
+class FakeService : public net::HttpHandler {
+ public:
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override {
+    requests.push_back(request);
+    if (status == 0)
+      held = response;
+    else if (net::FindHeader(request.headers, "If-None-Match") == "\"v1\"")
+      response->Respond(304, {}, "");
+    else
+      response->Respond(status, {{"ETag", "\"v1\""}}, body);
+  }
+
+  int status = 200;
+  std::string body;
+  std::vector<net::HttpRequest> requests;
+  std::shared_ptr<net::ResponseWriter> held;
+};
+
+struct Fixture {
+  Fixture() : server(loop, {}, service), client(loop) {
+    REQUIRE(server.Start().ok());
+    url = "http://127.0.0.1:" + std::to_string(server.port());
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const auto poll = loop.timers().Subscribe(milliseconds(1), [&](TimePoint) {
+      if (done())
+        loop.Stop();
+    });
+    const auto limit =
+        loop.timers().After(seconds(8), [&](TimePoint) { loop.Stop(); });
+    loop.Run();
+    REQUIRE(done());
+  }
+
+  Result<LogOffset> Append(const std::string& base) {
+    HttpLogClient log(client, base);
+    std::optional<Result<LogOffset>> answer;
+    log.Append("config", {R"({"a":1})", R"({"a":2})"},
+               [&](Result<LogOffset> offset) { answer = offset; });
+    RunUntil([&] { return answer.has_value(); });
+    return *answer;
+  }
+
+  net::EventLoop loop;
+  FakeService service;
+  net::HttpServer server;
+  net::HttpClient client;
+  std::string url;
+};
+
+}  // namespace
+
+TEST_CASE_METHOD(Fixture, "an append is judged by what the log may have done") {
+  struct Row {
+    int status;
+    const char* body;
+    ResultCode code;
+  };
+  const auto row =
+      GENERATE(values<Row>({{200, R"({"first_offset":7})", ResultCode::kOk},
+                            {200, "{", ResultCode::kAppendUnknown},
+                            {429, "", ResultCode::kLogRateLimited},
+                            {503, "", ResultCode::kLogUnavailable},
+                            {502, "", ResultCode::kAppendUnknown},
+                            {0, "", ResultCode::kAppendUnknown}}));
+  service.status = row.status;
+  service.body = row.body;
+  const auto answer = Append(url);
+  INFO(row.status);
+  CHECK((answer.ok() ? ResultCode::kOk : answer.error().code) == row.code);
+  CHECK(service.requests.at(0).body == R"({"records":[{"a":1},{"a":2}]})");
+}
+
+TEST_CASE_METHOD(Fixture, "an append that never left was not made") {
+  server.Stop();
+  const auto answer = Append("http://127.0.0.1:1");
+  REQUIRE_FALSE(answer.ok());
+  CHECK(answer.error().code == ResultCode::kLogUnavailable);
+}
+
+TEST_CASE_METHOD(Fixture, "a page is read and a dropped offset told apart") {
+  HttpLogClient log(client, url);
+  std::optional<Result<LogPage>> answer;
+  const auto read = [&] {
+    answer.reset();
+    log.Read({"config", 3, 10, {}},
+             [&](Result<LogPage> page) { answer = std::move(page); });
+    RunUntil([&] { return answer.has_value(); });
+  };
+  service.body = R"({"first_retained":2,"next_offset":4,
+      "records":[{"offset":3,"time_ms":9,"data":{"x":1}}]})";
+  read();
+  REQUIRE(answer->ok());
+  CHECK((*answer)->records.at(0).data == R"({"x":1})");
+  CHECK(service.requests.at(0).query == "from=3&limit=10&wait_ms=0");
+  service.status = 410;
+  read();
+  CHECK(answer->error().code == ResultCode::kOffsetDropped);
+}
+
+TEST_CASE_METHOD(Fixture, "an unchanged host list is asked for conditionally") {
+  Rng rng(1);
+  HttpHostListClient list(client, loop.timers(), rng,
+                          {url, "", milliseconds(10)});
+  service.body = R"({"hosts":[{"name":"h","address":"127.0.1.1","domain":"d",
+      "region":"r","state":"leaving"}],"upstreams":[{"name":"u",
+      "url":"http://127.0.1.2:1","domain":"d","kind":"service"}]})";
+  int lists = 0;
+  list.Start([&](Result<HostList> answer) {
+    REQUIRE(answer.ok());
+    CHECK(answer->hosts.at(0).leaving);
+    CHECK(answer->upstreams.at(0).kind == config::UpstreamKind::kService);
+    ++lists;
+  });
+  RunUntil([&] { return service.requests.size() >= 3; });
+  CHECK(lists == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "the weight store's rate limit is told apart") {
+  HttpWeightStoreClient store(client, url);
+  std::optional<Result<Duration>> answer;
+  service.status = GENERATE(200, 429, 500);
+  service.body = R"({"ready_in_ms":250})";
+  store.Fetch("m", [&](Result<Duration> ready) { answer = ready; });
+  RunUntil([&] { return answer.has_value(); });
+  if (service.status == 200)
+    CHECK(**answer == milliseconds(250));
+  else
+    CHECK(answer->error().code == (service.status == 429
+                                       ? ResultCode::kWeightStoreLimited
+                                       : ResultCode::kProtocolError));
+}
+
+}  // namespace teaselhill::platform
--- /dev/null
+++ b/unittests/platform/log_tail_test.cc
@@ -0,0 +1,166 @@
+/// \file
+/// Guards the log tail: lost or repeated records, a silent gap, and a tail that
+/// polls a failing log without pause.
+
+#include "teaselhill/platform/log_tail.h"
+
+#include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
+
+namespace teaselhill::platform {
+
+using std::chrono::seconds;
+
+namespace {
+
+/// A log in memory whose answers the test releases one by one.
+class FakeLog : public LogClient {
+ public:
+  void Append(const std::string&,
+              std::vector<std::string> records,
+              AppendCallback) override {
+    next += records.size();
+  }
+
+  void Read(const LogRead& read, ReadCallback callback) override {
+    ++reads;
+    last = read;
+    pending = std::move(callback);
+  }
+
+  /// Answers the read in flight, if any.
+  void Answer() {
+    if (!pending)
+      return;
+    const ReadCallback callback = std::exchange(pending, nullptr);
+    if (down)
+      return callback({ResultCode::kLogUnavailable, "down"});
+    if (last.from < first)
+      return callback({ResultCode::kOffsetDropped, "dropped"});
+    LogPage page;
+    page.first_retained = first;
+    page.next_offset = next;
+    for (LogOffset at = last.from;
+         at < next && page.records.size() < last.limit; ++at)
+      page.records.push_back({at, {}, "{}"});
+    callback(page);
+  }
+
+  LogOffset first = 1;
+  LogOffset next = 1;
+  bool down = false;
+  int reads = 0;
+  LogRead last;
+  ReadCallback pending;
+};
+
+struct Observer : public LogTailObserver {
+  void OnRecords(const std::vector<LogRecord>& records) override {
+    for (const LogRecord& record : records)
+      seen.push_back(record.offset);
+  }
+  void OnGap(LogOffset from) override { gaps.push_back(from); }
+  void OnLogRestartedWithLess(LogOffset, LogOffset) override { ++restarts; }
+
+  std::vector<LogOffset> seen;
+  std::vector<LogOffset> gaps;
+  int restarts = 0;
+};
+
+struct Fixture {
+  Fixture() : tail(log, timers, rng, Options(), observer) {}
+
+  static LogTailOptions Options() {
+    LogTailOptions options;
+    options.stream = "config";
+    options.batch = 3;
+    return options;
+  }
+
+  void Step(Duration step) {
+    timers.Advance(step);
+    log.Answer();
+  }
+
+  FakeLog log;
+  ManualTimerService timers;
+  Rng rng{1};
+  Observer observer;
+  LogTail tail;
+};
+
+}  // namespace
+
+TEST_CASE("each record is delivered once, in order, through any outages") {
+  rc::prop("appends, outages and peers' hints", [] {
+    Fixture f;
+    f.tail.Start(1);
+    const auto actions =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+    for (const int action : actions) {
+      if (action == 0)
+        f.log.next += 2;
+      if (action == 1)
+        f.log.down = !f.log.down;
+      if (action == 2)
+        f.tail.Poke();
+      f.Step(seconds(action));
+    }
+    f.log.down = false;
+    for (int i = 0; i < 200; ++i)
+      f.Step(seconds(5));
+    RC_ASSERT(f.observer.seen.size() == f.log.next - 1);
+    for (size_t i = 0; i < f.observer.seen.size(); ++i)
+      RC_ASSERT(f.observer.seen[i] == i + 1);
+    RC_ASSERT(f.tail.lag().behind == 0U);
+  });
+}
+
+TEST_CASE_METHOD(Fixture, "a log that is down is not polled without pause") {
+  log.down = true;
+  tail.Start(1);
+  for (int i = 0; i < 60; ++i)
+    Step(seconds(1));
+  CHECK(log.reads <= 25);
+  CHECK(log.reads >= 10);
+  CHECK_FALSE(tail.lag().reachable);
+}
+
+TEST_CASE_METHOD(Fixture,
+                 "a dropped offset is reported until the owner seeks") {
+  log.first = 10;
+  log.next = 12;
+  tail.Start(4);
+  Step(seconds(1));
+  Step(seconds(3));
+  CHECK(observer.gaps == std::vector<LogOffset>{4, 4});
+  CHECK(tail.lag().offset_dropped);
+  tail.Seek(10);
+  Step(seconds(1));
+  CHECK(observer.seen == std::vector<LogOffset>{10, 11});
+}
+
+TEST_CASE_METHOD(Fixture, "a log that restarted with less is told once") {
+  log.next = 5;
+  tail.Start(9);
+  for (int i = 0; i < 5; ++i)
+    Step(seconds(3));
+  CHECK(observer.restarts == 1);
+  CHECK(tail.lag().ends_before);
+  log.next = 11;
+  Step(seconds(3));
+  CHECK(observer.seen == std::vector<LogOffset>{9, 10});
+}
+
+TEST_CASE_METHOD(Fixture, "an answer to a read before Seek() is dropped") {
+  log.next = 4;
+  tail.Start(1);
+  timers.Advance(seconds(1));
+  const ReadCallback old = std::exchange(log.pending, nullptr);
+  tail.Seek(3);
+  old(LogPage{1, 4, {{1, {}, "{}"}}});
+  Step(seconds(1));
+  CHECK(observer.seen == std::vector<LogOffset>{3});
+}
+
+}  // namespace teaselhill::platform
