Let an upstream that was reported as leaving return

The planner drains an engine on all hosts of the domain before a reload, and it must serve again afterwards.

--- a/include/teaselhill/membership/member_table.h
+++ b/include/teaselhill/membership/member_table.h
@@ -34,6 +34,8 @@
   /// Members of other domains that are neither listed nor heard of are dropped
   /// after this time, in case the update about their death was lost.
   Duration unlisted_keep = std::chrono::minutes(10);
+  /// Reports about upstreams are forgotten after this; by then the host list
+  /// names the upstream as leaving, or no longer.
   Duration leaving_keep = std::chrono::minutes(5);
   size_t indirect_probes = 2;
   size_t max_updates_per_message = 6;
@@ -72,7 +74,8 @@
 struct Output {
   std::vector<Send> sends;
   std::vector<MemberEvent> events;
-  std::vector<std::string> leaving_upstreams;  ///< newly learned
+  std::vector<std::string> leaving_upstreams;   ///< newly learned
+  std::vector<std::string> returned_upstreams;  ///< newly learned
 };
 
 struct HostListEntry {
@@ -120,6 +123,13 @@
                              uint64_t sequence,
                              TimePoint now);
 
+  /// The upstream takes new work again: an engine after a reload, or by
+  /// operator.
+  Output MarkUpstreamReturned(const std::string& upstream,
+                              const std::string& domain,
+                              uint64_t sequence,
+                              TimePoint now);
+
   /// This host is shutting down.
   Output MarkSelfLeaving(TimePoint now);
 
@@ -161,6 +171,7 @@
   void MergeSelf(const MemberUpdate& update);
   void AddMember(const MemberUpdate& update, TimePoint now, Output* out);
   void MergeGossip(const Gossip& gossip, TimePoint now, Output* out);
+  Output Announce(const UpstreamLeaving& report, TimePoint now);
   bool Learn(const UpstreamLeaving& report, TimePoint now, Output* out);
   void Heard(const MemberUpdate& from, TimePoint now, Output* out);
   void SetState(Member* member, MemberState state, TimePoint now, Output* out);
--- a/include/teaselhill/membership/messages.h
+++ b/include/teaselhill/membership/messages.h
@@ -25,13 +25,13 @@
   std::string domain;
 };
 
-/// An upstream that takes no new work. `sequence` is the reporter's wall time
-/// in milliseconds; a report is forgotten when the host list no longer needs
-/// it.
+/// An upstream that takes no new work, or takes it again. `sequence` is the
+/// reporter's wall time in milliseconds; the highest one counts.
 struct UpstreamLeaving {
   std::string upstream;
   std::string domain;
   uint64_t sequence = 0;
+  bool leaving = true;  ///< false: it is back, for instance after a reload
 };
 
 /// Updates carried by every message.
--- a/lib/membership/member_table.cc
+++ b/lib/membership/member_table.cc
@@ -427,7 +427,7 @@
   DropUnlisted(now, &out);
   for (const UpstreamListEntry& upstream : upstreams) {
     if (upstream.leaving && leaving_.count(upstream.name) == 0)
-      Learn({upstream.name, upstream.domain, 0}, now, &out);
+      Learn({upstream.name, upstream.domain, 0, true}, now, &out);
   }
   return out;
 }
@@ -458,7 +458,8 @@
   if (found == leaving_.end() && leaving_.size() >= options_.max_leaving)
     return false;
   leaving_[report.upstream] = {report, now, 0};
-  out->leaving_upstreams.push_back(report.upstream);
+  (report.leaving ? out->leaving_upstreams : out->returned_upstreams)
+      .push_back(report.upstream);
   return true;
 }
 
@@ -466,8 +467,18 @@
                                         const std::string& domain,
                                         uint64_t sequence,
                                         TimePoint now) {
+  return Announce({upstream, domain, sequence, true}, now);
+}
+
+Output MemberTable::MarkUpstreamReturned(const std::string& upstream,
+                                         const std::string& domain,
+                                         uint64_t sequence,
+                                         TimePoint now) {
+  return Announce({upstream, domain, sequence, false}, now);
+}
+
+Output MemberTable::Announce(const UpstreamLeaving& report, TimePoint now) {
   Output out;
-  const UpstreamLeaving report{upstream, domain, sequence};
   if (!Learn(report, now, &out))
     return out;
   size_t left = options_.leaving_fanout;
--- a/unittests/membership/member_table_test.cc
+++ b/unittests/membership/member_table_test.cc
@@ -84,6 +84,8 @@
       nodes_[from].events.push_back(event);
     for (const std::string& upstream : output.leaving_upstreams)
       nodes_[from].leaving.insert(upstream);
+    for (const std::string& upstream : output.returned_upstreams)
+      nodes_[from].leaving.erase(upstream);
     for (Send& send : output.sends) {
       const size_t to = std::stoul(send.to.substr(4));
       sent_bytes += SizeOf(send.message);
@@ -246,6 +248,12 @@
   network.Run(3 * kLatency);
   for (size_t i = 0; i < network.size(); i += 3)
     CHECK(network.Knows(i, "gpu"));
+  // An engine that was reloaded serves again; the older report must not win.
+  network.Deliver(
+      3, network.table(3).MarkUpstreamReturned("gpu", "zone0", 2, network.now));
+  network.Run(seconds(10));
+  for (size_t i = 0; i < network.size(); i += 3)
+    CHECK_FALSE(network.Knows(i, "gpu"));
 }
 
 TEST_CASE("a leaving upstream is known in its domain within 3 s") {
