--- a/include/teaselhill/platform/log_client.h
+++ b/include/teaselhill/platform/log_client.h
@@ -54,6 +54,10 @@
   /// kOffsetDropped when `from` is no longer retained; kLogUnavailable,
   /// kProtocolError otherwise.
   virtual void Read(const LogRead& read, ReadCallback callback) = 0;
+
+  /// Reads only the offsets of a stream: a page without records, also when the
+  /// first offset is no longer retained.
+  virtual void ReadBounds(const std::string& stream, ReadCallback callback) = 0;
 };
 
 /// One idle long poll costs about 400 bytes on the wire: 16 B/s at a wait of
@@ -71,8 +75,13 @@
               std::vector<std::string> records,
               AppendCallback callback) override;
   void Read(const LogRead& read, ReadCallback callback) override;
+  void ReadBounds(const std::string& stream, ReadCallback callback) override;
 
  private:
+  using AnswerFunction =
+      Result<LogPage> (*)(const Result<net::ClientResponse>&);
+
+  void Fetch(const LogRead& read, AnswerFunction parse, ReadCallback callback);
   std::string RecordsUrl(const std::string& stream) const;
 
   net::HttpClient& client_;
--- /dev/null
+++ b/include/teaselhill/router/answer.h
@@ -0,0 +1,75 @@
+/// \file
+/// Builds the caller's answer from the events of an engine.
+
+#ifndef TEASELHILL_ROUTER_ANSWER_H_
+#define TEASELHILL_ROUTER_ANSWER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "teaselhill/net/http_server.h"
+#include "teaselhill/router/ports.h"
+
+namespace teaselhill::router {
+
+/// Writes a streamed answer event by event, or collects a whole one. The answer
+/// may come from several attempts, each going on where the last one broke off.
+class AnswerWriter {
+ public:
+  AnswerWriter(std::shared_ptr<net::ResponseWriter> response,
+               bool stream,
+               bool keep,
+               std::string request_id);
+
+  /// Adds whole events that carry `tokens` tokens.
+  void AddEvents(std::string events, uint32_t tokens);
+
+  /// Ends the answer; the caller has it whole.
+  void Finish();
+
+  /// Ends a streamed answer that has begun with an error event, or sends the
+  /// error as the whole response.
+  void Fail(const Error& error, Duration retry_after);
+
+  /// Sends a response that is known as a whole.
+  void Respond(int status, net::Headers headers, std::string body);
+
+  void Replay(const KeptAnswer& answer);
+  void DetachCaller() { response_.reset(); }
+
+  uint64_t tokens() const { return tokens_; }
+  bool started() const { return started_; }
+  net::ResponseWriter* response() { return response_.get(); }
+
+  /// Starts and continues a response whose bytes are passed on as they are.
+  void StartRaw(int status, net::Headers headers);
+  void AddRaw(std::string data);
+  void FinishRaw();
+
+  /// Returns the answer if it was kept, or null.
+  std::shared_ptr<const KeptAnswer> TakeKept();
+
+ private:
+  void Keep(std::string_view data);
+  void CollectContent(std::string_view events);
+  std::string WholeBody() const;
+
+  std::shared_ptr<net::ResponseWriter> response_;
+  bool stream_;
+  bool keep_;
+  std::string request_id_;
+  bool started_ = false;
+  uint64_t tokens_ = 0;
+  uint64_t prompt_tokens_ = 0;
+  std::string model_;
+  std::string content_;
+  std::string finish_reason_ = "stop";
+  std::string kept_body_;
+  std::shared_ptr<KeptAnswer> kept_;
+};
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_ROUTER_ANSWER_H_
--- /dev/null
+++ b/include/teaselhill/router/claims_driver.h
@@ -0,0 +1,58 @@
+/// \file
+/// Connects the claim table with stream `claims` on the log.
+
+#ifndef TEASELHILL_ROUTER_CLAIMS_DRIVER_H_
+#define TEASELHILL_ROUTER_CLAIMS_DRIVER_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "teaselhill/claims/claim_table.h"
+#include "teaselhill/platform/log_tail.h"
+#include "teaselhill/support/timer_service.h"
+
+namespace teaselhill::router {
+
+class ClaimsDriver : public platform::LogTailObserver {
+ public:
+  using ActionFunction =
+      std::function<void(const std::vector<claims::Action>&)>;
+
+  ClaimsDriver(claims::ClaimTable& table,
+               platform::LogClient& log,
+               TimerService& timers,
+               Rng& rng,
+               ActionFunction on_actions);
+  ~ClaimsDriver() override;
+
+  void Start();
+
+  /// Appends a batch if one is due. Call after requests arrived.
+  void Flush();
+
+  const platform::LogLag& lag() const { return tail_.lag(); }
+
+  void OnRecords(const std::vector<platform::LogRecord>& records) override;
+  void OnGap(LogOffset from) override;
+  void OnLogRestartedWithLess(LogOffset from, LogOffset log_next) override;
+
+ private:
+  void ReadBounds();
+  void ReadBoundsAgain();
+
+  claims::ClaimTable& table_;
+  platform::LogClient& log_;
+  TimerService& timers_;
+  ActionFunction on_actions_;
+  platform::LogTail tail_;
+  bool started_ = false;
+  TimerSubscription flush_timer_;
+  TimerSubscription tick_timer_;
+  TimerSubscription retry_timer_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_ROUTER_CLAIMS_DRIVER_H_
--- /dev/null
+++ b/include/teaselhill/router/control.h
@@ -0,0 +1,57 @@
+/// \file
+/// The control thread: owns all decision state and connects it with the
+/// platform, the other hosts and the traffic threads.
+
+#ifndef TEASELHILL_ROUTER_CONTROL_H_
+#define TEASELHILL_ROUTER_CONTROL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "teaselhill/net/event_loop.h"
+#include "teaselhill/router/metrics.h"
+#include "teaselhill/router/ports.h"
+#include "teaselhill/router/settings.h"
+#include "teaselhill/router/traffic_worker.h"
+#include "teaselhill/support/logger.h"
+
+namespace teaselhill::router {
+
+class Control : public ControlPort {
+ public:
+  Control(const Settings& settings,
+          SharedView& shared,
+          TrafficPort& traffic,
+          Logger& logger,
+          Metrics& metrics);
+  ~Control() override;
+
+  /// Binds the peer and admin listeners and starts all timers.
+  Status Start();
+
+  net::EventLoop& loop();
+
+  /// Refuses new requests, tells the other hosts, and calls `done` once nothing
+  /// is in flight or the drain timeout has passed.
+  void Drain(std::function<size_t()> open_requests, std::function<void()> done);
+
+  // ControlPort; callable from any thread.
+  void OnArrived(RequestInfo info) override;
+  void OnFirstToken(RequestId request, int attempt) override;
+  void OnProgress(std::vector<TokenProgress> progress) override;
+  void OnAttemptEnded(AttemptEnd end,
+                      std::shared_ptr<const KeptAnswer> answer) override;
+  void OnCallerGone(RequestId request) override;
+  void OnTokenWanted(int worker,
+                     RequestId request,
+                     const std::string& customer) override;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_ROUTER_CONTROL_H_
--- /dev/null
+++ b/include/teaselhill/router/metrics.h
@@ -0,0 +1,48 @@
+/// \file
+/// Metrics of the router on prometheus-cpp.
+
+#ifndef TEASELHILL_ROUTER_METRICS_H_
+#define TEASELHILL_ROUTER_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "teaselhill/support/result.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::router {
+
+/// All functions may be called from any thread.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+
+  /// Counts a request that ended with `code`; kOk means answered.
+  void CountOutcome(const std::string& customer,
+                    const std::string& class_name,
+                    ResultCode code);
+  void ObserveFirstToken(const std::string& class_name, Duration latency);
+  void ObserveAnswer(const std::string& class_name,
+                     Duration latency,
+                     bool within_target);
+  void CountTokens(const std::string& class_name, uint64_t tokens);
+  /// Tokens computed that no caller received.
+  void CountWastedTokens(uint64_t tokens);
+  void CountAttempt(const std::string& kind);
+
+  /// Sets a gauge such as `teaselhill_queue_length`.
+  void SetGauge(const std::string& name, const std::string& help, double value);
+
+  /// Returns the text exposition format.
+  std::string Exposition() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_ROUTER_METRICS_H_
--- /dev/null
+++ b/include/teaselhill/router/relay.h
@@ -0,0 +1,93 @@
+/// \file
+/// Relays the answer of one request from its upstream attempts to its caller.
+
+#ifndef TEASELHILL_ROUTER_RELAY_H_
+#define TEASELHILL_ROUTER_RELAY_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "teaselhill/net/http_client.h"
+#include "teaselhill/net/http_server.h"
+#include "teaselhill/router/answer.h"
+#include "teaselhill/router/ports.h"
+
+namespace teaselhill::router {
+
+/// The caller's request as it is sent on.
+struct OutgoingRequest {
+  std::string method = "POST";
+  std::string target;  ///< path and query at an upstream
+  std::string body;
+  net::Headers headers;  ///< passed through to a plain service
+  /// The caller's own path, headers and body, for forwarding to another host.
+  std::string caller_target;
+  std::string caller_body;
+  net::Headers caller_headers;
+};
+
+/// What a relay needs of its traffic thread.
+struct RelayContext {
+  net::HttpClient* client = nullptr;
+  ControlPort* control = nullptr;
+  /// Proves to another host that a request was forwarded by a host.
+  std::string host_secret;
+  std::string source_address;
+};
+
+/// Lives on one traffic thread. Several attempts can run side by side when a
+/// request is hedged: the first that delivers a token is the one that is
+/// relayed.
+class Relay : public std::enable_shared_from_this<Relay> {
+ public:
+  Relay(const RelayContext& context,
+        RequestInfo info,
+        OutgoingRequest outgoing,
+        std::shared_ptr<net::ResponseWriter> response,
+        bool keep_answer);
+  ~Relay();
+
+  void StartAttempt(const AttemptOrder& order);
+  void CancelAttempt(int attempt);
+  void Fail(const Error& error, Duration retry_after);
+  void Replay(const KeptAnswer& answer);
+
+  /// Stops writing to the caller; attempts go on.
+  void DetachCaller();
+
+  const RequestInfo& info() const { return info_; }
+
+  /// Moves the tokens counted since the last call into `out`.
+  void CollectProgress(std::vector<TokenProgress>* out);
+
+  /// Whether the caller has its final answer.
+  bool finished() const { return finished_; }
+
+ private:
+  class Attempt;
+
+  net::ClientRequest BuildRequest(const AttemptOrder& order) const;
+  bool Wins(int attempt);
+  void OnEngineData(Attempt& attempt, std::string_view data);
+  void OnEngineDone(Attempt& attempt);
+  void OnHostHead(Attempt& attempt);
+  void OnPlainEnd(Attempt& attempt);
+  void OnAttemptEnd(Attempt& attempt, const net::TransferEnd& end);
+  void Report(Attempt& attempt, AttemptEnd end);
+  void PauseWhileCallerIsSlow(Attempt& attempt);
+
+  RelayContext context_;
+  RequestInfo info_;
+  OutgoingRequest outgoing_;
+  std::shared_ptr<net::ResponseWriter> response_;
+  bool keep_answer_;
+  std::map<int, std::shared_ptr<Attempt>> attempts_;
+  int winner_ = -1;
+  AnswerWriter answer_;
+  bool finished_ = false;
+};
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_ROUTER_RELAY_H_
--- /dev/null
+++ b/include/teaselhill/router/report_poller.h
@@ -0,0 +1,79 @@
+/// \file
+/// Reads load reports and cache events of the engines.
+
+#ifndef TEASELHILL_ROUTER_REPORT_POLLER_H_
+#define TEASELHILL_ROUTER_REPORT_POLLER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "teaselhill/net/http_client.h"
+#include "teaselhill/routing/upstream_table.h"
+
+namespace teaselhill::router {
+
+/// Parses an answer to `GET /v1/load`; kProtocolError names the field.
+Result<routing::LoadReport> ParseLoadReport(const std::string& body);
+
+struct CacheEventPage {
+  uint64_t next = 0;
+  bool gap = false;
+  std::vector<routing::CacheEvent> events;
+};
+
+/// Parses an answer to `GET /v1/cache/events?from=N`, where `from` was asked
+/// for; a first event after `from` means that events were lost.
+Result<CacheEventPage> ParseCacheEvents(const std::string& body, uint64_t from);
+
+struct PolledEngine {
+  std::string name;
+  std::string url;
+};
+
+class ReportPoller {
+ public:
+  ReportPoller(net::HttpClient& client,
+               TimerService& timers,
+               routing::UpstreamTable& table,
+               Duration period,
+               std::string source_address,
+               std::function<void()> on_report);
+  ~ReportPoller();
+
+  /// Replaces the engines that are polled.
+  void SetEngines(const std::vector<PolledEngine>& engines);
+
+ private:
+  struct Engine {
+    std::string url;
+    bool load_in_flight = false;
+    bool events_in_flight = false;
+    uint64_t next_event = 0;
+    uint64_t generation = 0;
+  };
+
+  void Poll(TimePoint now);
+  void PollLoad(const std::string& name, Engine& engine);
+  void PollEvents(const std::string& name, Engine& engine);
+  net::ClientRequest Request(const std::string& url) const;
+  Engine* Find(const std::string& name, uint64_t generation);
+
+  net::HttpClient& client_;
+  TimerService& timers_;
+  routing::UpstreamTable& table_;
+  Duration period_;
+  std::string source_address_;
+  std::function<void()> on_report_;
+  std::map<std::string, Engine> engines_;
+  uint64_t generation_ = 0;
+  uint64_t rounds_ = 0;
+  TimerSubscription timer_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_ROUTER_REPORT_POLLER_H_
--- /dev/null
+++ b/include/teaselhill/router/traffic_worker.h
@@ -0,0 +1,122 @@
+/// \file
+/// One traffic thread: callers, upstream transfers and the relays between them.
+
+#ifndef TEASELHILL_ROUTER_TRAFFIC_WORKER_H_
+#define TEASELHILL_ROUTER_TRAFFIC_WORKER_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "teaselhill/config/config_view.h"
+#include "teaselhill/net/event_loop.h"
+#include "teaselhill/router/metrics.h"
+#include "teaselhill/router/ports.h"
+
+namespace teaselhill::router {
+
+/// State that the control thread publishes and traffic threads read.
+class SharedView {
+ public:
+  std::shared_ptr<const config::ConfigView> config() const {
+    return std::atomic_load(&config_);
+  }
+  void SetConfig(std::shared_ptr<const config::ConfigView> view) {
+    std::atomic_store(&config_, std::move(view));
+  }
+
+  std::atomic<bool> draining{false};
+
+  /// False until a configuration is in force, and while draining.
+  bool Ready() const { return !draining && config() != nullptr; }
+
+ private:
+  std::shared_ptr<const config::ConfigView> config_;
+};
+
+struct TrafficOptions {
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+  size_t max_body_bytes = 4 << 20;
+  Duration read_timeout = std::chrono::seconds(15);
+  std::string host_secret;
+};
+
+/// Owns its event loop and thread. The functions of the traffic port may be
+/// called from any thread.
+class TrafficWorker {
+ public:
+  TrafficWorker(int index,
+                TrafficOptions options,
+                const SharedView& shared,
+                ControlPort& control,
+                Metrics& metrics);
+  ~TrafficWorker();
+  TrafficWorker(const TrafficWorker&) = delete;
+  TrafficWorker& operator=(const TrafficWorker&) = delete;
+
+  /// Binds the listener and starts the thread.
+  Status Start();
+  uint16_t port() const;
+
+  /// Stops accepting new connections; requests in flight go on.
+  void StopAccepting();
+
+  /// Ends the thread. Requests still in flight are cut off.
+  void Stop();
+
+  void StartAttempt(const AttemptOrder& order);
+  void CancelAttempt(RequestId request, int attempt);
+  void Fail(RequestId request, const Error& error, Duration retry_after);
+  void Replay(RequestId request, std::shared_ptr<const KeptAnswer> answer);
+  void Drop(RequestId request);
+  void GiveToken(RequestId request, const std::string& token);
+
+  /// Callers whose answer has not ended. Readable from any thread.
+  size_t open_requests() const { return open_requests_; }
+
+ private:
+  class Impl;
+  std::atomic<size_t> open_requests_{0};
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Passes the traffic port's calls to the worker they are meant for.
+class WorkerPool : public TrafficPort {
+ public:
+  void Add(TrafficWorker* worker) { workers_.push_back(worker); }
+
+  void StartAttempt(int worker, const AttemptOrder& order) override {
+    workers_[worker]->StartAttempt(order);
+  }
+  void CancelAttempt(int worker, RequestId request, int attempt) override {
+    workers_[worker]->CancelAttempt(request, attempt);
+  }
+  void Fail(int worker,
+            RequestId request,
+            const Error& error,
+            Duration retry_after) override {
+    workers_[worker]->Fail(request, error, retry_after);
+  }
+  void Replay(int worker,
+              RequestId request,
+              std::shared_ptr<const KeptAnswer> answer) override {
+    workers_[worker]->Replay(request, std::move(answer));
+  }
+  void Drop(int worker, RequestId request) override {
+    workers_[worker]->Drop(request);
+  }
+  void GiveToken(int worker,
+                 RequestId request,
+                 const std::string& token) override {
+    workers_[worker]->GiveToken(request, token);
+  }
+
+ private:
+  std::vector<TrafficWorker*> workers_;
+};
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_ROUTER_TRAFFIC_WORKER_H_
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace teaselhill::net {
 
@@ -283,8 +284,16 @@
     const TransferId id = ++last_id_;
     auto transfer =
         std::make_unique<Transfer>(id, std::move(request), std::move(handler));
-    curl_multi_add_handle(multi_.get(), transfer->easy());
     transfers_.emplace(id, std::move(transfer));
+    if (!in_curl_) {
+      Add(id);
+      return id;
+    }
+    // libcurl refuses new transfers while it runs one of its callbacks.
+    loop_.Post([this, alive = std::weak_ptr<int>(alive_), id] {
+      if (alive.lock())
+        Add(id);
+    });
     return id;
   }
 
@@ -312,11 +321,20 @@
     const auto found = transfers_.find(id);
     if (found == transfers_.end())
       return;
-    curl_easy_pause(found->second->easy(),
-                    paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+    // Unpausing delivers buffered data before curl_easy_pause() returns.
+    const std::shared_ptr<Transfer> transfer = found->second;
+    const bool nested = std::exchange(in_curl_, true);
+    curl_easy_pause(transfer->easy(), paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+    in_curl_ = nested;
   }
 
  private:
+  void Add(TransferId id) {
+    const auto found = transfers_.find(id);
+    if (found != transfers_.end())
+      curl_multi_add_handle(multi_.get(), found->second->easy());
+  }
+
   static int OnSocket(CURL* easy,
                       curl_socket_t socket,
                       int what,
--- /dev/null
+++ b/lib/router/answer.cc
@@ -0,0 +1,177 @@
+/// \file
+/// Streamed and whole answers.
+
+#include "teaselhill/router/answer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace teaselhill::router {
+
+namespace {
+
+using nlohmann::json;
+
+/// A larger answer is not kept; a caller that sends again gets kAnswerNotKept.
+constexpr size_t kMaxKeptBytes = 1 << 20;
+
+constexpr std::string_view kDataPrefix = "data: ";
+
+net::Headers StreamHeaders(const std::string& request_id) {
+  return {{"Content-Type", "text/event-stream"},
+          {"Cache-Control", "no-cache"},
+          {"X-Teaselhill-Outcome", "answered"},
+          {"X-Request-Id", request_id}};
+}
+
+net::Headers WholeHeaders(const std::string& request_id) {
+  return {{"Content-Type", "application/json"},
+          {"X-Teaselhill-Outcome", "answered"},
+          {"X-Request-Id", request_id}};
+}
+
+}  // namespace
+
+AnswerWriter::AnswerWriter(std::shared_ptr<net::ResponseWriter> response,
+                           bool stream,
+                           bool keep,
+                           std::string request_id)
+    : response_(std::move(response)),
+      stream_(stream),
+      keep_(keep),
+      request_id_(std::move(request_id)) {}
+
+void AnswerWriter::AddEvents(std::string events, uint32_t tokens) {
+  tokens_ += tokens;
+  if (!stream_) {
+    CollectContent(events);
+    return;
+  }
+  if (!started_ && response_)
+    response_->Start(200, StreamHeaders(request_id_));
+  started_ = true;
+  Keep(events);
+  if (response_)
+    response_->Write(std::move(events));
+}
+
+void AnswerWriter::CollectContent(std::string_view events) {
+  while (!events.empty()) {
+    const size_t end = std::min(events.find("\n\n"), events.size());
+    const std::string_view event = events.substr(0, end);
+    events.remove_prefix(std::min(end + 2, events.size()));
+    if (event.substr(0, kDataPrefix.size()) != kDataPrefix)
+      continue;
+    const json chunk = json::parse(event.substr(kDataPrefix.size()), nullptr,
+                                   /*allow_exceptions=*/false);
+    if (!chunk.is_object())
+      continue;
+    model_ = chunk.value("model", model_);
+    const auto usage = chunk.find("usage");
+    if (usage != chunk.end() && usage->is_object())
+      prompt_tokens_ = usage->value("prompt_tokens", prompt_tokens_);
+    const auto choices = chunk.find("choices");
+    if (choices == chunk.end() || !choices->is_array() || choices->empty())
+      continue;
+    const json& choice = choices->front();
+    const auto delta = choice.find("delta");
+    if (delta != choice.end() && delta->is_object())
+      content_ += delta->value("content", "");
+    const auto reason = choice.find("finish_reason");
+    if (reason != choice.end() && reason->is_string())
+      finish_reason_ = reason->get<std::string>();
+  }
+}
+
+std::string AnswerWriter::WholeBody() const {
+  const json body = {
+      {"id", "chatcmpl-" + request_id_},
+      {"object", "chat.completion"},
+      {"created", WallNow().time_since_epoch().count() / 1000},
+      {"model", model_},
+      {"choices",
+       json::array(
+           {{{"index", 0},
+             {"message", {{"role", "assistant"}, {"content", content_}}},
+             {"finish_reason", finish_reason_}}})},
+      {"usage",
+       {{"prompt_tokens", prompt_tokens_},
+        {"completion_tokens", tokens_},
+        {"total_tokens", prompt_tokens_ + tokens_}}}};
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void AnswerWriter::Finish() {
+  if (!stream_) {
+    Respond(200, WholeHeaders(request_id_), WholeBody());
+    return;
+  }
+  constexpr char kDone[] = "data: [DONE]\n\n";
+  AddEvents(kDone, 0);
+  if (keep_)
+    kept_ = std::make_shared<KeptAnswer>(
+        KeptAnswer{200, StreamHeaders(request_id_), std::move(kept_body_)});
+  if (response_)
+    response_->Finish();
+}
+
+void AnswerWriter::Fail(const Error& error, Duration retry_after) {
+  if (!response_)
+    return;
+  if (!started_) {
+    net::Headers headers = ErrorHeaders(error, retry_after);
+    headers.push_back({"X-Request-Id", request_id_});
+    response_->Respond(Describe(error.code).http_status, std::move(headers),
+                       ErrorBody(error));
+    return;
+  }
+  response_->Write("event: error\ndata: " + ErrorBody(error) + "\n\n");
+  response_->Finish();
+}
+
+void AnswerWriter::Respond(int status, net::Headers headers, std::string body) {
+  if (keep_ && body.size() <= kMaxKeptBytes)
+    kept_ = std::make_shared<KeptAnswer>(KeptAnswer{status, headers, body});
+  if (response_)
+    response_->Respond(status, std::move(headers), std::move(body));
+}
+
+void AnswerWriter::Replay(const KeptAnswer& answer) {
+  if (!response_)
+    return;
+  net::Headers headers = answer.headers;
+  headers.push_back({"X-Teaselhill-Replayed", "true"});
+  response_->Respond(answer.status, std::move(headers), answer.body);
+}
+
+void AnswerWriter::StartRaw(int status, net::Headers headers) {
+  started_ = true;
+  if (response_)
+    response_->Start(status, std::move(headers));
+}
+
+void AnswerWriter::AddRaw(std::string data) {
+  if (response_)
+    response_->Write(std::move(data));
+}
+
+void AnswerWriter::FinishRaw() {
+  if (response_)
+    response_->Finish();
+}
+
+std::shared_ptr<const KeptAnswer> AnswerWriter::TakeKept() {
+  return std::move(kept_);
+}
+
+void AnswerWriter::Keep(std::string_view data) {
+  if (!keep_)
+    return;
+  if (kept_body_.size() + data.size() > kMaxKeptBytes) {
+    keep_ = false;
+    kept_body_.clear();
+    return;
+  }
+  kept_body_.append(data);
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/claims_driver.cc
@@ -0,0 +1,120 @@
+/// \file
+/// Claims driver.
+
+#include "teaselhill/router/claims_driver.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+constexpr char kClaimsStream[] = "claims";
+
+/// Batches are looked for this often; the table itself spaces the appends.
+constexpr std::chrono::milliseconds kFlushPeriod{5};
+constexpr std::chrono::seconds kTickPeriod{1};
+constexpr std::chrono::milliseconds kBoundsRetry{500};
+
+platform::LogTailOptions TailOptions() {
+  platform::LogTailOptions options;
+  options.stream = kClaimsStream;
+  options.batch = 1024;
+  return options;
+}
+
+claims::AppendOutcome ToOutcome(const Result<LogOffset>& appended) {
+  if (appended)
+    return claims::AppendOutcome::kAppended;
+  if (appended.error().code == ResultCode::kAppendUnknown)
+    return claims::AppendOutcome::kUnknown;
+  return claims::AppendOutcome::kFailed;
+}
+
+}  // namespace
+
+ClaimsDriver::ClaimsDriver(claims::ClaimTable& table,
+                           platform::LogClient& log,
+                           TimerService& timers,
+                           Rng& rng,
+                           ActionFunction on_actions)
+    : table_(table),
+      log_(log),
+      timers_(timers),
+      on_actions_(std::move(on_actions)),
+      tail_(log, timers, rng, TailOptions(), *this) {}
+
+ClaimsDriver::~ClaimsDriver() = default;
+
+void ClaimsDriver::Start() {
+  ReadBounds();
+  flush_timer_ =
+      timers_.Subscribe(kFlushPeriod, [this](TimePoint) { Flush(); });
+  tick_timer_ = timers_.Subscribe(
+      kTickPeriod, [this](TimePoint now) { table_.OnTick(now); });
+}
+
+void ClaimsDriver::ReadBounds() {
+  log_.ReadBounds(kClaimsStream, [this, alive = std::weak_ptr<int>(alive_)](
+                                     Result<platform::LogPage> page) {
+    if (alive.expired())
+      return;
+    if (!page) {
+      ReadBoundsAgain();
+      return;
+    }
+    const std::vector<claims::Action> actions =
+        table_.OnReadStart(page->first_retained, page->next_offset);
+    if (started_)
+      tail_.Seek(page->first_retained);
+    else
+      tail_.Start(page->first_retained);
+    started_ = true;
+    on_actions_(actions);
+  });
+}
+
+void ClaimsDriver::ReadBoundsAgain() {
+  retry_timer_ =
+      timers_.After(kBoundsRetry, [this](TimePoint) { ReadBounds(); });
+}
+
+void ClaimsDriver::Flush() {
+  std::optional<claims::ClaimBatch> batch = table_.TakeBatch(timers_.Now());
+  if (!batch)
+    return;
+  const uint64_t number = batch->number;
+  log_.Append(kClaimsStream, {claims::EncodeBatch(*batch)},
+              [this, number,
+               alive = std::weak_ptr<int>(alive_)](Result<LogOffset> appended) {
+                if (alive.expired())
+                  return;
+                table_.OnAppendResult(number, ToOutcome(appended),
+                                      timers_.Now());
+                if (appended)
+                  tail_.Poke();
+              });
+}
+
+void ClaimsDriver::OnRecords(const std::vector<platform::LogRecord>& records) {
+  std::vector<claims::ClaimRecord> converted;
+  converted.reserve(records.size());
+  for (const platform::LogRecord& record : records) {
+    claims::ClaimRecord claim;
+    claim.offset = record.offset;
+    claim.time = record.time;
+    Result<claims::ClaimBatch> batch = claims::DecodeBatch(record.data);
+    if (batch)
+      claim.batch = std::move(*batch);
+    converted.push_back(std::move(claim));
+  }
+  on_actions_(table_.OnRecords(converted, timers_.Now()));
+}
+
+void ClaimsDriver::OnGap(LogOffset) {
+  ReadBounds();
+}
+
+void ClaimsDriver::OnLogRestartedWithLess(LogOffset, LogOffset) {
+  ReadBounds();
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/control.cc
@@ -0,0 +1,833 @@
+/// \file
+/// Control thread.
+
+#include "teaselhill/router/control.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "teaselhill/membership/member_table.h"
+#include "teaselhill/peer/messages.h"
+#include "teaselhill/peer/transport.h"
+#include "teaselhill/platform/host_list_client.h"
+#include "teaselhill/router/admin_api.h"
+#include "teaselhill/router/claims_driver.h"
+#include "teaselhill/router/config_follower.h"
+#include "teaselhill/router/orders_driver.h"
+#include "teaselhill/router/report_poller.h"
+#include "teaselhill/router/request_coordinator.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRequestTick{20};
+constexpr milliseconds kMemberTick{50};
+constexpr milliseconds kExchangeTick{250};
+constexpr milliseconds kDrainPoll{20};
+
+/// How long the listener answers "not ready" before it is closed, so that the
+/// platform's balancer sees it.
+constexpr milliseconds kDrainNotice{1000};
+
+/// Appends a second on the log that claims of all hosts together may use.
+constexpr int kClaimAppendsPerSecond = 150;
+constexpr milliseconds kMinClaimInterval{10};
+
+/// Grows with each start of a host, so that other hosts can tell a restarted
+/// host from the one before it. The low bits keep two starts in one
+/// millisecond apart.
+uint64_t MakeIncarnation() {
+  constexpr int kRandomBits = 10;
+  const auto now = static_cast<uint64_t>(WallNow().time_since_epoch().count());
+  return (now << kRandomBits) | (EntropySeed() & ((1u << kRandomBits) - 1));
+}
+
+/// The host list may give a port; all listeners' ports come from settings.
+std::string WithoutPort(const std::string& address) {
+  return address.substr(0, address.find(':'));
+}
+
+admission::AdmissionOptions AdmissionSettings() {
+  return {};
+}
+
+routing::RoutingOptions RoutingSettings(const Settings& settings) {
+  routing::RoutingOptions options;
+  options.own_domain = settings.domain;
+  return options;
+}
+
+claims::ClaimOptions ClaimSettings(const Settings& settings) {
+  claims::ClaimOptions options;
+  options.index.window =
+      std::chrono::duration_cast<milliseconds>(settings.claim_window);
+  options.append_interval = kMinClaimInterval;
+  return options;
+}
+
+retry::HedgeOptions HedgeSettings(const Settings& settings) {
+  retry::HedgeOptions options;
+  if (!settings.hedging)
+    options.work_share = options.max_credit = 0;
+  return options;
+}
+
+quota::MemberState ToQuotaState(membership::MemberState state) {
+  switch (state) {
+    case membership::MemberState::kAlive:
+      return quota::MemberState::kAlive;
+    case membership::MemberState::kSuspect:
+      return quota::MemberState::kSuspect;
+    case membership::MemberState::kLeaving:
+    case membership::MemberState::kDead:
+      break;
+  }
+  return quota::MemberState::kDead;
+}
+
+const char* StateName(membership::MemberState state) {
+  switch (state) {
+    case membership::MemberState::kAlive:
+      return "alive";
+    case membership::MemberState::kSuspect:
+      return "suspect";
+    case membership::MemberState::kLeaving:
+      return "leaving";
+    case membership::MemberState::kDead:
+      break;
+  }
+  return "dead";
+}
+
+const char* EventName(membership::MemberEventKind kind) {
+  switch (kind) {
+    case membership::MemberEventKind::kUp:
+      return "up";
+    case membership::MemberEventKind::kSuspect:
+      return "suspect";
+    case membership::MemberEventKind::kLeaving:
+      return "leaving";
+    case membership::MemberEventKind::kDown:
+      break;
+  }
+  return "down";
+}
+
+const char* HealthName(routing::Health health) {
+  switch (health) {
+    case routing::Health::kHealthy:
+      return "healthy";
+    case routing::Health::kProbing:
+      return "probing";
+    case routing::Health::kEjected:
+      break;
+  }
+  return "ejected";
+}
+
+routing::UpstreamSpec ToSpec(const config::UpstreamAssignment& assignment) {
+  routing::UpstreamSpec spec;
+  spec.name = assignment.name;
+  spec.kind = assignment.kind == config::UpstreamKind::kEngine
+                  ? routing::UpstreamKind::kEngine
+                  : routing::UpstreamKind::kService;
+  spec.domain = assignment.domain;
+  spec.models = assignment.models;
+  spec.service = assignment.service;
+  spec.max_concurrency = assignment.max_concurrency;
+  spec.draining = assignment.draining;
+  return spec;
+}
+
+}  // namespace
+
+class Control::Impl : public HostDirectory, public AdminBackend {
+ public:
+  Impl(const Settings& settings,
+       SharedView& shared,
+       TrafficPort& traffic,
+       Logger& logger,
+       Metrics& metrics)
+      : settings_(settings),
+        shared_(shared),
+        logger_(logger),
+        metrics_(metrics),
+        self_{settings.host, MakeIncarnation()},
+        rng_(settings.seed ? settings.seed : EntropySeed()),
+        client_(loop_),
+        log_client_(client_, settings.log_url, settings.address),
+        decisions_(logger),
+        members_(SelfUpdate(), {}),
+        limits_({settings.host, settings.domain, self_.incarnation},
+                {},
+                SteadyNow()),
+        upstreams_(self_),
+        planner_(budget_),
+        hedges_(HedgeSettings(settings)),
+        crashes_(self_),
+        claims_(self_, ClaimSettings(settings)),
+        admission_(CreateAdmission()),
+        routing_(CreateRouting()),
+        coordinator_(self_,
+                     CoordinatorSettings(),
+                     Parts(),
+                     traffic,
+                     *this,
+                     decisions_,
+                     metrics),
+        config_(
+            self_,
+            log_client_,
+            loop_.timers(),
+            rng_,
+            logger,
+            [this](const std::string& host, const peer::Message& message) {
+              SendConfigMessage(host, message);
+            },
+            [this](std::shared_ptr<const config::ConfigView> view) {
+              ApplyConfig(std::move(view));
+            }),
+        claims_driver_(claims_,
+                       log_client_,
+                       loop_.timers(),
+                       rng_,
+                       [this](const std::vector<claims::Action>& actions) {
+                         coordinator_.OnClaimActions(actions, Now());
+                       }),
+        poller_(client_,
+                loop_.timers(),
+                upstreams_,
+                settings.report_period,
+                settings.address,
+                [this] { coordinator_.Pump(Now()); }),
+        admin_(*this, settings.operator_key_hashes),
+        admin_server_(loop_, AdminOptions(), admin_) {
+    if (settings.give_orders)
+      orders_ = std::make_unique<OrdersDriver>(OrdersSettings());
+    if (!settings.host_list_url.empty())
+      host_list_ = std::make_unique<platform::HttpHostListClient>(
+          client_, loop_.timers(), rng_, HostListSettings());
+    transport_ = peer::CreateWebSocketTransport(
+        loop_,
+        {self_, settings.address, settings.peer_port, settings.peer_secret},
+        [this](const HostIncarnation& from, const std::string& payload) {
+          OnPeerMessage(from, payload);
+        });
+  }
+
+  Status Start() {
+    for (const Status& started : {transport_->Start(), admin_server_.Start()}) {
+      if (!started)
+        return started;
+    }
+    AddConfiguredPeers();
+    config_.Start();
+    claims_driver_.Start();
+    if (orders_)
+      orders_->Start();
+    if (host_list_)
+      host_list_->Start([this](Result<platform::HostList> list) {
+        OnHostList(std::move(list));
+      });
+    Every(kRequestTick, [this](TimePoint now) {
+      coordinator_.Tick(now);
+      claims_driver_.Flush();
+    });
+    Every(kMemberTick,
+          [this](TimePoint now) { Carry(members_.OnTick(now, &rng_), now); });
+    Every(kExchangeTick, [this](TimePoint now) { Exchange(now); });
+    return Ok{};
+  }
+
+  void Drain(std::function<size_t()> open_requests,
+             std::function<void()> done) {
+    shared_.draining = true;
+    const TimePoint begin = Now();
+    logger_.Write(LogLine(LogLevel::kInfo, "draining"));
+    coordinator_.Drain();
+    if (orders_)
+      orders_->Retire();
+    Carry(members_.MarkSelfLeaving(begin), begin);
+    Every(kDrainPoll, [this, begin, open_requests = std::move(open_requests),
+                       done = std::move(done)](TimePoint now) {
+      const size_t open = coordinator_.open_requests() + open_requests();
+      const bool noticed = now - begin >= kDrainNotice;
+      const bool late = now - begin >= settings_.drain_timeout;
+      if (drained_ || (!late && (open > 0 || !noticed)))
+        return;
+      drained_ = true;
+      logger_.Write(LogLine(LogLevel::kInfo, "drained")
+                        .Field("cut_off", static_cast<uint64_t>(open)));
+      done();
+    });
+  }
+
+  net::EventLoop& loop() { return loop_; }
+  RequestCoordinator& coordinator() { return coordinator_; }
+  claims::ClaimTable& claims() { return claims_; }
+  ClaimsDriver& claims_driver() { return claims_driver_; }
+  TimePoint Now() { return loop_.timers().Now(); }
+
+  // HostDirectory:
+  std::optional<std::string> UrlOf(const HostIncarnation& host) const override {
+    if (!members_.IsUp(host))
+      return std::nullopt;
+    const auto found = addresses_.find(host.host);
+    if (found == addresses_.end())
+      return std::nullopt;
+    return "http://" + found->second + ":" +
+           std::to_string(settings_.http_port);
+  }
+
+  void SpreadSuspicion(const retry::CrashSuspicion& message) override {
+    Broadcast(message, /*own_domain_only=*/false);
+  }
+
+  void SpreadLeaving(const routing::UpstreamLeaving& message) override {
+    Broadcast(message, /*own_domain_only=*/true);
+  }
+
+  // AdminBackend:
+  std::string StatusJson() override;
+  std::vector<std::string> Decisions(const std::string& request) override {
+    return decisions_.Find(request);
+  }
+  void SetBlockedPeers(std::set<std::string> hosts) override {
+    transport_->SetBlocked(std::move(hosts));
+  }
+
+ private:
+  membership::MemberUpdate SelfUpdate() const {
+    membership::MemberUpdate self;
+    self.id = self_;
+    self.address = settings_.address;
+    self.domain = settings_.domain;
+    return self;
+  }
+
+  std::unique_ptr<admission::AdmissionPolicy> CreateAdmission() const {
+    auto created = admission::AdmissionRegistry::Instance().Create(
+        settings_.admission_policy, AdmissionSettings());
+    assert(created && "the settings were checked against the registry");
+    return std::move(*created);
+  }
+
+  std::unique_ptr<routing::RoutingPolicy> CreateRouting() const {
+    auto created = routing::RoutingPolicyRegistry::Instance().Create(
+        settings_.routing_policy, RoutingSettings(settings_));
+    assert(created && "the settings were checked against the registry");
+    return std::move(*created);
+  }
+
+  CoordinatorOptions CoordinatorSettings() const {
+    CoordinatorOptions options;
+    options.peer_secret = settings_.peer_secret;
+    return options;
+  }
+
+  DecisionParts Parts() {
+    DecisionParts parts;
+    parts.admission = admission_.get();
+    parts.limits = &limits_;
+    parts.upstreams = &upstreams_;
+    parts.routing = routing_.get();
+    parts.budget = &budget_;
+    parts.planner = &planner_;
+    parts.hedges = &hedges_;
+    parts.crashes = &crashes_;
+    parts.claims = &claims_;
+    parts.rng = &rng_;
+    return parts;
+  }
+
+  net::HttpServerOptions AdminOptions() const {
+    net::HttpServerOptions options;
+    options.address = settings_.address;
+    options.port = settings_.admin_port;
+    options.max_body_bytes = 1 << 20;
+    return options;
+  }
+
+  OrdersContext OrdersSettings() {
+    OrdersContext context;
+    context.self = self_;
+    context.domain = settings_.domain;
+    context.source_address = settings_.address;
+    context.log = &log_client_;
+    context.client = &client_;
+    context.timers = &loop_.timers();
+    context.rng = &rng_;
+    context.logger = &logger_;
+    context.upstreams = &upstreams_;
+    context.demand = [this] {
+      // The balancer spreads callers over the hosts of the domain.
+      std::map<std::string, double> demand = coordinator_.DemandByModel();
+      for (auto& [model, tokens_per_second] : demand)
+        tokens_per_second *= static_cast<double>(same_domain_.size() + 1);
+      return demand;
+    };
+    return context;
+  }
+
+  platform::HostListOptions HostListSettings() const {
+    platform::HostListOptions options;
+    options.base_url = settings_.host_list_url;
+    options.source_address = settings_.address;
+    options.period = settings_.host_list_period;
+    return options;
+  }
+
+  void Every(Duration period, TimerService::Callback callback) {
+    timers_.push_back(loop_.timers().Subscribe(period, std::move(callback)));
+  }
+
+  void AddConfiguredPeers() {
+    std::vector<membership::HostListEntry> hosts;
+    for (const std::string& peer : settings_.peers) {
+      const size_t first = peer.find('=');
+      const size_t second = peer.find('=', first + 1);
+      hosts.push_back({peer.substr(0, first),
+                       peer.substr(first + 1, second - first - 1),
+                       peer.substr(second + 1), false});
+    }
+    if (hosts.empty())
+      return;
+    listed_hosts_ = hosts.size();
+    Carry(members_.OnHostList(hosts, {}, Now()), Now());
+  }
+
+  void OnHostList(Result<platform::HostList> list) {
+    const TimePoint now = Now();
+    host_list_reachable_ = list.ok();
+    if (!list)
+      return;
+    std::vector<membership::HostListEntry> hosts;
+    listed_hosts_ = 0;
+    for (const platform::ListedHost& host : list->hosts) {
+      hosts.push_back(
+          {host.name, WithoutPort(host.address), host.domain, host.leaving});
+      listed_hosts_ += !host.leaving;
+    }
+    std::vector<membership::UpstreamListEntry> upstreams;
+    for (const platform::ListedUpstream& upstream : list->upstreams) {
+      upstreams.push_back({upstream.name, upstream.domain, upstream.leaving});
+      if (!upstream.leaving)
+        upstreams_.ClearLeaving(upstream.name, routing::LeavingSign::kHostList,
+                                now);
+      else if (upstreams_.MarkLeaving(upstream.name,
+                                      routing::LeavingSign::kHostList, now))
+        SpreadLeaving(upstreams_.MakeLeavingMessage(now));
+    }
+    Carry(members_.OnHostList(hosts, upstreams, now), now);
+  }
+
+  /// Sends messages and reacts to changes of the membership.
+  void Carry(membership::Output output, TimePoint now) {
+    if (!output.events.empty() || addresses_.empty())
+      RefreshMembers(now);
+    for (const membership::MemberEvent& event : output.events)
+      logger_.Write(LogLine(LogLevel::kInfo, "member")
+                        .Field("host", event.id.host)
+                        .Field("incarnation", event.id.incarnation)
+                        .Field("change", EventName(event.kind)));
+    for (membership::Send& send : output.sends) {
+      if (addresses_.count(send.to) == 0)
+        RefreshMembers(now);
+      std::visit(
+          [&](auto& message) {
+            transport_->Send(send.to, peer::Encode(std::move(message)));
+          },
+          send.message);
+    }
+    for (const std::string& upstream : output.leaving_upstreams)
+      upstreams_.MarkLeaving(upstream, routing::LeavingSign::kPeer, now);
+  }
+
+  void RefreshMembers(TimePoint now) {
+    std::vector<peer::PeerAddress> peers;
+    quota::MembershipView view;
+    std::vector<std::string> live = {self_.host};
+    addresses_.clear();
+    same_domain_.clear();
+    other_domains_.clear();
+    view.members.push_back(
+        {self_.host, settings_.domain, quota::MemberState::kAlive});
+    for (const membership::MemberView& seen : members_.Members(now)) {
+      const membership::MemberUpdate& member = seen.member;
+      if (member.id.host == self_.host)
+        continue;
+      view.members.push_back(
+          {member.id.host, member.domain, ToQuotaState(member.state)});
+      if (member.state == membership::MemberState::kDead)
+        continue;
+      addresses_[member.id.host] = member.address;
+      peers.push_back({member.id.host, member.address, settings_.peer_port});
+      if (member.state == membership::MemberState::kLeaving)
+        continue;
+      live.push_back(member.id.host);
+      (member.domain == settings_.domain ? same_domain_ : other_domains_)
+          .push_back(member.id.host);
+    }
+    view.listed_total = std::max(listed_hosts_, view.members.size());
+    transport_->SetPeers(peers);
+    limits_.OnMembers(view, now);
+    config_.SetHosts(std::move(live));
+    if (!addresses_.empty() && !asked_for_crashes_) {
+      asked_for_crashes_ = true;
+      Broadcast(peer::CrashFetch{}, /*own_domain_only=*/false);
+    }
+  }
+
+  template <typename T>
+  void Broadcast(const T& message, bool own_domain_only) {
+    const std::string payload = peer::Encode(message);
+    for (const std::string& host : same_domain_)
+      transport_->Send(host, payload);
+    if (own_domain_only)
+      return;
+    for (const std::string& host : other_domains_)
+      transport_->Send(host, payload);
+  }
+
+  void SendConfigMessage(const std::string& host,
+                         const peer::Message& message) {
+    if (!host.empty()) {
+      transport_->Send(host, peer::Encode(message));
+      return;
+    }
+    // Mostly a host of the own domain; now and then one of another, so that
+    // the configuration also crosses domains without the log.
+    constexpr uint64_t kOtherDomainOneIn = 4;
+    const bool other =
+        same_domain_.empty() ||
+        (!other_domains_.empty() && rng_.Below(kOtherDomainOneIn) == 0);
+    const auto& hosts = other ? other_domains_ : same_domain_;
+    if (!hosts.empty())
+      transport_->Send(hosts[rng_.Below(hosts.size())], peer::Encode(message));
+  }
+
+  void Exchange(TimePoint now) {
+    RefreshMembers(now);
+    for (const quota::OutgoingMessage& outgoing : limits_.MakeDemand(now))
+      std::visit(
+          [&](const auto& message) {
+            transport_->Send(outgoing.to_host, peer::Encode(message));
+          },
+          outgoing.message);
+    upstreams_.Tick(now);
+    crashes_.Expire(now);
+    const routing::UpstreamSends sends = upstreams_.MakeSendsMessage(now);
+    if (!sends.entries.empty())
+      Broadcast(sends, /*own_domain_only=*/true);
+    // Renewed every fourth time, because a mark from a peer expires.
+    constexpr int kLeavingEvery = 4;
+    if (++exchanges_ % kLeavingEvery == 0) {
+      const routing::UpstreamLeaving leaving =
+          upstreams_.MakeLeavingMessage(now);
+      if (!leaving.upstreams.empty())
+        Broadcast(leaving, /*own_domain_only=*/true);
+    }
+    ExportGauges(now);
+  }
+
+  void ExportGauges(TimePoint now) {
+    const admission::QueueStats queue = admission_->Stats(now);
+    metrics_.SetGauge("teaselhill_queue_length", "Requests that wait",
+                      static_cast<double>(queue.queued));
+    metrics_.SetGauge("teaselhill_queue_tokens", "Predicted work that waits",
+                      queue.queued_work);
+    metrics_.SetGauge("teaselhill_config_next_offset",
+                      "First configuration record that is not in force",
+                      static_cast<double>(config_.next_offset()));
+    metrics_.SetGauge("teaselhill_log_reachable",
+                      "Whether the last read of the log succeeded",
+                      config_.lag().reachable);
+    metrics_.SetGauge("teaselhill_peer_bytes_sent",
+                      "Payload bytes sent to other hosts",
+                      static_cast<double>(transport_->counters().bytes_sent));
+    metrics_.SetGauge(
+        "teaselhill_peer_bytes_received",
+        "Payload bytes received from other hosts",
+        static_cast<double>(transport_->counters().bytes_received));
+    metrics_.SetGauge("teaselhill_members_reachable",
+                      "Hosts of the own failure domain that are up",
+                      static_cast<double>(same_domain_.size() + 1));
+  }
+
+  void ApplyConfig(std::shared_ptr<const config::ConfigView> view) {
+    const TimePoint now = Now();
+    std::vector<routing::UpstreamSpec> specs;
+    std::vector<PolledEngine> polled;
+    for (const auto& [name, entry] : view->assignments) {
+      if (!entry.assignment)
+        continue;
+      specs.push_back(ToSpec(*entry.assignment));
+      if (entry.assignment->kind == config::UpstreamKind::kEngine &&
+          entry.assignment->domain == settings_.domain)
+        polled.push_back({name, entry.assignment->url});
+    }
+    upstreams_.Apply(specs, now);
+    poller_.SetEngines(polled);
+    for (const auto& [customer, entry] : view->contracts) {
+      if (entry.contract)
+        limits_.ApplyContract(customer, entry.contract->limits, now);
+    }
+    for (const std::string& customer : limited_) {
+      if (view->contracts.count(customer) == 0)
+        limits_.RemoveContract(customer);
+    }
+    limited_.clear();
+    for (const auto& [customer, entry] : view->contracts)
+      limited_.insert(customer);
+    if (orders_)
+      orders_->ApplyConfig(view);
+    shared_.SetConfig(view);
+    coordinator_.ApplyConfig(std::move(view), now);
+  }
+
+  void OnPeerMessage(const HostIncarnation& from, const std::string& payload) {
+    const Result<peer::Message> message = peer::Decode(payload);
+    if (!message) {
+      logger_.Write(LogLine(LogLevel::kWarning, "peer_message_refused")
+                        .Field("from", from.host)
+                        .Field("fault", message.error().message));
+      return;
+    }
+    const TimePoint now = Now();
+    std::visit([&](const auto& value) { Receive(from, value, now); }, *message);
+  }
+
+  void Receive(const HostIncarnation&,
+               const membership::Ping& message,
+               TimePoint now) {
+    Carry(members_.OnMessage(message, now, &rng_), now);
+  }
+  void Receive(const HostIncarnation&,
+               const membership::Ack& message,
+               TimePoint now) {
+    Carry(members_.OnMessage(message, now, &rng_), now);
+  }
+  void Receive(const HostIncarnation&,
+               const membership::IndirectPing& message,
+               TimePoint now) {
+    Carry(members_.OnMessage(message, now, &rng_), now);
+  }
+  void Receive(const HostIncarnation&,
+               const quota::HostDemand& message,
+               TimePoint now) {
+    limits_.OnPeerDemand(message, now);
+  }
+  void Receive(const HostIncarnation&,
+               const quota::DomainDemand& message,
+               TimePoint now) {
+    limits_.OnPeerDemand(message, now);
+  }
+  void Receive(const HostIncarnation&,
+               const quota::ShareGrant& message,
+               TimePoint now) {
+    limits_.OnPeerDemand(message, now);
+  }
+  void Receive(const HostIncarnation&,
+               const routing::UpstreamSends& message,
+               TimePoint now) {
+    upstreams_.OnPeerSends(message, now);
+  }
+  void Receive(const HostIncarnation&,
+               const routing::UpstreamLeaving& message,
+               TimePoint now) {
+    upstreams_.OnPeerLeaving(message, now);
+  }
+  void Receive(const HostIncarnation&,
+               const retry::CrashSuspicion& message,
+               TimePoint now) {
+    coordinator_.OnSuspicion(message, now);
+  }
+  void Receive(const HostIncarnation& from,
+               const peer::ConfigHint& message,
+               TimePoint) {
+    config_.OnHint(from.host, message);
+  }
+  void Receive(const HostIncarnation& from,
+               const peer::ConfigFetch& message,
+               TimePoint) {
+    config_.OnFetch(from.host, message);
+  }
+  void Receive(const HostIncarnation& from,
+               const peer::ConfigTransfer& message,
+               TimePoint) {
+    config_.OnTransfer(from.host, message);
+  }
+  void Receive(const HostIncarnation& from,
+               const peer::CrashFetch&,
+               TimePoint now) {
+    const retry::CrashSuspicion known = crashes_.Snapshot(now);
+    if (!known.empty())
+      transport_->Send(from.host, peer::Encode(known));
+  }
+
+  Settings settings_;
+  SharedView& shared_;
+  Logger& logger_;
+  Metrics& metrics_;
+  HostIncarnation self_;
+  Rng rng_;
+  net::EventLoop loop_;
+  net::HttpClient client_;
+  platform::HttpLogClient log_client_;
+  DecisionLog decisions_;
+  membership::MemberTable members_;
+  quota::LimitShare limits_;
+  routing::UpstreamTable upstreams_;
+  retry::RetryBudget budget_;
+  retry::AttemptPlanner planner_;
+  retry::HedgePolicy hedges_;
+  retry::CrashTracker crashes_;
+  claims::ClaimTable claims_;
+  std::unique_ptr<admission::AdmissionPolicy> admission_;
+  std::unique_ptr<routing::RoutingPolicy> routing_;
+  std::unique_ptr<peer::Transport> transport_;
+  RequestCoordinator coordinator_;
+  ConfigFollower config_;
+  ClaimsDriver claims_driver_;
+  ReportPoller poller_;
+  std::unique_ptr<OrdersDriver> orders_;
+  std::unique_ptr<platform::HostListClient> host_list_;
+  AdminApi admin_;
+  net::HttpServer admin_server_;
+  std::map<std::string, std::string> addresses_;
+  std::vector<std::string> same_domain_;
+  std::vector<std::string> other_domains_;
+  std::set<std::string> limited_;
+  size_t listed_hosts_ = 0;
+  bool host_list_reachable_ = false;
+  bool asked_for_crashes_ = false;
+  bool drained_ = false;
+  int exchanges_ = 0;
+  std::vector<TimerSubscription> timers_;
+};
+
+std::string Control::Impl::StatusJson() {
+  const TimePoint now = Now();
+  json status = {{"host", self_.host},
+                 {"domain", settings_.domain},
+                 {"incarnation", self_.incarnation},
+                 {"ready", shared_.Ready()},
+                 {"draining", shared_.draining.load()},
+                 {"config_offset", config_.next_offset()},
+                 {"log_reachable", config_.lag().reachable},
+                 {"host_list_reachable", host_list_reachable_},
+                 {"holds_order_lease", orders_ && orders_->holds_lease()},
+                 {"share_of_limits", limits_.reachable_fraction()},
+                 {"open_requests", coordinator_.open_requests()}};
+  status["members"] = json::array();
+  for (const membership::MemberView& seen : members_.Members(now))
+    status["members"].push_back(
+        {{"name", seen.member.id.host},
+         {"domain", seen.member.domain},
+         {"state", StateName(seen.member.state)},
+         {"last_heard_ms", ToMilliseconds(seen.last_heard)}});
+  status["domains"] = json::array();
+  for (const membership::DomainStatus& domain : members_.Domains(now))
+    status["domains"].push_back({{"name", domain.domain},
+                                 {"known", domain.known},
+                                 {"reachable", domain.reachable}});
+  status["upstreams"] = json::array();
+  const auto view = shared_.config();
+  for (const auto& [name, entry] :
+       view ? view->assignments
+            : std::map<std::string, config::AssignmentEntry>()) {
+    const routing::Upstream* upstream = upstreams_.Find(name);
+    if (!upstream)
+      continue;
+    const bool leaving = upstreams_.IsLeaving(*upstream, now);
+    status["upstreams"].push_back(
+        {{"name", name},
+         {"state", leaving ? "leaving"
+                   : upstream->straggler
+                       ? "straggler"
+                       : HealthName(upstreams_.HealthOf(*upstream, now))},
+         {"in_flight", upstream->own_in_flight},
+         {"load", upstreams_.CorrectedLoad(*upstream, now)},
+         {"pace_ms", upstream->seconds_per_token * 1000},
+         {"reason", leaving
+                        ? "leaving signs " + std::to_string(upstream->leaving)
+                        : ""}});
+  }
+  status["queues"] = json::array();
+  for (const admission::TierStats& tier : admission_->Stats(now).tiers)
+    status["queues"].push_back(
+        {{"tier", tier.tier},
+         {"queued", tier.queued},
+         {"queued_tokens", tier.queued_work},
+         {"oldest_wait_ms", ToMilliseconds(tier.oldest_wait)}});
+  return status.dump();
+}
+
+Control::Control(const Settings& settings,
+                 SharedView& shared,
+                 TrafficPort& traffic,
+                 Logger& logger,
+                 Metrics& metrics)
+    : impl_(
+          std::make_unique<Impl>(settings, shared, traffic, logger, metrics)) {}
+
+Control::~Control() = default;
+
+Status Control::Start() {
+  return impl_->Start();
+}
+
+net::EventLoop& Control::loop() {
+  return impl_->loop();
+}
+
+void Control::Drain(std::function<size_t()> open_requests,
+                    std::function<void()> done) {
+  impl_->Drain(std::move(open_requests), std::move(done));
+}
+
+void Control::OnArrived(RequestInfo info) {
+  impl_->loop().Post([this, info = std::move(info)]() mutable {
+    impl_->coordinator().OnArrived(std::move(info), impl_->Now());
+    impl_->claims_driver().Flush();
+  });
+}
+
+void Control::OnFirstToken(RequestId request, int attempt) {
+  impl_->loop().Post([this, request, attempt] {
+    impl_->coordinator().OnFirstToken(request, attempt, impl_->Now());
+  });
+}
+
+void Control::OnProgress(std::vector<TokenProgress> progress) {
+  impl_->loop().Post([this, progress = std::move(progress)] {
+    impl_->coordinator().OnProgress(progress, impl_->Now());
+  });
+}
+
+void Control::OnAttemptEnded(AttemptEnd end,
+                             std::shared_ptr<const KeptAnswer> answer) {
+  impl_->loop().Post([this, end = std::move(end), answer = std::move(answer)] {
+    impl_->coordinator().OnAttemptEnded(end, answer, impl_->Now());
+  });
+}
+
+void Control::OnCallerGone(RequestId request) {
+  impl_->loop().Post([this, request] {
+    impl_->coordinator().OnCallerGone(request, impl_->Now());
+  });
+}
+
+void Control::OnTokenWanted(int worker,
+                            RequestId request,
+                            const std::string& customer) {
+  impl_->loop().Post([this, worker, request, customer] {
+    impl_->coordinator().OnTokenWanted(worker, request, customer);
+  });
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/decision_log.cc
@@ -0,0 +1,37 @@
+/// \file
+/// Decision lines.
+
+#include "teaselhill/router/decision_log.h"
+
+namespace teaselhill::router {
+
+/// A request that is retried without end must not fill the memory.
+static constexpr size_t kMaxLinesPerRequest = 32;
+
+LogLine DecisionLog::Line(std::string_view event, const std::string& request) {
+  LogLine line(LogLevel::kInfo, event);
+  line.Field("request", request);
+  return line;
+}
+
+void DecisionLog::Add(const std::string& request, const LogLine& line) {
+  logger_.Write(line);
+  const auto [entry, added] = lines_.try_emplace(request);
+  if (added) {
+    order_.push_back(request);
+    if (order_.size() > max_requests_) {
+      lines_.erase(order_.front());
+      order_.pop_front();
+    }
+  }
+  const auto kept = lines_.find(request);
+  if (kept != lines_.end() && kept->second.size() < kMaxLinesPerRequest)
+    kept->second.push_back(line.Finish());
+}
+
+std::vector<std::string> DecisionLog::Find(const std::string& request) const {
+  const auto found = lines_.find(request);
+  return found == lines_.end() ? std::vector<std::string>() : found->second;
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/metrics.cc
@@ -0,0 +1,144 @@
+/// \file
+/// prometheus-cpp adapter.
+
+#include "teaselhill/router/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+#include <mutex>
+
+namespace teaselhill::router {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries& FirstTokenBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+      0.01, 0.05, 0.1, 0.25, 0.5, 1, 1.8, 3, 5, 10, 30};
+  return buckets;
+}
+
+const prometheus::Histogram::BucketBoundaries& AnswerBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+      0.1, 0.25, 0.5, 1, 2, 5, 10, 20, 40, 80, 160};
+  return buckets;
+}
+
+}  // namespace
+
+class Metrics::Impl {
+ public:
+  prometheus::Gauge& FindGauge(const std::string& name,
+                               const std::string& help) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    prometheus::Gauge*& gauge = gauges[name];
+    if (!gauge)
+      gauge = &prometheus::BuildGauge()
+                   .Name(name)
+                   .Help(help)
+                   .Register(registry)
+                   .Add({});
+    return *gauge;
+  }
+
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& requests =
+      prometheus::BuildCounter()
+          .Name("teaselhill_requests_total")
+          .Help("Requests by customer, class, outcome and result code")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& attained =
+      prometheus::BuildCounter()
+          .Name("teaselhill_answers_total")
+          .Help("Answers by class and whether the target was met")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& first_token =
+      prometheus::BuildHistogram()
+          .Name("teaselhill_first_token_seconds")
+          .Help("Time from arrival to the first token")
+          .Register(registry);
+  prometheus::Family<prometheus::Histogram>& answers =
+      prometheus::BuildHistogram()
+          .Name("teaselhill_answer_seconds")
+          .Help("Time from arrival to the end of the answer")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter>& tokens =
+      prometheus::BuildCounter()
+          .Name("teaselhill_tokens_total")
+          .Help("Tokens delivered by class")
+          .Register(registry);
+  prometheus::Counter& wasted =
+      prometheus::BuildCounter()
+          .Name("teaselhill_wasted_tokens_total")
+          .Help("Tokens computed that no caller received")
+          .Register(registry)
+          .Add({});
+  prometheus::Family<prometheus::Counter>& attempts =
+      prometheus::BuildCounter()
+          .Name("teaselhill_attempts_total")
+          .Help("Sends to upstreams by kind")
+          .Register(registry);
+  std::mutex mutex;
+  std::map<std::string, prometheus::Gauge*> gauges;
+};
+
+Metrics::Metrics() : impl_(std::make_unique<Impl>()) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::CountOutcome(const std::string& customer,
+                           const std::string& class_name,
+                           ResultCode code) {
+  impl_->requests
+      .Add({{"customer", customer},
+            {"class", class_name},
+            {"outcome", std::string(OutcomeName(Describe(code).outcome))},
+            {"code", std::to_string(static_cast<int>(code))}})
+      .Increment();
+}
+
+void Metrics::ObserveFirstToken(const std::string& class_name,
+                                Duration latency) {
+  impl_->first_token.Add({{"class", class_name}}, FirstTokenBuckets())
+      .Observe(ToSeconds(latency));
+}
+
+void Metrics::ObserveAnswer(const std::string& class_name,
+                            Duration latency,
+                            bool within_target) {
+  impl_->answers.Add({{"class", class_name}}, AnswerBuckets())
+      .Observe(ToSeconds(latency));
+  impl_->attained
+      .Add({{"class", class_name},
+            {"within_target", within_target ? "true" : "false"}})
+      .Increment();
+}
+
+void Metrics::CountTokens(const std::string& class_name, uint64_t tokens) {
+  impl_->tokens.Add({{"class", class_name}})
+      .Increment(static_cast<double>(tokens));
+}
+
+void Metrics::CountWastedTokens(uint64_t tokens) {
+  impl_->wasted.Increment(static_cast<double>(tokens));
+}
+
+void Metrics::CountAttempt(const std::string& kind) {
+  impl_->attempts.Add({{"kind", kind}}).Increment();
+}
+
+void Metrics::SetGauge(const std::string& name,
+                       const std::string& help,
+                       double value) {
+  impl_->FindGauge(name, help).Set(value);
+}
+
+std::string Metrics::Exposition() const {
+  return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/orders_driver.cc
@@ -0,0 +1,273 @@
+/// \file
+/// Orders driver.
+
+#include "teaselhill/router/orders_driver.h"
+
+#include <nlohmann/json.hpp>
+
+namespace teaselhill::router {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr char kOrdersStream[] = "orders";
+constexpr std::chrono::milliseconds kTickPeriod{500};
+constexpr std::chrono::milliseconds kStateTimeout{2000};
+constexpr std::chrono::milliseconds kOrderTimeout{5000};
+
+platform::LogTailOptions TailOptions() {
+  platform::LogTailOptions options;
+  options.stream = kOrdersStream;
+  return options;
+}
+
+std::string EncodeOrder(const orders::Order& order, LogOffset fencing) {
+  const json body = {
+      {"fencing", fencing},
+      {"kind", order.kind == orders::OrderKind::kLoadModel ? "load_model"
+                                                           : "unload_model"},
+      {"model", order.model}};
+  return body.dump();
+}
+
+}  // namespace
+
+Result<orders::EngineState> ParseEngineState(const std::string& name,
+                                             const std::string& body) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("models") ||
+      !parsed["models"].is_array())
+    return {ResultCode::kProtocolError,
+            "engine state of '" + name + "': models must be an array"};
+  orders::EngineState state;
+  state.name = name;
+  for (const json& model : parsed["models"]) {
+    if (model.is_string())
+      state.models.push_back(model.get<std::string>());
+  }
+  const auto loading = parsed.find("loading");
+  if (loading != parsed.end())
+    state.loading =
+        loading->is_boolean() ? loading->get<bool>() : !loading->empty();
+  return state;
+}
+
+OrdersDriver::OrdersDriver(OrdersContext context)
+    : context_(std::move(context)),
+      lease_(context_.self, context_.domain, {}),
+      planner_({}),
+      tail_(*context_.log,
+            *context_.timers,
+            *context_.rng,
+            TailOptions(),
+            *this) {}
+
+OrdersDriver::~OrdersDriver() = default;
+
+void OrdersDriver::Start() {
+  tail_.Start(0);
+  timer_ = context_.timers->Subscribe(kTickPeriod,
+                                      [this](TimePoint now) { Tick(now); });
+}
+
+void OrdersDriver::ApplyConfig(std::shared_ptr<const config::ConfigView> view) {
+  view_ = std::move(view);
+  std::map<std::string, Engine> next;
+  const auto domain = view_->assignments_by_domain.find(context_.domain);
+  if (domain != view_->assignments_by_domain.end()) {
+    for (const auto& assignment : domain->second) {
+      if (assignment->kind != config::UpstreamKind::kEngine)
+        continue;
+      Engine& engine = next[assignment->name];
+      const auto old = engines_.find(assignment->name);
+      if (old != engines_.end() && old->second.url == assignment->url)
+        engine = old->second;
+      engine.url = assignment->url;
+    }
+  }
+  engines_ = std::move(next);
+}
+
+void OrdersDriver::OnRecords(const std::vector<platform::LogRecord>& records) {
+  const TimePoint now = context_.timers->Now();
+  for (const platform::LogRecord& record : records) {
+    const Result<orders::LeaseRecord> lease = orders::DecodeLease(record.data);
+    if (lease)
+      lease_.OnRecord(record.offset, *lease, now);
+  }
+}
+
+void OrdersDriver::OnGap(LogOffset) {
+  lease_.OnGap(context_.timers->Now());
+  context_.log->ReadBounds(kOrdersStream,
+                           [this, alive = std::weak_ptr<int>(alive_)](
+                               Result<platform::LogPage> page) {
+                             if (!alive.expired() && page)
+                               tail_.Seek(page->first_retained);
+                           });
+}
+
+void OrdersDriver::OnLogRestartedWithLess(LogOffset, LogOffset log_next) {
+  lease_.OnGap(context_.timers->Now());
+  tail_.Seek(log_next);
+}
+
+void OrdersDriver::Tick(TimePoint now) {
+  if (tail_.lag().reachable && tail_.lag().behind == 0)
+    lease_.OnCaughtUp(now);
+  Renew(now);
+  const bool holds = lease_.Holds(now);
+  if (holds != held_before_) {
+    context_.logger->Write(LogLine(LogLevel::kInfo, "order_lease")
+                               .Field("domain", context_.domain)
+                               .Field("held", holds));
+    planner_.Reset();
+    held_before_ = holds;
+  }
+  if (!holds) {
+    Drain({}, now);
+    return;
+  }
+  ReadStates();
+  Plan(now);
+}
+
+void OrdersDriver::Renew(TimePoint now) {
+  const std::optional<orders::LeaseRecord> record =
+      lease_.TakeAppend(wanted_, now);
+  if (!record)
+    return;
+  context_.log->Append(
+      kOrdersStream, {orders::EncodeLease(*record)},
+      [this, alive = std::weak_ptr<int>(alive_)](const Result<LogOffset>&) {
+        // Whether it took effect follows from reading.
+        if (!alive.expired())
+          tail_.Poke();
+      });
+}
+
+void OrdersDriver::ReadStates() {
+  for (auto& [name, engine] : engines_) {
+    if (engine.reading)
+      continue;
+    engine.reading = true;
+    net::ClientRequest request;
+    request.url = engine.url + "/v1/state";
+    request.source_address = context_.source_address;
+    request.connect_timeout = kStateTimeout;
+    request.total_timeout = kStateTimeout;
+    context_.client->Fetch(request,
+                           [this, name = name, asked = context_.timers->Now(),
+                            alive = std::weak_ptr<int>(alive_)](
+                               const Result<net::ClientResponse>& response) {
+                             if (!alive.expired())
+                               OnState(name, asked, response);
+                           });
+  }
+}
+
+void OrdersDriver::OnState(const std::string& name,
+                           TimePoint asked,
+                           const Result<net::ClientResponse>& response) {
+  const auto found = engines_.find(name);
+  if (found == engines_.end())
+    return;
+  Engine& engine = found->second;
+  engine.reading = false;
+  if (!response || response->status != 200) {
+    engine.state.up = false;
+    return;
+  }
+  Result<orders::EngineState> state = ParseEngineState(name, response->body);
+  if (!state)
+    return;
+  engine.state = std::move(*state);
+  engine.state.state_read = asked;
+}
+
+void OrdersDriver::Plan(TimePoint now) {
+  if (!view_)
+    return;
+  orders::PlannerInput input;
+  for (auto& [name, engine] : engines_) {
+    if (engine.state.state_read == TimePoint{})
+      continue;
+    orders::EngineState state = engine.state;
+    if (const routing::Upstream* upstream = context_.upstreams->Find(name)) {
+      state.running = context_.upstreams->CorrectedLoad(*upstream, now);
+      state.tokens_per_second = upstream->report.tokens_per_second;
+    }
+    input.engines.push_back(std::move(state));
+  }
+  const auto domain = view_->assignments_by_domain.find(context_.domain);
+  if (domain != view_->assignments_by_domain.end()) {
+    for (const auto& assignment : domain->second) {
+      if (assignment->kind == config::UpstreamKind::kEngine)
+        input.assignments.push_back(*assignment);
+    }
+  }
+  input.demand = context_.demand();
+  const orders::Plan plan = planner_.Decide(input, now);
+  Drain(plan.drain, now);
+  for (const orders::Order& order : plan.orders)
+    Send(order);
+}
+
+void OrdersDriver::Drain(const std::vector<std::string>& wanted,
+                         TimePoint now) {
+  const std::set<std::string> next(wanted.begin(), wanted.end());
+  for (const std::string& name : drained_) {
+    if (next.count(name) == 0)
+      context_.upstreams->ClearLeaving(name, routing::LeavingSign::kOperator,
+                                       now);
+  }
+  for (const std::string& name : next)
+    context_.upstreams->MarkLeaving(name, routing::LeavingSign::kOperator, now);
+  drained_ = next;
+}
+
+void OrdersDriver::Send(const orders::Order& order) {
+  const auto found = engines_.find(order.engine);
+  if (found == engines_.end())
+    return;
+  // A fresh clock reading: this thread may have been paused since the plan.
+  const TimePoint now = SteadyNow();
+  const Result<LogOffset> fencing = lease_.CheckOrder(now);
+  LogLine line(LogLevel::kInfo, "order");
+  line.Field("engine", order.engine)
+      .Field("model", order.model)
+      .Field("kind", order.kind == orders::OrderKind::kLoadModel
+                         ? "load_model"
+                         : "unload_model");
+  if (!fencing) {
+    context_.logger->Write(line.Field("refused", fencing.error().message));
+    return;
+  }
+  context_.logger->Write(line.Field("fencing", *fencing));
+  planner_.OnOrderSent(order, now);
+  net::ClientRequest request;
+  request.method = "POST";
+  request.url = found->second.url + "/v1/orders";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = EncodeOrder(order, *fencing);
+  request.source_address = context_.source_address;
+  request.total_timeout = kOrderTimeout;
+  request.fresh_connection = true;
+  context_.client->Fetch(
+      request,
+      [this, engine = order.engine, alive = std::weak_ptr<int>(alive_)](
+          const Result<net::ClientResponse>& response) {
+        if (alive.expired())
+          return;
+        LogLine answer(LogLevel::kInfo, "order_answer");
+        answer.Field("engine", engine);
+        if (response)
+          answer.Field("status", response->status);
+        else
+          answer.Field("fault", response.error().message);
+        context_.logger->Write(answer);
+      });
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/relay.cc
@@ -0,0 +1,347 @@
+/// \file
+/// Relay of one request.
+
+#include "teaselhill/router/relay.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "teaselhill/router/sse.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+/// Reading from the upstream pauses while this much waits for a slow caller,
+/// and goes on below the lower mark.
+constexpr size_t kHighWaterBytes = 32 << 10;
+constexpr size_t kLowWaterBytes = 8 << 10;
+
+/// Response bodies of plain services are collected before they are passed on,
+/// so that the caller never sees half of one.
+constexpr size_t kMaxPlainBodyBytes = 16 << 20;
+
+constexpr size_t kMaxErrorBodyBytes = 4 << 10;
+
+bool IsHopByHop(std::string_view name) {
+  static constexpr std::string_view kNames[] = {
+      "Connection", "Keep-Alive",       "Transfer-Encoding", "Upgrade",
+      "TE",         "Content-Length",   "Trailer",           "Host",
+      "Expect",     "Proxy-Connection", "Proxy-Authenticate"};
+  return std::any_of(
+      std::begin(kNames), std::end(kNames),
+      [&](std::string_view hop) { return net::SameHeaderName(hop, name); });
+}
+
+Duration ParseRetryAfter(const net::Headers& headers) {
+  const auto value = net::FindHeader(headers, "Retry-After");
+  if (!value)
+    return Duration::zero();
+  int seconds = 0;
+  std::from_chars(value->data(), value->data() + value->size(), seconds);
+  return std::chrono::seconds(std::clamp(seconds, 0, 3600));
+}
+
+}  // namespace
+
+/// One sending of the request. Forwards the events of its transfer to the
+/// relay.
+class Relay::Attempt : public net::TransferHandler {
+ public:
+  Attempt(std::shared_ptr<Relay> relay, const AttemptOrder& order)
+      : relay_(std::move(relay)), order_(order) {}
+
+  void OnHead(int status, const net::Headers& headers) override {
+    status_ = status;
+    headers_ = headers;
+    if (order_.to_host && !ended_)
+      relay_->OnHostHead(*this);
+  }
+
+  void OnData(std::string_view data) override {
+    if (ended_)
+      return;
+    if (raw_) {
+      relay_->answer_.AddRaw(std::string(data));
+      relay_->PauseWhileCallerIsSlow(*this);
+      return;
+    }
+    if (IsEngineStream()) {
+      relay_->OnEngineData(*this, data);
+      return;
+    }
+    const size_t limit =
+        status_ >= 400 && !IsPlain() ? kMaxErrorBodyBytes : kMaxPlainBodyBytes;
+    overflow_ |= body_.size() + data.size() > limit;
+    if (!overflow_)
+      body_.append(data);
+  }
+
+  void OnEnd(const net::TransferEnd& end) override {
+    if (!ended_)
+      relay_->OnAttemptEnd(*this, end);
+  }
+
+  bool IsPlain() const { return order_.to_host || relay_->info_.model.empty(); }
+  bool IsEngineStream() const { return !IsPlain() && status_ == 200; }
+
+  std::shared_ptr<Relay> relay_;
+  AttemptOrder order_;
+  net::TransferId transfer_ = 0;
+  SseSplitter splitter_;
+  int status_ = 0;
+  net::Headers headers_;
+  std::string body_;
+  uint64_t tokens_ = 0;
+  uint32_t unreported_tokens_ = 0;
+  bool overflow_ = false;
+  bool raw_ = false;
+  bool ended_ = false;
+  bool paused_ = false;
+};
+
+Relay::Relay(const RelayContext& context,
+             RequestInfo info,
+             OutgoingRequest outgoing,
+             std::shared_ptr<net::ResponseWriter> response,
+             bool keep_answer)
+    : context_(context),
+      info_(std::move(info)),
+      outgoing_(std::move(outgoing)),
+      response_(response),
+      keep_answer_(keep_answer),
+      answer_(std::move(response),
+              info_.stream,
+              keep_answer,
+              info_.external_id) {}
+
+Relay::~Relay() = default;
+
+net::ClientRequest Relay::BuildRequest(const AttemptOrder& order) const {
+  net::ClientRequest request;
+  request.method = outgoing_.method;
+  request.fresh_connection = order.fresh_connection;
+  request.source_address = context_.source_address;
+  if (order.to_host) {
+    request.url = order.url + outgoing_.caller_target;
+    request.body = outgoing_.caller_body;
+    request.headers = outgoing_.caller_headers;
+    request.headers.push_back({"X-Teaselhill-Forwarded", context_.host_secret});
+  } else {
+    request.url = order.url + outgoing_.target;
+    request.body = outgoing_.body;
+    request.headers = outgoing_.headers;
+  }
+  auto& headers = request.headers;
+  headers.erase(std::remove_if(headers.begin(), headers.end(),
+                               [](const net::Header& header) {
+                                 return IsHopByHop(header.name) ||
+                                        net::SameHeaderName(header.name,
+                                                            "X-Request-Id");
+                               }),
+                headers.end());
+  headers.push_back({"X-Request-Id", info_.external_id});
+  if (order.to_host || info_.model.empty())
+    return request;
+  headers.push_back({"Content-Type", "application/json"});
+  headers.push_back({"X-Priority", std::to_string(order.engine_priority)});
+  // The control thread's count lags behind; this one is exact.
+  if (answer_.tokens() > 0)
+    headers.push_back({"X-Resume-Offset", std::to_string(answer_.tokens())});
+  if (!info_.idempotency_key.empty())
+    headers.push_back({"Idempotency-Key", info_.idempotency_key});
+  return request;
+}
+
+void Relay::StartAttempt(const AttemptOrder& order) {
+  if (finished_)
+    return;
+  auto attempt = std::make_shared<Attempt>(shared_from_this(), order);
+  attempts_[order.attempt] = attempt;
+  attempt->transfer_ = context_.client->Start(BuildRequest(order), attempt);
+}
+
+void Relay::CancelAttempt(int attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end())
+    return;
+  found->second->ended_ = true;
+  context_.client->Cancel(found->second->transfer_);
+  attempts_.erase(found);
+  if (winner_ == attempt)
+    winner_ = -1;
+}
+
+void Relay::DetachCaller() {
+  answer_.DetachCaller();
+  response_.reset();
+  for (auto& [number, attempt] : attempts_) {
+    if (attempt->paused_)
+      context_.client->Resume(attempt->transfer_);
+    attempt->paused_ = false;
+  }
+}
+
+void Relay::Fail(const Error& error, Duration retry_after) {
+  if (finished_)
+    return;
+  finished_ = true;
+  answer_.Fail(error, retry_after);
+  while (!attempts_.empty())
+    CancelAttempt(attempts_.begin()->first);
+}
+
+void Relay::Replay(const KeptAnswer& answer) {
+  if (finished_)
+    return;
+  finished_ = true;
+  answer_.Replay(answer);
+}
+
+void Relay::CollectProgress(std::vector<TokenProgress>* out) {
+  for (auto& [number, attempt] : attempts_) {
+    if (attempt->unreported_tokens_ == 0)
+      continue;
+    out->push_back({info_.id, number, attempt->unreported_tokens_});
+    attempt->unreported_tokens_ = 0;
+  }
+}
+
+bool Relay::Wins(int attempt) {
+  if (winner_ < 0)
+    winner_ = attempt;
+  return winner_ == attempt;
+}
+
+void Relay::OnEngineData(Attempt& attempt, std::string_view data) {
+  Result<SseSplitter::Batch> batch = attempt.splitter_.Feed(data);
+  if (!batch) {
+    const std::shared_ptr<Attempt> alive = attempts_[attempt.order_.attempt];
+    context_.client->Cancel(attempt.transfer_);
+    AttemptEnd end;
+    end.code = batch.error().code;
+    end.detail = batch.error().message;
+    end.may_have_been_sent = true;
+    Report(attempt, std::move(end));
+    return;
+  }
+  const bool first = attempt.tokens_ == 0 && batch->tokens > 0;
+  attempt.tokens_ += batch->tokens;
+  attempt.unreported_tokens_ += batch->tokens;
+  // Events without a token must not decide between hedged attempts.
+  if (batch->tokens == 0 && winner_ != attempt.order_.attempt && !batch->done)
+    return;
+  if (!Wins(attempt.order_.attempt))
+    return;
+  if (first)
+    context_.control->OnFirstToken(info_.id, attempt.order_.attempt);
+  if (!batch->events.empty())
+    answer_.AddEvents(std::move(batch->events), batch->tokens);
+  if (batch->done) {
+    OnEngineDone(attempt);
+    return;
+  }
+  PauseWhileCallerIsSlow(attempt);
+}
+
+void Relay::OnEngineDone(Attempt& attempt) {
+  finished_ = true;
+  answer_.Finish();
+  AttemptEnd end;
+  end.complete = true;
+  end.status = attempt.status_;
+  end.may_have_been_sent = true;
+  Report(attempt, std::move(end));
+}
+
+void Relay::OnHostHead(Attempt& attempt) {
+  const auto type = net::FindHeader(attempt.headers_, "Content-Type");
+  if (attempt.status_ != 200 || !type || *type != "text/event-stream" ||
+      !Wins(attempt.order_.attempt))
+    return;
+  attempt.raw_ = true;
+  answer_.StartRaw(attempt.status_, attempt.headers_);
+}
+
+void Relay::OnPlainEnd(Attempt& attempt) {
+  finished_ = true;
+  if (attempt.raw_) {
+    answer_.FinishRaw();
+    return;
+  }
+  net::Headers headers;
+  for (const net::Header& header : attempt.headers_) {
+    if (!IsHopByHop(header.name))
+      headers.push_back(header);
+  }
+  if (!attempt.order_.to_host) {
+    headers.push_back({"X-Teaselhill-Outcome", "answered"});
+    headers.push_back({"X-Request-Id", info_.external_id});
+  }
+  answer_.Respond(attempt.status_, std::move(headers),
+                  std::move(attempt.body_));
+}
+
+void Relay::OnAttemptEnd(Attempt& attempt, const net::TransferEnd& end) {
+  AttemptEnd report;
+  report.code = end.code;
+  report.detail = end.detail;
+  report.status = end.status;
+  report.may_have_been_sent = end.may_have_been_sent;
+  report.retry_after = ParseRetryAfter(attempt.headers_);
+  // A plain service refuses a call without having run it by 429 or 503 only;
+  // any other answer is the service's own and belongs to the caller.
+  const bool refused = attempt.status_ == 429 || attempt.status_ == 503;
+  const bool whole = end.code == ResultCode::kOk && !attempt.overflow_;
+  if (attempt.IsPlain() && whole && (!refused || attempt.order_.to_host)) {
+    OnPlainEnd(attempt);
+    report.complete = true;
+    report.code = ResultCode::kOk;
+  } else if (end.code == ResultCode::kOk) {
+    report.code = attempt.status_ == 200 ? ResultCode::kConnectionLost
+                                         : ResultCode::kUpstreamRefused;
+    report.detail = attempt.status_ == 200 ? "the stream ended before [DONE]"
+                                           : attempt.body_.substr(0, 200);
+  }
+  Report(attempt, std::move(report));
+}
+
+void Relay::Report(Attempt& attempt, AttemptEnd end) {
+  const std::shared_ptr<Attempt> alive = attempts_[attempt.order_.attempt];
+  attempt.ended_ = true;
+  end.request = info_.id;
+  end.attempt = attempt.order_.attempt;
+  end.tokens = attempt.tokens_;
+  end.delivered_tokens = answer_.tokens();
+  attempts_.erase(attempt.order_.attempt);
+  if (!end.complete && winner_ == end.attempt)
+    winner_ = -1;
+  std::shared_ptr<const KeptAnswer> kept;
+  if (end.complete && keep_answer_ && !alive->order_.to_host)
+    kept = answer_.TakeKept();
+  context_.control->OnAttemptEnded(std::move(end), std::move(kept));
+}
+
+void Relay::PauseWhileCallerIsSlow(Attempt& attempt) {
+  if (!response_ || attempt.paused_ ||
+      response_->pending_bytes() < kHighWaterBytes)
+    return;
+  attempt.paused_ = true;
+  context_.client->Pause(attempt.transfer_);
+  const std::weak_ptr<Relay> weak = weak_from_this();
+  const int number = attempt.order_.attempt;
+  response_->SetDrainHandler([weak, number] {
+    const std::shared_ptr<Relay> relay = weak.lock();
+    if (!relay || !relay->response_ ||
+        relay->response_->pending_bytes() > kLowWaterBytes)
+      return;
+    relay->response_->SetDrainHandler(nullptr);
+    const auto found = relay->attempts_.find(number);
+    if (found == relay->attempts_.end() || !found->second->paused_)
+      return;
+    found->second->paused_ = false;
+    relay->context_.client->Resume(found->second->transfer_);
+  });
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/report_poller.cc
@@ -0,0 +1,189 @@
+/// \file
+/// Load report poller.
+
+#include "teaselhill/router/report_poller.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace teaselhill::router {
+
+namespace {
+
+using nlohmann::json;
+
+/// Cache events are hints, so they are read less often than load.
+constexpr uint64_t kRoundsPerEventPoll = 4;
+
+constexpr std::chrono::milliseconds kPollTimeout{1000};
+
+Error Fault(const std::string& what) {
+  return {ResultCode::kProtocolError, "engine report: " + what};
+}
+
+}  // namespace
+
+Result<routing::LoadReport> ParseLoadReport(const std::string& body) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_object())
+    return Fault("not a JSON object");
+  for (const char* field : {"running", "waiting", "max_batch"}) {
+    const auto value = parsed.find(field);
+    if (value == parsed.end() || !value->is_number_integer() ||
+        value->get<int64_t>() < 0 || value->get<int64_t>() > 1000000)
+      return Fault(std::string(field) + " must be a whole number");
+  }
+  routing::LoadReport report;
+  report.running = parsed["running"].get<int>();
+  report.waiting = parsed["waiting"].get<int>();
+  report.max_batch = parsed["max_batch"].get<int>();
+  const auto rate = parsed.find("tokens_per_second");
+  if (rate != parsed.end() && rate->is_number())
+    report.tokens_per_second = rate->get<double>();
+  const auto age = parsed.find("report_age_ms");
+  if (age != parsed.end() && age->is_number())
+    report.age = FromSeconds(std::max(0.0, age->get<double>()) / 1000);
+  return report;
+}
+
+Result<CacheEventPage> ParseCacheEvents(const std::string& body,
+                                        uint64_t from) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("events") ||
+      !parsed["events"].is_array())
+    return Fault("events must be an array");
+  CacheEventPage page;
+  uint64_t expected = from;
+  for (const json& event : parsed["events"]) {
+    if (!event.is_object() || !event.contains("seq") ||
+        !event["seq"].is_number_unsigned())
+      return Fault("seq must be a whole number");
+    const auto sequence = event["seq"].get<uint64_t>();
+    page.gap |= from > 0 && sequence > expected;
+    expected = sequence + 1;
+    const std::string hash = event.value("prefix_hash", "");
+    routing::CacheEvent converted;
+    const auto [end, error] = std::from_chars(
+        hash.data(), hash.data() + hash.size(), converted.block, 16);
+    if (hash.empty() || error != std::errc() ||
+        end != hash.data() + hash.size())
+      continue;
+    converted.kind = event.value("kind", "stored") == "stored"
+                         ? routing::CacheEventKind::kStored
+                         : routing::CacheEventKind::kRemoved;
+    page.events.push_back(converted);
+  }
+  const auto next = parsed.find("next");
+  page.next = next != parsed.end() && next->is_number_unsigned()
+                  ? next->get<uint64_t>()
+                  : expected;
+  return page;
+}
+
+ReportPoller::ReportPoller(net::HttpClient& client,
+                           TimerService& timers,
+                           routing::UpstreamTable& table,
+                           Duration period,
+                           std::string source_address,
+                           std::function<void()> on_report)
+    : client_(client),
+      timers_(timers),
+      table_(table),
+      period_(period),
+      source_address_(std::move(source_address)),
+      on_report_(std::move(on_report)) {
+  timer_ = timers_.Subscribe(period_, [this](TimePoint now) { Poll(now); });
+}
+
+ReportPoller::~ReportPoller() = default;
+
+void ReportPoller::SetEngines(const std::vector<PolledEngine>& engines) {
+  std::map<std::string, Engine> next;
+  for (const PolledEngine& engine : engines) {
+    const auto old = engines_.find(engine.name);
+    if (old != engines_.end() && old->second.url == engine.url) {
+      next.emplace(engine.name, old->second);
+      continue;
+    }
+    Engine added;
+    added.url = engine.url;
+    added.generation = ++generation_;
+    next.emplace(engine.name, std::move(added));
+  }
+  engines_ = std::move(next);
+}
+
+void ReportPoller::Poll(TimePoint) {
+  const bool with_events = rounds_++ % kRoundsPerEventPoll == 0;
+  for (auto& [name, engine] : engines_) {
+    if (!engine.load_in_flight)
+      PollLoad(name, engine);
+    if (with_events && !engine.events_in_flight)
+      PollEvents(name, engine);
+  }
+}
+
+net::ClientRequest ReportPoller::Request(const std::string& url) const {
+  net::ClientRequest request;
+  request.url = url;
+  request.source_address = source_address_;
+  request.connect_timeout = kPollTimeout;
+  request.total_timeout = kPollTimeout;
+  return request;
+}
+
+ReportPoller::Engine* ReportPoller::Find(const std::string& name,
+                                         uint64_t generation) {
+  const auto found = engines_.find(name);
+  const bool same =
+      found != engines_.end() && found->second.generation == generation;
+  return same ? &found->second : nullptr;
+}
+
+void ReportPoller::PollLoad(const std::string& name, Engine& engine) {
+  engine.load_in_flight = true;
+  client_.Fetch(Request(engine.url + "/v1/load"),
+                [this, name, generation = engine.generation,
+                 alive = std::weak_ptr<int>(alive_)](
+                    Result<net::ClientResponse> response) {
+                  if (alive.expired())
+                    return;
+                  Engine* polled = Find(name, generation);
+                  if (!polled)
+                    return;
+                  polled->load_in_flight = false;
+                  if (!response || response->status != 200)
+                    return;
+                  const auto report = ParseLoadReport(response->body);
+                  if (!report)
+                    return;
+                  table_.OnReport(name, *report, timers_.Now());
+                  on_report_();
+                });
+}
+
+void ReportPoller::PollEvents(const std::string& name, Engine& engine) {
+  engine.events_in_flight = true;
+  const uint64_t from = engine.next_event;
+  client_.Fetch(
+      Request(engine.url + "/v1/cache/events?from=" + std::to_string(from)),
+      [this, name, from, generation = engine.generation,
+       alive =
+           std::weak_ptr<int>(alive_)](Result<net::ClientResponse> response) {
+        if (alive.expired())
+          return;
+        Engine* polled = Find(name, generation);
+        if (!polled)
+          return;
+        polled->events_in_flight = false;
+        if (!response || response->status != 200)
+          return;
+        const auto page = ParseCacheEvents(response->body, from);
+        if (!page)
+          return;
+        polled->next_event = page->next;
+        table_.OnCacheEvents(name, page->events, page->gap, timers_.Now());
+      });
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/settings.cc
@@ -0,0 +1,375 @@
+/// \file
+/// Settings table, flags by CLI11.
+
+#include "teaselhill/router/settings.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <map>
+#include <sstream>
+
+#include "teaselhill/admission/admission_policy.h"
+#include "teaselhill/routing/routing_policy.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+constexpr std::string_view kVariablePrefix = "TEASELHILL_";
+
+/// Variables of the other programs, which may share an environment with the
+/// daemon.
+constexpr std::string_view kOtherVariables[] = {
+    "TEASELHILL_OPERATOR_KEY", "TEASELHILL_LOG", "TEASELHILL_HOSTS"};
+
+/// Stores a valid value and returns true.
+using Apply = std::function<bool(const std::string&, Settings&)>;
+
+struct Setting {
+  std::string flag;  ///< without the dashes
+  std::string help;
+  std::string allowed;
+  Apply apply;
+  bool required = false;
+};
+
+std::string VariableOf(const Setting& setting) {
+  std::string name(kVariablePrefix);
+  for (char c : setting.flag)
+    name.push_back(c == '-' ? '_' : static_cast<char>(std::toupper(c)));
+  return name;
+}
+
+template <typename T>
+bool ParseNumber(const std::string& text, T low, T high, T* value) {
+  T parsed{};
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), parsed);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      parsed < low || parsed > high)
+    return false;
+  *value = parsed;
+  return true;
+}
+
+bool ParseDuration(const std::string& text,
+                   Duration low,
+                   Duration high,
+                   Duration* value) {
+  size_t digits = 0;
+  while (digits < text.size() && std::isdigit(text[digits]))
+    ++digits;
+  int64_t count = 0;
+  if (!ParseNumber<int64_t>(text.substr(0, digits), 0, 1000000000, &count))
+    return false;
+  const std::string unit = text.substr(digits);
+  Duration parsed{};
+  if (unit == "ms")
+    parsed = std::chrono::milliseconds(count);
+  else if (unit == "s")
+    parsed = std::chrono::seconds(count);
+  else if (unit == "m")
+    parsed = std::chrono::minutes(count);
+  else
+    return false;
+  if (parsed < low || parsed > high)
+    return false;
+  *value = parsed;
+  return true;
+}
+
+std::vector<std::string> SplitList(const std::string& text) {
+  std::vector<std::string> items;
+  std::stringstream stream(text);
+  for (std::string item; std::getline(stream, item, ',');) {
+    if (!item.empty())
+      items.push_back(item);
+  }
+  return items;
+}
+
+bool IsName(const std::string& text) {
+  return !text.empty() && text.size() <= 64 &&
+         std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+         });
+}
+
+bool IsAddress(const std::string& text) {
+  return !text.empty() &&
+         text.find_first_not_of("0123456789abcdef.:") == std::string::npos;
+}
+
+bool IsUrl(const std::string& text) {
+  return text.rfind("http://", 0) == 0 || text.rfind("https://", 0) == 0;
+}
+
+bool IsKeyHash(const std::string& text) {
+  return text.size() == 64 &&
+         text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+Setting Name(std::string flag,
+             std::string help,
+             std::string Settings::*member,
+             bool required) {
+  return {std::move(flag), std::move(help),
+          "1 to 64 letters, digits, '-', '_' or '.'",
+          [member](const std::string& text, Settings& settings) {
+            settings.*member = text;
+            return IsName(text);
+          },
+          required};
+}
+
+Setting Url(std::string flag,
+            std::string help,
+            std::string Settings::*member,
+            bool required) {
+  return {std::move(flag), std::move(help), "http://ADDRESS:PORT",
+          [member](const std::string& text, Settings& settings) {
+            settings.*member = text;
+            return IsUrl(text);
+          },
+          required};
+}
+
+Setting Port(std::string flag, std::string help, uint16_t Settings::*member) {
+  return {std::move(flag), std::move(help), "a port from 0 to 65535",
+          [member](const std::string& text, Settings& settings) {
+            return ParseNumber<uint16_t>(text, 0, 65535, &(settings.*member));
+          }};
+}
+
+Setting Time(std::string flag,
+             std::string help,
+             Duration Settings::*member,
+             Duration low,
+             Duration high) {
+  std::ostringstream allowed;
+  allowed << "a duration such as 500ms, 2s or 10m, from " << ToMilliseconds(low)
+          << "ms to " << ToSeconds(high) << "s";
+  return {std::move(flag), std::move(help), allowed.str(),
+          [member, low, high](const std::string& text, Settings& settings) {
+            return ParseDuration(text, low, high, &(settings.*member));
+          }};
+}
+
+Setting Flag(std::string flag, std::string help, bool Settings::*member) {
+  return {std::move(flag), std::move(help), "true or false",
+          [member](const std::string& text, Settings& settings) {
+            settings.*member = text == "true";
+            return text == "true" || text == "false";
+          }};
+}
+
+std::string Joined(const std::vector<std::string>& names) {
+  std::string joined;
+  for (const std::string& name : names)
+    joined += (joined.empty() ? "" : ", ") + name;
+  return joined;
+}
+
+Setting Plugin(std::string flag,
+               std::string help,
+               std::string Settings::*member,
+               std::vector<std::string> names) {
+  return {std::move(flag), std::move(help), "one of " + Joined(names),
+          [member, names](const std::string& text, Settings& settings) {
+            settings.*member = text;
+            return std::find(names.begin(), names.end(), text) != names.end();
+          }};
+}
+
+bool ParsePeers(const std::string& text, Settings& settings) {
+  settings.peers = SplitList(text);
+  return std::all_of(settings.peers.begin(), settings.peers.end(),
+                     [](const std::string& peer) {
+                       return std::count(peer.begin(), peer.end(), '=') == 2;
+                     });
+}
+
+bool ParseLogLevel(const std::string& text, Settings& settings) {
+  static const std::map<std::string, LogLevel> levels = {
+      {"debug", LogLevel::kDebug},
+      {"info", LogLevel::kInfo},
+      {"warning", LogLevel::kWarning},
+      {"error", LogLevel::kError}};
+  const auto found = levels.find(text);
+  if (found == levels.end())
+    return false;
+  settings.log_level = found->second;
+  return true;
+}
+
+std::vector<Setting> AllSettings() {
+  using std::chrono::hours;
+  using std::chrono::milliseconds;
+  using std::chrono::minutes;
+  using std::chrono::seconds;
+  return {
+      Name("host", "name of this host on the host list", &Settings::host, true),
+      Name("domain", "failure domain of this host", &Settings::domain, true),
+      Name("region", "region of this host", &Settings::region, false),
+      {"address", "IP number of all listeners", "an IP number",
+       [](const std::string& text, Settings& settings) {
+         settings.address = text;
+         return IsAddress(text);
+       },
+       true},
+      Port("http-port", "port for callers, the same on all hosts",
+           &Settings::http_port),
+      Port("peer-port", "port for other hosts, the same on all hosts",
+           &Settings::peer_port),
+      Port("admin-port", "port for operators", &Settings::admin_port),
+      Url("log-url", "append-only log service", &Settings::log_url, true),
+      Url("host-list-url", "host list service", &Settings::host_list_url,
+          false),
+      Url("weight-store-url", "weight store", &Settings::weight_store_url,
+          false),
+      {"peers", "hosts known at the start", "a list NAME=ADDRESS=DOMAIN,...",
+       ParsePeers},
+      {"peer-secret", "secret shared by all hosts", "at least 16 characters",
+       [](const std::string& text, Settings& settings) {
+         settings.peer_secret = text;
+         return text.size() >= 16;
+       },
+       true},
+      {"operator-key-hashes", "SHA-256 of the operators' keys",
+       "a list of 64 hexadecimal digits each",
+       [](const std::string& text, Settings& settings) {
+         settings.operator_key_hashes = SplitList(text);
+         return std::all_of(settings.operator_key_hashes.begin(),
+                            settings.operator_key_hashes.end(), IsKeyHash);
+       }},
+      {"traffic-threads", "threads that relay answers", "a number from 1 to 64",
+       [](const std::string& text, Settings& settings) {
+         return ParseNumber(text, 1, 64, &settings.traffic_threads);
+       }},
+      Plugin("admission-policy", "policy that orders waiting requests",
+             &Settings::admission_policy,
+             admission::AdmissionRegistry::Instance().Names()),
+      Plugin("routing-policy", "policy that chooses upstreams",
+             &Settings::routing_policy,
+             routing::RoutingPolicyRegistry::Instance().Names()),
+      {"log-level", "least level that is logged",
+       "one of debug, info, warning, error", ParseLogLevel},
+      {"seed", "seed of random choices; 0 takes one from the system",
+       "a whole number",
+       [](const std::string& text, Settings& settings) {
+         return ParseNumber<uint64_t>(text, 0, ~0ull, &settings.seed);
+       }},
+      {"max-body-bytes", "largest request body",
+       "a number from 1024 to 67108864",
+       [](const std::string& text, Settings& settings) {
+         return ParseNumber<size_t>(text, 1024, 64 << 20,
+                                    &settings.max_body_bytes);
+       }},
+      Time("drain-timeout", "longest wait for requests at shutdown",
+           &Settings::drain_timeout, seconds(1), hours(24)),
+      Time("report-period", "time between load reports of an engine",
+           &Settings::report_period, milliseconds(50), minutes(1)),
+      Time("host-list-period", "time between readings of the host list",
+           &Settings::host_list_period, milliseconds(100), hours(1)),
+      Time("claim-window",
+           "time within which a key may be sent again; shorter than the log's "
+           "retention",
+           &Settings::claim_window, seconds(10), hours(24)),
+      Flag("give-orders", "whether this host may give orders to engines",
+           &Settings::give_orders),
+      Flag("hedging", "whether urgent requests may be hedged",
+           &Settings::hedging),
+  };
+}
+
+std::string Fault(const std::string& name,
+                  const std::string& value,
+                  const std::string& allowed) {
+  // A secret must not reach a terminal or a log.
+  const bool secret = name.find("secret") != std::string::npos ||
+                      name.find("SECRET") != std::string::npos;
+  return name + ": '" + (secret ? std::string("***") : value) +
+         "' is not valid, allowed: " + allowed + "\n";
+}
+
+std::map<std::string, std::string> OwnVariables(
+    const std::vector<std::string>& environment) {
+  std::map<std::string, std::string> variables;
+  for (const std::string& entry : environment) {
+    const size_t equals = entry.find('=');
+    if (equals != std::string::npos &&
+        entry.compare(0, kVariablePrefix.size(), kVariablePrefix) == 0)
+      variables[entry.substr(0, equals)] = entry.substr(equals + 1);
+  }
+  return variables;
+}
+
+std::string UnknownVariables(const std::map<std::string, std::string>& given,
+                             const std::vector<Setting>& settings) {
+  std::string faults;
+  for (const auto& [name, value] : given) {
+    const bool known =
+        std::any_of(settings.begin(), settings.end(),
+                    [&, name = name](const Setting& setting) {
+                      return VariableOf(setting) == name;
+                    }) ||
+        std::find(std::begin(kOtherVariables), std::end(kOtherVariables),
+                  name) != std::end(kOtherVariables);
+    if (!known)
+      faults += name + ": no such setting\n";
+  }
+  return faults;
+}
+
+}  // namespace
+
+ParsedSettings ParseSettings(const std::vector<std::string>& arguments,
+                             const std::vector<std::string>& environment) {
+  const std::vector<Setting> all = AllSettings();
+  CLI::App app("teaselhilld routes language-model requests under contracts.",
+               "teaselhilld");
+  app.set_version_flag("--version", TEASELHILL_VERSION);
+  bool check_only = false;
+  app.add_flag("--check-settings", check_only,
+               "check the settings and exit without running");
+  std::map<std::string, std::string> values;
+  for (const Setting& setting : all)
+    app.add_option("--" + setting.flag, values[setting.flag],
+                   setting.help + " (" + setting.allowed + ") [" +
+                       VariableOf(setting) + "]");
+  std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
+  try {
+    app.parse(reversed);
+  } catch (const CLI::ParseError& failure) {
+    std::ostringstream out;
+    const int exit_code = app.exit(failure, out, out);
+    return PrintAndExit{out.str(), exit_code == 0 ? 0 : 7};
+  }
+  const auto variables = OwnVariables(environment);
+  Settings settings;
+  std::string faults = UnknownVariables(variables, all);
+  for (const Setting& setting : all) {
+    const bool by_flag = app.count("--" + setting.flag) > 0;
+    const auto variable = variables.find(VariableOf(setting));
+    if (!by_flag && variable == variables.end()) {
+      if (setting.required)
+        faults += "--" + setting.flag +
+                  ": missing, allowed: " + setting.allowed + "\n";
+      continue;
+    }
+    const std::string& value =
+        by_flag ? values[setting.flag] : variable->second;
+    if (!setting.apply(value, settings))
+      faults += Fault(by_flag ? "--" + setting.flag : variable->first, value,
+                      setting.allowed);
+  }
+  if (!faults.empty())
+    return PrintAndExit{faults, 7};
+  if (check_only)
+    return PrintAndExit{"settings are valid\n", 0};
+  return settings;
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/sse.cc
@@ -0,0 +1,60 @@
+/// \file
+/// Server-sent event splitter.
+
+#include "teaselhill/router/sse.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+constexpr size_t kMaxEventBytes = 1 << 20;
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kDoneEvent = "data: [DONE]";
+constexpr std::string_view kContentName = "\"content\":";
+
+}  // namespace
+
+bool CarriesToken(std::string_view event) {
+  // Finding the member by text costs a tenth of parsing each event. A quote
+  // inside a JSON string is escaped, so the name cannot occur in a value.
+  size_t at = event.find(kContentName);
+  if (at == std::string_view::npos)
+    return false;
+  at += kContentName.size();
+  while (at < event.size() && event[at] == ' ')
+    ++at;
+  return at + 1 < event.size() && event[at] == '"' && event[at + 1] != '"';
+}
+
+Result<SseSplitter::Batch> SseSplitter::Feed(std::string_view data) {
+  Batch batch;
+  std::string joined;
+  if (!rest_.empty()) {
+    joined = std::move(rest_);
+    joined.append(data);
+    data = joined;
+  }
+  size_t begin = 0;
+  while (!done_) {
+    const size_t end = data.find(kEventEnd, begin);
+    if (end == std::string_view::npos)
+      break;
+    const std::string_view event = data.substr(begin, end - begin);
+    const size_t next = end + kEventEnd.size();
+    if (event == kDoneEvent) {
+      done_ = true;
+    } else {
+      batch.tokens += CarriesToken(event);
+      batch.events.append(data.substr(begin, next - begin));
+    }
+    begin = next;
+  }
+  rest_ = std::string(data.substr(begin));
+  if (rest_.size() > kMaxEventBytes)
+    return {ResultCode::kProtocolError, "event exceeds 1048576 bytes"};
+  total_tokens_ += batch.tokens;
+  batch.done = done_;
+  return batch;
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/traffic_worker.cc
@@ -0,0 +1,477 @@
+/// \file
+/// Traffic thread.
+
+#include "teaselhill/router/traffic_worker.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "teaselhill/net/http_client.h"
+#include "teaselhill/net/http_server.h"
+#include "teaselhill/router/relay.h"
+#include "teaselhill/support/hash.h"
+#include "teaselhill/support/logger.h"
+#include "teaselhill/support/rng.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+constexpr std::chrono::milliseconds kProgressPeriod{100};
+constexpr std::string_view kServicePrefix = "/services/";
+
+/// Request ids carry the worker's number in their upper bits, so that workers
+/// need no shared counter.
+constexpr int kWorkerShift = 48;
+
+/// The owner of a key and the class its request runs in.
+struct Grant {
+  std::shared_ptr<const config::Contract> contract;
+  const config::Team* team = nullptr;
+  const config::ClassPolicy* request_class = nullptr;
+};
+
+Result<Grant> Authorize(const config::ConfigView& view,
+                        const std::string& key,
+                        const RequestHeaders& headers) {
+  const config::KeyOwner* owner = view.FindKey(Sha256Hex(key));
+  if (!owner)
+    return {ResultCode::kBadKey, "the bearer key is unknown"};
+  if (owner->closed)
+    return {ResultCode::kContractClosed,
+            "the latest record of this contract cannot be read"};
+  Grant grant{owner->contract, owner->team, nullptr};
+  const std::string& name = headers.class_name.empty()
+                                ? owner->contract->default_class
+                                : headers.class_name;
+  grant.request_class = owner->contract->FindClass(name);
+  if (!grant.request_class)
+    return {ResultCode::kUnknownClass,
+            "class '" + name + "' is not in the contract"};
+  return grant;
+}
+
+template <typename List>
+bool Contains(const List& list, const std::string& name) {
+  return std::find(list.begin(), list.end(), name) != list.end();
+}
+
+std::string ModelList(const config::Contract& contract) {
+  std::string body = R"({"object":"list","data":[)";
+  for (size_t i = 0; i < contract.models.size(); ++i) {
+    body += i ? "," : "";
+    body += R"({"id":)";
+    AppendJsonString(contract.models[i], &body);
+    body += R"(,"object":"model","created":0,"owned_by":)";
+    AppendJsonString(contract.customer, &body);
+    body += "}";
+  }
+  return body + "]}";
+}
+
+net::Headers WithoutCredentials(const net::Headers& headers) {
+  net::Headers kept;
+  for (const net::Header& header : headers) {
+    if (!net::SameHeaderName(header.name, "Authorization") &&
+        !net::SameHeaderName(header.name, "X-Teaselhill-Forwarded"))
+      kept.push_back(header);
+  }
+  return kept;
+}
+
+}  // namespace
+
+class TrafficWorker::Impl : public net::HttpHandler {
+ public:
+  Impl(int index,
+       TrafficOptions options,
+       const SharedView& shared,
+       ControlPort& control,
+       Metrics& metrics,
+       std::atomic<size_t>& open_requests)
+      : index_(index),
+        options_(std::move(options)),
+        shared_(shared),
+        control_(control),
+        metrics_(metrics),
+        open_requests_(open_requests),
+        client_(loop_),
+        server_(loop_, ServerOptions(), *this) {
+    context_.client = &client_;
+    context_.control = &control_;
+    context_.host_secret = options_.host_secret;
+    context_.source_address = options_.address;
+  }
+
+  ~Impl() override { StopThread(); }
+
+  Status Start() {
+    const Status started = server_.Start();
+    if (!started)
+      return started;
+    progress_timer_ = loop_.timers().Subscribe(
+        kProgressPeriod, [this](TimePoint) { ReportProgress(); });
+    thread_ = std::thread([this] { loop_.Run(); });
+    return Ok{};
+  }
+
+  void StopThread() {
+    if (!thread_.joinable())
+      return;
+    loop_.Stop();
+    thread_.join();
+    relays_.clear();
+  }
+
+  net::EventLoop& loop() { return loop_; }
+  net::HttpServer& server() { return server_; }
+
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override {
+    if (request.path == "/healthz")
+      return response->Respond(200, {{"Content-Type", "text/plain"}}, "ok\n");
+    if (request.path == "/readyz")
+      return response->Respond(shared_.Ready() ? 200 : 503,
+                               {{"Content-Type", "text/plain"}},
+                               shared_.Ready() ? "ready\n" : "not ready\n");
+    if (request.path == "/metrics")
+      return response->Respond(200,
+                               {{"Content-Type", "text/plain; version=0.0.4"}},
+                               metrics_.Exposition());
+    const Status accepted = Accept(request, response);
+    if (!accepted)
+      Refuse(*response, accepted.error());
+  }
+
+  void WithRelay(RequestId id, const std::function<void(Relay&)>& use) {
+    const auto found = relays_.find(id);
+    if (found == relays_.end())
+      return;
+    const std::shared_ptr<Relay> relay = found->second;
+    use(*relay);
+    if (relay->finished())
+      Forget(id);
+  }
+
+  void Drop(RequestId id) {
+    const auto found = relays_.find(id);
+    if (found == relays_.end())
+      return;
+    const std::shared_ptr<Relay> relay = found->second;
+    relay->DetachCaller();
+    relay->Fail(Error{ResultCode::kCallerGone, ""}, Duration::zero());
+    Forget(id);
+  }
+
+  void GiveToken(RequestId id, const std::string& token) {
+    const auto found = token_requests_.find(id);
+    if (found == token_requests_.end())
+      return;
+    std::string body = R"({"token":)";
+    AppendJsonString(token, &body);
+    found->second->Respond(200, {{"Content-Type", "application/json"}},
+                           body + "}");
+    token_requests_.erase(found);
+  }
+
+  void Forget(RequestId id) {
+    if (relays_.erase(id) > 0)
+      --open_requests_;
+  }
+
+ private:
+  net::HttpServerOptions ServerOptions() const {
+    net::HttpServerOptions server;
+    server.address = options_.address;
+    server.port = options_.port;
+    server.share_port = true;
+    server.max_body_bytes = options_.max_body_bytes;
+    server.read_timeout = options_.read_timeout;
+    return server;
+  }
+
+  static void Refuse(net::ResponseWriter& response, const Error& error) {
+    response.Respond(Describe(error.code).http_status,
+                     ErrorHeaders(error, std::chrono::seconds(1)),
+                     ErrorBody(error));
+  }
+
+  /// Checks a request and hands it to the control thread.
+  Status Accept(net::HttpRequest& request,
+                const std::shared_ptr<net::ResponseWriter>& response) {
+    const auto view = shared_.config();
+    if (!view)
+      return {ResultCode::kNoConfiguration, ""};
+    const Result<std::string> key = ParseBearerKey(request.headers);
+    if (!key)
+      return key.error();
+    Result<RequestHeaders> headers = ParseRequestHeaders(request.headers);
+    if (!headers)
+      return headers.error();
+    if (headers->forwarded && !ComesFromHost(request.headers))
+      return {ResultCode::kNotPermitted,
+              "x-teaselhill-forwarded is for hosts only"};
+    const Result<Grant> grant = Authorize(*view, *key, *headers);
+    if (!grant)
+      return grant.error();
+    if (request.path == "/v1/models")
+      return ListModels(request, *grant, *response);
+    if (request.path == "/v1/tokens")
+      return IssueToken(request, *grant, response);
+    return Submit(request, *headers, *grant, response);
+  }
+
+  bool ComesFromHost(const net::Headers& headers) const {
+    const auto secret = net::FindHeader(headers, "X-Teaselhill-Forwarded");
+    return secret && !options_.host_secret.empty() &&
+           Sha256Hex(*secret) == Sha256Hex(options_.host_secret);
+  }
+
+  static Status ListModels(const net::HttpRequest& request,
+                           const Grant& grant,
+                           net::ResponseWriter& response) {
+    if (request.method != "GET")
+      return {ResultCode::kMethodNotAllowed, "/v1/models takes GET"};
+    response.Respond(200, {{"Content-Type", "application/json"}},
+                     ModelList(*grant.contract));
+    return Ok{};
+  }
+
+  Status IssueToken(const net::HttpRequest& request,
+                    const Grant& grant,
+                    const std::shared_ptr<net::ResponseWriter>& response) {
+    if (request.method != "POST")
+      return {ResultCode::kMethodNotAllowed, "/v1/tokens takes POST"};
+    const RequestId id = NextId();
+    token_requests_[id] = response;
+    control_.OnTokenWanted(index_, id, grant.contract->customer);
+    return Ok{};
+  }
+
+  Status Submit(net::HttpRequest& request,
+                const RequestHeaders& headers,
+                const Grant& grant,
+                const std::shared_ptr<net::ResponseWriter>& response) {
+    RequestInfo info;
+    info.id = NextId();
+    info.worker = index_;
+    info.external_id = headers.external_id.empty()
+                           ? "r" + std::to_string(info.id) + "-" + process_tag_
+                           : headers.external_id;
+    info.customer = grant.contract->customer;
+    info.team = grant.team->name;
+    info.class_name = grant.request_class->name;
+    info.idempotent =
+        headers.idempotent.value_or(grant.request_class->idempotent);
+    info.idempotency_key = headers.idempotency_key;
+    info.deadline = headers.deadline > Duration::zero()
+                        ? headers.deadline
+                        : grant.request_class->default_deadline;
+    info.forwarded = headers.forwarded;
+    OutgoingRequest outgoing;
+    outgoing.caller_target = Target(request);
+    outgoing.caller_headers = request.headers;
+    const Status described =
+        request.path == "/v1/chat/completions"
+            ? DescribeModelCall(request, *grant.contract, info, outgoing)
+            : DescribeServiceCall(request, *grant.contract, info, outgoing);
+    if (!described)
+      return described;
+    Begin(std::move(info), std::move(outgoing), std::move(request.body),
+          response);
+    return Ok{};
+  }
+
+  static std::string Target(const net::HttpRequest& request) {
+    return request.query.empty() ? request.path
+                                 : request.path + "?" + request.query;
+  }
+
+  static Status DescribeModelCall(const net::HttpRequest& request,
+                                  const config::Contract& contract,
+                                  RequestInfo& info,
+                                  OutgoingRequest& outgoing) {
+    if (request.method != "POST")
+      return {ResultCode::kMethodNotAllowed, "/v1/chat/completions takes POST"};
+    Result<ModelBody> body = ParseModelBody(request.body);
+    if (!body)
+      return body.error();
+    if (!Contains(contract.models, body->model))
+      return {ResultCode::kUnknownModel,
+              "model '" + body->model + "' is not in the contract"};
+    info.model = body->model;
+    info.stream = body->stream;
+    info.max_tokens = body->max_tokens;
+    info.prompt_tokens = body->prompt_tokens;
+    info.prefix_hashes = std::move(body->prefix_hashes);
+    info.fingerprint = HashWide(body->engine_body);
+    outgoing.target = "/v1/chat/completions";
+    outgoing.body = std::move(body->engine_body);
+    return Ok{};
+  }
+
+  static Status DescribeServiceCall(const net::HttpRequest& request,
+                                    const config::Contract& contract,
+                                    RequestInfo& info,
+                                    OutgoingRequest& outgoing) {
+    if (request.path.compare(0, kServicePrefix.size(), kServicePrefix) != 0)
+      return {ResultCode::kUnknownPath, "no path " + request.path};
+    const size_t begin = kServicePrefix.size();
+    const size_t end =
+        std::min(request.path.find('/', begin), request.path.size());
+    info.service = request.path.substr(begin, end - begin);
+    if (!Contains(contract.services, info.service))
+      return {ResultCode::kUnknownService,
+              "service '" + info.service + "' is not in the contract"};
+    // Methods that HTTP defines as safe may be repeated whatever the class
+    // says.
+    if (request.method == "GET" || request.method == "HEAD")
+      info.idempotent = true;
+    outgoing.method = request.method;
+    outgoing.target = Target(request).substr(end);
+    if (outgoing.target.empty() || outgoing.target[0] != '/')
+      outgoing.target.insert(0, "/");
+    outgoing.body = request.body;
+    outgoing.headers = WithoutCredentials(request.headers);
+    info.fingerprint =
+        HashWide(request.method + " " + request.path + "\n" + request.body);
+    return Ok{};
+  }
+
+  void Begin(RequestInfo info,
+             OutgoingRequest outgoing,
+             std::string caller_body,
+             const std::shared_ptr<net::ResponseWriter>& response) {
+    const RequestId id = info.id;
+    // Only a keyed, non-idempotent request may be forwarded or kept, so the
+    // caller's own body is needed for those only.
+    const bool keyed = !info.idempotent && !info.idempotency_key.empty();
+    if (keyed)
+      outgoing.caller_body = std::move(caller_body);
+    else
+      outgoing.caller_headers.clear();
+    response->SetCloseHandler([this, id] { OnCallerClosed(id); });
+    relays_.emplace(id, std::make_shared<Relay>(context_, info,
+                                                std::move(outgoing), response,
+                                                /*keep_answer=*/keyed));
+    ++open_requests_;
+    control_.OnArrived(std::move(info));
+  }
+
+  void OnCallerClosed(RequestId id) {
+    const auto found = relays_.find(id);
+    if (found == relays_.end())
+      return;
+    found->second->DetachCaller();
+    control_.OnCallerGone(id);
+  }
+
+  void ReportProgress() {
+    std::vector<TokenProgress> progress;
+    for (auto entry = relays_.begin(); entry != relays_.end();) {
+      entry->second->CollectProgress(&progress);
+      if (entry->second->finished()) {
+        entry = relays_.erase(entry);
+        --open_requests_;
+        continue;
+      }
+      ++entry;
+    }
+    if (!progress.empty())
+      control_.OnProgress(std::move(progress));
+  }
+
+  RequestId NextId() {
+    return (static_cast<RequestId>(index_) << kWorkerShift) | ++last_id_;
+  }
+
+  int index_;
+  TrafficOptions options_;
+  const SharedView& shared_;
+  ControlPort& control_;
+  Metrics& metrics_;
+  std::atomic<size_t>& open_requests_;
+  net::EventLoop loop_;
+  net::HttpClient client_;
+  net::HttpServer server_;
+  RelayContext context_;
+  RequestId last_id_ = 0;
+  /// Distinguishes ids of this process from those of other hosts.
+  std::string process_tag_ = ToHex(Hash128{EntropySeed(), 0}).substr(0, 8);
+  std::unordered_map<RequestId, std::shared_ptr<Relay>> relays_;
+  std::unordered_map<RequestId, std::shared_ptr<net::ResponseWriter>>
+      token_requests_;
+  TimerSubscription progress_timer_;
+  std::thread thread_;
+};
+
+TrafficWorker::TrafficWorker(int index,
+                             TrafficOptions options,
+                             const SharedView& shared,
+                             ControlPort& control,
+                             Metrics& metrics)
+    : impl_(std::make_unique<Impl>(index,
+                                   std::move(options),
+                                   shared,
+                                   control,
+                                   metrics,
+                                   open_requests_)) {}
+
+TrafficWorker::~TrafficWorker() = default;
+
+Status TrafficWorker::Start() {
+  return impl_->Start();
+}
+
+uint16_t TrafficWorker::port() const {
+  return impl_->server().port();
+}
+
+void TrafficWorker::StopAccepting() {
+  impl_->loop().Post([this] { impl_->server().Stop(); });
+}
+
+void TrafficWorker::Stop() {
+  impl_->StopThread();
+}
+
+void TrafficWorker::StartAttempt(const AttemptOrder& order) {
+  impl_->loop().Post([this, order] {
+    impl_->WithRelay(order.request,
+                     [&](Relay& relay) { relay.StartAttempt(order); });
+  });
+}
+
+void TrafficWorker::CancelAttempt(RequestId request, int attempt) {
+  impl_->loop().Post([this, request, attempt] {
+    impl_->WithRelay(request,
+                     [&](Relay& relay) { relay.CancelAttempt(attempt); });
+  });
+}
+
+void TrafficWorker::Fail(RequestId request,
+                         const Error& error,
+                         Duration retry_after) {
+  impl_->loop().Post([this, request, error, retry_after] {
+    impl_->WithRelay(request,
+                     [&](Relay& relay) { relay.Fail(error, retry_after); });
+  });
+}
+
+void TrafficWorker::Replay(RequestId request,
+                           std::shared_ptr<const KeptAnswer> answer) {
+  impl_->loop().Post([this, request, answer] {
+    impl_->WithRelay(request, [&](Relay& relay) { relay.Replay(*answer); });
+  });
+}
+
+void TrafficWorker::Drop(RequestId request) {
+  impl_->loop().Post([this, request] { impl_->Drop(request); });
+}
+
+void TrafficWorker::GiveToken(RequestId request, const std::string& token) {
+  impl_->loop().Post(
+      [this, request, token] { impl_->GiveToken(request, token); });
+}
+
+}  // namespace teaselhill::router
--- a/lib/standin/log.cc
+++ b/lib/standin/log.cc
@@ -115,7 +115,9 @@
   }
   const uint64_t first = store_.first_retained(reader.stream, Now());
   RespondJson(*reader.response, 410,
-              "{\"first_retained\":" + std::to_string(first) + "}");
+              "{\"first_retained\":" + std::to_string(first) +
+                  ",\"next_offset\":" +
+                  std::to_string(store_.next_offset(reader.stream)) + "}");
 }
 
 void Log::WakeReaders(const std::string& stream) {
--- a/unittests/platform/log_tail_test.cc
+++ b/unittests/platform/log_tail_test.cc
@@ -22,6 +22,7 @@
     next += records.size();
   }
 
+  void ReadBounds(const std::string&, ReadCallback) override {}
   void Read(const LogRead& read, ReadCallback callback) override {
     ++reads;
     last = read;
--- /dev/null
+++ b/unittests/router/caller_request_test.cc
@@ -0,0 +1,99 @@
+/// \file
+/// Guards the checks of callers' input: each fault has its own numbered error.
+
+#include "teaselhill/router/caller_request.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::router {
+
+TEST_CASE("a malformed model body is refused with the path at fault") {
+  struct Row {
+    std::string body;
+    std::string message;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"", "the body is not a JSON object"},
+      {"[1]", "the body is not a JSON object"},
+      {"{\"model\":", "the body is not a JSON object"},
+      {"{}", "model: must be a string"},
+      {R"({"model":1})", "model: must be a string"},
+      {R"({"model":"m"})", "messages: must be a non-empty array"},
+      {R"({"model":"m","messages":[]})", "messages: must be a non-empty array"},
+      {R"({"model":"m","messages":[{}]})",
+       "messages[0].role: must be a string"},
+      {R"({"model":"m","messages":[{"role":"user"}]})",
+       "messages[0].content: must be a string or an array"},
+      {R"({"model":"m","stream":1,"messages":[{"role":"user","content":"x"}]})",
+       "stream: must be true or false"},
+      {R"({"model":"m","max_tokens":0,"messages":[]})",
+       "max_tokens: must be a whole number from 1 to 1048576"},
+  }));
+  INFO(row.body);
+  const Result<ModelBody> parsed = ParseModelBody(row.body);
+  REQUIRE_FALSE(parsed.ok());
+  CHECK(parsed.error().code == ResultCode::kMalformedBody);
+  CHECK(parsed.error().message == row.message);
+}
+
+TEST_CASE("requests with one prompt prefix share its hashes") {
+  const std::string prefix(600, 'p');
+  const auto body = [&](const std::string& tail) {
+    return R"({"model":"m","messages":[{"role":"user","content":")" + prefix +
+           tail + "\"}]}";
+  };
+  const auto a = ParseModelBody(body("one"));
+  const auto b = ParseModelBody(body("two"));
+  REQUIRE(a.ok());
+  REQUIRE(b.ok());
+  REQUIRE(a->prefix_hashes.size() >= 2);
+  CHECK(a->prefix_hashes == b->prefix_hashes);
+}
+
+TEST_CASE("headers with bad values are refused by name") {
+  struct Row {
+    net::Header header;
+    bool valid;
+  };
+  const auto row = GENERATE(values<Row>({
+      {{"X-Teaselhill-Deadline-Ms", "1500"}, true},
+      {{"X-Teaselhill-Deadline-Ms", "0"}, false},
+      {{"X-Teaselhill-Deadline-Ms", "-1"}, false},
+      {{"X-Teaselhill-Deadline-Ms", "1s"}, false},
+      {{"X-Teaselhill-Deadline-Ms", "99999999999999999999"}, false},
+      {{"X-Teaselhill-Idempotent", "false"}, true},
+      {{"X-Teaselhill-Idempotent", "no"}, false},
+      {{"Idempotency-Key", "k-1"}, true},
+      {{"Idempotency-Key", "two words"}, false},
+      {{"X-Request-Id", std::string(129, 'x')}, false},
+  }));
+  INFO(row.header.name << ": " << row.header.value);
+  const Result<RequestHeaders> parsed = ParseRequestHeaders({row.header});
+  CHECK(parsed.ok() == row.valid);
+  if (!parsed)
+    CHECK(parsed.error().code == ResultCode::kBadHeader);
+}
+
+TEST_CASE("only an error that the caller can wait out carries Retry-After") {
+  struct Row {
+    ResultCode code;
+    bool retry_after;
+  };
+  const auto row = GENERATE(values<Row>({
+      {ResultCode::kQueueFull, true},
+      {ResultCode::kLimitExceeded, true},
+      {ResultCode::kMalformedBody, false},
+      {ResultCode::kUpstreamLost, false},
+      {ResultCode::kKeyTooOld, false},
+  }));
+  const net::Headers headers =
+      ErrorHeaders({row.code, ""}, std::chrono::milliseconds(1200));
+  const auto value = net::FindHeader(headers, "Retry-After");
+  CHECK(value.has_value() == row.retry_after);
+  if (value)
+    CHECK(*value == "2");
+  CHECK(net::FindHeader(headers, "X-Teaselhill-Outcome") ==
+        OutcomeName(Describe(row.code).outcome));
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/unittests/router/coordinator_fixture.h
@@ -0,0 +1,213 @@
+/// \file
+/// A request coordinator with real policies and a traffic port that records.
+
+#ifndef TEASELHILL_UNITTESTS_ROUTER_COORDINATOR_FIXTURE_H_
+#define TEASELHILL_UNITTESTS_ROUTER_COORDINATOR_FIXTURE_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "teaselhill/router/request_coordinator.h"
+
+namespace teaselhill::router {
+
+/// Records what the control thread orders.
+class RecordingTraffic : public TrafficPort {
+ public:
+  void StartAttempt(int, const AttemptOrder& order) override {
+    started.push_back(order);
+    running[{order.request, order.attempt}] = order;
+  }
+  void CancelAttempt(int, RequestId request, int attempt) override {
+    running.erase({request, attempt});
+  }
+  void Fail(int, RequestId request, const Error& error, Duration) override {
+    failures[request].push_back(error.code);
+    EraseRunning(request);
+  }
+  void Replay(int,
+              RequestId request,
+              std::shared_ptr<const KeptAnswer> answer) override {
+    replays[request].push_back(answer->body);
+  }
+  void Drop(int, RequestId request) override {
+    ++drops[request];
+    EraseRunning(request);
+  }
+  void GiveToken(int, RequestId, const std::string& token) override {
+    tokens.push_back(token);
+  }
+
+  void EraseRunning(RequestId request) {
+    auto entry = running.lower_bound({request, 0});
+    while (entry != running.end() && entry->first.first == request)
+      entry = running.erase(entry);
+  }
+
+  /// Final answers of a request so far, complete answers not counted.
+  size_t Finals(RequestId request) const {
+    size_t finals = 0;
+    if (const auto f = failures.find(request); f != failures.end())
+      finals += f->second.size();
+    if (const auto r = replays.find(request); r != replays.end())
+      finals += r->second.size();
+    if (const auto d = drops.find(request); d != drops.end())
+      finals += static_cast<size_t>(d->second);
+    return finals;
+  }
+
+  std::vector<AttemptOrder> started;
+  std::map<std::pair<RequestId, int>, AttemptOrder> running;
+  std::map<RequestId, std::vector<ResultCode>> failures;
+  std::map<RequestId, std::vector<std::string>> replays;
+  std::map<RequestId, int> drops;
+  std::vector<std::string> tokens;
+};
+
+class NoHosts : public HostDirectory {
+ public:
+  std::optional<std::string> UrlOf(const HostIncarnation&) const override {
+    return std::nullopt;
+  }
+  void SpreadSuspicion(const retry::CrashSuspicion&) override {}
+  void SpreadLeaving(const routing::UpstreamLeaving&) override {}
+};
+
+/// One customer with classes `urgent` and `report` and three engines that
+/// serve model `m`.
+class CoordinatorFixture {
+ public:
+  explicit CoordinatorFixture(int engines = 3)
+      : limits({"h", "d", 1}, {}, TimePoint{}),
+        upstreams(self),
+        planner(budget),
+        crashes(self),
+        claims(self, {}),
+        admission(std::move(
+            *admission::AdmissionRegistry::Instance().Create("tiered", {}))),
+        routing(std::move(*routing::RoutingPolicyRegistry::Instance().Create(
+            "adaptive",
+            RoutingSettings()))),
+        log(logger),
+        coordinator(self, Options(), Parts(), traffic, hosts, log, metrics) {
+    auto view = std::make_shared<config::ConfigView>();
+    auto contract = std::make_shared<config::Contract>();
+    contract->customer = "c";
+    contract->teams.push_back({"t", 1, {}});
+    contract->models = {"m"};
+    config::ClassPolicy urgent;
+    urgent.name = "urgent";
+    urgent.tier = 0;
+    config::ClassPolicy report;
+    report.name = "report";
+    report.tier = 3;
+    contract->classes = {urgent, report};
+    view->next_offset = 1;
+    view->contracts["c"] = {contract, 0, "test", false};
+    std::vector<routing::UpstreamSpec> specs;
+    for (int i = 0; i < engines; ++i) {
+      auto assignment = std::make_shared<config::UpstreamAssignment>();
+      assignment->name = "e" + std::to_string(i);
+      assignment->url = "http://127.0.0.1:1";
+      assignment->domain = "d";
+      assignment->models = {"m"};
+      assignment->max_concurrency = 4;
+      view->assignments[assignment->name] = {assignment, 0, "test", false};
+      routing::UpstreamSpec spec;
+      spec.name = assignment->name;
+      spec.domain = "d";
+      spec.models = {"m"};
+      spec.max_concurrency = 4;
+      specs.push_back(spec);
+    }
+    upstreams.Apply(specs, now);
+    coordinator.ApplyConfig(view, now);
+  }
+
+  RequestId Arrive(bool idempotent, const std::string& class_name = "report") {
+    RequestInfo info;
+    info.id = ++last_request;
+    info.external_id = "r" + std::to_string(info.id);
+    info.customer = "c";
+    info.team = "t";
+    info.class_name = class_name;
+    info.model = "m";
+    info.idempotent = idempotent;
+    info.prompt_tokens = 10;
+    info.fingerprint = {info.id, info.id};
+    coordinator.OnArrived(std::move(info), now);
+    return last_request;
+  }
+
+  /// Ends a running attempt; `tokens` are delivered over all attempts.
+  void End(RequestId request,
+           int attempt,
+           ResultCode code,
+           bool sent,
+           uint64_t tokens = 0,
+           int status = 0) {
+    traffic.running.erase({request, attempt});
+    AttemptEnd end;
+    end.request = request;
+    end.attempt = attempt;
+    end.complete = code == ResultCode::kOk;
+    end.code = code;
+    end.status = status;
+    end.may_have_been_sent = sent;
+    end.tokens = tokens;
+    end.delivered_tokens = tokens;
+    coordinator.OnAttemptEnded(end, nullptr, now);
+  }
+
+  void Advance(Duration step) {
+    now += step;
+    upstreams.Tick(now);
+    crashes.Expire(now);
+    coordinator.Tick(now);
+  }
+
+  HostIncarnation self{"h", 1};
+  TimePoint now{std::chrono::hours(1)};
+  RequestId last_request = 0;
+  RecordingTraffic traffic;
+  NoHosts hosts;
+  NullLogger logger;
+  Metrics metrics;
+  Rng rng{1};
+  quota::LimitShare limits;
+  routing::UpstreamTable upstreams;
+  retry::RetryBudget budget;
+  retry::AttemptPlanner planner;
+  retry::HedgePolicy hedges;
+  retry::CrashTracker crashes;
+  claims::ClaimTable claims;
+  std::unique_ptr<admission::AdmissionPolicy> admission;
+  std::unique_ptr<routing::RoutingPolicy> routing;
+  DecisionLog log;
+  RequestCoordinator coordinator;
+
+ private:
+  static CoordinatorOptions Options() {
+    CoordinatorOptions options;
+    options.peer_secret = "0123456789abcdef";
+    return options;
+  }
+
+  static routing::RoutingOptions RoutingSettings() {
+    routing::RoutingOptions options;
+    options.own_domain = "d";
+    return options;
+  }
+
+  DecisionParts Parts() {
+    return {admission.get(), &limits, &upstreams, routing.get(), &budget,
+            &planner,        &hedges, &crashes,   &claims,       &rng};
+  }
+};
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_UNITTESTS_ROUTER_COORDINATOR_FIXTURE_H_
--- /dev/null
+++ b/unittests/router/request_coordinator_test.cc
@@ -0,0 +1,192 @@
+/// \file
+/// Guards the life cycle of requests: one final answer each, no second send of
+/// a request that may have run, nothing left behind.
+
+#include "teaselhill/router/request_coordinator.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+#include "coordinator_fixture.h"
+
+namespace teaselhill::router {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("what follows a failed attempt depends on what may have run") {
+  struct Row {
+    std::string name;
+    bool idempotent;
+    ResultCode code;
+    int status;
+    bool sent;
+    size_t attempts;  ///< started in all
+    ResultCode final;
+  };
+  const auto row = GENERATE(values<Row>({
+      {"refused connection, any request", false, ResultCode::kConnectFailed, 0,
+       false, 2, ResultCode::kOk},
+      {"503 before running", false, ResultCode::kUpstreamRefused, 503, true, 2,
+       ResultCode::kOk},
+      {"lost after sending, idempotent", true, ResultCode::kConnectionLost, 0,
+       true, 2, ResultCode::kOk},
+      {"lost after sending, not idempotent", false, ResultCode::kConnectionLost,
+       0, true, 1, ResultCode::kUpstreamLost},
+      {"fault of the request", true, ResultCode::kUpstreamRefused, 400, true, 1,
+       ResultCode::kUpstreamRefused},
+  }));
+  INFO(row.name);
+  CoordinatorFixture fixture;
+  const RequestId id = fixture.Arrive(row.idempotent);
+  REQUIRE(fixture.traffic.started.size() == 1);
+  fixture.End(id, 0, row.code, row.sent, 0, row.status);
+  // Long enough for a suspect of a crash to get its slot.
+  for (int i = 0; i < 50; ++i)
+    fixture.Advance(milliseconds(20));
+  REQUIRE(fixture.traffic.started.size() == row.attempts);
+  if (row.final == ResultCode::kOk) {
+    CHECK(fixture.traffic.started[1].upstream !=
+          fixture.traffic.started[0].upstream);
+    fixture.End(id, 1, ResultCode::kOk, true, 5);
+    CHECK(fixture.traffic.Finals(id) == 0);
+  } else {
+    REQUIRE(fixture.traffic.failures[id].size() == 1);
+    CHECK(fixture.traffic.failures[id][0] == row.final);
+  }
+  CHECK(fixture.coordinator.open_requests() == 0);
+}
+
+TEST_CASE("a frozen engine does not hold a request for ever") {
+  CoordinatorFixture fixture;
+  const RequestId id = fixture.Arrive(/*idempotent=*/true);
+  for (int i = 0; i < 30 && fixture.traffic.started.size() < 2; ++i)
+    fixture.Advance(seconds(1));
+  REQUIRE(fixture.traffic.started.size() == 2);
+  CHECK(fixture.traffic.running.count({id, 0}) == 0);
+}
+
+TEST_CASE("a caller that goes away frees its upstream at once") {
+  CoordinatorFixture fixture;
+  const RequestId id = fixture.Arrive(/*idempotent=*/true);
+  fixture.coordinator.OnCallerGone(id, fixture.now);
+  CHECK(fixture.traffic.drops[id] == 1);
+  CHECK(fixture.coordinator.open_requests() == 0);
+  CHECK(fixture.upstreams.Find(fixture.traffic.started[0].upstream)
+            ->own_in_flight == 0);
+}
+
+TEST_CASE("an answer that completes while its attempt is cancelled counts") {
+  CoordinatorFixture fixture;
+  const RequestId id = fixture.Arrive(/*idempotent=*/true);
+  for (int i = 0; i < 30 && fixture.traffic.started.size() < 2; ++i)
+    fixture.Advance(seconds(1));
+  REQUIRE(fixture.traffic.started.size() == 2);
+  fixture.End(id, 0, ResultCode::kOk, true, 7);
+  CHECK(fixture.coordinator.open_requests() == 0);
+  CHECK(fixture.traffic.running.empty());
+}
+
+TEST_CASE("without any upstream callers are told soon, not at the deadline") {
+  CoordinatorFixture fixture(/*engines=*/0);
+  const RequestId id = fixture.Arrive(/*idempotent=*/true);
+  for (int i = 0; i < 50 && fixture.coordinator.open_requests() > 0; ++i)
+    fixture.Advance(milliseconds(100));
+  REQUIRE(fixture.traffic.failures[id].size() == 1);
+  CHECK(fixture.traffic.failures[id][0] == ResultCode::kNoUpstream);
+}
+
+TEST_CASE("a draining host takes no request and finishes what it has") {
+  CoordinatorFixture fixture;
+  const RequestId running = fixture.Arrive(/*idempotent=*/true);
+  fixture.coordinator.Drain();
+  const RequestId late = fixture.Arrive(/*idempotent=*/true);
+  CHECK(fixture.traffic.failures[late] ==
+        std::vector<ResultCode>{ResultCode::kDraining});
+  CHECK(fixture.traffic.failures.count(running) == 0);
+  fixture.End(running, 0, ResultCode::kOk, true, 3);
+  CHECK(fixture.coordinator.open_requests() == 0);
+}
+
+namespace {
+
+/// How the property ends an attempt.
+struct AttemptFate {
+  ResultCode code;
+  int status;
+  bool sent;
+};
+
+const AttemptFate kFates[] = {
+    {ResultCode::kOk, 200, true},
+    {ResultCode::kConnectFailed, 0, false},
+    {ResultCode::kUpstreamRefused, 503, true},
+    {ResultCode::kConnectionLost, 200, true},
+    {ResultCode::kTimedOut, 0, true},
+};
+
+}  // namespace
+
+TEST_CASE("every request gets exactly one final answer") {
+  rc::prop("over any order of arrivals, failures and disconnects", [] {
+    CoordinatorFixture fixture;
+    std::map<RequestId, bool> idempotent;
+    std::map<RequestId, size_t> completed;
+    std::set<std::pair<RequestId, int>> reached;
+    std::set<RequestId> gone;
+
+    const auto end_one = [&](size_t which, const AttemptFate& fate) {
+      auto entry = fixture.traffic.running.begin();
+      std::advance(entry, which % fixture.traffic.running.size());
+      const auto [request, attempt] = entry->first;
+      if (fate.sent && fate.status != 503)
+        reached.insert({request, attempt});
+      completed[request] += fate.code == ResultCode::kOk;
+      fixture.End(request, attempt, fate.code, fate.sent, 1, fate.status);
+    };
+
+    const auto steps =
+        *rc::gen::container<std::vector<std::pair<int, size_t>>>(rc::gen::pair(
+            rc::gen::inRange(0, 10), rc::gen::inRange<size_t>(0, 50)));
+    for (const auto& [kind, value] : steps) {
+      if (kind < 3) {
+        const bool repeatable = value % 2 == 0;
+        const RequestId id =
+            fixture.Arrive(repeatable, value % 3 ? "report" : "urgent");
+        idempotent[id] = repeatable;
+      } else if (kind < 8) {
+        if (!fixture.traffic.running.empty())
+          end_one(value, kFates[value % std::size(kFates)]);
+      } else if (kind == 8 && !idempotent.empty()) {
+        const RequestId id = value % idempotent.size() + 1;
+        if (gone.insert(id).second)
+          fixture.coordinator.OnCallerGone(id, fixture.now);
+      } else {
+        fixture.Advance(milliseconds(value * 20));
+      }
+    }
+    // The control thread's tick.
+    for (int i = 0; i < 10000 && fixture.coordinator.open_requests() > 0; ++i) {
+      if (!fixture.traffic.running.empty())
+        end_one(0, kFates[0]);
+      fixture.Advance(milliseconds(20));
+    }
+    RC_ASSERT(fixture.coordinator.open_requests() == 0u);
+    RC_ASSERT(fixture.traffic.running.empty());
+    for (const auto& [id, repeatable] : idempotent) {
+      RC_ASSERT(fixture.traffic.Finals(id) + completed[id] == 1u);
+      const auto sends = std::count_if(
+          reached.begin(), reached.end(),
+          [id = id](const auto& attempt) { return attempt.first == id; });
+      if (!repeatable)
+        RC_ASSERT(sends <= 1);
+      for (const ResultCode code : fixture.traffic.failures[id]) {
+        if (Describe(code).outcome == Outcome::kNotRun)
+          RC_ASSERT(sends == 0);
+      }
+    }
+  });
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/unittests/router/settings_test.cc
@@ -0,0 +1,59 @@
+/// \file
+/// Guards the checks of settings: all faults at once, none silent.
+
+#include "teaselhill/router/settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::router {
+
+namespace {
+
+std::vector<std::string> Required() {
+  return {"--host",        "h1",
+          "--domain",      "d1",
+          "--address",     "127.0.1.1",
+          "--log-url",     "http://127.0.0.1:1",
+          "--peer-secret", "0123456789abcdef"};
+}
+
+}  // namespace
+
+TEST_CASE("a flag goes before its variable") {
+  const ParsedSettings parsed = ParseSettings(
+      Required(), {"TEASELHILL_DOMAIN=other", "TEASELHILL_HTTP_PORT=99"});
+  REQUIRE(std::holds_alternative<Settings>(parsed));
+  CHECK(std::get<Settings>(parsed).domain == "d1");
+  CHECK(std::get<Settings>(parsed).http_port == 99);
+}
+
+TEST_CASE("all faults are reported at once with name, value and rule") {
+  const ParsedSettings parsed = ParseSettings(
+      {"--host", "two words", "--http-port", "70000", "--routing-policy", "x"},
+      {"TEASELHILL_NO_SUCH=1", "TEASELHILL_REPORT_PERIOD=5",
+       "TEASELHILL_PEER_SECRET=short-secret"});
+  REQUIRE(std::holds_alternative<PrintAndExit>(parsed));
+  const PrintAndExit& print = std::get<PrintAndExit>(parsed);
+  CHECK(print.exit_code == 7);
+  const std::string expected = GENERATE(
+      as<std::string>(), "--host: 'two words' is not valid",
+      "--http-port: '70000' is not valid, allowed: a port from 0 to 65535",
+      "--routing-policy: 'x' is not valid, allowed: one of adaptive",
+      "TEASELHILL_NO_SUCH: no such setting",
+      "TEASELHILL_REPORT_PERIOD: '5' is not valid",
+      "TEASELHILL_PEER_SECRET: '***' is not valid", "--log-url: missing",
+      "--domain: missing");
+  INFO(print.text);
+  CHECK(print.text.find(expected) != std::string::npos);
+  CHECK(print.text.find("short-secret") == std::string::npos);
+}
+
+TEST_CASE("--check-settings checks without running") {
+  std::vector<std::string> arguments = Required();
+  arguments.push_back("--check-settings");
+  const ParsedSettings parsed = ParseSettings(arguments, {});
+  REQUIRE(std::holds_alternative<PrintAndExit>(parsed));
+  CHECK(std::get<PrintAndExit>(parsed).exit_code == 0);
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/unittests/router/sse_test.cc
@@ -0,0 +1,69 @@
+/// \file
+/// Guards the event splitter: resumption needs exact token counts and whole
+/// events whatever the sizes of the pieces that arrive.
+
+#include "teaselhill/router/sse.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::router {
+
+TEST_CASE("only a non-empty content counts as a token") {
+  struct Row {
+    std::string event;
+    bool token;
+  };
+  const auto row = GENERATE(values<Row>({
+      {R"(data: {"choices":[{"delta":{"content":"a"}}]})", true},
+      {R"(data: {"choices":[{"delta":{"content": "a b"}}]})", true},
+      {R"(data: {"choices":[{"delta":{"content":""}}]})", false},
+      {R"(data: {"choices":[{"delta":{"role":"assistant"}}]})", false},
+      {R"(data: {"choices":[{"delta":{},"finish_reason":"stop"}]})", false},
+      {R"(data: {"id":"\"content\":\"x\""})", false},
+      {": keep-alive", false},
+  }));
+  INFO(row.event);
+  CHECK(CarriesToken(row.event) == row.token);
+}
+
+TEST_CASE("events survive any cut of the stream") {
+  rc::prop("splitting is independent of the pieces", [] {
+    const auto words =
+        *rc::gen::container<std::vector<std::string>>(rc::gen::nonEmpty(
+            rc::gen::container<std::string>(rc::gen::inRange<char>('a', 'z'))));
+    std::string stream;
+    for (const std::string& word : words)
+      stream +=
+          R"(data: {"choices":[{"delta":{"content":")" + word + "\"}}]}\n\n";
+    const std::string events = stream;
+    stream += "data: [DONE]\n\n";
+    SseSplitter splitter;
+    std::string seen;
+    bool done = false;
+    size_t at = 0;
+    while (at < stream.size()) {
+      const auto size = *rc::gen::inRange<size_t>(1, 40);
+      auto batch = splitter.Feed(std::string_view(stream).substr(at, size));
+      RC_ASSERT(batch.ok());
+      seen += batch->events;
+      done = batch->done;
+      at += size;
+      if (!seen.empty())
+        RC_ASSERT(seen.substr(seen.size() - 2) == "\n\n");
+    }
+    RC_ASSERT(done);
+    RC_ASSERT(seen == events);
+    RC_ASSERT(splitter.total_tokens() == words.size());
+  });
+}
+
+TEST_CASE("an event without end cannot fill the memory") {
+  SseSplitter splitter;
+  const std::string piece(600 << 10, 'x');
+  CHECK(splitter.Feed(piece).ok());
+  CHECK_FALSE(splitter.Feed(piece).ok());
+}
+
+}  // namespace teaselhill::router
