--- a/unittests/retry/crash_tracker_test.cc
+++ b/unittests/retry/crash_tracker_test.cc
@@ -275,29 +275,24 @@
     CrashTracker source = Tracker("h0");
     CrashTracker straight = Tracker("h1");
     CrashTracker shuffled = Tracker("h2");
-    std::vector<CrashSuspicion> messages;
     TimePoint now = kStart;
     AttemptId next = 0;
     std::vector<AttemptId> open;
     const auto operations =
         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
-    const auto keep = [&](const CrashActions& actions) {
-      if (!actions.message.empty())
-        messages.push_back(actions.message);
-    };
     for (const int operation : operations) {
       now += milliseconds(700);
       if (operation < 50 || open.empty()) {
         open.push_back(++next);
-        keep(source.OnStarted(next, Print(operation % 5),
-                              "e" + std::to_string(operation / 5 % 3), now));
+        source.OnStarted(next, Print(operation % 5),
+                         "e" + std::to_string(operation / 5 % 3), now);
       } else {
         const size_t index = static_cast<size_t>(operation) % open.size();
         const AttemptId id = open[index];
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
-        keep(operation < 60   ? source.OnCompleted(id, now)
-             : operation < 65 ? source.OnEnded(id, now)
-                              : source.OnBroken(id, now));
+        operation < 60   ? source.OnCompleted(id, now)
+        : operation < 65 ? source.OnEnded(id, now)
+                         : source.OnBroken(id, now);
       }
     }
     // Ages are as of the end, as in a snapshot; what is in flight at the
--- a/unittests/routing/upstream_table_test.cc
+++ b/unittests/routing/upstream_table_test.cc
@@ -7,7 +7,6 @@
 #include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
 #include <map>
-#include <optional>
 
 #include "testing.h"
 
@@ -46,11 +45,8 @@
     int peer = 0;
     uint64_t sequence = 0;
     AttemptId next = 0;
-    struct Snapshot {
-      int load;
-      TimePoint at;
-    };
-    std::optional<Snapshot> snapshot;
+    int snapshot = -1;
+    TimePoint snapshot_at;
     const auto operations = *Operations(7);
     for (const Operation& operation : operations) {
       now += milliseconds(1);
@@ -88,13 +84,10 @@
                            {{"e0", 0, 1, static_cast<uint32_t>(peer), 0, 0}}},
                           now);
       } else if (operation.kind == 5) {
-        snapshot = Snapshot{static_cast<int>(own.size()) + peer, now};
-      } else if (operation.kind == 6 && snapshot) {
-        LoadReport report;
-        report.running = snapshot->load;
-        report.max_batch = 8;
-        report.age = now - snapshot->at;
-        table.OnReport("e0", report, now);
+        snapshot = static_cast<int>(own.size()) + peer;
+        snapshot_at = now;
+      } else if (operation.kind == 6 && snapshot >= 0) {
+        table.OnReport("e0", {snapshot, 0, 8, 0, now - snapshot_at}, now);
       }
       const Upstream& upstream = *table.Find("e0");
       int64_t owed = 0;
