--- a/lib/routing/adaptive_policy.cc
+++ b/lib/routing/adaptive_policy.cc
@@ -170,7 +170,9 @@
         ++scan_.full;
         continue;
       }
-      if (!urgent && IsLeftToOthers(upstream, limit - load, now)) {
+      // A suspect must start within its slot, so it does not leave a place.
+      if (!urgent && !request.isolated &&
+          IsLeftToOthers(upstream, limit - load, now)) {
         ++scan_.full;
         continue;
       }
