--- a/unittests/routing/routing_policy_test.cc
+++ b/unittests/routing/routing_policy_test.cc
@@ -261,6 +261,40 @@
   CHECK(probes == (row.probes ? 1 : 0));
 }
 
+// Guards against urgent work on a straggler, a straggler that is never probed,
+// and urgent work refused because only a straggler is left.
+TEST_CASE("a straggler gets probes only, unless nothing else is left") {
+  UpstreamTable table({"h0", 1});
+  table.Apply(Engines(4), kStart);
+  TimePoint now = kStart + seconds(4);
+  for (AttemptId id = 0; id < 4; ++id) {
+    table.OnSent(Attempt(id, "e" + std::to_string(id)), kStart);
+    table.OnFirstToken(id, kStart);
+    table.OnProgress(id, id == 0 ? 51 : 201, now);
+  }
+  table.Tick(now);
+  REQUIRE(table.Find("e0")->straggler);
+  const auto policy = Policy("adaptive");
+  Rng rng(1);
+  const auto chosen = [&](Tier tier, bool idempotent) {
+    RouteRequest request = Request(tier);
+    request.idempotent = idempotent;
+    int count = 0;
+    for (int i = 0; i < 1000; ++i) {
+      const auto result = policy->Choose(request, table, rng, now);
+      count += std::get<Choice>(result).upstream == "e0";
+    }
+    return count;
+  };
+  CHECK(chosen(0, true) == 0);
+  const int probes = chosen(5, true) - chosen(5, false);
+  CHECK(probes >= 5);
+  CHECK(probes <= 40);
+  for (const char* name : {"e1", "e2", "e3"})
+    table.MarkLeaving(name, LeavingSign::kOperator, now);
+  CHECK(chosen(0, true) == 1000);
+}
+
 // Guards against plain services chosen without regard to their requests in
 // flight, and against unknown plug-in names.
 TEST_CASE("services are chosen by name and requests in flight") {
