--- a/include/teaselhill/claims/claim_index.h
+++ b/include/teaselhill/claims/claim_index.h
@@ -98,7 +98,7 @@
   std::map<HostIncarnation, uint32_t> holder_numbers_;
   uint32_t next_holder_ = 0;
   bool started_ = false;
-  LogOffset next_offset_ = 0;
+  LogOffset next_offset_ = kFirstOffset;
   LogOffset catch_up_to_ = 0;
   /// Records that are not in the index have at most this log time; unset when
   /// nothing is missing. While floor_pending_, records are missing and none
--- a/include/teaselhill/claims/claim_table.h
+++ b/include/teaselhill/claims/claim_table.h
@@ -119,6 +119,12 @@
   std::vector<Action> OnReadStart(LogOffset first_retained,
                                   LogOffset next_offset);
 
+  /// Changes the least time between two appends, for instance when the number
+  /// of live hosts changes.
+  void SetAppendInterval(Duration interval) {
+    options_.append_interval = interval;
+  }
+
   /// Where to read on.
   LogOffset next_offset() const { return index_.next_offset(); }
 
--- a/include/teaselhill/config/change.h
+++ b/include/teaselhill/config/change.h
@@ -20,9 +20,6 @@
 /// Highest record format that this version reads.
 constexpr int kRecordFormat = 1;
 
-/// Offset of the first record that a stream ever holds.
-constexpr LogOffset kFirstOffset = 1;
-
 /// Base revision of a change that creates an object.
 constexpr LogOffset kNoRevision = std::numeric_limits<LogOffset>::max();
 
--- a/include/teaselhill/router/request_coordinator.h
+++ b/include/teaselhill/router/request_coordinator.h
@@ -42,6 +42,9 @@
   /// Sends new evidence about crashes to all hosts at once.
   virtual void SpreadSuspicion(const retry::CrashSuspicion& message) = 0;
 
+  /// Tells all hosts of the failure domain at once what was sent where.
+  virtual void SpreadSends() = 0;
+
   /// Tells all hosts of the failure domain that an upstream is leaving.
   virtual void SpreadLeaving(const routing::UpstreamLeaving& message) = 0;
 };
--- a/include/teaselhill/support/ids.h
+++ b/include/teaselhill/support/ids.h
@@ -15,6 +15,9 @@
 /// Offset of a record in a log stream; also the revision of a contract.
 using LogOffset = uint64_t;
 
+/// Offset of the first record that a stream ever holds.
+constexpr LogOffset kFirstOffset = 1;
+
 /// One run of a host process. A restart under the same name has another
 /// incarnation number.
 struct HostIncarnation {
--- a/lib/router/config_follower.cc
+++ b/lib/router/config_follower.cc
@@ -44,7 +44,7 @@
 void ConfigFollower::Tick(TimePoint now) {
   // Each host tells one other at random how far it is, so a change reaches
   // hosts that are cut off from the log in a few seconds.
-  if (state_.next_offset() > config::kFirstOffset)
+  if (state_.next_offset() > kFirstOffset)
     send_("", peer::ConfigHint{state_.next_offset()});
   else if (!tail_.lag().reachable || tail_.lag().offset_dropped)
     send_("", peer::ConfigFetch{state_.next_offset()});
@@ -146,7 +146,7 @@
 }
 
 void ConfigFollower::Publish() {
-  if (state_.next_offset() == config::kFirstOffset)
+  if (state_.next_offset() == kFirstOffset)
     return;
   const std::shared_ptr<const config::ConfigView> view = state_.View();
   if (view == published_)
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -26,6 +26,7 @@
 
 constexpr milliseconds kRequestTick{20};
 constexpr milliseconds kMemberTick{50};
+constexpr milliseconds kSendsTick{100};
 constexpr milliseconds kExchangeTick{250};
 constexpr milliseconds kDrainPoll{20};
 
@@ -239,6 +240,7 @@
     });
     Every(kMemberTick,
           [this](TimePoint now) { Carry(members_.OnTick(now, &rng_), now); });
+    Every(kSendsTick, [this](TimePoint) { SpreadSends(); });
     Every(kExchangeTick, [this](TimePoint now) { Exchange(now); });
     return Ok{};
   }
@@ -287,6 +289,12 @@
     Broadcast(message, /*own_domain_only=*/false);
   }
 
+  void SpreadSends() override {
+    const routing::UpstreamSends sends = upstreams_.MakeSendsMessage(Now());
+    if (!sends.entries.empty())
+      Broadcast(sends, /*own_domain_only=*/true);
+  }
+
   void SpreadLeaving(const routing::UpstreamLeaving& message) override {
     Broadcast(message, /*own_domain_only=*/true);
   }
@@ -475,6 +483,9 @@
     view.listed_total = std::max(listed_hosts_, view.members.size());
     transport_->SetPeers(peers);
     limits_.OnMembers(view, now);
+    claims_.SetAppendInterval(std::max<Duration>(
+        kMinClaimInterval,
+        std::chrono::seconds(live.size()) / kClaimAppendsPerSecond));
     config_.SetHosts(std::move(live));
     if (!addresses_.empty() && !asked_for_crashes_) {
       asked_for_crashes_ = true;
@@ -520,16 +531,15 @@
           outgoing.message);
     upstreams_.Tick(now);
     crashes_.Expire(now);
-    const routing::UpstreamSends sends = upstreams_.MakeSendsMessage(now);
-    if (!sends.entries.empty())
-      Broadcast(sends, /*own_domain_only=*/true);
     // Renewed every fourth time, because a mark from a peer expires.
     constexpr int kLeavingEvery = 4;
     if (++exchanges_ % kLeavingEvery == 0) {
       const routing::UpstreamLeaving leaving =
           upstreams_.MakeLeavingMessage(now);
-      if (!leaving.upstreams.empty())
+      // An empty message withdraws the marks of the one before.
+      if (!leaving.upstreams.empty() || sent_leaving_)
         Broadcast(leaving, /*own_domain_only=*/true);
+      sent_leaving_ = !leaving.upstreams.empty();
     }
     ExportGauges(now);
   }
@@ -706,6 +716,7 @@
   bool host_list_reachable_ = false;
   bool asked_for_crashes_ = false;
   bool drained_ = false;
+  bool sent_leaving_ = false;
   int exchanges_ = 0;
   std::vector<TimerSubscription> timers_;
 };
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -16,6 +16,8 @@
 /// Time that a request may wait for its claim when it has no deadline.
 constexpr std::chrono::seconds kClaimPatience{10};
 
+constexpr std::chrono::seconds kKeyedRetryAfter{2};
+
 /// A retry avoids the upstreams that failed the request for this long. Without
 /// an end it could wait for ever for the one upstream it has not tried.
 constexpr std::chrono::seconds kExclusion{2};
@@ -140,6 +142,7 @@
   bool admitted = false;  ///< known to the admission policy
   bool claimed = false;   ///< has an entry in the claim table
   bool caller_gone = false;
+  bool late = false;  ///< arrived while the host was draining
   std::optional<TimePoint> first_token_at;
 
   bool keyed() const {
@@ -233,9 +236,7 @@
     request.deadline = now + request.info.deadline;
   const config::ContractEntry* entry =
       view_ ? view_->FindContract(request.info.customer) : nullptr;
-  if (draining_)
-    return Fail(request, {ResultCode::kDraining, ""}, std::chrono::seconds(1),
-                now);
+  request.late = draining_;
   if (!entry || !entry->contract)
     return Fail(request, {ResultCode::kNoConfiguration, ""},
                 std::chrono::seconds(1), now);
@@ -411,6 +412,11 @@
 }
 
 void RequestCoordinator::Admit(Request& request, TimePoint now) {
+  // Not earlier: only the claim table knows what the caller of a keyed request
+  // may be told.
+  if (request.late)
+    return GiveUp(request, {ResultCode::kDraining, ""}, std::chrono::seconds(1),
+                  now);
   if (request.info.max_tokens > 0)
     request.predicted_tokens =
         std::min<uint64_t>(request.predicted_tokens, request.info.max_tokens);
@@ -550,8 +556,10 @@
   parts_.upstreams->OnSent(sent, now);
   const retry::CrashActions started = parts_.crashes->OnStarted(
       attempt.id, request.info.fingerprint, choice.upstream, now);
-  if (!started.message.empty())
+  if (!started.message.empty()) {
     hosts_.SpreadSuspicion(started.message);
+    hosts_.SpreadSends();
+  }
   if (request.claimed)
     parts_.claims->OnDispatchDecided(request.info.id);
   if (!hedge)
@@ -763,10 +771,11 @@
   if (forwarded)
     return Fail(request, {ResultCode::kHolderUnreachable, end.detail},
                 std::chrono::seconds(1), now);
-  if (kind == routing::EndKind::kRefused && end.status == 503 &&
-      parts_.upstreams->MarkLeaving(attempt.upstream,
-                                    routing::LeavingSign::kRefusal, now))
+  if (kind == routing::EndKind::kRefused && end.status == 503) {
+    parts_.upstreams->MarkLeaving(attempt.upstream,
+                                  routing::LeavingSign::kRefusal, now);
     hosts_.SpreadLeaving(parts_.upstreams->MakeLeavingMessage(now));
+  }
   if (kind == routing::EndKind::kRefused && IsFaultOfRequest(end.status) &&
       !request.history.may_have_run) {
     if (request.claimed)
@@ -828,6 +837,9 @@
   }
   if (!request.claimed)
     return Fail(request, std::move(error), retry_after, now);
+  // The claim is released a second after the answer; a send that comes back
+  // sooner would find the key still held.
+  retry_after = std::max<Duration>(retry_after, kKeyedRetryAfter);
   request.claimed = false;
   std::vector<claims::Action> actions;
   const ResultCode code =
--- a/lib/router/settings.cc
+++ b/lib/router/settings.cc
@@ -22,7 +22,7 @@
 /// Variables of the other programs, which may share an environment with the
 /// daemon.
 constexpr std::string_view kOtherVariables[] = {
-    "TEASELHILL_OPERATOR_KEY", "TEASELHILL_LOG", "TEASELHILL_HOSTS"};
+    "TEASELHILL_OPERATOR_KEY", "TEASELHILL_LOG", "TEASELHILL_AUTHOR"};
 
 /// Stores a valid value and returns true.
 using Apply = std::function<bool(const std::string&, Settings&)>;
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -140,7 +140,7 @@
                                metrics_.Exposition());
     const Status accepted = Accept(request, response);
     if (!accepted)
-      Refuse(*response, accepted.error());
+      Refuse(*response, ForKey(request.headers, accepted.error()));
   }
 
   void WithRelay(RequestId id, const std::function<void(Relay&)>& use) {
@@ -190,6 +190,16 @@
     return server;
   }
 
+  /// This host cannot know whether another one ran an earlier send under the
+  /// same key, so a keyed request is not told "not run" for the host's faults.
+  static Error ForKey(const net::Headers& headers, const Error& error) {
+    const bool fault_of_host = error.code == ResultCode::kNoConfiguration ||
+                               error.code == ResultCode::kContractClosed;
+    if (!fault_of_host || !net::FindHeader(headers, "Idempotency-Key"))
+      return error;
+    return {ResultCode::kClaimUnknown, std::string(Describe(error.code).name)};
+  }
+
   static void Refuse(net::ResponseWriter& response, const Error& error) {
     response.Respond(Describe(error.code).http_status,
                      ErrorHeaders(error, std::chrono::seconds(1)),
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -130,7 +130,7 @@
   for entry in "${HOSTS[@]}"; do
     arguments+=(--host "http://$(echo "$entry" | cut -d= -f2):8082")
   done
-  TEASELHILL_OPERATOR_KEY=$OPERATOR_KEY "$BIN/teaselhillctl" --log "$LOG_URL" "${arguments[@]}" "$@"
+  TEASELHILL_AUTHOR=${AUTHOR:-cluster} TEASELHILL_OPERATOR_KEY=$OPERATOR_KEY "$BIN/teaselhillctl" --log "$LOG_URL" "${arguments[@]}" "$@"
 }
 
 # Publishes assignments of all upstreams and the contracts in the named files.
--- a/unittests/claims/claim_table_test.cc
+++ b/unittests/claims/claim_table_test.cc
@@ -175,16 +175,16 @@
 TEST_CASE("a restarted host does not run what its earlier run claimed") {
   Fleet fleet(1);
   ClaimTable restarted({"host0", 2}, ClaimOptions());
-  restarted.OnReadStart(0, fleet.end());
-  restarted.OnRecords({fleet.record(0)}, {});
+  restarted.OnReadStart(kFirstOffset, fleet.end());
+  restarted.OnRecords({fleet.record(kFirstOffset)}, {});
   const UuidKey key{{0, 1}, kStart};
   REQUIRE(Is<Wait>(restarted.OnRequest(1, key, kBody, false, {})));
   const auto batch = restarted.TakeBatch(TimePoint());
   REQUIRE(batch.has_value());
   ClaimBatch earlier = *batch;
   earlier.holder.incarnation = 1;
-  CHECK(restarted.OnRecords({{1, kStart, earlier}}, {}).empty());
-  const auto actions = restarted.OnRecords({{2, kStart, *batch}}, {});
+  CHECK(restarted.OnRecords({{2, kStart, earlier}}, {}).empty());
+  const auto actions = restarted.OnRecords({{3, kStart, *batch}}, {});
   REQUIRE(actions.size() == 1);
   CHECK(CodeOf(actions[0].decision) == ResultCode::kHolderUnreachable);
 }
@@ -307,16 +307,24 @@
         ResultCode::kKeyTooOld);
 }
 
+TEST_CASE("a log that still holds its first record hides no claim") {
+  ClaimTable table({"a", 1}, ClaimOptions());
+  table.OnReadStart(kFirstOffset, kFirstOffset + 1);
+  table.OnRecords({{kFirstOffset, kStart, ClaimBatch()}}, {});
+  const UuidKey key{{0, 1}, kStart - std::chrono::hours(1)};
+  CHECK(Is<Wait>(table.OnRequest(1, key, kBody, false, {})));
+}
+
 TEST_CASE("the index drops claims beyond its window and its bound") {
   ClaimIndexOptions options;
   options.max_entries = 10;
   ClaimIndex index(options);
-  index.Restart(0, 0);
+  index.Restart(kFirstOffset, kFirstOffset);
   for (uint64_t i = 0; i < 20; ++i) {
     ClaimBatch batch;
     batch.holder = {"h" + std::to_string(i), 1};
     batch.claims = {{{0, i}, 0, kStart + std::chrono::seconds(i), i}};
-    index.Apply(i, kStart + std::chrono::seconds(i), batch);
+    index.Apply(kFirstOffset + i, kStart + std::chrono::seconds(i), batch);
   }
   CHECK(index.size() == 10);
   CHECK_FALSE(index.Find({0, 9}).has_value());
@@ -324,8 +332,8 @@
   CHECK_FALSE(
       index.Covers(kStart + std::chrono::seconds(9) + options.max_skew));
   CHECK(index.Covers(kStart + std::chrono::seconds(10) + options.max_skew));
-  index.Apply(20, kStart + options.window + std::chrono::minutes(1),
-              ClaimBatch());
+  index.Apply(kFirstOffset + 20,
+              kStart + options.window + std::chrono::minutes(1), ClaimBatch());
   CHECK(index.size() == 0);
 }
 
--- a/unittests/claims/claims_fixture.h
+++ b/unittests/claims/claims_fixture.h
@@ -36,7 +36,7 @@
   explicit Fleet(size_t hosts, ClaimOptions options = {}) {
     for (size_t i = 0; i < hosts; ++i) {
       tables_.push_back(std::make_unique<ClaimTable>(id(i), options));
-      tables_[i]->OnReadStart(0, 0);
+      tables_[i]->OnReadStart(kFirstOffset, kFirstOffset);
     }
     for (size_t i = 0; i < hosts; ++i)
       Append(i);  // the start marker
@@ -108,7 +108,8 @@
   WallTime wall = kStart;  // the log's clock
 
  private:
-  std::vector<ClaimRecord> log_;
+  /// By offset; offset 0 is never used.
+  std::vector<ClaimRecord> log_{kFirstOffset};
   std::vector<std::unique_ptr<ClaimTable>> tables_;
 };
 
--- a/unittests/claims/claims_property_test.cc
+++ b/unittests/claims/claims_property_test.cc
@@ -72,7 +72,7 @@
           Restart(step.host);
         return;
       case 13:
-        if (step.choice == 0 && log_.size() > 2)
+        if (step.choice == 0 && log_.size() > 3)
           retained_ = std::max(retained_, log_.size() - 2);
         return;
       case 14:
@@ -295,10 +295,11 @@
 
   Host hosts_[kHosts];
   std::vector<KeyState> keys_;
-  std::vector<ClaimRecord> log_;
+  /// By offset; offset 0 is never used.
+  std::vector<ClaimRecord> log_{kFirstOffset};
   std::deque<ClaimBatch> delayed_;
   std::deque<Pending> pending_;
-  size_t retained_ = 0;
+  size_t retained_ = kFirstOffset;
   uint64_t clock_ = 0;
   uint64_t incarnation_ = 0;
   RequestId last_request_ = 0;
--- a/unittests/router/coordinator_fixture.h
+++ b/unittests/router/coordinator_fixture.h
@@ -73,6 +73,7 @@
     return std::nullopt;
   }
   void SpreadSuspicion(const retry::CrashSuspicion&) override {}
+  void SpreadSends() override {}
   void SpreadLeaving(const routing::UpstreamLeaving&) override {}
 };
 
