Make small limits usable and batch minor quota changes

One host of 7 could use one of two concurrent requests, because the even part of a small limit is less than a request; such limits have no even part now. Low demand ended only after 4 s; it ends after 2 s, except on hosts with more than 40 contracts. A rate limiter one request deep lost a quarter of its rate between arrivals (76% of 400/s on 380 hosts) and now holds two requests. Starts and ends of small demand wait for a message that is due within 1 s.

--- a/lib/quota/demand_meter.cc
+++ b/lib/quota/demand_meter.cc
@@ -13,10 +13,13 @@
 /// A host without an attempt for this long has no demand. Waiting for the
 /// smoothed value to decay would hold its share back for longer.
 constexpr Duration kIdleAfter = std::chrono::seconds(1);
-/// The same for a host with few requests, which would otherwise change between
-/// some demand and none with each of them.
-constexpr Duration kRarelyIdleAfter = std::chrono::seconds(4);
-constexpr double kFewRequestsPerSecond = 3;
+/// The same for a host with few requests and a small part of the limit, which
+/// would otherwise change between some demand and none with each request.
+constexpr Duration kRarelyIdleAfter = std::chrono::seconds(2);
+/// The same on a host with many contracts, to save messages.
+constexpr Duration kRarelyIdleAfterWithMany = std::chrono::seconds(4);
+constexpr double kFewRequestsPerSecond = 2;
+constexpr double kSmallPart = 0.02;
 
 float Smooth(float old, double sample, double keep, double limit) {
   if (limit <= 0)
@@ -36,6 +39,7 @@
 
 ContractDemand DemandMeter::Update(const config::Limits& limits,
                                    int in_flight,
+                                   bool many_contracts,
                                    TimePoint now) {
   const double seconds = ToSeconds(now - updated_);
   if (seconds <= 0)
@@ -49,11 +53,17 @@
                                     keep, limits.tokens_per_second);
   demand.concurrency = Smooth(demand.concurrency, in_flight + refused_, keep,
                               limits.concurrency);
-  // A limit on tokens or concurrency alone needs the rate as well.
-  rate_ = Smooth(static_cast<float>(rate_), requests_ / seconds, keep, 1e9);
-  if (requests_ > 0)
-    busy_ = rate_ >= kFewRequestsPerSecond;
-  const Duration idle_after = busy_ ? kIdleAfter : kRarelyIdleAfter;
+  rate_ = rate_ * keep + requests_ / seconds * (1 - keep);
+  if (requests_ > 0) {
+    busy_ =
+        rate_ >= kFewRequestsPerSecond ||
+        demand.requests_per_second > kSmallPart * limits.requests_per_second ||
+        demand.tokens_per_second > kSmallPart * limits.tokens_per_second ||
+        demand.concurrency > kSmallPart * limits.concurrency;
+  }
+  const Duration rarely =
+      many_contracts ? kRarelyIdleAfterWithMany : kRarelyIdleAfter;
+  const Duration idle_after = busy_ ? kIdleAfter : rarely;
   if (!attempted_ || now - last_attempt_ >= idle_after) {
     demand.requests_per_second = 0;
     demand.tokens_per_second = 0;
--- a/lib/quota/demand_meter.h
+++ b/lib/quota/demand_meter.h
@@ -22,6 +22,7 @@
   /// as the limit, so that retries do not win a larger share.
   ContractDemand Update(const config::Limits& limits,
                         int in_flight,
+                        bool many_contracts,
                         TimePoint now);
 
  private:
--- a/lib/quota/limit_share.cc
+++ b/lib/quota/limit_share.cc
@@ -20,6 +20,9 @@
 
 constexpr Duration kShortestRetry = std::chrono::seconds(1);
 constexpr Duration kLongestRetry = std::chrono::seconds(60);
+/// More contracts with demand than this need too many messages when each end
+/// of demand is reported after the short time.
+constexpr size_t kManyContracts = 40;
 
 /// A token bucket whose rate changes. It may go into debt by one request, so
 /// that a request larger than the depth can pass.
@@ -122,7 +125,7 @@
     contract.meter.OnAttempt(cost.tokens, now);
     const Shares shares = SharesOf(contract, now);
     const double request_depth = Depth(limits.requests_per_second, 1);
-    const double token_depth = Depth(limits.tokens_per_second, 1);
+    const double token_depth = Depth(limits.tokens_per_second, cost.tokens);
     contract.requests.Refill(shares.requests, request_depth, now);
     contract.tokens.Refill(shares.tokens, token_depth, now);
 
@@ -156,8 +159,9 @@
       return;
     Contract& contract = found->second;
     --contract.in_flight;
-    contract.tokens.Refill(SharesOf(contract, now).tokens,
-                           Depth(contract.limits.tokens_per_second, 1), now);
+    contract.tokens.Refill(
+        SharesOf(contract, now).tokens,
+        Depth(contract.limits.tokens_per_second, predicted.tokens), now);
     contract.tokens.Take(actual.tokens - predicted.tokens);
   }
 
@@ -257,30 +261,46 @@
   }
 
   /// Depth of a rate limiter: the even share of `burst`, whatever the present
-  /// share is, so that a host that was idle can take a short burst.
-  double Depth(double limit, double least) const {
+  /// share is, so that a host that was idle can take a short burst. It holds
+  /// two requests of `cost`, within one second of the whole limit: a limiter
+  /// that is full while the next request is on its way loses part of its rate.
+  double Depth(double limit, double cost) const {
     const double even = limit / static_cast<double>(view_.listed());
-    return std::max(least, even * ToSeconds(options_.burst));
+    const double two = std::max(std::min(2 * cost, limit), 1.0);
+    return std::max(two, even * ToSeconds(options_.burst));
+  }
+
+  /// Parts of a limit: split by demand over all hosts, and even for each.
+  struct Split {
+    double by_demand = 0;
+    double even = 0;
+
+    double Width(const ShareRange& range) const {
+      return by_demand * (range.end - range.begin) + even;
+    }
+  };
+
+  Split SplitOf(double floor_fraction, TimePoint now) const {
+    return {(1 - floor_fraction) * view_.Fraction(now),
+            floor_fraction / static_cast<double>(view_.listed())};
   }
 
   Shares SharesOf(const Contract& contract, TimePoint now) const {
     const ContractShare none;
     const ContractShare& share =
         IsGranted(contract, now) ? contract.share : none;
-    const double by_demand =
-        (1 - options_.floor_fraction) * view_.Fraction(now);
-    const double step =
-        options_.floor_fraction / static_cast<double>(view_.listed());
-    const auto width = [&](const ShareRange& range) {
-      return by_demand * (range.end - range.begin) + step;
-    };
-    const double begin = by_demand * share.concurrency.begin +
-                         step * static_cast<double>(view_.rank());
-    const double end = begin + width(share.concurrency);
     const config::Limits& limits = contract.limits;
+    const Split rates = SplitOf(options_.floor_fraction, now);
     Shares shares;
-    shares.requests = limits.requests_per_second * width(share.requests);
-    shares.tokens = limits.tokens_per_second * width(share.tokens);
+    shares.requests = limits.requests_per_second * rates.Width(share.requests);
+    shares.tokens = limits.tokens_per_second * rates.Width(share.tokens);
+    // An even part of less than one request a host is of no use to any of them.
+    const bool has_floor = limits.concurrency * options_.floor_fraction >=
+                           static_cast<double>(view_.listed());
+    const Split split = SplitOf(has_floor ? options_.floor_fraction : 0, now);
+    const double begin = split.by_demand * share.concurrency.begin +
+                         split.even * static_cast<double>(view_.rank());
+    const double end = begin + split.Width(share.concurrency);
     // Rounding the ends instead of the width makes the whole numbers of all
     // hosts add up to the limit. The tolerance absorbs float ends.
     constexpr double kTolerance = 1e-4;
@@ -323,22 +343,32 @@
 
   void ReportDemand(TimePoint now, std::vector<OutgoingMessage>* messages) {
     std::vector<std::vector<ContractDemand>> due(options_.shards);
+    const bool many = active_contracts_ > kManyContracts;
+    active_contracts_ = 0;
     std::vector<bool> active(options_.shards);
     for (auto& [customer, contract] : contracts_) {
       ContractDemand demand =
-          contract.meter.Update(contract.limits, contract.in_flight, now);
+          contract.meter.Update(contract.limits, contract.in_flight, many, now);
       demand.contract = contract.key;
       const uint32_t shard = ShardOf(contract.key);
       const bool resend = shards_[shard].resend && !IsZero(demand);
-      if (resend || IsSignificant(contract.reported, demand, contract.limits)) {
+      const auto& reported_at = shards_[shard].reported_at;
+      const bool quiet = reported_at && now - *reported_at < kMinorInterval;
+      const bool may_wait =
+          quiet && IsMinor(contract.reported, demand, contract.limits);
+      const bool changed = !may_wait && IsSignificant(contract.reported, demand,
+                                                      contract.limits);
+      if (resend || changed) {
         contract.reported = demand;
         due[shard].push_back(demand);
       }
       // The owner gives the share of an idle host to others without asking.
-      if (IsZero(contract.reported))
+      if (IsZero(contract.reported)) {
         contract.has_share = false;
-      else
+      } else {
         active[shard] = true;
+        ++active_contracts_;
+      }
     }
     for (uint32_t index = 0; index < options_.shards; ++index) {
       Shard& shard = shards_[index];
@@ -493,6 +523,7 @@
   std::vector<Shard> shards_;
   std::map<StreamKey, Received> received_;
   std::map<StreamKey, uint64_t> sent_;  // last sequence number
+  size_t active_contracts_ = 0;         // with demand at the last tick
   std::optional<TimePoint> last_tick_;
   TimePoint now_;
 };
--- a/lib/quota/shard_owner.cc
+++ b/lib/quota/shard_owner.cc
@@ -32,6 +32,15 @@
   return std::abs(now - sent) > kLimitStep * limit + kValueStep * sent;
 }
 
+/// Requests in flight keep their slots when a share moves away, so shares of
+/// concurrency move for larger changes only.
+bool StepsConcurrency(float sent, float now, double limit) {
+  constexpr double kRequestStep = 0.5;
+  constexpr double kConcurrencyStep = 0.25;
+  return std::abs(now - sent) >
+         kRequestStep + kLimitStep * limit + kConcurrencyStep * sent;
+}
+
 void AddTo(ContractDemand* sum, const ContractDemand& part) {
   sum->requests_per_second += part.requests_per_second;
   sum->tokens_per_second += part.tokens_per_second;
@@ -135,7 +144,8 @@
                 limits.requests_per_second) &&
          !Steps(sent.tokens_per_second, now.tokens_per_second,
                 limits.tokens_per_second) &&
-         !Steps(sent.concurrency, now.concurrency, limits.concurrency);
+         !StepsConcurrency(sent.concurrency, now.concurrency,
+                           limits.concurrency);
 }
 
 ShardOwner::ShardOwner(const HostIdentity& self, const QuotaOptions& options)
--- a/unittests/quota/limit_share_test.cc
+++ b/unittests/quota/limit_share_test.cc
@@ -77,6 +77,45 @@
     CHECK(fleet.InFlight() >= 0.85 * limit - 1);
 }
 
+// Guards against small limits that one host cannot use.
+TEST_CASE("concurrency follows demand to one host") {
+  const int limit = GENERATE(2, 10, 500);
+  config::Limits limits;
+  limits.concurrency = limit;
+  Fleet fleet(7, 3, limits);
+  fleet.demand = [&](int host) { return host == 4 ? 0 : limit; };
+  fleet.Run(seconds(10));
+  fleet.demand = [&](int host) { return host == 4 ? 3 * limit : 0; };
+  fleet.Run(seconds(3));
+  CHECK(fleet.share(4).Figures(Fleet::kCustomer, fleet.now()).concurrency >=
+        0.9 * limit);
+  CHECK(fleet.InFlight() <= limit);
+}
+
+// Guards against suspects that lose their share before they are dead, and
+// against fractions of two sides that exceed one.
+TEST_CASE("the usable part follows from the hosts that are not dead") {
+  const auto row = GENERATE(table<int, int, double>({{7, 0, 1},
+                                                     {6, 0, 1 - 0.5 / 7},
+                                                     {4, 0, 1 - 1.5 / 7},
+                                                     {3, 0, 1.5 / 7},
+                                                     {3, 4, 1},
+                                                     {1, 3, 1 - 1.5 / 7},
+                                                     {1, 0, 0.5 / 7}}));
+  const auto& [alive, suspect, fraction] = row;
+  LimitShare share({"host0", "d", 1}, {}, TimePoint{});
+  MembershipView view;
+  view.listed_total = 7;
+  for (int i = 0; i < 7; ++i) {
+    const MemberState state = i < alive             ? MemberState::kAlive
+                              : i < alive + suspect ? MemberState::kSuspect
+                                                    : MemberState::kDead;
+    view.members.push_back({"host" + std::to_string(i), "d", state});
+  }
+  share.OnMembers(view, TimePoint{});
+  CHECK(share.reachable_fraction() == Approx(fraction));
+}
+
 // Guards against corrections that are not charged: underpredicted answers
 // would exceed the limit on tokens.
 TEST_CASE("tokens are corrected when a request ends") {
@@ -256,7 +295,7 @@
 TEST_CASE("time until a moved demand is served", "[.][measure]") {
   const int hosts = GENERATE(7, 40, 380);
   const double floor = GENERATE(1.0, 0.2, 0.05, 0.01);  // 1: static split
-  const double limit = 2000;
+  const double limit = GENERATE(2000.0, 400.0);
   QuotaOptions options;
   options.floor_fraction = floor;
   Fleet fleet(hosts, std::min(13, std::max(3, hosts / 10)), Requests(limit),
@@ -265,8 +304,9 @@
   fleet.Run(seconds(10));
   const double steady = Sum(fleet.Measure(seconds(5)));
   fleet.demand = [&](int host) { return host == 0 ? 1.5 * limit : 0; };
-  std::printf("%d hosts, floor %.2f: steady %.0f%%; moved to one host:", hosts,
-              floor, 100 * steady / limit);
+  std::printf(
+      "%d hosts, limit %.0f, floor %.2f: steady %.0f%%; moved to one host:",
+      hosts, limit, floor, 100 * steady / limit);
   double most = 0;
   for (int i = 1; i <= 6; ++i) {
     fleet.Run(milliseconds(500));
