--- a/unittests/quota/limit_share_test.cc
+++ b/unittests/quota/limit_share_test.cc
@@ -228,6 +228,24 @@
   });
 }
 
+// Guards against sides of a partition that nobody noticed and that each give
+// more demand the whole limit.
+TEST_CASE("demand that grows behind a silent link gets no larger share") {
+  const double limit = 160;
+  Fleet fleet(8, 4, Requests(limit));
+  fleet.demand = [](int host) { return 5.0; };
+  fleet.Run(seconds(8));
+  fleet.connected = [](int a, int b) { return (a % 4 < 2) == (b % 4 < 2); };
+  fleet.Run(seconds(4));
+  fleet.demand = [](int host) { return 100.0; };
+  // Silence is counted from the last message, up to 2 s before the cut, and
+  // lasts 10 s at most.
+  for (int i = 0; i < 7; ++i) {
+    fleet.Run(milliseconds(500));
+    CHECK(fleet.SumOfShares() <= 1.05 * limit);
+  }
+}
+
 // Guards against old or repeated messages that bring back an old share.
 TEST_CASE("old, repeated and foreign messages change nothing") {
   LimitShare share({"a", "d", 1}, {}, TimePoint{});
