--- a/lib/ctl/config_session.cc
+++ b/lib/ctl/config_session.cc
@@ -8,13 +8,13 @@
 #include <utility>
 #include <vector>
 
+#include "teaselhill/platform/snapshot_reader.h"
+
 namespace teaselhill::ctl {
 
 namespace {
 
 constexpr size_t kPageLimit = 512;
-/// Past the end of any stream: the answer tells the range that is retained.
-constexpr LogOffset kBeyondEnd = LogOffset{1} << 62;
 constexpr int kAppendAttempts = 4;
 constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
 /// Padding beyond this many records needs an operator's attention.
@@ -41,21 +41,17 @@
 }
 
 Status ConfigSession::LoadSnapshots() {
-  const auto range = Read(config::kSnapshotStream, kBeyondEnd);
-  if (!range)
-    return range.error();
-  LogOffset at = range->first_retained;
-  while (at < range->next_offset) {
-    const auto page = Read(config::kSnapshotStream, at);
-    if (!page)
-      return page.error();
-    if (page->records.empty())
-      break;
-    // A snapshot that cannot be read or is older changes nothing.
-    for (const platform::LogRecord& record : page->records)
-      static_cast<void>(state_.Adopt(record.data).ok());
-    at = page->records.back().offset + 1;
-  }
+  std::optional<Result<std::vector<std::string>>> answer;
+  platform::SnapshotReader reader(log_);
+  reader.Read([&answer](Result<std::vector<std::string>> snapshots) {
+    answer = std::move(snapshots);
+  });
+  waiter_.Until([&answer] { return answer.has_value(); });
+  if (!answer->ok())
+    return answer->error();
+  // A snapshot that cannot be read or is older changes nothing.
+  for (const std::string& snapshot : answer->value())
+    static_cast<void>(state_.Adopt(snapshot).ok());
   return Ok{};
 }
 
--- /dev/null
+++ b/lib/platform/snapshot_reader.cc
@@ -0,0 +1,65 @@
+/// \file
+/// Snapshot reader.
+
+#include "teaselhill/platform/snapshot_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "teaselhill/config/config_state.h"
+
+namespace teaselhill::platform {
+
+namespace {
+
+/// Past the end of any stream: the answer tells the range that is retained.
+constexpr LogOffset kBeyondEnd = LogOffset{1} << 62;
+/// Bounds the size of one page; a snapshot is about 3 MB at the design size.
+constexpr size_t kSnapshotsInPage = 4;
+
+}  // namespace
+
+void SnapshotReader::Read(Callback callback) {
+  callback_ = std::move(callback);
+  snapshots_.clear();
+  range_known_ = false;
+  ReadFrom(kBeyondEnd);
+}
+
+void SnapshotReader::ReadFrom(LogOffset from) {
+  client_.Read(
+      {std::string(config::kSnapshotStream), from, kSnapshotsInPage,
+       Duration{}},
+      [this, alive = std::weak_ptr<int>(alive_)](const Result<LogPage>& page) {
+        if (!alive.expired())
+          OnPage(page);
+      });
+}
+
+void SnapshotReader::OnPage(const Result<LogPage>& page) {
+  if (!page) {
+    std::exchange(callback_, nullptr)(page.error());
+    return;
+  }
+  if (!range_known_) {
+    range_known_ = true;
+    const LogOffset latest = page->next_offset > kSnapshotsRead
+                                 ? page->next_offset - kSnapshotsRead
+                                 : 0;
+    const LogOffset from = std::max(page->first_retained, latest);
+    if (from < page->next_offset) {
+      ReadFrom(from);
+      return;
+    }
+  }
+  for (const LogRecord& record : page->records)
+    snapshots_.push_back(record.data);
+  if (!page->records.empty() &&
+      page->records.back().offset + 1 < page->next_offset) {
+    ReadFrom(page->records.back().offset + 1);
+    return;
+  }
+  std::exchange(callback_, nullptr)(std::move(snapshots_));
+}
+
+}  // namespace teaselhill::platform
--- a/unittests/platform/log_tail_test.cc
+++ b/unittests/platform/log_tail_test.cc
@@ -5,7 +5,9 @@
 #include "teaselhill/platform/log_tail.h"
 
 #include <rapidcheck/catch.h>
+
 #include <catch2/catch.hpp>
+#include "teaselhill/platform/snapshot_reader.h"
 
 namespace teaselhill::platform {
 
@@ -42,7 +44,7 @@
     page.next_offset = next;
     for (LogOffset at = last.from;
          at < next && page.records.size() < last.limit; ++at)
-      page.records.push_back({at, {}, "{}"});
+      page.records.push_back({at, {}, std::to_string(at)});
     callback(page);
   }
 
@@ -163,4 +165,32 @@
   CHECK(observer.seen == std::vector<LogOffset>{3});
 }
 
+TEST_CASE("the latest snapshots are read whole, and no more of them") {
+  struct Row {
+    LogOffset first;
+    LogOffset next;
+    std::vector<std::string> expected;
+  };
+  const auto row =
+      GENERATE(values<Row>({{1, 1, {}},
+                            {1, 6, {"1", "2", "3", "4", "5"}},
+                            {9, 11, {"9", "10"}},
+                            {1,
+                             101,
+                             {"89", "90", "91", "92", "93", "94", "95", "96",
+                              "97", "98", "99", "100"}}}));
+  FakeLog log;
+  log.first = row.first;
+  log.next = row.next;
+  SnapshotReader reader(log);
+  std::optional<Result<std::vector<std::string>>> answer;
+  reader.Read([&](Result<std::vector<std::string>> snapshots) {
+    answer = std::move(snapshots);
+  });
+  while (log.pending)
+    log.Answer();
+  REQUIRE(answer.has_value());
+  CHECK(**answer == row.expected);
+}
+
 }  // namespace teaselhill::platform
