--- /dev/null
+++ b/include/teaselhill/platform/config_follower.h
@@ -0,0 +1,103 @@
+/// \file
+/// Keeps a host's configuration state up to date from the log and its peers.
+
+#ifndef TEASELHILL_PLATFORM_CONFIG_FOLLOWER_H_
+#define TEASELHILL_PLATFORM_CONFIG_FOLLOWER_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaselhill/config/config_state.h"
+#include "teaselhill/config/snapshot_schedule.h"
+#include "teaselhill/platform/log_tail.h"
+#include "teaselhill/platform/snapshot_reader.h"
+
+namespace teaselhill::platform {
+
+struct ConfigFollowerOptions {
+  std::string host;  ///< name of this host, for the choice of snapshot writers
+  LogTailOptions tail;  ///< the stream is set by the follower
+  config::SnapshotScheduleOptions snapshots;
+  /// Between two readings of the snapshots, which may cost megabytes.
+  Backoff::Options snapshot_reads{std::chrono::seconds(1),
+                                  std::chrono::minutes(2)};
+};
+
+class ConfigFollowerObserver {
+ public:
+  virtual ~ConfigFollowerObserver() = default;
+
+  /// The configuration in force has changed.
+  virtual void OnConfig(std::shared_ptr<const config::ConfigView> view) = 0;
+
+  /// A record of the log was judged.
+  virtual void OnVerdict(const config::Verdict& verdict) = 0;
+
+  /// The configuration in force stays although the log has more or less:
+  /// kOffsetDropped when no snapshot covers a gap, kLogUnavailable when the log
+  /// restarted with less, kSnapshotInvalid for a snapshot that is not readable.
+  virtual void OnProblem(const Error& error) = 0;
+};
+
+/// Reads the snapshots, replays the log and writes snapshots when they are due.
+/// All functions must be called on the loop's thread.
+class ConfigFollower : private LogTailObserver {
+ public:
+  ConfigFollower(LogClient& client,
+                 TimerService& timers,
+                 Rng& rng,
+                 ConfigFollowerOptions options,
+                 ConfigFollowerObserver& observer);
+  ~ConfigFollower() override;
+
+  void Start();
+
+  /// Takes over a state that a peer exported, for instance while the log is
+  /// down. Errors as for config::ConfigState::Adopt().
+  Result<config::SnapshotOutcome> AdoptFromPeer(std::string_view state);
+
+  /// Reports the next offset of a peer; the log is read at once if it is ahead.
+  void OnPeerOffset(LogOffset next_offset);
+
+  /// Names the live hosts including this one.
+  void SetHosts(std::vector<std::string> hosts) { hosts_ = std::move(hosts); }
+
+  const config::ConfigState& state() const { return state_; }
+  const LogLag& lag() const { return tail_.lag(); }
+
+ private:
+  void OnRecords(const std::vector<LogRecord>& records) override;
+  void OnGap(LogOffset from) override;
+  void OnLogRestartedWithLess(LogOffset from, LogOffset log_next) override;
+
+  void ReadSnapshots();
+  void OnSnapshots(const Result<std::vector<std::string>>& snapshots);
+  void TellIfChanged();
+  void WriteSnapshotIfDue(TimePoint now);
+  void OnSnapshotAppended(LogOffset through, const Result<LogOffset>& answer);
+
+  LogClient& client_;
+  TimerService& timers_;
+  Rng& rng_;
+  ConfigFollowerObserver& observer_;
+  config::ConfigState state_;
+  config::SnapshotSchedule schedule_;
+  LogTail tail_;
+  SnapshotReader snapshots_;
+  Backoff snapshot_backoff_;
+  std::vector<std::string> hosts_;
+  std::shared_ptr<const config::ConfigView> told_;
+  bool started_ = false;  ///< the tail runs
+  bool reading_snapshots_ = false;
+  bool writing_snapshot_ = false;
+  TimePoint next_snapshot_read_{};
+  TimerSubscription retry_;
+  TimerSubscription tick_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace teaselhill::platform
+
+#endif  // TEASELHILL_PLATFORM_CONFIG_FOLLOWER_H_
