--- a/include/teaselhill/platform/log_client.h
+++ b/include/teaselhill/platform/log_client.h
@@ -55,9 +55,9 @@
   /// kProtocolError otherwise.
   virtual void Read(const LogRead& read, ReadCallback callback) = 0;
 
-  /// Reads only the offsets of a stream: a page without records, also when the
-  /// first offset is no longer retained.
-  virtual void ReadBounds(const std::string& stream, ReadCallback callback) = 0;
+  /// Reads only the range of offsets that a stream retains: a page without
+  /// records.
+  void ReadBounds(const std::string& stream, ReadCallback callback);
 };
 
 /// One idle long poll costs 281 bytes of HTTP: 11 B/s at a wait of 25 s. A
@@ -75,13 +75,8 @@
               std::vector<std::string> records,
               AppendCallback callback) override;
   void Read(const LogRead& read, ReadCallback callback) override;
-  void ReadBounds(const std::string& stream, ReadCallback callback) override;
 
  private:
-  using AnswerFunction =
-      Result<LogPage> (*)(const Result<net::ClientResponse>&);
-
-  void Fetch(const LogRead& read, AnswerFunction parse, ReadCallback callback);
   std::string RecordsUrl(const std::string& stream) const;
 
   net::HttpClient& client_;
--- a/include/teaselhill/platform/snapshot_reader.h
+++ b/include/teaselhill/platform/snapshot_reader.h
@@ -35,12 +35,12 @@
 
  private:
   void ReadFrom(LogOffset from);
+  void OnBounds(const Result<LogPage>& page);
   void OnPage(const Result<LogPage>& page);
 
   LogClient& client_;
   Callback callback_;
   std::vector<std::string> snapshots_;
-  bool range_known_ = false;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/include/teaselhill/standin/log_store.h
+++ b/include/teaselhill/standin/log_store.h
@@ -43,9 +43,6 @@
   /// First offset that is still retained in `stream`.
   uint64_t first_retained(const std::string& stream, TimePoint now);
 
-  /// Offset that the next append to `stream` gets.
-  uint64_t next_offset(const std::string& stream) const;
-
  private:
   struct Stored {
     LogRecord record;
--- a/lib/platform/log_client.cc
+++ b/lib/platform/log_client.cc
@@ -14,6 +14,8 @@
 
 /// Time that an answer may take beyond the wait of a long poll.
 constexpr Duration kAnswerTimeout = std::chrono::seconds(5);
+/// Past the end of any stream; the answer tells the range that is retained.
+constexpr LogOffset kBeyondEnd = LogOffset{1} << 62;
 constexpr size_t kMaxPageBytes = 64 << 20;
 constexpr int kOk = 200;
 constexpr int kGone = 410;
@@ -55,27 +57,6 @@
   return ParsePage(answer->body);
 }
 
-/// The answer to a read from offset 0; 410 carries the offsets as well.
-Result<LogPage> ReadBoundsAnswer(const Result<net::ClientResponse>& answer) {
-  if (answer && answer->status == kGone) {
-    const Json json = Json::parse(answer->body, nullptr, false);
-    if (!json.is_object() || !json.contains("first_retained") ||
-        !json["first_retained"].is_number_unsigned() ||
-        !json.contains("next_offset") ||
-        !json["next_offset"].is_number_unsigned())
-      return {ResultCode::kProtocolError,
-              "the log's answer 410 does not name its offsets"};
-    LogPage page;
-    page.first_retained = json["first_retained"].get<LogOffset>();
-    page.next_offset = json["next_offset"].get<LogOffset>();
-    return page;
-  }
-  Result<LogPage> page = ReadAnswer(answer);
-  if (page)
-    page->records.clear();
-  return page;
-}
-
 Result<LogOffset> ReadAppendBody(const net::ClientResponse& response) {
   const Json json = Json::parse(response.body, nullptr, false);
   if (!json.is_object() || !json.contains("first_offset") ||
@@ -130,6 +111,10 @@
 
 }  // namespace
 
+void LogClient::ReadBounds(const std::string& stream, ReadCallback callback) {
+  Read({stream, kBeyondEnd, 1, Duration{}}, std::move(callback));
+}
+
 HttpLogClient::HttpLogClient(net::HttpClient& client,
                              std::string base_url,
                              std::string source_address)
@@ -164,20 +149,6 @@
 }
 
 void HttpLogClient::Read(const LogRead& read, ReadCallback callback) {
-  Fetch(read, &ReadAnswer, std::move(callback));
-}
-
-void HttpLogClient::ReadBounds(const std::string& stream,
-                               ReadCallback callback) {
-  LogRead read;
-  read.stream = stream;
-  read.limit = 1;
-  Fetch(read, &ReadBoundsAnswer, std::move(callback));
-}
-
-void HttpLogClient::Fetch(const LogRead& read,
-                          AnswerFunction parse,
-                          ReadCallback callback) {
   net::ClientRequest request;
   request.url = RecordsUrl(read.stream) + "?from=" + std::to_string(read.from) +
                 "&limit=" + std::to_string(read.limit) +
@@ -186,11 +157,10 @@
   request.total_timeout = read.wait + kAnswerTimeout;
   client_.Fetch(
       std::move(request),
-      [alive = std::weak_ptr<int>(alive_), parse,
-       callback =
-           std::move(callback)](const Result<net::ClientResponse>& answer) {
+      [alive = std::weak_ptr<int>(alive_), callback = std::move(callback)](
+          const Result<net::ClientResponse>& answer) {
         if (!alive.expired())
-          callback(parse(answer));
+          callback(ReadAnswer(answer));
       },
       kMaxPageBytes);
 }
--- a/lib/platform/snapshot_reader.cc
+++ b/lib/platform/snapshot_reader.cc
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Past the end of any stream: the answer tells the range that is retained.
-constexpr LogOffset kBeyondEnd = LogOffset{1} << 62;
 /// Bounds the size of one page; a snapshot is about 3 MB at the design size.
 constexpr size_t kSnapshotsInPage = 4;
 
@@ -22,8 +20,27 @@
 void SnapshotReader::Read(Callback callback) {
   callback_ = std::move(callback);
   snapshots_.clear();
-  range_known_ = false;
-  ReadFrom(kBeyondEnd);
+  client_.ReadBounds(
+      std::string(config::kSnapshotStream),
+      [this, alive = std::weak_ptr<int>(alive_)](const Result<LogPage>& page) {
+        if (!alive.expired())
+          OnBounds(page);
+      });
+}
+
+void SnapshotReader::OnBounds(const Result<LogPage>& page) {
+  if (!page) {
+    std::exchange(callback_, nullptr)(page.error());
+    return;
+  }
+  const LogOffset latest = page->next_offset > kSnapshotsRead
+                               ? page->next_offset - kSnapshotsRead
+                               : 0;
+  const LogOffset from = std::max(page->first_retained, latest);
+  if (from < page->next_offset)
+    ReadFrom(from);
+  else
+    std::exchange(callback_, nullptr)(std::move(snapshots_));
 }
 
 void SnapshotReader::ReadFrom(LogOffset from) {
@@ -41,17 +58,6 @@
     std::exchange(callback_, nullptr)(page.error());
     return;
   }
-  if (!range_known_) {
-    range_known_ = true;
-    const LogOffset latest = page->next_offset > kSnapshotsRead
-                                 ? page->next_offset - kSnapshotsRead
-                                 : 0;
-    const LogOffset from = std::max(page->first_retained, latest);
-    if (from < page->next_offset) {
-      ReadFrom(from);
-      return;
-    }
-  }
   for (const LogRecord& record : page->records)
     snapshots_.push_back(record.data);
   if (!page->records.empty() &&
--- /dev/null
+++ b/lib/router/config_exchange.cc
@@ -0,0 +1,100 @@
+/// \file
+/// Configuration exchange between hosts.
+
+#include "teaselhill/router/config_exchange.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+/// Each host tells one other at random how far it is, so a change reaches a
+/// host that is cut off from the log within a few seconds.
+constexpr std::chrono::seconds kGossipPeriod{1};
+
+platform::ConfigFollowerOptions FollowerOptions(const std::string& host) {
+  platform::ConfigFollowerOptions options;
+  options.host = host;
+  return options;
+}
+
+}  // namespace
+
+ConfigExchange::ConfigExchange(const std::string& host,
+                               platform::LogClient& log,
+                               TimerService& timers,
+                               Rng& rng,
+                               Logger& logger,
+                               SendFunction send,
+                               ChangeFunction on_change)
+    : timers_(timers),
+      logger_(logger),
+      send_(std::move(send)),
+      on_change_(std::move(on_change)),
+      follower_(log, timers, rng, FollowerOptions(host), *this) {}
+
+void ConfigExchange::Start() {
+  follower_.Start();
+  timer_ = timers_.Subscribe(kGossipPeriod, [this](TimePoint) { Gossip(); });
+}
+
+void ConfigExchange::Gossip() {
+  if (next_offset() > kFirstOffset)
+    send_("", peer::ConfigHint{next_offset()});
+  else if (!lag().reachable)
+    send_("", peer::ConfigFetch{next_offset()});
+}
+
+void ConfigExchange::OnHint(const std::string& from,
+                            const peer::ConfigHint& hint) {
+  if (hint.next_offset <= next_offset())
+    return;
+  follower_.OnPeerOffset(hint.next_offset);
+  const bool log_helps =
+      lag().reachable && !lag().offset_dropped && !lag().ends_before;
+  if (!log_helps)
+    send_(from, peer::ConfigFetch{next_offset()});
+}
+
+void ConfigExchange::OnFetch(const std::string& from,
+                             const peer::ConfigFetch& fetch) {
+  if (next_offset() > fetch.next_offset)
+    send_(from, peer::ConfigTransfer{follower_.state().Export()});
+}
+
+void ConfigExchange::OnTransfer(const std::string& from,
+                                const peer::ConfigTransfer& transfer) {
+  const Result<config::SnapshotOutcome> outcome =
+      follower_.AdoptFromPeer(transfer.state);
+  LogLine line(outcome ? LogLevel::kInfo : LogLevel::kWarning,
+               "config_transfer");
+  line.Field("from", from).Field("next_offset", next_offset());
+  if (!outcome)
+    line.Field("fault", outcome.error().message);
+  else
+    line.Field("adopted", *outcome == config::SnapshotOutcome::kAdopted);
+  logger_.Write(line);
+}
+
+void ConfigExchange::OnConfig(std::shared_ptr<const config::ConfigView> view) {
+  on_change_(std::move(view));
+}
+
+void ConfigExchange::OnVerdict(const config::Verdict& verdict) {
+  LogLine line(LogLevel::kInfo, "config_record");
+  line.Field("offset", verdict.offset)
+      .Field("verdict", config::VerdictName(verdict.kind))
+      .Field("change_id", verdict.change_id)
+      .Field("author", verdict.author)
+      .Field("reason", verdict.reason);
+  if (verdict.object)
+    line.Field("object", config::DescribeObject(*verdict.object));
+  logger_.Write(line);
+}
+
+void ConfigExchange::OnProblem(const Error& error) {
+  logger_.Write(LogLine(LogLevel::kWarning, "config_problem")
+                    .Field("code", static_cast<int>(error.code))
+                    .Field("fault", error.message));
+}
+
+}  // namespace teaselhill::router
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -12,7 +12,7 @@
 #include "teaselhill/platform/host_list_client.h"
 #include "teaselhill/router/admin_api.h"
 #include "teaselhill/router/claims_driver.h"
-#include "teaselhill/router/config_follower.h"
+#include "teaselhill/router/config_exchange.h"
 #include "teaselhill/router/orders_driver.h"
 #include "teaselhill/router/report_poller.h"
 #include "teaselhill/router/request_coordinator.h"
@@ -181,7 +181,7 @@
                      decisions_,
                      metrics),
         config_(
-            self_,
+            settings.host,
             log_client_,
             loop_.timers(),
             rng_,
@@ -701,7 +701,7 @@
   std::unique_ptr<routing::RoutingPolicy> routing_;
   std::unique_ptr<peer::Transport> transport_;
   RequestCoordinator coordinator_;
-  ConfigFollower config_;
+  ConfigExchange config_;
   ClaimsDriver claims_driver_;
   ReportPoller poller_;
   std::unique_ptr<OrdersDriver> orders_;
--- a/lib/standin/log.cc
+++ b/lib/standin/log.cc
@@ -115,9 +115,7 @@
   }
   const uint64_t first = store_.first_retained(reader.stream, Now());
   RespondJson(*reader.response, 410,
-              "{\"first_retained\":" + std::to_string(first) +
-                  ",\"next_offset\":" +
-                  std::to_string(store_.next_offset(reader.stream)) + "}");
+              "{\"first_retained\":" + std::to_string(first) + "}");
 }
 
 void Log::WakeReaders(const std::string& stream) {
--- a/lib/standin/log_store.cc
+++ b/lib/standin/log_store.cc
@@ -44,11 +44,6 @@
   return page;
 }
 
-uint64_t LogStore::next_offset(const std::string& stream) const {
-  const auto found = streams_.find(stream);
-  return found == streams_.end() ? 1 : found->second.next_offset;
-}
-
 uint64_t LogStore::first_retained(const std::string& name, TimePoint now) {
   const Stream& stream = Retained(name, now);
   return stream.next_offset - stream.records.size();
--- a/unittests/claims/claim_table_test.cc
+++ b/unittests/claims/claim_table_test.cc
@@ -265,8 +265,8 @@
   std::vector<ClaimRecord> records = {{fleet.end() + 5, kStart, ClaimBatch()}};
   if (unreadable) {
     // A record that this version cannot read may hold the winning claim.
-    records = {{1, kStart, std::nullopt}};
-    records.push_back({2, kStart, fleet.record(1).batch});
+    records = {{2, kStart, std::nullopt}};
+    records.push_back({3, kStart, fleet.record(2).batch});
   }
   const auto actions = fleet.table(0).OnRecords(records, fleet.now);
   REQUIRE(actions.size() == 1);
--- a/unittests/ctl/config_session_test.cc
+++ b/unittests/ctl/config_session_test.cc
@@ -40,7 +40,6 @@
                 "no answer"});
   }
 
-  void ReadBounds(const std::string&, platform::ReadCallback) override {}
   void Read(const platform::LogRead& read,
             platform::ReadCallback callback) override {
     if (read.from < first_retained && read.stream == config::kConfigStream)
--- a/unittests/platform/log_tail_test.cc
+++ b/unittests/platform/log_tail_test.cc
@@ -24,7 +24,6 @@
     next += records.size();
   }
 
-  void ReadBounds(const std::string&, ReadCallback) override {}
   void Read(const LogRead& read, ReadCallback callback) override {
     ++reads;
     last = read;
