--- a/unittests/platform/config_follower_test.cc
+++ b/unittests/platform/config_follower_test.cc
@@ -49,6 +49,10 @@
     callback(page);
   }
 
+  void ReadBounds(const std::string& stream, ReadCallback callback) override {
+    callback(LogPage{streams[stream].first, streams[stream].next(), {}});
+  }
+
   Stream& config() { return streams["config"]; }
   Stream& snapshots() { return streams["config-snapshots"]; }
 
