--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -728,7 +728,7 @@
                  {"incarnation", self_.incarnation},
                  {"ready", shared_.Ready()},
                  {"draining", shared_.draining.load()},
-                 {"config_offset", config_.next_offset()},
+                 {"config_offset", config_.next_offset() - 1},
                  {"log_reachable", config_.lag().reachable},
                  {"host_list_reachable", host_list_reachable_},
                  {"holds_order_lease", orders_ && orders_->holds_lease()},
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -191,3 +191,23 @@
   wait 2>/dev/null || true
   if [ "${KEEP:-0}" = 1 ]; then echo "files are in $RUN" >&2; else rm -rf "$RUN"; fi
 }
+
+# Adds an engine of known speed and counts its capacity in tokens/s.
+add_sized_engine() { # name domain model token-ms max-batch arguments...
+  local name=$1 domain=$2 model=$3 token_ms=$4 batch=$5
+  shift 5
+  add_engine "$name" "$domain" "$model" --token-ms "$token_ms" --max-batch "$batch" \
+    --batch-slowdown 0.03 --report-lag-ms 400 "$@"
+  capacity=$(awk "BEGIN{print $capacity + $batch * 1000 / ($token_ms * (1 + 0.03 * ($batch - 1)))}")
+}
+
+# Starts all hosts that were added, publishes everything, waits until all serve.
+start_hosts() { # contract files...
+  local entry
+  for entry in "${HOSTS[@]}"; do start_host "${entry%%=*}"; done
+  publish_host_list
+  publish_configuration "$@"
+  wait_ready
+  # Hosts that were started together begin with the floor of each limit.
+  sleep 3
+}
--- a/unittests/platform/config_follower_test.cc
+++ b/unittests/platform/config_follower_test.cc
@@ -49,10 +49,6 @@
     callback(page);
   }
 
-  void ReadBounds(const std::string& stream, ReadCallback callback) override {
-    callback(LogPage{streams[stream].first, streams[stream].next(), {}});
-  }
-
   Stream& config() { return streams["config"]; }
   Stream& snapshots() { return streams["config-snapshots"]; }
 
