--- a/include/teaselhill/router/caller_request.h
+++ b/include/teaselhill/router/caller_request.h
@@ -39,6 +39,9 @@
   std::vector<uint64_t> prefix_hashes;
   /// Same on every host for the same model and body.
   Hash128 fingerprint;
+  /// Hash of the caller's own method, path and body; tells a resend from
+  /// another request under the same key.
+  uint64_t body_hash = 0;
   /// Set when another host forwarded the request to this one.
   bool forwarded = false;
 };
--- a/lib/load/relay_bench.cc
+++ b/lib/load/relay_bench.cc
@@ -71,7 +71,12 @@
       owner_.result.first_token.push_back(SteadyNow() - started_);
     }
     owner_.result.events += events;
-    done_ |= data.find("[DONE]") != std::string_view::npos;
+    // The end mark may arrive in two pieces.
+    constexpr std::string_view kDone = "[DONE]";
+    tail_.append(
+        data.substr(data.size() - std::min(data.size(), kDone.size() + 2)));
+    done_ |= tail_.find(kDone) != std::string::npos;
+    tail_.erase(0, tail_.size() - std::min(tail_.size(), kDone.size() + 2));
   }
 
   void OnEnd(const net::TransferEnd&) override { owner_.OnDone(ok_ && done_); }
@@ -80,6 +85,7 @@
   BenchThread& owner_;
   TimePoint started_;
   bool ok_ = false;
+  std::string tail_;
   bool done_ = false;
   bool seen_token_ = false;
 };
--- a/lib/router/relay.cc
+++ b/lib/router/relay.cc
@@ -289,9 +289,11 @@
   report.status = end.status;
   report.may_have_been_sent = end.may_have_been_sent;
   report.retry_after = ParseRetryAfter(attempt.headers_);
-  // A plain service refuses a call without having run it by 429 or 503 only;
-  // any other answer is the service's own and belongs to the caller.
-  const bool refused = attempt.status_ == 429 || attempt.status_ == 503;
+  // An engine's 429 or 503 says that it has not run the request. A plain
+  // service makes no such promise, so its answer to a call that may not be
+  // repeated belongs to the caller.
+  const bool refused =
+      info_.idempotent && (attempt.status_ == 429 || attempt.status_ == 503);
   const bool whole = end.code == ResultCode::kOk && !attempt.overflow_;
   if (attempt.IsPlain() && whole && (!refused || attempt.order_.to_host)) {
     OnPlainEnd(attempt);
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -265,8 +265,7 @@
     return Fail(request, key.error(), Duration::zero(), now);
   request.claimed = true;
   Act(request,
-      parts_.claims->OnRequest(request.info.id, *key,
-                               request.info.fingerprint.low,
+      parts_.claims->OnRequest(request.info.id, *key, request.info.body_hash,
                                request.info.forwarded, now),
       now);
 }
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -278,6 +278,9 @@
                         ? headers.deadline
                         : grant.request_class->default_deadline;
     info.forwarded = headers.forwarded;
+    if (!info.idempotency_key.empty())
+      info.body_hash =
+          Hash64(request.method + " " + Target(request) + "\n" + request.body);
     OutgoingRequest outgoing;
     outgoing.caller_target = Target(request);
     outgoing.caller_headers = request.headers;
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,7 +16,9 @@
   esac
 done
 build=${BUILD_DIR:-build}
-scripts/build.sh >"$build.demo.log" 2>&1 || { tail -50 "$build.demo.log"; exit 1; }
+if [ "${SKIP_BUILD:-0}" != 1 ]; then
+  scripts/build.sh >"$build.demo.log" 2>&1 || { tail -50 "$build.demo.log"; exit 1; }
+fi
 . scripts/lib/cluster.sh
 cluster_init "$build"
 echo "starting platform, upstreams and hosts" >&2
