--- a/lib/kernel/registry.cc
+++ /dev/null
@@ -1,4 +0,0 @@
-/// \file
-/// Keeps the kernel library non-empty; the registry is a template.
-
-#include "teaselhill/kernel/registry.h"
