Answer faulty input with a numbered error before closing

RESTinio closes a connection without an answer on an oversized body or header, on input that is no HTTP, and when a request trickles in. The sum of all headers was not limited, max_connections was not passed on, and a request with an Upgrade header switched all timers of its connection off. A body of 2 million brackets overflowed the stack when it was written for the engine.

No refusal is sent while an answer is unsent, because it would take that answer's place.

--- a/include/teaselhill/net/http_client.h
+++ b/include/teaselhill/net/http_client.h
@@ -12,6 +12,7 @@
 
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_types.h"
+#include "teaselhill/net/tls.h"
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
 
@@ -69,6 +70,10 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
+  /// Sets trust anchors and the own certificate for https. The files are read
+  /// for each new connection, so that a replaced file takes effect by itself.
+  void UseTls(TlsFiles files);
+
   /// Starts a transfer. The handler is kept until OnEnd() or Cancel().
   TransferId Start(ClientRequest request,
                    std::shared_ptr<TransferHandler> handler);
--- a/include/teaselhill/net/http_server.h
+++ b/include/teaselhill/net/http_server.h
@@ -12,6 +12,7 @@
 
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_types.h"
+#include "teaselhill/net/tls.h"
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
 
@@ -68,13 +69,16 @@
   /// Lets several servers of one process share the port.
   bool share_port = false;
   size_t max_body_bytes = 4 << 20;
+  /// Largest request line and largest sum of all header names and values.
   size_t max_header_bytes = 16 << 10;
   /// Time to receive a whole request after its first byte, and to wait for the
   /// next request on an idle connection.
   Duration read_timeout = std::chrono::seconds(15);
   /// Time within which a blocked write must complete.
   Duration write_timeout = std::chrono::seconds(30);
+  /// Further connections wait in the listener's backlog.
   size_t max_connections = 20000;
+  std::shared_ptr<TlsContext> tls;  ///< null: plain HTTP
 };
 
 /// Serves on one event loop. Destroy it on the loop's thread or after the loop
--- a/include/teaselhill/router/caller_request.h
+++ b/include/teaselhill/router/caller_request.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "teaselhill/config/contract.h"
+#include "teaselhill/net/error_response.h"
 #include "teaselhill/net/http_server.h"
 #include "teaselhill/support/hash.h"
 #include "teaselhill/support/ids.h"
@@ -73,11 +74,8 @@
 /// Returns the bearer key of `Authorization`, or kBadKey.
 Result<std::string> ParseBearerKey(const net::Headers& headers);
 
-/// Returns the JSON error body for `error`.
-std::string ErrorBody(const Error& error);
-
-/// Returns the response headers that state code, outcome and `Retry-After`.
-net::Headers ErrorHeaders(const Error& error, Duration retry_after);
+using net::ErrorBody;
+using net::ErrorHeaders;
 
 }  // namespace teaselhill::router
 
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -66,12 +66,15 @@
  public:
   Transfer(TransferId id,
            ClientRequest request,
-           std::shared_ptr<TransferHandler> handler)
+           std::shared_ptr<TransferHandler> handler,
+           const TlsFiles& tls)
       : id_(id),
         request_(std::move(request)),
         handler_(std::move(handler)),
         easy_(curl_easy_init()) {
     Configure();
+    if (request_.url.rfind("https:", 0) == 0)
+      ConfigureTls(tls);
   }
 
   TransferId id() const { return id_; }
@@ -107,8 +110,6 @@
     if (!request_.source_address.empty())
       curl_easy_setopt(easy, CURLOPT_INTERFACE,
                        request_.source_address.c_str());
-    if (!request_.ca_file.empty())
-      curl_easy_setopt(easy, CURLOPT_CAINFO, request_.ca_file.c_str());
     if (request_.fresh_connection)
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     ConfigureBody();
@@ -119,6 +120,22 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
   }
 
+  void ConfigureTls(const TlsFiles& tls) {
+    CURL* easy = easy_.get();
+    const std::string& ca =
+        request_.ca_file.empty() ? tls.ca : request_.ca_file;
+    if (!ca.empty())
+      curl_easy_setopt(easy, CURLOPT_CAINFO, ca.c_str());
+    // libcurl keeps trust anchors for a day otherwise.
+    curl_easy_setopt(easy, CURLOPT_CA_CACHE_TIMEOUT, 0L);
+    curl_easy_setopt(easy, CURLOPT_SSLVERSION,
+                     static_cast<long>(CURL_SSLVERSION_TLSv1_2));
+    if (!tls.enabled())
+      return;
+    curl_easy_setopt(easy, CURLOPT_SSLCERT, tls.certificate.c_str());
+    curl_easy_setopt(easy, CURLOPT_SSLKEY, tls.key.c_str());
+  }
+
   void ConfigureBody() {
     if (request_.method == "GET" && request_.body.empty())
       return;
@@ -279,11 +296,13 @@
     multi_.reset();
   }
 
+  void UseTls(TlsFiles files) { tls_ = std::move(files); }
+
   TransferId Start(ClientRequest request,
                    std::shared_ptr<TransferHandler> handler) {
     const TransferId id = ++last_id_;
-    auto transfer =
-        std::make_unique<Transfer>(id, std::move(request), std::move(handler));
+    auto transfer = std::make_unique<Transfer>(id, std::move(request),
+                                               std::move(handler), tls_);
     transfers_.emplace(id, std::move(transfer));
     if (!in_curl_) {
       Add(id);
@@ -409,6 +428,7 @@
   }
 
   EventLoop& loop_;
+  TlsFiles tls_;
   CurlMulti multi_;
   TransferId last_id_ = 0;
   bool in_curl_ = false;
@@ -423,6 +443,10 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::UseTls(TlsFiles files) {
+  impl_->UseTls(std::move(files));
+}
+
 TransferId HttpClient::Start(ClientRequest request,
                              std::shared_ptr<TransferHandler> handler) {
   return impl_->Start(std::move(request), std::move(handler));
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -6,8 +6,13 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <charconv>
 #include <restinio/all.hpp>
 #include <unordered_map>
+#include <unordered_set>
+
+#include "caller_socket.h"
+#include "teaselhill/net/error_response.h"
 
 namespace teaselhill::net {
 
@@ -34,8 +39,39 @@
   std::shared_ptr<ConnectionTable> table_;
 };
 
-struct ServerTraits : restinio::default_single_thread_traits_t {
+/// Errors of RESTinio end a connection without an answer and are told to its
+/// logger only, so this is where the kind of a fault in the input is learnt.
+class FaultLogger {
+ public:
+  FaultLogger(std::shared_ptr<ConnectionTable> table,
+              std::shared_ptr<SocketPolicy> policy)
+      : table_(std::move(table)), policy_(std::move(policy)) {}
+
+  template <typename Builder>
+  void trace(Builder&&) const noexcept {}
+  template <typename Builder>
+  void info(Builder&&) const noexcept {}
+  template <typename Builder>
+  void warn(Builder&&) const noexcept {}
+  template <typename Builder>
+  void error(Builder&& builder) const {
+    OnError(builder());
+  }
+
+ private:
+  void OnError(const std::string& text) const;
+
+  std::shared_ptr<ConnectionTable> table_;
+  std::shared_ptr<SocketPolicy> policy_;
+};
+
+struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t,
+                                         FaultLogger,
+                                         restinio::default_request_handler_t,
+                                         restinio::noop_strand_t,
+                                         CallerSocket> {
   using connection_state_listener_t = ConnectionListener;
+  static constexpr bool use_connection_count_limiter = true;
 };
 
 using RestinioServer = restinio::http_server_t<ServerTraits>;
@@ -93,7 +129,7 @@
     AddHeaders(response, headers);
     response.set_body(std::move(body));
     End();
-    response.done();
+    response.done(MarkSent());
     request_.reset();
   }
 
@@ -124,12 +160,15 @@
     if (closed_ || ended_ || !stream_)
       return;
     End();
-    stream_->done();
+    stream_->done(MarkSent());
     stream_.reset();
   }
 
   size_t pending_bytes() const override { return pending_bytes_; }
 
+  /// Whether the connection has taken the whole response.
+  bool sent() const { return sent_; }
+
   void SetCloseHandler(std::function<void()> handler) override {
     close_handler_ = std::move(handler);
   }
@@ -164,6 +203,14 @@
     drain_handler_ = nullptr;
   }
 
+  /// Returns a function that is called, and kept alive, until the end of the
+  /// response has been written.
+  std::function<void(const asio::error_code&)> MarkSent() {
+    return [self = shared_from_this()](const asio::error_code&) {
+      self->sent_ = true;
+    };
+  }
+
   void OnWritten(size_t size, const asio::error_code& error) {
     pending_bytes_ -= size;
     if (error || closed_)
@@ -184,6 +231,7 @@
   size_t pending_bytes_ = 0;
   bool closed_ = false;
   bool ended_ = false;
+  bool sent_ = false;
 };
 
 /// Open responses by connection.
@@ -206,10 +254,22 @@
     }
   }
 
-  void OnOpened() { ++open_; }
+  void OnOpened(restinio::connection_id_t connection) {
+    open_.insert(connection);
+  }
+
+  /// Whether the connection has a response that is not written whole.
+  bool IsBusy(restinio::connection_id_t connection) const {
+    const auto [first, last] = responses_.equal_range(connection);
+    return std::any_of(first, last, [](const auto& entry) {
+      const std::shared_ptr<RestinioResponse> response = entry.second.lock();
+      return response && !response->sent();
+    });
+  }
 
+  // Also called for a connection whose TLS handshake failed.
   void OnClosed(restinio::connection_id_t connection) {
-    --open_;
+    open_.erase(connection);
     std::vector<std::shared_ptr<RestinioResponse>> affected;
     const auto [first, last] = responses_.equal_range(connection);
     for (auto entry = first; entry != last; ++entry) {
@@ -221,15 +281,67 @@
       response->OnConnectionClosed();
   }
 
-  size_t open() const { return open_; }
+  size_t open() const { return open_.size(); }
 
  private:
   std::unordered_multimap<restinio::connection_id_t,
                           std::weak_ptr<RestinioResponse>>
       responses_;
-  size_t open_ = 0;
+  std::unordered_set<restinio::connection_id_t> open_;
 };
 
+ResultCode CodeOfParserError(std::string_view name) {
+  const auto is = [name](std::string_view other) { return name == other; };
+  if (is("HPE_CB_url") || is("HPE_CB_header_field") ||
+      is("HPE_CB_header_value") || is("HPE_HEADER_OVERFLOW"))
+    return ResultCode::kHeaderTooLarge;
+  if (is("HPE_CB_headers_complete") || is("HPE_CB_body"))
+    return ResultCode::kBodyTooLarge;
+  return ResultCode::kMalformedRequest;
+}
+
+// The text is "[connection:7] parser error HPE_CB_body: ...".
+void FaultLogger::OnError(const std::string& text) const {
+  constexpr std::string_view kConnection = "[connection:";
+  constexpr std::string_view kParserError = "] parser error ";
+  restinio::connection_id_t connection = 0;
+  const size_t parser_error = text.find(kParserError);
+  if (text.compare(0, kConnection.size(), kConnection) == 0)
+    std::from_chars(text.data() + kConnection.size(), text.data() + text.size(),
+                    connection);
+  if (parser_error != std::string::npos) {
+    const size_t begin = parser_error + kParserError.size();
+    policy_->fault = CodeOfParserError(
+        std::string_view(text).substr(begin, text.find(':', begin) - begin));
+  }
+  // A refusal would run into the answer of an earlier request.
+  if (table_->IsBusy(connection))
+    policy_->fault.reset();
+}
+
+/// Returns a whole response that ends the connection.
+std::string RefusalText(ResultCode code) {
+  const Error error{code, ""};
+  const std::string body = ErrorBody(error);
+  const restinio::http_status_line_t line =
+      StatusLine(Describe(code).http_status);
+  std::string text =
+      "HTTP/1.1 " + std::to_string(line.status_code().raw_code()) + " " +
+      line.reason_phrase() + "\r\nConnection: close\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n";
+  for (const Header& header : ErrorHeaders(error, Duration::zero()))
+    text += header.name + ": " + header.value + "\r\n";
+  return text + "\r\n" + body;
+}
+
+size_t HeaderBytes(const restinio::http_request_header_t& header) {
+  size_t bytes = 0;
+  header.for_each_field([&bytes](const restinio::http_header_field_t& field) {
+    bytes += field.name().size() + field.value().size();
+  });
+  return bytes;
+}
+
 RestinioResponse::~RestinioResponse() {
   if (const auto table = table_.lock())
     table->Remove(connection_, this);
@@ -240,7 +352,7 @@
   const auto cause = notice.cause();
   if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
           cause))
-    table_->OnOpened();
+    table_->OnOpened(notice.connection_id());
   if (restinio::holds_alternative<restinio::connection_state::closed_t>(cause))
     table_->OnClosed(notice.connection_id());
 }
@@ -268,7 +380,16 @@
         options_(std::move(options)),
         handler_(handler),
         port_(options_.port),
-        table_(std::make_shared<ConnectionTable>()) {}
+        table_(std::make_shared<ConnectionTable>()),
+        policy_(std::make_shared<SocketPolicy>()) {
+    policy_->tls = options_.tls;
+    policy_->handshake_timeout = options_.read_timeout;
+    policy_->refusal = RefusalText;
+    policy_->max_unanswered_bytes =
+        kPipelinedRequests *
+        (options_.max_body_bytes + options_.max_body_bytes / 4 +
+         2 * options_.max_header_bytes);
+  }
 
   Status Start() {
     try {
@@ -295,6 +416,7 @@
 
  private:
   void Configure(restinio::server_settings_t<ServerTraits>& settings) {
+    settings.socket_policy = policy_;
     settings.address(options_.address)
         .port(options_.port)
         .acceptor_options_setter([this](auto& acceptor) {
@@ -308,6 +430,8 @@
         .socket_options_setter([](auto& socket) {
           socket.set_option(asio::ip::tcp::no_delay(true));
         })
+        .logger(table_, policy_)
+        .max_parallel_connections(options_.max_connections)
         .connection_state_listener(std::make_shared<ConnectionListener>(table_))
         .max_pipelined_requests(kPipelinedRequests)
         .concurrent_accepts_count(4)
@@ -328,17 +452,39 @@
 
   restinio::request_handling_status_t Handle(
       restinio::request_handle_t request) {
+    // RESTinio stops all of its timers for a connection that asks for an
+    // upgrade.
+    if (request->header().connection() ==
+        restinio::http_connection_header_t::upgrade)
+      return Refuse(*request, {ResultCode::kBadHeader,
+                               "upgrade: other protocols are not supported"});
+    if (HeaderBytes(request->header()) > options_.max_header_bytes)
+      return Refuse(*request, {ResultCode::kHeaderTooLarge,
+                               "all headers together exceed the size limit"});
     auto response = std::make_shared<RestinioResponse>(request, table_);
     table_->Add(request->connection_id(), response);
     handler_.Handle(ToRequest(*request), std::move(response));
     return restinio::request_accepted();
   }
 
+  static restinio::request_handling_status_t Refuse(
+      restinio::request_t& request,
+      const Error& error) {
+    auto response =
+        request.create_response(StatusLine(Describe(error.code).http_status));
+    for (const Header& header : ErrorHeaders(error, Duration::zero()))
+      response.append_header(header.name, header.value);
+    response.connection_close();
+    response.set_body(ErrorBody(error));
+    return response.done();
+  }
+
   EventLoop& loop_;
   HttpServerOptions options_;
   HttpHandler& handler_;
   uint16_t port_;
   std::shared_ptr<ConnectionTable> table_;
+  std::shared_ptr<SocketPolicy> policy_;
   std::unique_ptr<RestinioServer> server_;
 };
 
--- a/lib/router/caller_request.cc
+++ b/lib/router/caller_request.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "teaselhill/routing/prefix_index.h"
@@ -22,10 +21,36 @@
 constexpr std::chrono::hours kMaxDeadline{24};
 constexpr uint32_t kMaxMaxTokens = 1 << 20;
 
+/// The JSON library writes values recursively: a body of 4 MiB of brackets
+/// overflowed the thread's stack.
+constexpr int kMaxNesting = 64;
+
 Error Malformed(std::string message) {
   return {ResultCode::kMalformedBody, std::move(message)};
 }
 
+bool IsNestedTooDeep(std::string_view body) {
+  int depth = 0;
+  bool quoted = false;
+  for (size_t i = 0; i < body.size(); ++i) {
+    const char c = body[i];
+    if (quoted) {
+      if (c == '\\')
+        ++i;
+      else if (c == '"')
+        quoted = false;
+    } else if (c == '"') {
+      quoted = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxNesting)
+        return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 /// Concatenates roles and contents; the engine's cache is keyed by the prompt.
 Result<std::string> PromptText(const json& body) {
   const auto messages = body.find("messages");
@@ -79,6 +104,9 @@
 }  // namespace
 
 Result<ModelBody> ParseModelBody(const std::string& body) {
+  if (IsNestedTooDeep(body))
+    return Malformed("the body is nested deeper than " +
+                     std::to_string(kMaxNesting) + " levels");
   json parsed = json::parse(body, nullptr, false);
   if (parsed.is_discarded() || !parsed.is_object())
     return Malformed("the body is not a JSON object");
@@ -151,31 +179,4 @@
   return std::string(value->substr(kScheme.size()));
 }
 
-std::string ErrorBody(const Error& error) {
-  const ResultCodeInfo& info = Describe(error.code);
-  const json body = {
-      {"error",
-       {{"code", static_cast<int>(error.code)},
-        {"name", info.name},
-        {"outcome", OutcomeName(info.outcome)},
-        {"message", error.message.empty() ? std::string(info.description)
-                                          : error.message}}}};
-  return body.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-net::Headers ErrorHeaders(const Error& error, Duration retry_after) {
-  const ResultCodeInfo& info = Describe(error.code);
-  net::Headers headers = {
-      {"Content-Type", "application/json"},
-      {"X-Teaselhill-Outcome", std::string(OutcomeName(info.outcome))},
-      {"X-Teaselhill-Code", std::to_string(static_cast<int>(error.code))}};
-  const bool fault_of_caller = static_cast<int>(error.code) < 2000;
-  if (info.outcome == Outcome::kNotRun && !fault_of_caller) {
-    const double seconds = std::max(1.0, std::ceil(ToSeconds(retry_after)));
-    headers.push_back(
-        {"Retry-After", std::to_string(static_cast<int64_t>(seconds))});
-  }
-  return headers;
-}
-
 }  // namespace teaselhill::router
--- a/unittests/router/caller_request_test.cc
+++ b/unittests/router/caller_request_test.cc
@@ -96,4 +96,24 @@
         OutcomeName(Describe(row.code).outcome));
 }
 
+// Writing such a value for the engine overflowed the stack of the traffic
+// thread, and one caller ended the host for all.
+TEST_CASE("deeply nested bodies are refused") {
+  const std::string deep(2000000, '[');
+  const std::string body =
+      GENERATE_REF(R"({"model":"m","messages":[{"role":"user","content":)" +
+                       deep + std::string(deep.size(), ']') + "}]}",
+                   R"({"model":"m","x":)" + deep, deep);
+  const Result<ModelBody> parsed = ParseModelBody(body);
+  REQUIRE_FALSE(parsed.ok());
+  CHECK(parsed.error().code == ResultCode::kMalformedBody);
+}
+
+TEST_CASE("brackets in strings are not nesting") {
+  const Result<ModelBody> parsed = ParseModelBody(
+      R"({"model":"m","messages":[{"role":"user","content":"\"[)" +
+      std::string(100, '[') + R"("}]})");
+  CHECK(parsed.ok());
+}
+
 }  // namespace teaselhill::router
