Keep a stream of a caller that does not read under 64 KiB

A stalled stream took 119,620 bytes of heap: up to 48 KiB of pending events, libcurl's buffers, and events allocated with up to twice their size. The marks of the flow control and libcurl's buffers are smaller now, and events are allocated at their size: 51,638 bytes.

--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -28,6 +28,10 @@
 using CurlMulti = std::unique_ptr<CURLM, CurlMultiDeleter>;
 using CurlList = std::unique_ptr<curl_slist, CurlListDeleter>;
 
+/// libcurl's own sizes of 16 KiB and 64 KiB exceed what a stream may cost.
+constexpr long kReceiveBufferBytes = 4 << 10;
+constexpr long kSendBufferBytes = 16 << 10;
+
 void InitializeLibraryOnce() {
   static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   assert(initialized == CURLE_OK && "libcurl could not be initialized");
@@ -102,6 +106,8 @@
     curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, error_);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, kSendBufferBytes);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      CurlMilliseconds(request_.connect_timeout));
     if (request_.total_timeout > Duration::zero())
--- a/lib/router/relay.cc
+++ b/lib/router/relay.cc
@@ -14,8 +14,8 @@
 
 /// Reading from the upstream pauses while this much waits for a slow caller,
 /// and goes on below the lower mark.
-constexpr size_t kHighWaterBytes = 32 << 10;
-constexpr size_t kLowWaterBytes = 8 << 10;
+constexpr size_t kHighWaterBytes = 8 << 10;
+constexpr size_t kLowWaterBytes = 2 << 10;
 
 /// Response bodies of plain services are collected before they are passed on,
 /// so that the caller never sees half of one.
--- a/lib/router/sse.cc
+++ b/lib/router/sse.cc
@@ -34,6 +34,9 @@
     joined.append(data);
     data = joined;
   }
+  // Growing step by step would leave up to twice the size allocated while the
+  // events wait for a slow caller.
+  batch.events.reserve(data.size());
   size_t begin = 0;
   while (!done_) {
     const size_t end = data.find(kEventEnd, begin);
