Add TLS to all listeners and connections

Links between hosts need certificates on both sides that name the IP number. The files are checked at start and read again on SIGHUP and when a check every 5 s finds them changed; files that do not fit leave the old ones in force.

--- a/include/teaselhill/net/event_loop.h
+++ b/include/teaselhill/net/event_loop.h
@@ -45,6 +45,10 @@
 std::shared_ptr<void> HandleTermination(EventLoop& loop,
                                         std::function<void(int)> handler);
 
+/// The same for SIGHUP, by which an operator asks for a reload.
+std::shared_ptr<void> HandleHangup(EventLoop& loop,
+                                   std::function<void(int)> handler);
+
 }  // namespace teaselhill::net
 
 #endif  // TEASELHILL_NET_EVENT_LOOP_H_
--- a/include/teaselhill/peer/transport.h
+++ b/include/teaselhill/peer/transport.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "teaselhill/net/event_loop.h"
+#include "teaselhill/net/tls.h"
 #include "teaselhill/support/ids.h"
 #include "teaselhill/support/result.h"
 
@@ -29,6 +30,9 @@
   uint16_t port = 0;
   /// Shared by all hosts; separate from caller and operator keys.
   std::string secret;
+  /// Null: plain. Otherwise both sides show a certificate that the CA signed
+  /// and that names their IP number.
+  std::shared_ptr<net::TlsContext> tls = nullptr;
 };
 
 /// Bytes of message payload since the start, for the control budget.
--- a/include/teaselhill/router/control.h
+++ b/include/teaselhill/router/control.h
@@ -13,6 +13,7 @@
 #include "teaselhill/router/metrics.h"
 #include "teaselhill/router/ports.h"
 #include "teaselhill/router/settings.h"
+#include "teaselhill/router/tls_setup.h"
 #include "teaselhill/router/traffic_worker.h"
 #include "teaselhill/support/logger.h"
 
@@ -21,6 +22,7 @@
 class Control : public ControlPort {
  public:
   Control(const Settings& settings,
+          const TlsSetup& tls,
           SharedView& shared,
           TrafficPort& traffic,
           Logger& logger,
--- a/include/teaselhill/router/settings.h
+++ b/include/teaselhill/router/settings.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "teaselhill/net/tls.h"
 #include "teaselhill/support/logger.h"
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
@@ -28,6 +29,8 @@
   std::vector<std::string> peers;  ///< name=address=domain, known at the start
   std::string peer_secret;
   std::vector<std::string> operator_key_hashes;  ///< SHA-256 in hexadecimal
+  /// Without a certificate all listeners are plain.
+  net::TlsFiles tls;
   int traffic_threads = 4;
   std::string admission_policy = "tiered";
   std::string routing_policy = "adaptive";
--- a/include/teaselhill/router/traffic_worker.h
+++ b/include/teaselhill/router/traffic_worker.h
@@ -11,6 +11,7 @@
 
 #include "teaselhill/config/config_view.h"
 #include "teaselhill/net/event_loop.h"
+#include "teaselhill/net/tls.h"
 #include "teaselhill/router/metrics.h"
 #include "teaselhill/router/ports.h"
 
@@ -41,6 +42,8 @@
   size_t max_body_bytes = 4 << 20;
   Duration read_timeout = std::chrono::seconds(15);
   std::string host_secret;
+  net::TlsFiles tls_files;               ///< for connections to upstreams
+  std::shared_ptr<net::TlsContext> tls;  ///< of the listener; null: plain
 };
 
 /// Owns its event loop and thread. The functions of the traffic port may be
--- a/lib/ctl/command_line.cc
+++ b/lib/ctl/command_line.cc
@@ -65,7 +65,9 @@
         log_(client_, settings.log_url),
         waiter_(loop_),
         session_(log_, waiter_),
-        commands_(session_, settings, out) {}
+        commands_(session_, settings, out) {
+    client_.UseTls({"", "", settings.tls_ca});
+  }
 
   ConfigCommands& commands() { return commands_; }
   ConfigSession& session() { return session_; }
@@ -110,6 +112,9 @@
     app_.add_option("--operator-key", settings_.operator_key,
                     "Bearer key for the admin API")
         ->envname("TEASELHILL_OPERATOR_KEY");
+    app_.add_option("--tls-ca", settings_.tls_ca,
+                    "Certificates that https servers are checked against")
+        ->envname("TEASELHILL_TLS_CA");
     app_.add_option("--author", settings_.author, "Who makes the change")
         ->envname("TEASELHILL_AUTHOR");
     app_.add_flag("--json", settings_.json, "Print JSON");
--- a/lib/ctl/commands.h
+++ b/lib/ctl/commands.h
@@ -17,6 +17,7 @@
   std::string log_url;
   std::vector<std::string> hosts;
   std::string operator_key;
+  std::string tls_ca;  ///< PEM file; empty: the system's trust anchors
   std::string author;
   std::string base;  ///< revision, `none`, or empty for the current one
   std::string file;
--- a/lib/ctl/host_commands.cc
+++ b/lib/ctl/host_commands.cc
@@ -27,6 +27,7 @@
   net::ClientRequest request;
   request.url = host + path;
   request.total_timeout = kHostTimeout;
+  request.ca_file = settings.tls_ca;
   request.headers = {{"Authorization", "Bearer " + settings.operator_key}};
   const auto answer = net::BlockingFetch(std::move(request));
   if (!answer)
--- a/lib/net/event_loop.cc
+++ b/lib/net/event_loop.cc
@@ -104,17 +104,20 @@
 
 namespace {
 
-class TerminationSignals
-    : public std::enable_shared_from_this<TerminationSignals> {
+class SignalWatch : public std::enable_shared_from_this<SignalWatch> {
  public:
-  TerminationSignals(asio::io_context& context,
-                     std::function<void(int)> handler)
-      : signals_(context, SIGTERM, SIGINT), handler_(std::move(handler)) {}
+  SignalWatch(asio::io_context& context,
+              std::initializer_list<int> numbers,
+              std::function<void(int)> handler)
+      : signals_(context), handler_(std::move(handler)) {
+    for (int number : numbers)
+      signals_.add(number);
+  }
 
   void Wait() {
     signals_.async_wait(
         [weak = weak_from_this()](const asio::error_code& error, int number) {
-          const std::shared_ptr<TerminationSignals> self = weak.lock();
+          const std::shared_ptr<SignalWatch> self = weak.lock();
           if (!self || error)
             return;
           self->Wait();
@@ -127,14 +130,25 @@
   std::function<void(int)> handler_;
 };
 
+std::shared_ptr<void> Watch(EventLoop& loop,
+                            std::initializer_list<int> numbers,
+                            std::function<void(int)> handler) {
+  auto signals = std::make_shared<SignalWatch>(loop.context(), numbers,
+                                               std::move(handler));
+  signals->Wait();
+  return signals;
+}
+
 }  // namespace
 
 std::shared_ptr<void> HandleTermination(EventLoop& loop,
                                         std::function<void(int)> handler) {
-  auto signals =
-      std::make_shared<TerminationSignals>(loop.context(), std::move(handler));
-  signals->Wait();
-  return signals;
+  return Watch(loop, {SIGTERM, SIGINT}, std::move(handler));
+}
+
+std::shared_ptr<void> HandleHangup(EventLoop& loop,
+                                   std::function<void(int)> handler) {
+  return Watch(loop, {SIGHUP}, std::move(handler));
 }
 
 }  // namespace teaselhill::net
--- a/lib/net/tls.cc
+++ b/lib/net/tls.cc
@@ -54,6 +54,16 @@
   return {ResultCode::kSettingInvalid, name + ": " + fault};
 }
 
+Status AddAuthority(asio::ssl::context& context,
+                    const TlsFiles& files,
+                    const TlsMaterial& material) {
+  asio::error_code error;
+  context.add_certificate_authority(asio::buffer(material.ca), error);
+  if (error || material.ca.find("-----BEGIN ") == std::string::npos)
+    return Invalid(files.ca, "holds no certificate in PEM form");
+  return Ok{};
+}
+
 Result<std::shared_ptr<asio::ssl::context>> MakeContext(
     const TlsFiles& files,
     const TlsMaterial& material,
@@ -71,9 +81,9 @@
   if (SSL_CTX_check_private_key(context->native_handle()) != 1)
     return Invalid(files.key, "is not the key of " + files.certificate);
   if (!files.ca.empty()) {
-    context->add_certificate_authority(asio::buffer(material.ca), error);
-    if (error)
-      return Invalid(files.ca, "holds no certificate in PEM form");
+    const Status added = AddAuthority(*context, files, material);
+    if (!added)
+      return added.error();
   }
   context->set_verify_mode(peer == PeerCertificate::kRequired
                                ? asio::ssl::verify_peer |
@@ -88,8 +98,11 @@
   const Result<TlsMaterial> material = ReadMaterial(files);
   if (!material)
     return material.error();
-  if (!files.enabled())
-    return Ok{};
+  if (!files.enabled()) {
+    asio::ssl::context context(asio::ssl::context::tls_client);
+    return files.ca.empty() ? Status(Ok{})
+                            : AddAuthority(context, files, *material);
+  }
   const auto context =
       MakeContext(files, *material, PeerCertificate::kNotAsked);
   if (!context)
--- a/lib/peer/websocket_transport.cc
+++ b/lib/peer/websocket_transport.cc
@@ -4,9 +4,12 @@
 #include <openssl/crypto.h>
 
 #include <asio.hpp>
+#include <asio/ssl.hpp>
 #include <charconv>
 #include <map>
 #include <websocketpp/client.hpp>
+#include <websocketpp/config/asio.hpp>
+#include <websocketpp/config/asio_client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
@@ -17,8 +20,18 @@
 
 namespace {
 
-using Server = websocketpp::server<websocketpp::config::asio>;
-using Client = websocketpp::client<websocketpp::config::asio_client>;
+struct Plain {
+  using Server = websocketpp::server<websocketpp::config::asio>;
+  using Client = websocketpp::client<websocketpp::config::asio_client>;
+  static constexpr char kScheme[] = "ws://";
+};
+
+struct Encrypted {
+  using Server = websocketpp::server<websocketpp::config::asio_tls>;
+  using Client = websocketpp::client<websocketpp::config::asio_tls_client>;
+  static constexpr char kScheme[] = "wss://";
+};
+
 using Handle = websocketpp::connection_hdl;
 
 constexpr char kHostHeader[] = "X-Teaselhill-Host";
@@ -63,8 +76,13 @@
   std::vector<std::string> queue;
 };
 
+/// `Security` is Plain or Encrypted.
+template <typename Security>
 class WebSocketTransport : public Transport {
  public:
+  using Server = typename Security::Server;
+  using Client = typename Security::Client;
+
   WebSocketTransport(net::EventLoop& loop,
                      TransportOptions options,
                      MessageHandler on_message)
@@ -75,10 +93,18 @@
     Configure(client_, loop_.context());
     server_.set_reuse_addr(true);
     server_.set_validate_handler([this](Handle h) { return Validate(h); });
-    server_.set_message_handler([this](Handle h, Server::message_ptr message) {
-      OnMessage(h, message->get_payload());
-    });
+    server_.set_message_handler(
+        [this](Handle h, typename Server::message_ptr message) {
+          OnMessage(h, message->get_payload());
+        });
     server_.set_close_handler([this](Handle h) { senders_.erase(h); });
+    if constexpr (std::is_same_v<Security, Encrypted>) {
+      const auto context = [this](const Handle&) {
+        return options_.tls->Current();
+      };
+      server_.set_tls_init_handler(context);
+      client_.set_tls_init_handler(context);
+    }
   }
 
   ~WebSocketTransport() override {
@@ -201,11 +227,14 @@
       return;
     websocketpp::lib::error_code error;
     const auto connection =
-        client_.get_connection("ws://" + link.peer.address + ":" +
+        client_.get_connection(Security::kScheme + link.peer.address + ":" +
                                    std::to_string(link.peer.port) + "/peer",
                                error);
     if (error)
       return;
+    if constexpr (std::is_same_v<Security, Encrypted>)
+      connection->get_socket().set_verify_callback(
+          asio::ssl::host_name_verification(link.peer.address));
     connection->append_header(kHostHeader, options_.self.host);
     connection->append_header(kIncarnationHeader,
                               std::to_string(options_.self.incarnation));
@@ -294,8 +323,11 @@
     net::EventLoop& loop,
     TransportOptions options,
     Transport::MessageHandler on_message) {
-  return std::make_unique<WebSocketTransport>(loop, std::move(options),
-                                              std::move(on_message));
+  if (options.tls)
+    return std::make_unique<WebSocketTransport<Encrypted>>(
+        loop, std::move(options), std::move(on_message));
+  return std::make_unique<WebSocketTransport<Plain>>(loop, std::move(options),
+                                                     std::move(on_message));
 }
 
 }  // namespace teaselhill::peer
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -149,11 +149,13 @@
 class Control::Impl : public HostDirectory, public AdminBackend {
  public:
   Impl(const Settings& settings,
+       const TlsSetup& tls,
        SharedView& shared,
        TrafficPort& traffic,
        Logger& logger,
        Metrics& metrics)
       : settings_(settings),
+        tls_(tls),
         shared_(shared),
         logger_(logger),
         metrics_(metrics),
@@ -207,6 +209,7 @@
                 [this] { coordinator_.Pump(Now()); }),
         admin_(*this, settings.operator_key_hashes),
         admin_server_(loop_, AdminOptions(), admin_) {
+    client_.UseTls(settings.tls);
     if (settings.give_orders)
       orders_ = std::make_unique<OrdersDriver>(OrdersSettings());
     if (!settings.host_list_url.empty())
@@ -214,7 +217,8 @@
           client_, loop_.timers(), rng_, HostListSettings());
     transport_ = peer::CreateWebSocketTransport(
         loop_,
-        {self_, settings.address, settings.peer_port, settings.peer_secret},
+        {self_, settings.address, settings.peer_port, settings.peer_secret,
+         tls_.hosts},
         [this](const HostIncarnation& from, const std::string& payload) {
           OnPeerMessage(from, payload);
         });
@@ -281,7 +285,7 @@
     const auto found = addresses_.find(host.host);
     if (found == addresses_.end())
       return std::nullopt;
-    return "http://" + found->second + ":" +
+    return (tls_.enabled() ? "https://" : "http://") + found->second + ":" +
            std::to_string(settings_.http_port);
   }
 
@@ -357,6 +361,7 @@
     options.address = settings_.address;
     options.port = settings_.admin_port;
     options.max_body_bytes = 1 << 20;
+    options.tls = tls_.clients;
     return options;
   }
 
@@ -680,6 +685,7 @@
   }
 
   Settings settings_;
+  const TlsSetup tls_;
   SharedView& shared_;
   Logger& logger_;
   Metrics& metrics_;
@@ -779,12 +785,17 @@
 }
 
 Control::Control(const Settings& settings,
+                 const TlsSetup& tls,
                  SharedView& shared,
                  TrafficPort& traffic,
                  Logger& logger,
                  Metrics& metrics)
-    : impl_(
-          std::make_unique<Impl>(settings, shared, traffic, logger, metrics)) {}
+    : impl_(std::make_unique<Impl>(settings,
+                                   tls,
+                                   shared,
+                                   traffic,
+                                   logger,
+                                   metrics)) {}
 
 Control::~Control() = default;
 
--- a/lib/router/daemon.cc
+++ b/lib/router/daemon.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "teaselhill/router/control.h"
+#include "teaselhill/router/tls_setup.h"
 #include "teaselhill/router/traffic_worker.h"
 #include "teaselhill/support/logger.h"
 
@@ -16,12 +17,17 @@
 
 constexpr int kCodeClass = 1000;
 
-TrafficOptions ToTrafficOptions(const Settings& settings) {
+/// Time within which a replaced certificate file is noticed without a signal.
+constexpr std::chrono::seconds kTlsCheckPeriod{5};
+
+TrafficOptions ToTrafficOptions(const Settings& settings, const TlsSetup& tls) {
   TrafficOptions options;
   options.address = settings.address;
   options.port = settings.http_port;
   options.max_body_bytes = settings.max_body_bytes;
   options.host_secret = settings.peer_secret;
+  options.tls_files = settings.tls;
+  options.tls = tls.clients;
   return options;
 }
 
@@ -39,9 +45,12 @@
   Metrics metrics;
   SharedView shared;
   WorkerPool pool;
-  Control control(settings, shared, pool, logger, metrics);
+  const Result<TlsSetup> tls = LoadTls(settings.tls);
+  if (!tls)
+    return ReportFailure(logger, tls.error());
+  Control control(settings, *tls, shared, pool, logger, metrics);
   std::vector<std::unique_ptr<TrafficWorker>> workers;
-  TrafficOptions options = ToTrafficOptions(settings);
+  TrafficOptions options = ToTrafficOptions(settings, *tls);
   for (int i = 0; i < settings.traffic_threads; ++i) {
     workers.push_back(
         std::make_unique<TrafficWorker>(i, options, shared, control, metrics));
@@ -72,6 +81,15 @@
     };
     control.Drain(open_requests, [&control] { control.loop().Stop(); });
   });
+  std::shared_ptr<void> hangups;
+  TimerSubscription tls_check;
+  if (tls->enabled()) {
+    hangups = net::HandleHangup(
+        control.loop(), [&](int) { ReloadTls(*tls, /*always=*/true, logger); });
+    tls_check = control.loop().timers().Subscribe(
+        kTlsCheckPeriod,
+        [&](TimePoint) { ReloadTls(*tls, /*always=*/false, logger); });
+  }
   control.loop().Run();
   for (const auto& worker : workers)
     worker->Stop();
--- a/lib/router/settings.cc
+++ b/lib/router/settings.cc
@@ -165,6 +165,16 @@
           }};
 }
 
+Setting File(std::string flag,
+             std::string help,
+             std::string net::TlsFiles::*member) {
+  return {std::move(flag), std::move(help), "the name of a PEM file",
+          [member](const std::string& text, Settings& settings) {
+            settings.tls.*member = text;
+            return !text.empty();
+          }};
+}
+
 std::string Joined(const std::vector<std::string>& names) {
   std::string joined;
   for (const std::string& name : names)
@@ -244,6 +254,13 @@
          return std::all_of(settings.operator_key_hashes.begin(),
                             settings.operator_key_hashes.end(), IsKeyHash);
        }},
+      File("tls-certificate",
+           "certificate chain of this host for all listeners, and shown to "
+           "upstreams, platform and other hosts",
+           &net::TlsFiles::certificate),
+      File("tls-key", "private key of the certificate", &net::TlsFiles::key),
+      File("tls-ca", "certificates that others are checked against",
+           &net::TlsFiles::ca),
       {"traffic-threads", "threads that relay answers", "a number from 1 to 64",
        [](const std::string& text, Settings& settings) {
          return ParseNumber(text, 1, 64, &settings.traffic_threads);
@@ -294,6 +311,16 @@
          "' is not valid, allowed: " + allowed + "\n";
 }
 
+/// Checks what the single settings cannot: that the files fit each other.
+std::string TlsFaults(const net::TlsFiles& files) {
+  const bool any_own = files.enabled() || !files.key.empty();
+  if (any_own && (!files.enabled() || files.key.empty() || files.ca.empty()))
+    return "--tls-certificate, --tls-key and --tls-ca go together; --tls-ca "
+           "may stand alone\n";
+  const Status checked = net::CheckTlsFiles(files);
+  return checked ? "" : checked.error().message + "\n";
+}
+
 std::map<std::string, std::string> OwnVariables(
     const std::vector<std::string>& environment) {
   std::map<std::string, std::string> variables;
@@ -365,6 +392,7 @@
       faults += Fault(by_flag ? "--" + setting.flag : variable->first, value,
                       setting.allowed);
   }
+  faults += TlsFaults(settings.tls);
   if (!faults.empty())
     return PrintAndExit{faults, 7};
   if (check_only)
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -97,6 +97,7 @@
         open_requests_(open_requests),
         client_(loop_),
         server_(loop_, ServerOptions(), *this) {
+    client_.UseTls(options_.tls_files);
     context_.client = &client_;
     context_.control = &control_;
     context_.host_secret = options_.host_secret;
@@ -187,6 +188,7 @@
     server.share_port = true;
     server.max_body_bytes = options_.max_body_bytes;
     server.read_timeout = options_.read_timeout;
+    server.tls = options_.tls;
     return server;
   }
 
--- /dev/null
+++ b/unittests/peer/tls_transport_test.cc
@@ -0,0 +1,84 @@
+/// \file
+/// Guards links between hosts over TLS: certificates are needed on both sides.
+
+#include <catch2/catch.hpp>
+
+#include "../net/raw_connection.h"
+#include "../net/test_certificates.h"
+#include "teaselhill/peer/transport.h"
+
+namespace teaselhill::peer {
+
+namespace {
+
+struct Node {
+  Node(net::EventLoop& loop,
+       const std::string& name,
+       const net::TlsFiles& files)
+      : tls(*net::TlsContext::Load(files, net::PeerCertificate::kRequired)),
+        transport(CreateWebSocketTransport(
+            loop,
+            {{name, 7}, "127.0.0.1", 0, "secret", tls},
+            [this](const HostIncarnation& from, std::string payload) {
+              received.push_back(from.host + ":" + payload);
+            })) {
+    REQUIRE(transport->Start().ok());
+  }
+
+  PeerAddress Address(const std::string& name) const {
+    return {name, "127.0.0.1", transport->port()};
+  }
+
+  std::vector<std::string> received;
+  std::shared_ptr<net::TlsContext> tls;
+  std::unique_ptr<Transport> transport;
+};
+
+}  // namespace
+
+TEST_CASE("messages pass between hosts of one authority") {
+  net::EventLoop loop;
+  net::TestAuthority authority;
+  Node a(loop, "a", authority.Issue("a"));
+  Node b(loop, "b", authority.Issue("b"));
+  a.transport->SetPeers({b.Address("b")});
+  a.transport->Send("b", "one");
+  a.transport->Send("b", std::string(100000, 'x'));
+  net::RunUntil(loop, [&] { return b.received.size() == 2; });
+  CHECK(b.received[0] == "a:one");
+  CHECK(b.received[1].size() == 100002);
+}
+
+// The shared secret alone must not be enough, and must not reach a stranger.
+TEST_CASE("a host of another authority or address is refused") {
+  net::EventLoop loop;
+  net::TestAuthority authority;
+  net::TestAuthority other;
+  const net::TlsFiles good = authority.Issue("good");
+  net::TlsFiles stranger = other.Issue("stranger");
+  const bool stranger_dials = GENERATE(true, false);
+  net::TlsFiles wrong_address = authority.Issue("b", 3, "127.0.0.9");
+  stranger.ca = good.ca;
+  Node a(loop, "a", stranger_dials ? stranger : good);
+  Node b(loop, "b", stranger_dials ? good : wrong_address);
+  a.transport->SetPeers({b.Address("b")});
+  a.transport->Send("b", "one");
+  net::RunUntil(loop,
+                [&] { return a.transport->counters().messages_dropped == 1; });
+  CHECK(b.received.empty());
+}
+
+TEST_CASE("a plain host cannot link to one with TLS") {
+  net::EventLoop loop;
+  net::TestAuthority authority;
+  Node b(loop, "b", authority.Issue("b"));
+  const auto plain = CreateWebSocketTransport(
+      loop, {{"a", 7}, "127.0.0.1", 0, "secret", nullptr},
+      [](const HostIncarnation&, const std::string&) {});
+  plain->SetPeers({b.Address("b")});
+  plain->Send("b", "one");
+  net::RunUntil(loop, [&] { return plain->counters().messages_dropped == 1; });
+  CHECK(b.received.empty());
+}
+
+}  // namespace teaselhill::peer
--- a/unittests/router/settings_test.cc
+++ b/unittests/router/settings_test.cc
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "../net/test_certificates.h"
+
 namespace teaselhill::router {
 
 namespace {
@@ -56,4 +58,29 @@
   CHECK(std::get<PrintAndExit>(parsed).exit_code == 0);
 }
 
+// A daemon that starts with unusable files would refuse every connection.
+TEST_CASE("the TLS files are checked at start") {
+  // Static, because Catch2 keeps the first run's table for all rows.
+  static net::TestAuthority authority;
+  static const net::TlsFiles a = authority.Issue("a");
+  static const net::TlsFiles b = authority.Issue("b");
+  using Variables = std::vector<std::string>;
+  const std::string certificate = "TEASELHILL_TLS_CERTIFICATE=";
+  const std::string key = "TEASELHILL_TLS_KEY=";
+  const std::string ca = "TEASELHILL_TLS_CA=";
+  const auto [variables, fault] = GENERATE_COPY(table<Variables, std::string>(
+      {{{certificate + a.certificate, key + a.key, ca + a.ca}, ""},
+       {{ca + a.ca}, ""},
+       {{certificate + a.certificate, key + a.key}, "go together"},
+       {{key + a.key, ca + a.ca}, "go together"},
+       {{certificate + a.certificate, key + b.key, ca + a.ca}, "not the key"},
+       {{certificate + "/no/such", key + a.key, ca + a.ca}, "cannot be read"},
+       {{ca + a.key}, "holds no certificate"}}));
+  const ParsedSettings parsed = ParseSettings(Required(), variables);
+  const PrintAndExit* print = std::get_if<PrintAndExit>(&parsed);
+  CHECK((print == nullptr) == fault.empty());
+  if (print)
+    CHECK(print->text.find(fault) != std::string::npos);
+}
+
 }  // namespace teaselhill::router
