Keep customers apart in decisions and metrics

Decision lines were found by X-Request-Id alone, which callers choose: two customers with the same id shared their lines and the room for them. They are kept by customer and id now and carry the customer; the operators' API takes ?customer=. /metrics names all customers and needed no credential on the callers' port; it moves to the operators' port. Secrets are compared in constant time by one function.

--- a/include/teaselhill/router/admin_api.h
+++ b/include/teaselhill/router/admin_api.h
@@ -20,8 +20,13 @@
   /// JSON object of the host's status.
   virtual std::string StatusJson() = 0;
 
-  /// JSON objects of the decisions about a request, oldest first.
-  virtual std::vector<std::string> Decisions(const std::string& request) = 0;
+  /// JSON objects of the decisions about a request, oldest first; with an empty
+  /// `customer`, of all customers that used this id.
+  virtual std::vector<std::string> Decisions(const std::string& request,
+                                             const std::string& customer) = 0;
+
+  /// Metrics in the Prometheus text format. They name all customers.
+  virtual std::string MetricsText() = 0;
 
   /// Isolates this host from others.
   virtual void SetBlockedPeers(std::set<std::string> hosts) = 0;
--- a/include/teaselhill/router/decision_log.h
+++ b/include/teaselhill/router/decision_log.h
@@ -5,10 +5,12 @@
 #define TEASELHILL_ROUTER_DECISION_LOG_H_
 
 #include <deque>
+#include <map>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "teaselhill/router/caller_request.h"
 #include "teaselhill/support/logger.h"
 
 namespace teaselhill::router {
@@ -20,23 +22,29 @@
   explicit DecisionLog(Logger& logger, size_t max_requests = 5000)
       : logger_(logger), max_requests_(max_requests) {}
 
-  /// Starts a line about the request with this external id.
-  static LogLine Line(std::string_view event, const std::string& request);
+  /// Starts a line about a request.
+  static LogLine Line(std::string_view event, const RequestInfo& request);
 
   /// Writes and keeps the line.
-  void Add(const std::string& request, const LogLine& line);
+  void Add(const RequestInfo& request, const LogLine& line);
 
   /// Writes a line that is not about one request.
   void Write(const LogLine& line) { logger_.Write(line); }
 
-  /// JSON objects of the request's decisions, oldest first.
-  std::vector<std::string> Find(const std::string& request) const;
+  /// JSON objects of the decisions about the request with this external id,
+  /// oldest first. Callers choose the ids, so that two customers may use the
+  /// same one; an empty `customer` finds the requests of all.
+  std::vector<std::string> Find(const std::string& request,
+                                const std::string& customer = "") const;
 
  private:
+  /// External id and customer.
+  using Key = std::pair<std::string, std::string>;
+
   Logger& logger_;
   size_t max_requests_;
-  std::unordered_map<std::string, std::vector<std::string>> lines_;
-  std::deque<std::string> order_;
+  std::map<Key, std::vector<std::string>> lines_;
+  std::deque<Key> order_;
 };
 
 }  // namespace teaselhill::router
--- a/include/teaselhill/router/traffic_worker.h
+++ b/include/teaselhill/router/traffic_worker.h
@@ -12,7 +12,6 @@
 #include "teaselhill/config/config_view.h"
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/tls.h"
-#include "teaselhill/router/metrics.h"
 #include "teaselhill/router/ports.h"
 
 namespace teaselhill::router {
@@ -53,8 +52,7 @@
   TrafficWorker(int index,
                 TrafficOptions options,
                 const SharedView& shared,
-                ControlPort& control,
-                Metrics& metrics);
+                ControlPort& control);
   ~TrafficWorker();
   TrafficWorker(const TrafficWorker&) = delete;
   TrafficWorker& operator=(const TrafficWorker&) = delete;
--- a/include/teaselhill/support/hash.h
+++ b/include/teaselhill/support/hash.h
@@ -30,6 +30,10 @@
 /// Returns the SHA-256 of `data` as 64 lower-case hexadecimal digits.
 std::string Sha256Hex(std::string_view data);
 
+/// Compares in a time that depends on the lengths only, so that a caller cannot
+/// find a secret out byte by byte.
+bool SameSecret(std::string_view a, std::string_view b);
+
 /// Returns 32 lower-case hexadecimal digits.
 std::string ToHex(const Hash128& hash);
 
--- a/lib/claims/key.cc
+++ b/lib/claims/key.cc
@@ -26,16 +26,6 @@
   return Sha256Hex(Joined(secret, inner)).substr(0, kSignatureDigits);
 }
 
-// Takes the same time wherever the first difference is.
-static bool SameText(std::string_view a, std::string_view b) {
-  if (a.size() != b.size())
-    return false;
-  unsigned char difference = 0;
-  for (size_t i = 0; i < a.size(); ++i)
-    difference |= static_cast<unsigned char>(a[i] ^ b[i]);
-  return difference == 0;
-}
-
 static std::optional<uint64_t> ParseNumber(std::string_view text) {
   uint64_t value = 0;
   const auto [end, error] =
@@ -64,7 +54,7 @@
                               std::string_view secret) {
   std::string_view rest = text;
   const std::string_view signature = CutLast(&rest);
-  if (!SameText(signature, Sign(Joined(customer, rest), secret)))
+  if (!SameSecret(signature, Sign(Joined(customer, rest), secret)))
     return BadKey("token signature is not valid");
   const auto number = ParseNumber(CutLast(&rest));
   const auto incarnation = ParseNumber(CutLast(&rest));
--- a/lib/peer/websocket_transport.cc
+++ b/lib/peer/websocket_transport.cc
@@ -1,8 +1,6 @@
 /// \file
 /// websocketpp adapter of the links between hosts.
 
-#include <openssl/crypto.h>
-
 #include <asio.hpp>
 #include <asio/ssl.hpp>
 #include <charconv>
@@ -15,6 +13,7 @@
 #include <websocketpp/server.hpp>
 
 #include "teaselhill/peer/transport.h"
+#include "teaselhill/support/hash.h"
 
 namespace teaselhill::peer {
 
@@ -50,11 +49,6 @@
 
 constexpr size_t kMaxMessageBytes = 32 << 20;
 
-bool SameSecret(const std::string& a, const std::string& b) {
-  return a.size() == b.size() &&
-         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
-}
-
 template <typename Endpoint>
 void Configure(Endpoint& endpoint, asio::io_context& context) {
   endpoint.clear_access_channels(websocketpp::log::alevel::all);
--- a/lib/router/admin_api.cc
+++ b/lib/router/admin_api.cc
@@ -29,8 +29,12 @@
 
 bool AdminApi::IsOperator(const net::Headers& headers) const {
   const Result<std::string> key = ParseBearerKey(headers);
-  return key && std::find(key_hashes_.begin(), key_hashes_.end(),
-                          Sha256Hex(*key)) != key_hashes_.end();
+  if (!key)
+    return false;
+  const std::string hash = Sha256Hex(*key);
+  return std::any_of(
+      key_hashes_.begin(), key_hashes_.end(),
+      [&hash](const std::string& known) { return SameSecret(known, hash); });
 }
 
 void AdminApi::Handle(net::HttpRequest request,
@@ -43,10 +47,15 @@
   if (request.path.rfind(kRequestsPrefix, 0) == 0 && request.method == "GET") {
     std::string body = R"({"decisions":[)";
     for (const std::string& line :
-         backend_.Decisions(request.path.substr(kRequestsPrefix.size())))
+         backend_.Decisions(request.path.substr(kRequestsPrefix.size()),
+                            net::ParseQuery(request.query)["customer"]))
       body += (body.back() == '[' ? "" : ",") + line;
     return RespondJson(*response, body + "]}");
   }
+  if (request.path == "/metrics" && request.method == "GET")
+    return response->Respond(200,
+                             {{"Content-Type", "text/plain; version=0.0.4"}},
+                             backend_.MetricsText());
   if (request.path == "/admin/v1/blocked-peers" && request.method == "PUT") {
     const Status changed = SetBlockedPeers(request.body);
     if (!changed)
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -305,9 +305,11 @@
 
   // AdminBackend:
   std::string StatusJson() override;
-  std::vector<std::string> Decisions(const std::string& request) override {
-    return decisions_.Find(request);
+  std::vector<std::string> Decisions(const std::string& request,
+                                     const std::string& customer) override {
+    return decisions_.Find(request, customer);
   }
+  std::string MetricsText() override { return metrics_.Exposition(); }
   void SetBlockedPeers(std::set<std::string> hosts) override {
     transport_->SetBlocked(std::move(hosts));
   }
--- a/lib/router/daemon.cc
+++ b/lib/router/daemon.cc
@@ -53,7 +53,7 @@
   TrafficOptions options = ToTrafficOptions(settings, *tls);
   for (int i = 0; i < settings.traffic_threads; ++i) {
     workers.push_back(
-        std::make_unique<TrafficWorker>(i, options, shared, control, metrics));
+        std::make_unique<TrafficWorker>(i, options, shared, control));
     pool.Add(workers.back().get());
   }
   const Status started = control.Start();
--- a/lib/router/decision_log.cc
+++ b/lib/router/decision_log.cc
@@ -8,30 +8,38 @@
 /// A request that is retried without end must not fill the memory.
 static constexpr size_t kMaxLinesPerRequest = 32;
 
-LogLine DecisionLog::Line(std::string_view event, const std::string& request) {
+LogLine DecisionLog::Line(std::string_view event, const RequestInfo& request) {
   LogLine line(LogLevel::kInfo, event);
-  line.Field("request", request);
+  line.Field("request", request.external_id)
+      .Field("customer", request.customer);
   return line;
 }
 
-void DecisionLog::Add(const std::string& request, const LogLine& line) {
+void DecisionLog::Add(const RequestInfo& request, const LogLine& line) {
   logger_.Write(line);
-  const auto [entry, added] = lines_.try_emplace(request);
+  const Key key(request.external_id, request.customer);
+  const auto [entry, added] = lines_.try_emplace(key);
   if (added) {
-    order_.push_back(request);
+    order_.push_back(key);
     if (order_.size() > max_requests_) {
       lines_.erase(order_.front());
       order_.pop_front();
     }
   }
-  const auto kept = lines_.find(request);
+  const auto kept = lines_.find(key);
   if (kept != lines_.end() && kept->second.size() < kMaxLinesPerRequest)
     kept->second.push_back(line.Finish());
 }
 
-std::vector<std::string> DecisionLog::Find(const std::string& request) const {
-  const auto found = lines_.find(request);
-  return found == lines_.end() ? std::vector<std::string>() : found->second;
+std::vector<std::string> DecisionLog::Find(const std::string& request,
+                                           const std::string& customer) const {
+  std::vector<std::string> found;
+  for (auto entry = lines_.lower_bound({request, customer});
+       entry != lines_.end() && entry->first.first == request &&
+       (customer.empty() || entry->first.second == customer);
+       ++entry)
+    found.insert(found.end(), entry->second.begin(), entry->second.end());
+  return found;
 }
 
 }  // namespace teaselhill::router
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -296,11 +296,10 @@
                   now);
     traffic_.Replay(request.info.worker, request.info.id,
                     ToKept(replay->answer));
-    log_.Add(request.info.external_id,
-             DecisionLog::Line("outcome", request.info.external_id)
-                 .Field("outcome", "answered")
-                 .Field("reason", "replayed")
-                 .Field("total_ms", now - request.arrival));
+    log_.Add(request.info, DecisionLog::Line("outcome", request.info)
+                               .Field("outcome", "answered")
+                               .Field("reason", "replayed")
+                               .Field("total_ms", now - request.arrival));
     metrics_.CountOutcome(request.info.customer, request.info.class_name,
                           ResultCode::kOk);
     return Erase(request.info.id, 0, now);
@@ -340,10 +339,9 @@
   order.url = *url;
   order.fresh_connection = true;
   order.to_host = true;
-  log_.Add(request.info.external_id,
-           DecisionLog::Line("forward", request.info.external_id)
-               .Field("holder", holder.host)
-               .Field("reason", "holds_idempotency_key"));
+  log_.Add(request.info, DecisionLog::Line("forward", request.info)
+                             .Field("holder", holder.host)
+                             .Field("reason", "holds_idempotency_key"));
   traffic_.StartAttempt(request.info.worker, order);
 }
 
@@ -368,8 +366,8 @@
   if (request.admitted)
     parts_.admission->OnFinished(request.info.id, 0, false, now);
   request.admitted = false;
-  log_.Add(request.info.external_id,
-           DecisionLog::Line("parked", request.info.external_id)
+  log_.Add(request.info,
+           DecisionLog::Line("parked", request.info)
                .Field("reason", "a suspect of a crash runs one at a time"));
 }
 
@@ -401,12 +399,10 @@
     request.quota_taken = true;
     return true;
   }
-  log_.Add(request.info.external_id,
-           DecisionLog::Line("limit", request.info.external_id)
-               .Field("customer", request.info.customer)
-               .Field("limit", quota::LimitName(refusal->limit))
-               .Field("share", refusal->share)
-               .Field("retry_after_ms", refusal->retry_after));
+  log_.Add(request.info, DecisionLog::Line("limit", request.info)
+                             .Field("limit", quota::LimitName(refusal->limit))
+                             .Field("share", refusal->share)
+                             .Field("retry_after_ms", refusal->retry_after));
   GiveUp(request, refusal->error, refusal->retry_after, now);
   return false;
 }
@@ -442,11 +438,10 @@
       admitted ? std::get<admission::Admitted>(result).decision
                : std::get<admission::Refused>(result).decision;
   log_.Add(
-      request.info.external_id,
-      DecisionLog::Line("admission", request.info.external_id)
+      request.info,
+      DecisionLog::Line("admission", request.info)
           .Field("admitted", admitted)
           .Field("reason", admission::ReasonName(decision.reason))
-          .Field("customer", request.info.customer)
           .Field("class", request.info.class_name)
           .Field("tier", request.request_class.tier)
           .Field("work_ahead_tokens", decision.figures.work_ahead)
@@ -516,8 +511,8 @@
       continue;
     }
     log_.Add(
-        request->info.external_id,
-        DecisionLog::Line("pick", request->info.external_id)
+        request->info,
+        DecisionLog::Line("pick", request->info)
             .Field("reason", admission::ReasonName(picked->decision.reason))
             .Field("waited_ms", now - request->arrival));
     Start(*request, *choice, /*hedge=*/false, now);
@@ -576,8 +571,8 @@
   order.resume_offset = request.delivered_tokens;
   order.fresh_connection = !request.info.idempotent;
   order.engine_priority = request.request_class.tier;
-  log_.Add(request.info.external_id,
-           DecisionLog::Line("routing", request.info.external_id)
+  log_.Add(request.info,
+           DecisionLog::Line("routing", request.info)
                .Field("upstream", choice.upstream)
                .Field("reason", routing::ReasonName(choice.reason))
                .Field("attempt", number)
@@ -716,8 +711,8 @@
       (target <= Duration::zero() || total <= target) &&
       (first_target <= Duration::zero() || !request.first_token_at ||
        *request.first_token_at - request.arrival <= first_target);
-  log_.Add(request.info.external_id,
-           DecisionLog::Line("outcome", request.info.external_id)
+  log_.Add(request.info,
+           DecisionLog::Line("outcome", request.info)
                .Field("outcome", forwarded ? "forwarded" : "answered")
                .Field("upstream", upstream)
                .Field("class", request.info.class_name)
@@ -754,8 +749,8 @@
   const ActiveAttempt attempt = request.attempts.at(end.attempt);
   const routing::EndKind kind = ToEndKind(end);
   const RequestId id = request.info.id;
-  log_.Add(request.info.external_id,
-           DecisionLog::Line("attempt_failed", request.info.external_id)
+  log_.Add(request.info,
+           DecisionLog::Line("attempt_failed", request.info)
                .Field("upstream", attempt.upstream)
                .Field("attempt", end.attempt)
                .Field("code", static_cast<int>(end.code))
@@ -856,12 +851,11 @@
                               Duration retry_after,
                               TimePoint now) {
   const RequestId id = request.info.id;
-  log_.Add(request.info.external_id,
-           DecisionLog::Line("outcome", request.info.external_id)
+  log_.Add(request.info,
+           DecisionLog::Line("outcome", request.info)
                .Field("outcome", OutcomeName(Describe(error.code).outcome))
                .Field("code", static_cast<int>(error.code))
                .Field("reason", Describe(error.code).name)
-               .Field("customer", request.info.customer)
                .Field("class", request.info.class_name)
                .Field("retry_after_ms", retry_after)
                .Field("total_ms", now - request.arrival));
@@ -912,11 +906,10 @@
   if (running && request->claimed)
     return;
   if (request->phase == Request::Phase::kForwarded || running) {
-    log_.Add(request->info.external_id,
-             DecisionLog::Line("outcome", request->info.external_id)
-                 .Field("outcome", "unknown")
-                 .Field("reason", "CallerGone")
-                 .Field("tokens", request->delivered_tokens));
+    log_.Add(request->info, DecisionLog::Line("outcome", request->info)
+                                .Field("outcome", "unknown")
+                                .Field("reason", "CallerGone")
+                                .Field("tokens", request->delivered_tokens));
     metrics_.CountOutcome(request->info.customer, request->info.class_name,
                           ResultCode::kCallerGone);
     for (const auto& [number, attempt] : request->attempts)
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -87,13 +87,11 @@
        TrafficOptions options,
        const SharedView& shared,
        ControlPort& control,
-       Metrics& metrics,
        std::atomic<size_t>& open_requests)
       : index_(index),
         options_(std::move(options)),
         shared_(shared),
         control_(control),
-        metrics_(metrics),
         open_requests_(open_requests),
         client_(loop_),
         server_(loop_, ServerOptions(), *this) {
@@ -135,10 +133,6 @@
       return response->Respond(shared_.Ready() ? 200 : 503,
                                {{"Content-Type", "text/plain"}},
                                shared_.Ready() ? "ready\n" : "not ready\n");
-    if (request.path == "/metrics")
-      return response->Respond(200,
-                               {{"Content-Type", "text/plain; version=0.0.4"}},
-                               metrics_.Exposition());
     const Status accepted = Accept(request, response);
     if (!accepted)
       Refuse(*response, ForKey(request.headers, accepted.error()));
@@ -236,7 +230,7 @@
   bool ComesFromHost(const net::Headers& headers) const {
     const auto secret = net::FindHeader(headers, "X-Teaselhill-Forwarded");
     return secret && !options_.host_secret.empty() &&
-           Sha256Hex(*secret) == Sha256Hex(options_.host_secret);
+           SameSecret(*secret, options_.host_secret);
   }
 
   static Status ListModels(const net::HttpRequest& request,
@@ -401,7 +395,6 @@
   TrafficOptions options_;
   const SharedView& shared_;
   ControlPort& control_;
-  Metrics& metrics_;
   std::atomic<size_t>& open_requests_;
   net::EventLoop loop_;
   net::HttpClient client_;
@@ -420,13 +413,11 @@
 TrafficWorker::TrafficWorker(int index,
                              TrafficOptions options,
                              const SharedView& shared,
-                             ControlPort& control,
-                             Metrics& metrics)
+                             ControlPort& control)
     : impl_(std::make_unique<Impl>(index,
                                    std::move(options),
                                    shared,
                                    control,
-                                   metrics,
                                    open_requests_)) {}
 
 TrafficWorker::~TrafficWorker() = default;
--- a/lib/support/hash.cc
+++ b/lib/support/hash.cc
@@ -3,6 +3,7 @@
 
 #include "teaselhill/support/hash.h"
 
+#include <openssl/crypto.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
 
@@ -34,6 +35,11 @@
   return text;
 }
 
+bool SameSecret(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
 std::string ToHex(const Hash128& hash) {
   char text[33];
   std::snprintf(text, sizeof(text), "%016llx%016llx",
--- a/unittests/claims/key_test.cc
+++ b/unittests/claims/key_test.cc
@@ -30,6 +30,16 @@
   CHECK(ParseKey(customer, text, "secret").ok() == ok);
 }
 
+// With one hash for both, a customer would be given the other's answer.
+TEST_CASE("equal keys of two customers are different keys") {
+  const std::string text = "018bcfe5-6800-7000-8000-000000000001";
+  const auto a = ParseKey("brazos", text, "s");
+  const auto b = ParseKey("punjab", text, "s");
+  REQUIRE(a.ok());
+  REQUIRE(b.ok());
+  CHECK_FALSE(std::get<UuidKey>(*a).hash == std::get<UuidKey>(*b).hash);
+}
+
 TEST_CASE("token and UUID parts are read back exactly") {
   const auto token =
       ParseKey("c", FormatToken("c", {"host.a", 7}, 3, "s"), "s");
--- /dev/null
+++ b/unittests/router/access_test.cc
@@ -0,0 +1,261 @@
+/// \file
+/// Guards who may do what: callers, operators, hosts, and one customer beside
+/// another.
+
+#include <catch2/catch.hpp>
+#include <mutex>
+
+#include "coordinator_fixture.h"
+#include "teaselhill/net/http_client.h"
+#include "teaselhill/router/admin_api.h"
+#include "teaselhill/router/traffic_worker.h"
+#include "teaselhill/support/hash.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+constexpr char kOperatorKey[] = "operator-key";
+constexpr char kHostSecret[] = "0123456789abcdef";
+
+/// Answers each request at once with the customer's name.
+class CountingControl : public ControlPort {
+ public:
+  void OnArrived(RequestInfo info) override {
+    ++arrived;
+    worker->Fail(info.id, {ResultCode::kQueueFull, info.customer},
+                 Duration::zero());
+  }
+  void OnFirstToken(RequestId, int) override {}
+  void OnProgress(std::vector<TokenProgress>) override {}
+  void OnAttemptEnded(AttemptEnd, std::shared_ptr<const KeptAnswer>) override {}
+  void OnCallerGone(RequestId) override {}
+  void OnTokenWanted(int,
+                     RequestId request,
+                     const std::string& customer) override {
+    worker->GiveToken(request, customer);
+  }
+
+  TrafficWorker* worker = nullptr;
+  std::atomic<int> arrived{0};
+};
+
+/// A listener for callers with the customers `brazos` and `punjab`, whose keys
+/// are their names and whose only models are `<name>-model`.
+struct CallerPort {
+  CallerPort() : worker(0, Options(), shared, control) {
+    control.worker = &worker;
+    auto view = std::make_shared<config::ConfigView>();
+    for (const std::string name : {"brazos", "punjab"}) {
+      auto contract = std::make_shared<config::Contract>();
+      contract->customer = name;
+      contract->teams.push_back({"t", 1, {}});
+      contract->models = {name + "-model"};
+      config::ClassPolicy only;
+      only.name = "only";
+      contract->classes = {only};
+      contract->default_class = "only";
+      view->keys[Sha256Hex(name)] = {contract, &contract->teams[0], false};
+    }
+    shared.SetConfig(view);
+    REQUIRE(worker.Start().ok());
+  }
+  ~CallerPort() { worker.Stop(); }
+
+  static TrafficOptions Options() {
+    TrafficOptions options;
+    options.host_secret = kHostSecret;
+    return options;
+  }
+
+  net::ClientResponse Fetch(const std::string& method,
+                            const std::string& path,
+                            const std::string& key,
+                            net::Headers headers = {},
+                            const std::string& body = "") {
+    net::ClientRequest request;
+    request.method = method;
+    request.url = "http://127.0.0.1:" + std::to_string(worker.port()) + path;
+    request.headers = std::move(headers);
+    if (!key.empty())
+      request.headers.push_back({"Authorization", "Bearer " + key});
+    request.body = body;
+    request.total_timeout = std::chrono::seconds(5);
+    const auto answer = net::BlockingFetch(std::move(request));
+    REQUIRE(answer.ok());
+    return *answer;
+  }
+
+  SharedView shared;
+  CountingControl control;
+  TrafficWorker worker;
+};
+
+std::string Chat(const std::string& model) {
+  return R"({"model":")" + model +
+         R"(","messages":[{"role":"user","content":"x"}]})";
+}
+
+class FakeBackend : public AdminBackend {
+ public:
+  std::string StatusJson() override { return "{}"; }
+  std::vector<std::string> Decisions(const std::string&,
+                                     const std::string&) override {
+    return {};
+  }
+  std::string MetricsText() override { return "brazos"; }
+  void SetBlockedPeers(std::set<std::string>) override { ++changes; }
+
+  int changes = 0;
+};
+
+class RecordedResponse : public net::ResponseWriter {
+ public:
+  void Respond(int answered, net::Headers, std::string text) override {
+    status = answered;
+    body = std::move(text);
+  }
+  void Start(int, net::Headers) override {}
+  void Write(std::string) override {}
+  void Finish() override {}
+  size_t pending_bytes() const override { return 0; }
+  void SetCloseHandler(std::function<void()>) override {}
+  void SetDrainHandler(std::function<void()>) override {}
+
+  int status = 0;
+  std::string body;
+};
+
+}  // namespace
+
+TEST_CASE("only a caller's key opens the callers' port") {
+  CallerPort port;
+  const std::string key =
+      GENERATE(as<std::string>(), "", kOperatorKey, kHostSecret, "Brazos");
+  const std::string path =
+      GENERATE(as<std::string>(), "/v1/chat/completions", "/v1/models",
+               "/v1/tokens", "/services/x/", "/metrics", "/admin/v1/status");
+  const auto answer = port.Fetch("POST", path, key, {}, Chat("brazos-model"));
+  CHECK(answer.status == 401);
+  CHECK(net::FindHeader(answer.headers, "X-Teaselhill-Code") == "1004");
+  CHECK(port.control.arrived == 0);
+}
+
+TEST_CASE("a caller cannot pass for another host") {
+  CallerPort port;
+  const std::string secret = GENERATE(as<std::string>(), "", "true", "brazos",
+                                      "0123456789abcdeX", "0123456789abcde");
+  const auto answer =
+      port.Fetch("POST", "/v1/chat/completions", "brazos",
+                 {{"X-Teaselhill-Forwarded", secret}}, Chat("brazos-model"));
+  // libcurl leaves a header without a value out.
+  CHECK(answer.status == (secret.empty() ? 503 : 403));
+  CHECK(port.control.arrived == (secret.empty() ? 1 : 0));
+}
+
+TEST_CASE("a customer sees its own models and answers only") {
+  CallerPort port;
+  const std::string body = port.Fetch("GET", "/v1/models", "punjab").body;
+  CHECK(body.find("punjab-model") != std::string::npos);
+  CHECK(body.find("brazos") == std::string::npos);
+  const auto foreign = port.Fetch("POST", "/v1/chat/completions", "punjab", {},
+                                  Chat("brazos-model"));
+  CHECK(net::FindHeader(foreign.headers, "X-Teaselhill-Code") == "1003");
+  const auto own = port.Fetch("POST", "/v1/chat/completions", "punjab",
+                              {{"X-Request-Id", "same"}}, Chat("punjab-model"));
+  CHECK(own.body.find("\"message\":\"punjab\"") != std::string::npos);
+  CHECK(port.Fetch("POST", "/v1/tokens", "punjab").body ==
+        R"({"token":"punjab"})");
+}
+
+TEST_CASE("only an operator's key opens the operators' port") {
+  FakeBackend backend;
+  AdminApi api(backend, {Sha256Hex("other"), Sha256Hex(kOperatorKey)});
+  const auto [key, allowed] =
+      GENERATE(table<std::string, bool>({{kOperatorKey, true},
+                                         {"brazos", false},
+                                         {kHostSecret, false},
+                                         {"", false},
+                                         {Sha256Hex(kOperatorKey), false}}));
+  const auto [method, path] = GENERATE(
+      table<std::string, std::string>({{"GET", "/admin/v1/status"},
+                                       {"GET", "/admin/v1/requests/r1"},
+                                       {"GET", "/metrics"},
+                                       {"PUT", "/admin/v1/blocked-peers"}}));
+  net::HttpRequest request;
+  request.method = method;
+  request.path = path;
+  request.body = "[]";
+  request.headers = {{"Authorization", "Bearer " + key}};
+  const auto response = std::make_shared<RecordedResponse>();
+  api.Handle(request, response);
+  CHECK(response->status == (allowed ? 200 : 401));
+  if (!allowed) {
+    CHECK(backend.changes == 0);
+    CHECK(response->body.find("brazos") == std::string::npos);
+  }
+}
+
+// One customer's decisions were shown as another's, and a customer that used
+// an id often left no room for the other's.
+TEST_CASE("decisions of two customers with one request id stay apart") {
+  NullLogger logger;
+  DecisionLog log(logger);
+  RequestInfo a;
+  a.external_id = "same";
+  a.customer = "brazos";
+  RequestInfo b = a;
+  b.customer = "punjab";
+  for (int i = 0; i < 100; ++i)
+    log.Add(a, DecisionLog::Line("pick", a));
+  log.Add(b, DecisionLog::Line("outcome", b));
+  REQUIRE(log.Find("same", "punjab").size() == 1);
+  CHECK(log.Find("same", "punjab")[0].find("brazos") == std::string::npos);
+  for (const std::string& line : log.Find("same", "brazos"))
+    CHECK(line.find("punjab") == std::string::npos);
+  CHECK(log.Find("same").size() == log.Find("same", "brazos").size() + 1);
+  CHECK(log.Find("sam").empty());
+}
+
+TEST_CASE("a token of one customer is refused to another, and is not logged") {
+  CoordinatorFixture fixture;
+  const std::string owner = GENERATE(as<std::string>(), "c", "other");
+  fixture.coordinator.OnTokenWanted(0, 99, owner);
+  REQUIRE(fixture.traffic.tokens.size() == 1);
+  RequestInfo info;
+  info.id = 50;
+  info.external_id = "r50";
+  info.customer = "c";
+  info.team = "t";
+  info.class_name = "report";
+  info.model = "m";
+  info.idempotent = false;
+  info.idempotency_key = fixture.traffic.tokens[0];
+  fixture.coordinator.OnArrived(info, fixture.now);
+  if (owner == "c") {
+    REQUIRE(fixture.traffic.started.size() == 1);
+    fixture.End(50, 0, ResultCode::kConnectionLost, /*sent=*/true);
+  }
+  REQUIRE(fixture.traffic.failures[50].size() == 1);
+  CHECK(fixture.traffic.failures[50][0] ==
+        (owner == "c" ? ResultCode::kUpstreamLost
+                      : ResultCode::kInvalidIdempotencyKey));
+  const std::vector<std::string> lines = fixture.log.Find("r50");
+  REQUIRE_FALSE(lines.empty());
+  for (const std::string& line : lines) {
+    CHECK(line.find(info.idempotency_key) == std::string::npos);
+    CHECK(line.find(kHostSecret) == std::string::npos);
+  }
+}
+
+TEST_CASE("secrets are equal only when every byte is") {
+  const auto [a, b, same] =
+      GENERATE(table<std::string, std::string, bool>({{"abc", "abc", true},
+                                                      {"abc", "abd", false},
+                                                      {"abc", "xbc", false},
+                                                      {"abc", "ab", false},
+                                                      {"", "a", false}}));
+  CHECK(SameSecret(a, b) == same);
+}
+
+}  // namespace teaselhill::router
