Limit connections by the descriptors of the process

RESTinio does not accept again on a listening socket after accept() failed, so a host that had run out of descriptors would have stayed deaf. The daemon raises its limit to the hard one and gives each traffic thread a share that leaves room for upstreams. /v1/models and /v1/tokens state their outcome, as design.md says of every response.

--- a/include/teaselhill/router/traffic_worker.h
+++ b/include/teaselhill/router/traffic_worker.h
@@ -40,6 +40,7 @@
   uint16_t port = 0;
   size_t max_body_bytes = 4 << 20;
   Duration read_timeout = std::chrono::seconds(15);
+  size_t max_connections = 20000;
   std::string host_secret;
   net::TlsFiles tls_files;               ///< for connections to upstreams
   std::shared_ptr<net::TlsContext> tls;  ///< of the listener; null: plain
--- a/lib/router/daemon.cc
+++ b/lib/router/daemon.cc
@@ -3,6 +3,9 @@
 
 #include "teaselhill/router/daemon.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -20,6 +23,27 @@
 /// Time within which a replaced certificate file is noticed without a signal.
 constexpr std::chrono::seconds kTlsCheckPeriod{5};
 
+/// Descriptors for listeners, platform, other hosts and load reports.
+constexpr rlim_t kReservedDescriptors = 256;
+
+constexpr rlim_t kMaxConnectionsPerThread = 20000;
+
+/// RESTinio stops accepting for good once accept() has failed, so callers must
+/// not use the last descriptor. Each caller may need a second one for its
+/// upstream.
+size_t ConnectionsPerThread(int threads) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+    return kMaxConnectionsPerThread;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+  getrlimit(RLIMIT_NOFILE, &limit);
+  const rlim_t usable =
+      limit.rlim_cur - std::min(limit.rlim_cur / 2, kReservedDescriptors);
+  return std::clamp<rlim_t>(usable / (2 * static_cast<rlim_t>(threads)), 1,
+                            kMaxConnectionsPerThread);
+}
+
 TrafficOptions ToTrafficOptions(const Settings& settings, const TlsSetup& tls) {
   TrafficOptions options;
   options.address = settings.address;
@@ -28,6 +52,7 @@
   options.host_secret = settings.peer_secret;
   options.tls_files = settings.tls;
   options.tls = tls.clients;
+  options.max_connections = ConnectionsPerThread(settings.traffic_threads);
   return options;
 }
 
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -69,6 +69,11 @@
   return body + "]}";
 }
 
+net::Headers AnsweredJson() {
+  return {{"Content-Type", "application/json"},
+          {"X-Teaselhill-Outcome", "answered"}};
+}
+
 net::Headers WithoutCredentials(const net::Headers& headers) {
   net::Headers kept;
   for (const net::Header& header : headers) {
@@ -164,8 +169,7 @@
       return;
     std::string body = R"({"token":)";
     AppendJsonString(token, &body);
-    found->second->Respond(200, {{"Content-Type", "application/json"}},
-                           body + "}");
+    found->second->Respond(200, AnsweredJson(), body + "}");
     token_requests_.erase(found);
   }
 
@@ -183,6 +187,7 @@
     server.max_body_bytes = options_.max_body_bytes;
     server.read_timeout = options_.read_timeout;
     server.tls = options_.tls;
+    server.max_connections = options_.max_connections;
     return server;
   }
 
@@ -238,8 +243,7 @@
                            net::ResponseWriter& response) {
     if (request.method != "GET")
       return {ResultCode::kMethodNotAllowed, "/v1/models takes GET"};
-    response.Respond(200, {{"Content-Type", "application/json"}},
-                     ModelList(*grant.contract));
+    response.Respond(200, AnsweredJson(), ModelList(*grant.contract));
     return Ok{};
   }
 
--- a/unittests/router/access_test.cc
+++ b/unittests/router/access_test.cc
@@ -155,7 +155,9 @@
 
 TEST_CASE("a customer sees its own models and answers only") {
   CallerPort port;
-  const std::string body = port.Fetch("GET", "/v1/models", "punjab").body;
+  const auto models = port.Fetch("GET", "/v1/models", "punjab");
+  CHECK(net::FindHeader(models.headers, "X-Teaselhill-Outcome") == "answered");
+  const std::string& body = models.body;
   CHECK(body.find("punjab-model") != std::string::npos);
   CHECK(body.find("brazos") == std::string::npos);
   const auto foreign = port.Fetch("POST", "/v1/chat/completions", "punjab", {},
