--- a/include/teaselhill/router/traffic_worker.h
+++ b/include/teaselhill/router/traffic_worker.h
@@ -11,7 +11,7 @@
 
 #include "teaselhill/config/config_view.h"
 #include "teaselhill/net/event_loop.h"
-#include "teaselhill/router/metrics.h"
+#include "teaselhill/net/tls.h"
 #include "teaselhill/router/ports.h"
 
 namespace teaselhill::router {
@@ -40,7 +40,10 @@
   uint16_t port = 0;
   size_t max_body_bytes = 4 << 20;
   Duration read_timeout = std::chrono::seconds(15);
+  size_t max_connections = 20000;
   std::string host_secret;
+  net::TlsFiles tls_files;               ///< for connections to upstreams
+  std::shared_ptr<net::TlsContext> tls;  ///< of the listener; null: plain
 };
 
 /// Owns its event loop and thread. The functions of the traffic port may be
@@ -50,8 +53,7 @@
   TrafficWorker(int index,
                 TrafficOptions options,
                 const SharedView& shared,
-                ControlPort& control,
-                Metrics& metrics);
+                ControlPort& control);
   ~TrafficWorker();
   TrafficWorker(const TrafficWorker&) = delete;
   TrafficWorker& operator=(const TrafficWorker&) = delete;
--- a/lib/router/daemon.cc
+++ b/lib/router/daemon.cc
@@ -3,10 +3,14 @@
 
 #include "teaselhill/router/daemon.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <memory>
 #include <vector>
 
 #include "teaselhill/router/control.h"
+#include "teaselhill/router/tls_setup.h"
 #include "teaselhill/router/traffic_worker.h"
 #include "teaselhill/support/logger.h"
 
@@ -16,12 +20,39 @@
 
 constexpr int kCodeClass = 1000;
 
-TrafficOptions ToTrafficOptions(const Settings& settings) {
+/// Time within which a replaced certificate file is noticed without a signal.
+constexpr std::chrono::seconds kTlsCheckPeriod{5};
+
+/// Descriptors for listeners, platform, other hosts and load reports.
+constexpr rlim_t kReservedDescriptors = 256;
+
+constexpr rlim_t kMaxConnectionsPerThread = 20000;
+
+/// RESTinio stops accepting for good once accept() has failed, so callers must
+/// not use the last descriptor. Each caller may need a second one for its
+/// upstream.
+size_t ConnectionsPerThread(int threads) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+    return kMaxConnectionsPerThread;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+  getrlimit(RLIMIT_NOFILE, &limit);
+  const rlim_t usable =
+      limit.rlim_cur - std::min(limit.rlim_cur / 2, kReservedDescriptors);
+  return std::clamp<rlim_t>(usable / (2 * static_cast<rlim_t>(threads)), 1,
+                            kMaxConnectionsPerThread);
+}
+
+TrafficOptions ToTrafficOptions(const Settings& settings, const TlsSetup& tls) {
   TrafficOptions options;
   options.address = settings.address;
   options.port = settings.http_port;
   options.max_body_bytes = settings.max_body_bytes;
   options.host_secret = settings.peer_secret;
+  options.tls_files = settings.tls;
+  options.tls = tls.clients;
+  options.max_connections = ConnectionsPerThread(settings.traffic_threads);
   return options;
 }
 
@@ -39,12 +70,15 @@
   Metrics metrics;
   SharedView shared;
   WorkerPool pool;
-  Control control(settings, shared, pool, logger, metrics);
+  const Result<TlsSetup> tls = LoadTls(settings.tls);
+  if (!tls)
+    return ReportFailure(logger, tls.error());
+  Control control(settings, *tls, shared, pool, logger, metrics);
   std::vector<std::unique_ptr<TrafficWorker>> workers;
-  TrafficOptions options = ToTrafficOptions(settings);
+  TrafficOptions options = ToTrafficOptions(settings, *tls);
   for (int i = 0; i < settings.traffic_threads; ++i) {
     workers.push_back(
-        std::make_unique<TrafficWorker>(i, options, shared, control, metrics));
+        std::make_unique<TrafficWorker>(i, options, shared, control));
     pool.Add(workers.back().get());
   }
   const Status started = control.Start();
@@ -72,6 +106,15 @@
     };
     control.Drain(open_requests, [&control] { control.loop().Stop(); });
   });
+  std::shared_ptr<void> hangups;
+  TimerSubscription tls_check;
+  if (tls->enabled()) {
+    hangups = net::HandleHangup(
+        control.loop(), [&](int) { ReloadTls(*tls, /*always=*/true, logger); });
+    tls_check = control.loop().timers().Subscribe(
+        kTlsCheckPeriod,
+        [&](TimePoint) { ReloadTls(*tls, /*always=*/false, logger); });
+  }
   control.loop().Run();
   for (const auto& worker : workers)
     worker->Stop();
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -71,6 +71,11 @@
   return body + "]}";
 }
 
+net::Headers AnsweredJson() {
+  return {{"Content-Type", "application/json"},
+          {"X-Teaselhill-Outcome", "answered"}};
+}
+
 net::Headers WithoutCredentials(const net::Headers& headers) {
   net::Headers kept;
   for (const net::Header& header : headers) {
@@ -89,16 +94,15 @@
        TrafficOptions options,
        const SharedView& shared,
        ControlPort& control,
-       Metrics& metrics,
        std::atomic<size_t>& open_requests)
       : index_(index),
         options_(std::move(options)),
         shared_(shared),
         control_(control),
-        metrics_(metrics),
         open_requests_(open_requests),
         client_(loop_),
         server_(loop_, ServerOptions(), *this) {
+    client_.UseTls(options_.tls_files);
     context_.client = &client_;
     context_.control = &control_;
     context_.host_secret = options_.host_secret;
@@ -140,10 +144,6 @@
       return response->Respond(shared_.Ready() ? 200 : 503,
                                {{"Content-Type", "text/plain"}},
                                shared_.Ready() ? "ready\n" : "not ready\n");
-    if (request.path == "/metrics")
-      return response->Respond(200,
-                               {{"Content-Type", "text/plain; version=0.0.4"}},
-                               metrics_.Exposition());
     const Status accepted = Accept(request, response);
     if (!accepted)
       Refuse(*response, ForKey(request.headers, accepted.error()));
@@ -175,8 +175,7 @@
       return;
     std::string body = R"({"token":)";
     AppendJsonString(token, &body);
-    found->second->Respond(200, {{"Content-Type", "application/json"}},
-                           body + "}");
+    found->second->Respond(200, AnsweredJson(), body + "}");
     token_requests_.erase(found);
   }
 
@@ -193,6 +192,8 @@
     server.share_port = true;
     server.max_body_bytes = options_.max_body_bytes;
     server.read_timeout = options_.read_timeout;
+    server.tls = options_.tls;
+    server.max_connections = options_.max_connections;
     return server;
   }
 
@@ -240,7 +241,7 @@
   bool ComesFromHost(const net::Headers& headers) const {
     const auto secret = net::FindHeader(headers, "X-Teaselhill-Forwarded");
     return secret && !options_.host_secret.empty() &&
-           Sha256Hex(*secret) == Sha256Hex(options_.host_secret);
+           SameSecret(*secret, options_.host_secret);
   }
 
   static Status ListModels(const net::HttpRequest& request,
@@ -248,8 +249,7 @@
                            net::ResponseWriter& response) {
     if (request.method != "GET")
       return {ResultCode::kMethodNotAllowed, "/v1/models takes GET"};
-    response.Respond(200, {{"Content-Type", "application/json"}},
-                     ModelList(*grant.contract));
+    response.Respond(200, AnsweredJson(), ModelList(*grant.contract));
     return Ok{};
   }
 
@@ -408,7 +408,6 @@
   TrafficOptions options_;
   const SharedView& shared_;
   ControlPort& control_;
-  Metrics& metrics_;
   std::atomic<size_t>& open_requests_;
   net::EventLoop loop_;
   net::HttpClient client_;
@@ -427,13 +426,11 @@
 TrafficWorker::TrafficWorker(int index,
                              TrafficOptions options,
                              const SharedView& shared,
-                             ControlPort& control,
-                             Metrics& metrics)
+                             ControlPort& control)
     : impl_(std::make_unique<Impl>(index,
                                    std::move(options),
                                    shared,
                                    control,
-                                   metrics,
                                    open_requests_)) {}
 
 TrafficWorker::~TrafficWorker() = default;
