Do not hold reads open while the log is not known to answer

A tail asked the log to hold an empty answer back for 25 s also when its last read had failed. A host therefore showed the log as lost for up to 25 s after it was back, and the order lease and the claims had to wait as long after a start. Reads are held open only while the log answers.

What remains: a loss is noticed only when the held read ends.

--- a/lib/platform/log_tail.cc
+++ b/lib/platform/log_tail.cc
@@ -45,7 +45,9 @@
 void LogTail::Read() {
   timer_.Cancel();
   reading_ = true;
-  const Duration wait = lag_.ends_before ? Duration{} : options_.poll_wait;
+  // A read that is held open would hide for `poll_wait` that the log answers.
+  const bool hold = lag_.reachable && !lag_.ends_before;
+  const Duration wait = hold ? options_.poll_wait : Duration{};
   client_.Read({options_.stream, next_, options_.batch, wait},
                [this, epoch = std::weak_ptr<int>(epoch_)](
                    const Result<LogPage>& answer) {
--- a/unittests/platform/log_tail_test.cc
+++ b/unittests/platform/log_tail_test.cc
@@ -128,6 +128,20 @@
   CHECK_FALSE(tail.lag().reachable);
 }
 
+TEST_CASE_METHOD(Fixture, "a log that answers again is known at once") {
+  tail.Start(1);
+  Step(seconds(0));
+  CHECK(tail.lag().reachable);
+  REQUIRE(log.last.wait == Duration{});
+  Step(seconds(1));
+  CHECK(log.last.wait > seconds(1));
+  log.down = true;
+  Step(seconds(1));
+  CHECK_FALSE(tail.lag().reachable);
+  Step(seconds(30));
+  CHECK(log.last.wait == Duration{});
+}
+
 TEST_CASE_METHOD(Fixture,
                  "a dropped offset is reported until the owner seeks") {
   log.first = 10;
