Start the order lease's tail at the first offset

The tail began at offset 0, which no record has. It was never caught up, so no host took the order lease and no engine got orders.

Run: router_tests with a test of a domain without an order giver.

--- a/lib/router/orders_driver.cc
+++ b/lib/router/orders_driver.cc
@@ -66,7 +66,8 @@
 OrdersDriver::~OrdersDriver() = default;
 
 void OrdersDriver::Start() {
-  tail_.Start(0);
+  // No record has offset 0; a tail that begins there is never caught up.
+  tail_.Start(kFirstOffset);
   timer_ = context_.timers->Subscribe(kTickPeriod,
                                       [this](TimePoint now) { Tick(now); });
 }
--- /dev/null
+++ b/unittests/router/orders_driver_test.cc
@@ -0,0 +1,59 @@
+/// \file
+/// Guards the order lease against a domain in which nobody ever gives orders.
+
+#include "teaselhill/router/orders_driver.h"
+
+#include <catch2/catch.hpp>
+#include <limits>
+
+namespace teaselhill::router {
+
+namespace {
+
+/// A log that answers at once, as the platform's protocol has it.
+class InstantLog : public platform::LogClient {
+ public:
+  void Append(const std::string&,
+              std::vector<std::string> added,
+              platform::AppendCallback callback) override {
+    const LogOffset first = records.size() + 1;
+    records.insert(records.end(), added.begin(), added.end());
+    callback(first);
+  }
+
+  void Read(const platform::LogRead& read,
+            platform::ReadCallback callback) override {
+    platform::LogPage page;
+    page.first_retained = 1;
+    page.next_offset = records.size() + 1;
+    for (LogOffset at = std::max<LogOffset>(read.from, 1); at <= records.size();
+         ++at)
+      page.records.push_back({at, {}, records[at - 1]});
+    callback(page);
+  }
+
+  std::vector<std::string> records;
+};
+
+}  // namespace
+
+TEST_CASE("a host takes the lease of a domain without an order giver") {
+  InstantLog log;
+  ManualTimerService timers;
+  Rng rng{1};
+  NullLogger logger;
+  OrdersContext context;
+  context.self = {"h1", 1};
+  context.domain = "d1";
+  context.log = &log;
+  context.timers = &timers;
+  context.rng = &rng;
+  context.logger = &logger;
+  OrdersDriver driver(context);
+  driver.Start();
+  for (int i = 0; i < 40; ++i)
+    timers.Advance(std::chrono::milliseconds(500));
+  CHECK(driver.holds_lease());
+}
+
+}  // namespace teaselhill::router
