Keep links to dead hosts, so that a healed partition is noticed

The member table probes dead hosts now and then, but their links were removed from the transport and the probes were dropped. Both sides of a partition of two domains stayed dead to each other; only a restart ended it. In a run with four hosts each still saw one of three others 17 s after the links were back; now all see three of three.

Run: scripts/lib/cluster.sh with blocked peers for 16 s, before and after.

--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -470,10 +470,12 @@
         continue;
       view.members.push_back(
           {member.id.host, member.domain, ToQuotaState(member.state)});
+      // Also the dead ones: the probes that find them again need a link, or
+      // two sides of a partition stay dead to each other when it has healed.
+      peers.push_back({member.id.host, member.address, settings_.peer_port});
       if (member.state == membership::MemberState::kDead)
         continue;
       addresses_[member.id.host] = member.address;
-      peers.push_back({member.id.host, member.address, settings_.peer_port});
       if (member.state == membership::MemberState::kLeaving)
         continue;
       live.push_back(member.id.host);
