--- a/include/teaselhill/load/report.h
+++ b/include/teaselhill/load/report.h
@@ -136,7 +136,9 @@
 std::string ToJson(const Summary& summary);
 
 /// One row for each request, with a head row.
-std::string ToCsv(const Plan& plan, const std::vector<RequestRecord>& requests);
+std::string ToCsv(const Plan& plan,
+                  const std::vector<RequestRecord>& requests,
+                  const Journals& journals);
 
 /// Name of the class that a stream's requests are counted in.
 const std::string& ClassOf(const StreamPlan& stream);
--- a/include/teaselhill/load/runner.h
+++ b/include/teaselhill/load/runner.h
@@ -39,6 +39,8 @@
 
   RunProgress progress() const;
   const std::vector<RequestRecord>& requests() const { return records_; }
+  /// Complete once `done` was called.
+  const Journals& journals() const { return journals_; }
   Summary MakeSummary() const;
 
  private:
--- a/lib/load/json.cc
+++ b/lib/load/json.cc
@@ -278,6 +278,18 @@
   }
 }
 
+/// Gives the tokens of an end line to the latest run that it can belong to.
+static void AddTokens(const JournaledRun& ended, Journals* journals) {
+  for (auto run = journals->runs.rbegin(); run != journals->runs.rend();
+       ++run) {
+    if (run->request_id != ended.request_id || run->key != ended.key ||
+        run->tokens_out > 0)
+      continue;
+    run->tokens_out = ended.tokens_out;
+    return;
+  }
+}
+
 Status AddJournalLines(std::string_view text, Journals* journals) {
   try {
     while (!text.empty()) {
@@ -288,6 +300,8 @@
       // The begin line names the run; the end line adds its tokens.
       if (line.at("end") == "running")
         journals->runs.push_back(run);
+      else
+        AddTokens(run, journals);
       journals->tokens_out += run.tokens_out;
     }
     ++journals->read;
--- a/lib/load/report.cc
+++ b/lib/load/report.cc
@@ -31,6 +31,18 @@
   }
 
   size_t CountOf(const RequestRecord& request) const {
+    return RunsOf(request).size();
+  }
+
+  uint64_t TokensOf(const RequestRecord& request) const {
+    uint64_t tokens = 0;
+    for (const JournaledRun* run : RunsOf(request))
+      tokens += run->tokens_out;
+    return tokens;
+  }
+
+  std::unordered_set<const JournaledRun*> RunsOf(
+      const RequestRecord& request) const {
     std::unordered_set<const JournaledRun*> runs;
     const auto collect = [&runs](const RunCounts& counts,
                                  const std::string& name) {
@@ -42,7 +54,7 @@
       collect(by_key, request.key);
     for (const SendRecord& send : request.sends)
       collect(by_request, send.request_id);
-    return runs.size();
+    return runs;
   }
 
   RunCounts by_key;
@@ -222,10 +234,13 @@
 }
 
 std::string ToCsv(const Plan& plan,
-                  const std::vector<RequestRecord>& requests) {
+                  const std::vector<RequestRecord>& requests,
+                  const Journals& journals) {
   std::ostringstream out;
   out << "stream,class,tier,arrival_s,first_token_s,end_s,ending,outcome,"
-         "status,sends,key,request_id,answer_tokens\n";
+         "status,sends,key,request_id,answer_tokens,within_target,"
+         "engine_tokens\n";
+  const RunIndex index(journals);
   const auto seconds = [&out](const std::optional<Duration>& time) {
     if (time)
       out << ToSeconds(*time);
@@ -242,7 +257,9 @@
     seconds(end ? end : last.end);
     out << EndingName(EndingOf(request)) << ',' << last.outcome << ','
         << last.status << ',' << request.sends.size() << ',' << request.key
-        << ',' << last.request_id << ',' << request.answer_tokens << '\n';
+        << ',' << last.request_id << ',' << request.answer_tokens << ','
+        << IsWithinTarget(stream, request) << ',' << index.TokensOf(request)
+        << '\n';
   }
   return out.str();
 }
--- a/tools/teaselhill-load/main.cc
+++ b/tools/teaselhill-load/main.cc
@@ -65,7 +65,8 @@
   if (terminal)
     std::fputc('\n', stderr);
   if (!csv_file.empty())
-    std::ofstream(csv_file) << load::ToCsv(*plan, runner.requests());
+    std::ofstream(csv_file)
+        << load::ToCsv(*plan, runner.requests(), runner.journals());
   std::printf("%s\n", load::ToJson(runner.MakeSummary()).c_str());
   return 0;
 }
--- a/unittests/load/report_test.cc
+++ b/unittests/load/report_test.cc
@@ -122,6 +122,22 @@
   CHECK(summary.false_not_run == row.false_not_run);
 }
 
+TEST_CASE("a row tells the tokens of all runs of its request once") {
+  Plan plan;
+  plan.streams.resize(1);
+  RequestRecord request;
+  request.key = "k";
+  request.answer_tokens = 7;
+  request.sends.resize(1);
+  request.sends[0].request_id = "r0";
+  request.sends[0].ending = Ending::kAnswered;
+  request.sends[0].end = seconds(1);
+  Journals journals;
+  journals.runs = {{"r0", "k", 7}, {"r9", "k", 4}, {"r8", "other", 2}};
+  // answer_tokens, within_target, engine_tokens
+  CHECK_THAT(ToCsv(plan, {request}, journals), Catch::EndsWith(",7,1,11\n"));
+}
+
 TEST_CASE("both targets count from arrival, and leavers do not count") {
   const auto [token_ms, end_ms, ending, within, attainment] =
       GENERATE(table<int, int, Ending, uint64_t, double>({
@@ -189,6 +205,8 @@
                         &journals)
             .ok());
   CHECK(journals.runs.size() == 2);
+  CHECK(journals.runs[0].tokens_out == 9);
+  CHECK(journals.runs[1].tokens_out == 0);
   CHECK(journals.tokens_out == 9);
   CHECK_FALSE(AddJournalLines(head + "\n", &journals).ok());
 }
