Tell operators more in teaselhillctl

- why shows host, time and event first, in order of time over all hosts, the candidates on lines of their own, and names hosts that could not be asked.
- wait ends at once when a host refuses the key.

--- a/lib/ctl/command_line.cc
+++ b/lib/ctl/command_line.cc
@@ -27,9 +27,9 @@
   teaselhillctl --log http://127.0.0.1:7000 contract history brazos
   teaselhillctl --log http://127.0.0.1:7000 upstream assign sheet-1.json
   teaselhillctl --log http://127.0.0.1:7000 upstream drain sheet-1
-  teaselhillctl --host http://127.0.1.1:8081 --host http://127.0.1.2:8081 status
-  teaselhillctl --host http://127.0.1.1:8081 wait --offset 42 --timeout 10s
-  teaselhillctl --host http://127.0.1.1:8081 why 4f1c
+  teaselhillctl --host http://127.0.1.1:8082 --host http://127.0.1.2:8082 status
+  teaselhillctl --host http://127.0.1.1:8082 wait --offset 42 --timeout 10s
+  teaselhillctl --host http://127.0.1.1:8082 why 4f1c
 
 Exit codes: 0 success, otherwise the result code divided by 1000: 1 not found or
 not permitted, 4 change refused, 5 log, 6 network, 7 settings or timed out.)";
@@ -100,6 +100,7 @@
  private:
   void AddGlobalOptions() {
     app_.footer(kExamples);
+    app_.set_version_flag("--version", TEASELHILL_VERSION);
     app_.require_subcommand(1);
     app_.fallthrough();
     app_.add_option("--log", settings_.log_url, "URL of the log service")
@@ -251,6 +252,11 @@
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
+    // CLI11 only says that a command is missing.
+    const std::vector<std::string> unknown = app.remaining(true);
+    if (e.get_exit_code() != 0 && !unknown.empty())
+      err << "teaselhillctl: unknown command or argument '" << unknown.front()
+          << "'\n";
     const int code = app.exit(e, out, err);
     return code == 0 ? 0 : ExitCode(ResultCode::kSettingInvalid);
   }
--- a/lib/ctl/config_commands.cc
+++ b/lib/ctl/config_commands.cc
@@ -249,6 +249,13 @@
                     {"revision", std::stoull(row[1])},
                     {"author", row[2]},
                     {"state", row[3]}});
+  if (!contracts) {
+    for (size_t i = 0; i < rows.size(); ++i) {
+      list[i]["domain"] = rows[i][4];
+      list[i]["url"] = rows[i][5];
+      list[i]["serves"] = rows[i][6];
+    }
+  }
   out_ << list.dump() << "\n";
   return Ok{};
 }
@@ -283,7 +290,11 @@
   const auto change = ReadChange(ObjectKind::kContract, settings.file);
   if (!change)
     return change.error();
-  out << config::DescribeObject(change->object) << " follows the format\n";
+  if (settings.json)
+    out << Json{{"customer", change->object.name}, {"valid", true}}.dump()
+        << "\n";
+  else
+    out << config::DescribeObject(change->object) << " follows the format\n";
   return Ok{};
 }
 
--- a/unittests/ctl/command_line_test.cc
+++ b/unittests/ctl/command_line_test.cc
@@ -41,7 +41,10 @@
           "in_flight":2,"pace_ms":20.5,"reason":"pace"}]})");
     else if (request.path == "/admin/v1/requests/4f%201" ||
              request.path == "/admin/v1/requests/4f 1")
-      response->Respond(200, {}, R"({"decisions":[{"upstream":"u1"}]})");
+      response->Respond(200, {},
+                        R"({"decisions":[{"event":"outcome","time_ms":12},
+          {"event":"routing","time_ms":11,"upstream":"u1",
+           "candidates":[{"upstream":"u2","load":3}]}]})");
     else
       response->Respond(404, {}, "{}");
   }
@@ -79,7 +82,8 @@
   };
   const auto row = GENERATE(values<Row>({
       {{"--help"}, 0, ""},
-      {{"contract", "frobnicate"}, 7, ""},
+      {{"contract", "frobnicate"}, 7, "unknown command or argument 'frobn"},
+      {{"--version"}, 0, ""},
       {{"contract", "list"}, 7, "--log"},
       {{"--log", "http://127.0.0.1:1", "contract", "list"},
        5,
@@ -109,7 +113,10 @@
   const Run why(
       {"--host", url.c_str(), "--operator-key", "secret", "why", "4f 1"});
   CHECK(why.code == 0);
-  CHECK_THAT(why.out.str(), Catch::Contains("upstream=u1"));
+  CHECK_THAT(why.out.str(),
+             Catch::Contains("11  routing  upstream=u1\n    candidate u2  "
+                             "load=3\n" +
+                             url + "  12  outcome"));
   const Run unknown(
       {"--host", url.c_str(), "--operator-key", "secret", "why", "none"});
   CHECK(unknown.code == 1);
@@ -128,4 +135,31 @@
   CHECK_THAT(missing.err.str(), Catch::Contains("http://127.0.0.1:1 ("));
 }
 
+TEST_CASE("a host that cannot be asked is not passed over in silence") {
+  FakeHost host;
+  const std::string url = host.url() + "/";
+  const char* down = "http://127.0.0.1:1";
+  const Run why({"--host", url.c_str(), "--host", down, "--operator-key",
+                 "secret", "why", "4f 1"});
+  CHECK(why.code == 0);
+  CHECK_THAT(why.out.str(),
+             Catch::Contains("incomplete: http://127.0.0.1:1: "));
+  const Run status({"--host", url.c_str(), "--host", down, "--operator-key",
+                    "secret", "status"});
+  CHECK(status.code == 6);
+  CHECK_THAT(status.out.str(), Catch::Contains("unreachable"));
+  CHECK_THAT(status.err.str(), Catch::Contains(down));
+}
+
+TEST_CASE("a refused operator key is told as such, and a wait ends at once") {
+  FakeHost host;
+  const std::string url = host.url();
+  const Run status({"--host", url.c_str(), "--operator-key", "x", "status"});
+  CHECK_THAT(status.out.str(), Catch::Contains("key refused"));
+  const Run wait({"--host", url.c_str(), "--operator-key", "x", "wait",
+                  "--offset", "1", "--timeout", "1m"});
+  CHECK(wait.code == 1);
+  CHECK_THAT(wait.err.str(), Catch::Contains("operator key"));
+}
+
 }  // namespace teaselhill::ctl
