--- a/lib/router/settings.cc
+++ b/lib/router/settings.cc
@@ -284,6 +284,41 @@
   };
 }
 
+std::string DurationText(Duration duration) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+  if (ms.count() % 60000 == 0)
+    return std::to_string(ms.count() / 60000) + "m";
+  if (ms.count() % 1000 == 0)
+    return std::to_string(ms.count() / 1000) + "s";
+  return std::to_string(ms.count()) + "ms";
+}
+
+/// What the help shows of a setting that is not given.
+std::string DefaultText(const Setting& setting) {
+  if (setting.required)
+    return "required";
+  static const Settings defaults;
+  static const std::map<std::string, std::string> texts = {
+      {"http-port", std::to_string(defaults.http_port)},
+      {"peer-port", std::to_string(defaults.peer_port)},
+      {"admin-port", std::to_string(defaults.admin_port)},
+      {"traffic-threads", std::to_string(defaults.traffic_threads)},
+      {"admission-policy", defaults.admission_policy},
+      {"routing-policy", defaults.routing_policy},
+      {"log-level", "info"},
+      {"seed", std::to_string(defaults.seed)},
+      {"max-body-bytes", std::to_string(defaults.max_body_bytes)},
+      {"drain-timeout", DurationText(defaults.drain_timeout)},
+      {"report-period", DurationText(defaults.report_period)},
+      {"host-list-period", DurationText(defaults.host_list_period)},
+      {"claim-window", DurationText(defaults.claim_window)},
+      {"give-orders", defaults.give_orders ? "true" : "false"},
+      {"hedging", defaults.hedging ? "true" : "false"}};
+  const auto found = texts.find(setting.flag);
+  return found == texts.end() ? "default: none" : "default: " + found->second;
+}
+
 std::string Fault(const std::string& name,
                   const std::string& value,
                   const std::string& allowed) {
@@ -337,8 +372,9 @@
   std::map<std::string, std::string> values;
   for (const Setting& setting : all)
     app.add_option("--" + setting.flag, values[setting.flag],
-                   setting.help + " (" + setting.allowed + ") [" +
-                       VariableOf(setting) + "]");
+                   setting.help + " (" + setting.allowed + "; " +
+                       DefaultText(setting) + ") [" + VariableOf(setting) +
+                       "]");
   std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
   try {
     app.parse(reversed);
--- a/unittests/router/settings_test.cc
+++ b/unittests/router/settings_test.cc
@@ -4,6 +4,9 @@
 #include "teaselhill/router/settings.h"
 
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <regex>
+#include <sstream>
 
 namespace teaselhill::router {
 
@@ -56,4 +59,26 @@
   CHECK(std::get<PrintAndExit>(parsed).exit_code == 0);
 }
 
+TEST_CASE("the operators' page lists every setting with its default") {
+  const ParsedSettings parsed = ParseSettings({"--help"}, {});
+  const std::string help = std::get<PrintAndExit>(parsed).text;
+  std::ifstream file(std::string(TEASELHILL_SOURCE_DIR) +
+                     "/docs/operators/install-and-start.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  const std::regex setting(
+      R"((--[a-z-]+) TEXT +.*(required|default: [^)]*)\) \[(TEASELHILL_\w+)\])");
+  int settings = 0;
+  for (std::sregex_iterator found(help.begin(), help.end(), setting), end;
+       found != end; ++found, ++settings) {
+    const std::string fallback =
+        std::regex_replace((*found)[2].str(), std::regex("default: "), "");
+    INFO((*found)[1].str());
+    CHECK_THAT(page.str(),
+               Catch::Contains("| `" + (*found)[1].str() + "` | `" +
+                               (*found)[3].str() + "` | " + fallback + " |"));
+  }
+  CHECK(settings >= 25);
+}
+
 }  // namespace teaselhill::router
