Read the models of an engine's state as the protocol has them

GET /v1/state lists models as objects with name and state; only strings were read, so the lease holder took every engine for empty and ordered it to load what it had.

--- a/lib/router/orders_driver.cc
+++ b/lib/router/orders_driver.cc
@@ -43,12 +43,21 @@
   orders::EngineState state;
   state.name = name;
   for (const json& model : parsed["models"]) {
-    if (model.is_string())
-      state.models.push_back(model.get<std::string>());
+    const bool named = model.is_object() && model.contains("name") &&
+                       model["name"].is_string();
+    if (!named && !model.is_string())
+      return {ResultCode::kProtocolError,
+              "engine state of '" + name + "': a model has no name"};
+    const bool ready =
+        !named || !model.contains("state") || model["state"] == "ready";
+    state.loading = state.loading || !ready;
+    if (ready)
+      state.models.push_back(named ? model["name"].get<std::string>()
+                                   : model.get<std::string>());
   }
   const auto loading = parsed.find("loading");
   if (loading != parsed.end())
-    state.loading =
+    state.loading |=
         loading->is_boolean() ? loading->get<bool>() : !loading->empty();
   return state;
 }
--- a/unittests/router/orders_driver_test.cc
+++ b/unittests/router/orders_driver_test.cc
@@ -1,10 +1,11 @@
 /// \file
-/// Guards the order lease against a domain in which nobody ever gives orders.
+/// Guards against a domain in which nobody ever gives orders, and against
+/// orders to load what an engine has already.
 
 #include "teaselhill/router/orders_driver.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <limits>
 
 namespace teaselhill::router {
 
@@ -56,4 +57,16 @@
   CHECK(driver.holds_lease());
 }
 
+TEST_CASE("an engine's state tells which models are ready") {
+  const auto state =
+      ParseEngineState("e1", R"({"fencing":2,"role":"mixed","models":[
+        {"name":"clause","state":"ready","adapters":[],"version":""},
+        {"name":"sheet","state":"loading","adapters":[],"version":""}]})");
+  REQUIRE(state.ok());
+  CHECK(state->models == std::vector<std::string>{"clause"});
+  CHECK(state->loading);
+  CHECK_FALSE(ParseEngineState("e1", R"({"models":[{}]})").ok());
+  CHECK_FALSE(ParseEngineState("e1", R"({"models":3})").ok());
+}
+
 }  // namespace teaselhill::router
