--- a/include/teaselhill/retry/crash_tracker.h
+++ b/include/teaselhill/retry/crash_tracker.h
@@ -77,6 +77,12 @@
   int crashes = 0;         ///< that count against the fingerprint
 };
 
+/// Fingerprints that are not run like others at one moment.
+struct CrashCounts {
+  size_t suspects = 0;     ///< run apart from each other
+  size_t quarantined = 0;  ///< refused
+};
+
 /// What the router does after a change.
 struct CrashActions {
   /// To be sent to every peer at once when it is not empty.
@@ -115,6 +121,7 @@
   void Expire(TimePoint now);
 
   size_t reports() const { return reports_.size(); }
+  CrashCounts Count(TimePoint now) const;
 
  private:
   struct Attempt {
--- a/include/teaselhill/router/metrics.h
+++ b/include/teaselhill/router/metrics.h
@@ -5,6 +5,7 @@
 #define TEASELHILL_ROUTER_METRICS_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -28,13 +29,24 @@
                      Duration latency,
                      bool within_target);
   void CountTokens(const std::string& class_name, uint64_t tokens);
-  /// Tokens computed that no caller received.
-  void CountWastedTokens(uint64_t tokens);
+  /// Tokens computed for no answer. Causes: `hedge_lost` (the other attempt
+  /// was used), `caller_gone`, `not_completed` (the caller got an error).
+  void CountWastedTokens(const std::string& cause, uint64_t tokens);
   void CountAttempt(const std::string& kind);
 
+  /// How much later than due a periodic task of the control thread ran.
+  void ObserveControlDelay(Duration delay);
+
   /// Sets a gauge such as `teaselhill_queue_length`.
   void SetGauge(const std::string& name, const std::string& help, double value);
 
+  /// Sets one gauge for each value of `label`; the gauges of values that are
+  /// not given any more become 0.
+  void SetGauges(const std::string& name,
+                 const std::string& help,
+                 const std::string& label,
+                 const std::map<std::string, double>& values);
+
   /// Returns the text exposition format.
   std::string Exposition() const;
 
--- a/lib/retry/crash_tracker.cc
+++ b/lib/retry/crash_tracker.cc
@@ -64,6 +64,16 @@
   return advice;
 }
 
+CrashCounts CrashTracker::Count(TimePoint now) const {
+  CrashCounts counts;
+  for (const auto& [fingerprint, verdict] : verdicts_) {
+    const Care care = Advise(fingerprint, now).care;
+    counts.quarantined += care == Care::kRefuse ? 1 : 0;
+    counts.suspects += care == Care::kIsolate || care == Care::kWait ? 1 : 0;
+  }
+  return counts;
+}
+
 Duration CrashTracker::UntilSlot(const Verdict& verdict, TimePoint now) const {
   if (now < verdict.run_after)
     return verdict.run_after - now;
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -16,6 +16,7 @@
 #include "teaselhill/router/orders_driver.h"
 #include "teaselhill/router/report_poller.h"
 #include "teaselhill/router/request_coordinator.h"
+#include "teaselhill/router/state_gauges.h"
 
 namespace teaselhill::router {
 
@@ -28,6 +29,7 @@
 constexpr milliseconds kMemberTick{50};
 constexpr milliseconds kSendsTick{100};
 constexpr milliseconds kExchangeTick{250};
+constexpr milliseconds kGaugeTick{1000};
 constexpr milliseconds kDrainPoll{20};
 
 /// How long the listener answers "not ready" before it is closed, so that the
@@ -130,6 +132,21 @@
   return "ejected";
 }
 
+/// Where the signs come from that an upstream is leaving.
+std::string LeavingReason(const routing::Upstream& upstream) {
+  static constexpr std::pair<routing::LeavingSign, const char*> kNames[] = {
+      {routing::LeavingSign::kHostList, "host list"},
+      {routing::LeavingSign::kOperator, "assignment or orders"},
+      {routing::LeavingSign::kRefusal, "answered 503"},
+      {routing::LeavingSign::kPeer, "another host"}};
+  std::string reason;
+  for (const auto& [sign, name] : kNames) {
+    if ((upstream.leaving & static_cast<uint8_t>(sign)) != 0)
+      reason += (reason.empty() ? "" : ", ") + std::string(name);
+  }
+  return reason;
+}
+
 routing::UpstreamSpec ToSpec(const config::UpstreamAssignment& assignment) {
   routing::UpstreamSpec spec;
   spec.name = assignment.name;
@@ -235,6 +252,7 @@
         OnHostList(std::move(list));
       });
     Every(kRequestTick, [this](TimePoint now) {
+      ObserveDelay(now);
       coordinator_.Tick(now);
       claims_driver_.Flush();
     });
@@ -242,6 +260,7 @@
           [this](TimePoint now) { Carry(members_.OnTick(now, &rng_), now); });
     Every(kSendsTick, [this](TimePoint) { SpreadSends(); });
     Every(kExchangeTick, [this](TimePoint now) { Exchange(now); });
+    Every(kGaugeTick, [this](TimePoint now) { ExportGauges(now); });
     return Ok{};
   }
 
@@ -543,21 +562,13 @@
         Broadcast(leaving, /*own_domain_only=*/true);
       sent_leaving_ = !leaving.upstreams.empty();
     }
-    ExportGauges(now);
+    LogReachability("log", config_.lag().reachable, &log_was_reachable_);
+    LogReachability("host_list", host_list_reachable_,
+                    &host_list_was_reachable_);
   }
 
   void ExportGauges(TimePoint now) {
-    const admission::QueueStats queue = admission_->Stats(now);
-    metrics_.SetGauge("teaselhill_queue_length", "Requests that wait",
-                      static_cast<double>(queue.queued));
-    metrics_.SetGauge("teaselhill_queue_tokens", "Predicted work that waits",
-                      queue.queued_work);
-    metrics_.SetGauge("teaselhill_config_next_offset",
-                      "First configuration record that is not in force",
-                      static_cast<double>(config_.next_offset()));
-    metrics_.SetGauge("teaselhill_log_reachable",
-                      "Whether the last read of the log succeeded",
-                      config_.lag().reachable);
+    ExportState(State(now), now, metrics_);
     metrics_.SetGauge("teaselhill_peer_bytes_sent",
                       "Payload bytes sent to other hosts",
                       static_cast<double>(transport_->counters().bytes_sent));
@@ -570,6 +581,58 @@
                       static_cast<double>(same_domain_.size() + 1));
   }
 
+  HostState State(TimePoint now) {
+    HostState state;
+    state.ready = shared_.Ready();
+    state.draining = shared_.draining.load();
+    state.open_requests = coordinator_.open_requests();
+    state.queue = admission_->Stats(now);
+    for (const membership::MemberView& seen : members_.Members(now))
+      ++state.members[StateName(seen.member.state)];
+    const auto view = shared_.config();
+    for (const auto& [name, entry] :
+         view ? view->assignments
+              : std::map<std::string, config::AssignmentEntry>()) {
+      if (const routing::Upstream* upstream = upstreams_.Find(name))
+        ++state.upstreams[StateOf(*upstream, now)];
+    }
+    state.domains = members_.Domains(now);
+    state.limit_share = limits_.reachable_fraction();
+    state.config_next_offset = config_.next_offset();
+    state.config_lag = config_.lag();
+    state.claims_lag = claims_driver_.lag();
+    state.claims = claims_.Stats();
+    state.crashes = crashes_.Count(now);
+    state.host_list_reachable = host_list_reachable_;
+    state.holds_order_lease = orders_ && orders_->holds_lease();
+    return state;
+  }
+
+  std::string StateOf(const routing::Upstream& upstream, TimePoint now) const {
+    if (upstreams_.IsLeaving(upstream, now))
+      return "leaving";
+    if (upstream.straggler)
+      return "straggler";
+    return HealthName(upstreams_.HealthOf(upstream, now));
+  }
+
+  /// Writes a line when a part of the platform is lost or is back.
+  void LogReachability(const char* part, bool reachable, bool* known) {
+    if (std::exchange(*known, reachable) == reachable)
+      return;
+    logger_.Write(
+        LogLine(reachable ? LogLevel::kInfo : LogLevel::kWarning, "platform")
+            .Field("part", part)
+            .Field("reachable", reachable));
+  }
+
+  void ObserveDelay(TimePoint now) {
+    if (last_tick_ != TimePoint{})
+      metrics_.ObserveControlDelay(
+          std::max(Duration::zero(), now - last_tick_ - kRequestTick));
+    last_tick_ = now;
+  }
+
   void ApplyConfig(std::shared_ptr<const config::ConfigView> view) {
     const TimePoint now = Now();
     std::vector<routing::UpstreamSpec> specs;
@@ -716,6 +779,9 @@
   std::set<std::string> limited_;
   size_t listed_hosts_ = 0;
   bool host_list_reachable_ = false;
+  bool log_was_reachable_ = false;
+  bool host_list_was_reachable_ = false;
+  TimePoint last_tick_{};
   bool asked_for_crashes_ = false;
   bool drained_ = false;
   bool sent_leaving_ = false;
@@ -725,17 +791,25 @@
 
 std::string Control::Impl::StatusJson() {
   const TimePoint now = Now();
-  json status = {{"host", self_.host},
-                 {"domain", settings_.domain},
-                 {"incarnation", self_.incarnation},
-                 {"ready", shared_.Ready()},
-                 {"draining", shared_.draining.load()},
-                 {"config_offset", config_.next_offset() - 1},
-                 {"log_reachable", config_.lag().reachable},
-                 {"host_list_reachable", host_list_reachable_},
-                 {"holds_order_lease", orders_ && orders_->holds_lease()},
-                 {"share_of_limits", limits_.reachable_fraction()},
-                 {"open_requests", coordinator_.open_requests()}};
+  const HostState state = State(now);
+  json status = {
+      {"host", self_.host},
+      {"domain", settings_.domain},
+      {"incarnation", self_.incarnation},
+      {"ready", state.ready},
+      {"draining", state.draining},
+      {"config_offset", config_.next_offset() - 1},
+      {"config_records_behind", state.config_lag.behind},
+      {"log_reachable", state.config_lag.reachable},
+      {"log_silence_ms", ToMilliseconds(LogSilence(state.config_lag, now))},
+      {"host_list_reachable", state.host_list_reachable},
+      {"holds_order_lease", state.holds_order_lease},
+      {"share_of_limits", state.limit_share},
+      {"open_requests", state.open_requests},
+      {"claims_waiting", state.claims.waiting},
+      {"claims_caught_up", state.claims.caught_up},
+      {"suspects", state.crashes.suspects},
+      {"quarantined", state.crashes.quarantined}};
   status["members"] = json::array();
   for (const membership::MemberView& seen : members_.Members(now))
     status["members"].push_back(
@@ -744,7 +818,7 @@
          {"state", StateName(seen.member.state)},
          {"last_heard_ms", ToMilliseconds(seen.last_heard)}});
   status["domains"] = json::array();
-  for (const membership::DomainStatus& domain : members_.Domains(now))
+  for (const membership::DomainStatus& domain : state.domains)
     status["domains"].push_back({{"name", domain.domain},
                                  {"known", domain.known},
                                  {"reachable", domain.reachable}});
@@ -759,19 +833,14 @@
     const bool leaving = upstreams_.IsLeaving(*upstream, now);
     status["upstreams"].push_back(
         {{"name", name},
-         {"state", leaving ? "leaving"
-                   : upstream->straggler
-                       ? "straggler"
-                       : HealthName(upstreams_.HealthOf(*upstream, now))},
+         {"state", StateOf(*upstream, now)},
          {"in_flight", upstream->own_in_flight},
          {"load", upstreams_.CorrectedLoad(*upstream, now)},
          {"pace_ms", upstream->seconds_per_token * 1000},
-         {"reason", leaving
-                        ? "leaving signs " + std::to_string(upstream->leaving)
-                        : ""}});
+         {"reason", leaving ? LeavingReason(*upstream) : ""}});
   }
   status["queues"] = json::array();
-  for (const admission::TierStats& tier : admission_->Stats(now).tiers)
+  for (const admission::TierStats& tier : state.queue.tiers)
     status["queues"].push_back(
         {{"tier", tier.tier},
          {"queued", tier.queued},
--- a/lib/router/daemon.cc
+++ b/lib/router/daemon.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int kCodeClass = 1000;
+constexpr std::chrono::seconds kDroppedLinesTick{1};
 
 TrafficOptions ToTrafficOptions(const Settings& settings) {
   TrafficOptions options;
@@ -60,6 +61,12 @@
                    .Field("domain", settings.domain)
                    .Field("port", static_cast<int>(workers[0]->port()))
                    .Field("version", TEASELHILL_VERSION));
+  const auto dropped_lines =
+      control.loop().timers().Subscribe(kDroppedLinesTick, [&](TimePoint) {
+        metrics.SetGauge("teaselhill_log_lines_dropped",
+                         "Own log lines lost because the output was full",
+                         static_cast<double>(logger.dropped()));
+      });
   bool stopping = false;
   const auto signals = net::HandleTermination(control.loop(), [&](int) {
     if (std::exchange(stopping, true))
--- a/lib/router/decision_log.cc
+++ b/lib/router/decision_log.cc
@@ -25,8 +25,13 @@
     }
   }
   const auto kept = lines_.find(request);
-  if (kept != lines_.end() && kept->second.size() < kMaxLinesPerRequest)
-    kept->second.push_back(line.Finish());
+  if (kept == lines_.end() || kept->second.size() >= kMaxLinesPerRequest)
+    return;
+  // As the logger does, so that an operator can order the lines of all hosts.
+  LogLine timed = line;
+  timed.Field("time_ms",
+              static_cast<int64_t>(WallNow().time_since_epoch().count()));
+  kept->second.push_back(timed.Finish());
 }
 
 std::vector<std::string> DecisionLog::Find(const std::string& request) const {
--- a/lib/router/metrics.cc
+++ b/lib/router/metrics.cc
@@ -28,6 +28,12 @@
   return buckets;
 }
 
+const prometheus::Histogram::BucketBoundaries& ControlDelayBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+      0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 1, 5};
+  return buckets;
+}
+
 }  // namespace
 
 class Metrics::Impl {
@@ -45,6 +51,33 @@
     return *gauge;
   }
 
+  void SetGauges(const std::string& name,
+                 const std::string& help,
+                 const std::string& label,
+                 const std::map<std::string, double>& values) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    const auto [entry, added] = labelled.try_emplace(name);
+    LabelledGauges& family = entry->second;
+    if (added)
+      family.family =
+          &prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+    for (const auto& [value, gauge] : family.gauges) {
+      if (values.count(value) == 0)
+        gauge->Set(0);
+    }
+    for (const auto& [value, figure] : values) {
+      prometheus::Gauge*& gauge = family.gauges[value];
+      if (!gauge)
+        gauge = &family.family->Add({{label, value}});
+      gauge->Set(figure);
+    }
+  }
+
+  struct LabelledGauges {
+    prometheus::Family<prometheus::Gauge>* family = nullptr;
+    std::map<std::string, prometheus::Gauge*> gauges;  ///< by label value
+  };
+
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& requests =
       prometheus::BuildCounter()
@@ -71,12 +104,17 @@
           .Name("teaselhill_tokens_total")
           .Help("Tokens delivered by class")
           .Register(registry);
-  prometheus::Counter& wasted =
+  prometheus::Family<prometheus::Counter>& wasted =
       prometheus::BuildCounter()
           .Name("teaselhill_wasted_tokens_total")
-          .Help("Tokens computed that no caller received")
+          .Help("Tokens computed for no answer, by cause")
+          .Register(registry);
+  prometheus::Histogram& control_delay =
+      prometheus::BuildHistogram()
+          .Name("teaselhill_control_delay_seconds")
+          .Help("How much later than due the control thread ran")
           .Register(registry)
-          .Add({});
+          .Add({}, ControlDelayBuckets());
   prometheus::Family<prometheus::Counter>& attempts =
       prometheus::BuildCounter()
           .Name("teaselhill_attempts_total")
@@ -84,6 +122,7 @@
           .Register(registry);
   std::mutex mutex;
   std::map<std::string, prometheus::Gauge*> gauges;
+  std::map<std::string, LabelledGauges> labelled;
 };
 
 Metrics::Metrics() : impl_(std::make_unique<Impl>()) {}
@@ -123,8 +162,8 @@
       .Increment(static_cast<double>(tokens));
 }
 
-void Metrics::CountWastedTokens(uint64_t tokens) {
-  impl_->wasted.Increment(static_cast<double>(tokens));
+void Metrics::CountWastedTokens(const std::string& cause, uint64_t tokens) {
+  impl_->wasted.Add({{"cause", cause}}).Increment(static_cast<double>(tokens));
 }
 
 void Metrics::CountAttempt(const std::string& kind) {
@@ -137,6 +176,17 @@
   impl_->FindGauge(name, help).Set(value);
 }
 
+void Metrics::ObserveControlDelay(Duration delay) {
+  impl_->control_delay.Observe(ToSeconds(delay));
+}
+
+void Metrics::SetGauges(const std::string& name,
+                        const std::string& help,
+                        const std::string& label,
+                        const std::map<std::string, double>& values) {
+  impl_->SetGauges(name, help, label, values);
+}
+
 std::string Metrics::Exposition() const {
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -356,6 +356,11 @@
   }
   if (advice.care != retry::Care::kRefuse)
     return true;
+  log_.Add(request.info.external_id,
+           DecisionLog::Line("quarantined", request.info.external_id)
+               .Field("fingerprint", ToHex(request.info.fingerprint))
+               .Field("crashes", advice.crashes)
+               .Field("retry_after_ms", advice.retry_after));
   GiveUp(request, {ResultCode::kQuarantined, ""}, advice.retry_after, now);
   return false;
 }
@@ -586,7 +591,10 @@
                .Field("resume_offset", request.delivered_tokens)
                .Field("eligible", choice.eligible)
                .RawField("candidates", CandidatesJson(choice)));
-  metrics_.CountAttempt(hedge ? "hedge" : number == 0 ? "first" : "retry");
+  metrics_.CountAttempt(hedge                          ? "hedge"
+                        : number == 0                  ? "first"
+                        : request.delivered_tokens > 0 ? "resume"
+                                                       : "retry");
   traffic_.StartAttempt(request.info.worker, order);
 }
 
@@ -625,7 +633,7 @@
     EndAttempt(request, number, routing::EndKind::kCancelled, now);
     parts_.hedges->OnLoserSettled(attempt.id,
                                   request.info.prompt_tokens + attempt.tokens);
-    metrics_.CountWastedTokens(attempt.tokens);
+    metrics_.CountWastedTokens("hedge_lost", attempt.tokens);
   }
 }
 
@@ -867,11 +875,11 @@
                .Field("total_ms", now - request.arrival));
   metrics_.CountOutcome(request.info.customer, request.info.class_name,
                         error.code);
-  while (!request.attempts.empty()) {
-    metrics_.CountWastedTokens(request.attempts.begin()->second.tokens);
+  // Also the tokens of attempts that ended before.
+  metrics_.CountWastedTokens("not_completed", request.delivered_tokens);
+  while (!request.attempts.empty())
     EndAttempt(request, request.attempts.begin()->first,
                routing::EndKind::kCancelled, now);
-  }
   traffic_.Fail(request.info.worker, id, error, retry_after);
   std::vector<claims::Action> actions;
   if (request.claimed) {
@@ -919,8 +927,7 @@
                  .Field("tokens", request->delivered_tokens));
     metrics_.CountOutcome(request->info.customer, request->info.class_name,
                           ResultCode::kCallerGone);
-    for (const auto& [number, attempt] : request->attempts)
-      metrics_.CountWastedTokens(attempt.tokens);
+    metrics_.CountWastedTokens("caller_gone", request->delivered_tokens);
     while (!request->attempts.empty())
       EndAttempt(*request, request->attempts.begin()->first,
                  routing::EndKind::kCancelled, now);
@@ -941,6 +948,11 @@
                              TimePoint now) {
   if (!actions.message.empty())
     hosts_.SpreadSuspicion(actions.message);
+  for (const retry::CrashReport& crash : actions.message.crashes)
+    log_.Write(
+        LogLine(LogLevel::kWarning, "upstream_crash")
+            .Field("upstream", crash.upstream)
+            .Field("suspects", static_cast<uint64_t>(crash.suspects.size())));
   for (const retry::AttemptId id : actions.cancel) {
     const auto found = attempts_.find(id);
     if (found == attempts_.end())
--- a/unittests/retry/crash_tracker_test.cc
+++ b/unittests/retry/crash_tracker_test.cc
@@ -386,6 +386,10 @@
   if (advice.care == Care::kWait && row.care != Care::kWait)
     advice = tracker.Advise(Print(1), asked + advice.retry_after);
   CHECK(advice.care == row.care);
+  // What operators are shown of it.
+  const CrashCounts counts = tracker.Count(asked);
+  CHECK((row.care != Care::kRefuse || counts.quarantined > 0));
+  CHECK((row.care != Care::kIsolate || counts.suspects > 0));
   // The stated bound on the refusal of an innocent request.
   CHECK(advice.retry_after <= minutes(40));
 }
--- /dev/null
+++ b/unittests/router/metrics_test.cc
@@ -0,0 +1,78 @@
+/// \file
+/// Guards the figures that operators act on: a gauge that keeps an old value,
+/// waste that is not counted, and a page that names a metric which is not
+/// there.
+
+#include "teaselhill/router/metrics.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+#include "coordinator_fixture.h"
+#include "teaselhill/router/state_gauges.h"
+
+namespace teaselhill::router {
+
+TEST_CASE("a labelled gauge that is not given any more becomes 0") {
+  Metrics metrics;
+  metrics.SetGauges("g", "help", "tier", {{"0", 4}, {"2", 5}});
+  metrics.SetGauges("g", "help", "tier", {{"2", 6}});
+  CHECK_THAT(metrics.Exposition(), Catch::Contains("g{tier=\"0\"} 0"));
+  CHECK_THAT(metrics.Exposition(), Catch::Contains("g{tier=\"2\"} 6"));
+}
+
+TEST_CASE("tokens of an attempt that was lost before count as wasted") {
+  CoordinatorFixture fixture;
+  const RequestId id = fixture.Arrive(/*idempotent=*/false);
+  fixture.End(id, 0, ResultCode::kConnectionLost, true, 30);
+  CHECK_THAT(fixture.metrics.Exposition(),
+             Catch::Contains(
+                 "teaselhill_wasted_tokens_total{cause=\"not_completed\"} 30"));
+}
+
+TEST_CASE("each metric that the operators' pages name is exported") {
+  Metrics metrics;
+  metrics.CountOutcome("c", "urgent", ResultCode::kOk);
+  metrics.ObserveFirstToken("urgent", Duration::zero());
+  metrics.ObserveAnswer("urgent", Duration::zero(), true);
+  metrics.CountTokens("urgent", 1);
+  metrics.CountWastedTokens("caller_gone", 1);
+  metrics.CountAttempt("first");
+  HostState state;
+  state.queue.tiers = {{0, 1, 2.0, std::chrono::seconds(1)}};
+  state.members = {{"alive", 1}};
+  state.upstreams = {{"healthy", 1}};
+  state.domains = {{"d", 1, 1}};
+  ExportState(state, TimePoint{}, metrics);
+  // The last ones are set by the control thread and the daemon themselves.
+  const std::string exported =
+      metrics.Exposition() +
+      "teaselhill_peer_bytes_sent teaselhill_peer_bytes_received "
+      "teaselhill_members_reachable teaselhill_log_lines_dropped";
+  const std::string page =
+      GENERATE("alerts.md", "platform-outage.md", "partition.md",
+               "crashing-request.md", "engine-orders.md");
+  std::ifstream file(std::string(TEASELHILL_SOURCE_DIR) + "/docs/operators/" +
+                     page);
+  std::ostringstream text;
+  text << file.rdbuf();
+  REQUIRE(file);
+  const std::string words = text.str();
+  const std::regex metric("teaselhill_[a-z_]+[a-z]");
+  for (std::sregex_iterator found(words.begin(), words.end(), metric), end;
+       found != end; ++found) {
+    std::string name = found->str();
+    for (const char* suffix : {"_bucket", "_count", "_sum"}) {
+      const size_t at = name.rfind(suffix);
+      if (at != std::string::npos &&
+          at + std::string(suffix).size() == name.size())
+        name.resize(at);
+    }
+    INFO(page << ": " << name);
+    CHECK(exported.find(name) != std::string::npos);
+  }
+}
+
+}  // namespace teaselhill::router
