Ask a peer that is ahead when the log does not deliver

A host that was told of a newer configuration by a peer waited for the log as long as its last read had succeeded. A log that is lost without a sign is only noticed when the held read ends, after up to 25 s. It now waits for 1 s.

--- a/include/teaselhill/router/config_exchange.h
+++ b/include/teaselhill/router/config_exchange.h
@@ -59,6 +59,8 @@
   SendFunction send_;
   ChangeFunction on_change_;
   platform::ConfigFollower follower_;
+  bool waiting_for_log_ = false;  ///< a peer is ahead
+  TimerSubscription patience_;
   TimerSubscription timer_;
 };
 
--- a/lib/router/config_exchange.cc
+++ b/lib/router/config_exchange.cc
@@ -3,6 +3,8 @@
 
 #include "teaselhill/router/config_exchange.h"
 
+#include <utility>
+
 namespace teaselhill::router {
 
 namespace {
@@ -11,6 +13,10 @@
 /// host that is cut off from the log within a few seconds.
 constexpr std::chrono::seconds kGossipPeriod{1};
 
+/// A host that a peer is ahead of waits this long for the log. The log may be
+/// lost without a sign: a read that it holds open is noticed after 25 s.
+constexpr std::chrono::seconds kLogPatience{1};
+
 platform::ConfigFollowerOptions FollowerOptions(const std::string& host) {
   platform::ConfigFollowerOptions options;
   options.host = host;
@@ -51,8 +57,18 @@
   follower_.OnPeerOffset(hint.next_offset);
   const bool log_helps =
       lag().reachable && !lag().offset_dropped && !lag().ends_before;
-  if (!log_helps)
+  if (!log_helps) {
     send_(from, peer::ConfigFetch{next_offset()});
+    return;
+  }
+  if (std::exchange(waiting_for_log_, true))
+    return;
+  patience_ = timers_.After(kLogPatience,
+                            [this, from, known = next_offset()](TimePoint) {
+                              waiting_for_log_ = false;
+                              if (next_offset() == known)
+                                send_(from, peer::ConfigFetch{known});
+                            });
 }
 
 void ConfigExchange::OnFetch(const std::string& from,
--- /dev/null
+++ b/unittests/router/config_exchange_test.cc
@@ -0,0 +1,63 @@
+/// \file
+/// Guards against a host that waits for a log which was lost without a sign,
+/// while its peers have the configuration.
+
+#include "teaselhill/router/config_exchange.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::router {
+
+namespace {
+
+/// Answers at once with no records, and never answers a read that it may hold.
+class SilentLog : public platform::LogClient {
+ public:
+  void Append(const std::string&,
+              std::vector<std::string>,
+              platform::AppendCallback) override {}
+
+  void Read(const platform::LogRead& read,
+            platform::ReadCallback callback) override {
+    if (read.wait > Duration::zero()) {
+      held.push_back(std::move(callback));
+      return;
+    }
+    platform::LogPage page;
+    page.first_retained = kFirstOffset;
+    page.next_offset = kFirstOffset;
+    callback(page);
+  }
+
+  std::vector<platform::ReadCallback> held;
+};
+
+}  // namespace
+
+TEST_CASE("a host that stays behind its peers asks them for the state") {
+  SilentLog log;
+  ManualTimerService timers;
+  timers.Advance(std::chrono::hours(1));
+  Rng rng{1};
+  NullLogger logger;
+  std::vector<std::string> asked;
+  ConfigExchange exchange(
+      "h1", log, timers, rng, logger,
+      [&asked](const std::string& host, const peer::Message& message) {
+        if (std::holds_alternative<peer::ConfigFetch>(message))
+          asked.push_back(host);
+      },
+      [](std::shared_ptr<const config::ConfigView>) {});
+  exchange.Start();
+  timers.Advance(std::chrono::seconds(3));
+  REQUIRE_FALSE(log.held.empty());
+  REQUIRE(exchange.lag().reachable);
+  exchange.OnHint("h2", peer::ConfigHint{7});
+  exchange.OnHint("h3", peer::ConfigHint{7});
+  // The log may be about to deliver it.
+  CHECK(asked.empty());
+  timers.Advance(std::chrono::seconds(2));
+  CHECK(asked == std::vector<std::string>{"h2"});
+}
+
+}  // namespace teaselhill::router
