Let callers of the load tool send again after a lost connection

A caller whose host is killed sees its connection break and sends again. The load tool counted each such send as unanswered or incomplete, so an experiment that kills a host could not bound either field at 0. The stream option loss_resends sends again 500 ms later to the next router, and under the same key for non-idempotent streams. A stream with wrong content stays incomplete, and an answer "unknown" is kept.

--- a/include/teaselhill/load/answer_checker.h
+++ b/include/teaselhill/load/answer_checker.h
@@ -22,6 +22,9 @@
   /// Whether the body ended as it must and its content is the expected one.
   bool Complete() const;
 
+  /// Whether a stream brought other content than the expected one.
+  bool mismatch() const { return mismatch_; }
+
   /// Outcome in an error event of a stream that was cut short, or empty.
   const std::string& error_outcome() const { return error_outcome_; }
 
--- a/include/teaselhill/load/plan.h
+++ b/include/teaselhill/load/plan.h
@@ -55,6 +55,8 @@
   double resend_share = 0;
   Duration resend_after = std::chrono::seconds(1);  ///< mean
   uint32_t retries = 0;  ///< sends after not-run answers
+  /// Sends after a connection was lost before the whole answer had arrived.
+  uint32_t loss_resends = 0;
   KeyKind key_kind = KeyKind::kNone;
   bool non_idempotent = false;
   bool streamed = true;
--- a/include/teaselhill/load/runner.h
+++ b/include/teaselhill/load/runner.h
@@ -56,7 +56,10 @@
   size_t PickRouter();
   size_t RouterAfter(size_t router);
   void OnSendEnded(const Send& ended, const net::TransferEnd& end);
-  void ScheduleRetry(size_t request, Duration delay);
+  /// Sends again, to the router after `failed_router` if one is given.
+  void ScheduleRetry(size_t request,
+                     Duration delay,
+                     std::optional<size_t> failed_router = std::nullopt);
   void ScheduleResend(size_t request);
   void ScheduleDisconnect(size_t request);
   void Release(size_t request);
--- a/lib/load/json.cc
+++ b/lib/load/json.cc
@@ -140,6 +140,7 @@
   fields.Read("resend_share", &stream.resend_share);
   fields.ReadTime("resend_after_ms", Fields::kMilli, &stream.resend_after);
   fields.Read("retries", &stream.retries);
+  fields.Read("loss_resends", &stream.loss_resends);
   fields.Read("non_idempotent", &stream.non_idempotent);
   fields.Read("streamed", &stream.streamed);
   if (const json* kind = fields.Find("key_kind"))
--- a/lib/load/plan.cc
+++ b/lib/load/plan.cc
@@ -50,6 +50,9 @@
     return Invalid(where + "prefix_pool and max_tokens must be positive");
   if (stream.resend_share > 0 && stream.key_kind == KeyKind::kNone)
     return Invalid(where + "resend_share needs a key kind");
+  if (stream.loss_resends > 0 && stream.non_idempotent &&
+      stream.key_kind == KeyKind::kNone)
+    return Invalid(where + "loss_resends needs a key kind");
   for (const RatePhase& phase : stream.phases) {
     if (phase.factor < 0 || phase.to < phase.from)
       return Invalid(where + "a phase has a negative factor or length");
--- a/lib/load/runner.cc
+++ b/lib/load/runner.cc
@@ -19,6 +19,7 @@
 constexpr Duration kFaultTimeout = std::chrono::seconds(5);
 constexpr Duration kTokenTimeout = std::chrono::seconds(10);
 constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
+constexpr Duration kLossResendDelay = std::chrono::milliseconds(500);
 
 Duration ReadRetryAfter(const net::Headers& headers) {
   const auto text = net::FindHeader(headers, "Retry-After");
@@ -50,6 +51,7 @@
   std::vector<net::TransferId> transfers;  ///< one for each send; 0: ended
   size_t open = 0;                         ///< transfers and timers
   uint32_t retries_left = 0;
+  uint32_t loss_resends_left = 0;
   size_t connects_left = 0;  ///< routers to try when a connection fails
   bool gone = false;         ///< the caller disconnected
   std::optional<Duration> resend_after;
@@ -72,6 +74,8 @@
   size_t send() const { return send_; }
   size_t router() const { return router_; }
   Duration retry_after() const { return retry_after_; }
+  /// Whether content arrived that is not the expected one.
+  bool mismatch() const { return checker_.mismatch(); }
 
   void OnHead(int status, const net::Headers& headers) override {
     SendRecord& record = Record();
@@ -170,6 +174,7 @@
   Active& active = active_[request];
   active.request = MakeRequest(stream, request, rng_);
   active.retries_left = stream.retries;
+  active.loss_resends_left = stream.loss_resends;
   active.connects_left = plan_.routers.size() - 1;
   RequestRecord record;
   record.stream = arrival.stream;
@@ -225,6 +230,10 @@
     if (token && answer->status < 300 && !gone) {
       records_[request].key = *token;
       StartFirstSend(request, router);
+    } else if (!answer && !gone && active_[request].loss_resends_left > 0) {
+      // A token that was issued and never used costs nothing.
+      --active_[request].loss_resends_left;
+      Prepare(request, RouterAfter(router));
     } else {
       // Nothing was sent that an upstream could run.
       SendRecord failed;
@@ -304,16 +313,27 @@
   } else if (record.ending == Ending::kNotRun && active.retries_left > 0) {
     --active.retries_left;
     ScheduleRetry(request, ended.retry_after());
+  } else if (end.code != ResultCode::kOk && !ended.mismatch() &&
+             (record.ending == Ending::kUnanswered ||
+              record.ending == Ending::kIncomplete) &&
+             active.loss_resends_left > 0) {
+    // The caller knows only that its connection broke.
+    record.ending = Ending::kUnanswered;
+    --active.loss_resends_left;
+    ScheduleRetry(request, kLossResendDelay, ended.router());
   }
   Release(request);
 }
 
-void Runner::ScheduleRetry(size_t request, Duration delay) {
+void Runner::ScheduleRetry(size_t request,
+                           Duration delay,
+                           std::optional<size_t> failed_router) {
   ++active_[request].open;
-  Later(delay, [this, request] {
+  Later(delay, [this, request, failed_router] {
     // The caller may have gone while it waited.
     if (!active_[request].gone)
-      StartSend(request, PickRouter());
+      StartSend(request,
+                failed_router ? RouterAfter(*failed_router) : PickRouter());
     Release(request);
   });
 }
@@ -347,6 +367,7 @@
             --active->second.open;
           }
           active->second.retries_left = 0;
+          active->second.loss_resends_left = 0;
           active->second.gone = true;
           Release(request);
         });
--- a/unittests/load/runner_test.cc
+++ b/unittests/load/runner_test.cc
@@ -4,8 +4,13 @@
 
 #include "teaselhill/load/runner.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <set>
+#include <thread>
 
 #include "teaselhill/net/http_server.h"
 #include "teaselhill/standin/answer.h"
@@ -84,6 +89,43 @@
   std::vector<std::shared_ptr<net::ResponseWriter>> held_;
 };
 
+/// Takes connections and closes them without an answer, as the kernel does for
+/// a host that is killed.
+class DroppingListener {
+ public:
+  DroppingListener() : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    if (::bind(socket_, generic, size) == 0 && ::listen(socket_, 64) == 0 &&
+        ::getsockname(socket_, generic, &size) == 0)
+      port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] {
+      for (int one = 0; (one = ::accept(socket_, nullptr, nullptr)) >= 0;) {
+        char byte = 0;
+        static_cast<void>(::recv(one, &byte, 1, 0));
+        ::close(one);
+      }
+    });
+  }
+  ~DroppingListener() {
+    ::shutdown(socket_, SHUT_RDWR);
+    thread_.join();
+    ::close(socket_);
+  }
+  DroppingListener(const DroppingListener&) = delete;
+  DroppingListener& operator=(const DroppingListener&) = delete;
+
+  uint16_t port() const { return port_; }
+
+ private:
+  int socket_;
+  uint16_t port_ = 0;
+  std::thread thread_;
+};
+
 }  // namespace
 
 TEST_CASE("the report shows each fault of a router") {
@@ -137,4 +179,34 @@
     CHECK(summary.*counter == (counter == row.counter ? entry.sent : 0));
 }
 
+TEST_CASE("a caller whose host dies sends again only if the plan says so") {
+  const int resends = GENERATE(0, 1);
+  const std::string key_kind = GENERATE(as<std::string>(), "uuidv7", "token");
+  net::EventLoop loop;
+  const DroppingListener dying;
+  TestRouter alive(Misbehaviour::kNone);
+  net::HttpServer server(loop, {}, alive);
+  REQUIRE(server.Start().ok());
+  const std::string base = "http://127.0.0.1:";
+  const std::string url = base + std::to_string(server.port());
+  const auto plan = ParsePlan(
+      R"({"duration_s":0.1,"drain_s":5,"routers":[")" + base +
+      std::to_string(dying.port()) + "\",\"" + url + R"("],"journals":[")" +
+      url + R"(/control/journal"],"streams":[{"name":"s","service":"x",
+         "rate":200,"non_idempotent":true,"key_kind":")" +
+      key_kind + R"(","loss_resends":)" + std::to_string(resends) + "}]}");
+  REQUIRE(plan.ok());
+  Runner runner(loop, *plan);
+  runner.Start([&loop] { loop.Stop(); });
+  const auto limit = loop.timers().After(std::chrono::seconds(20),
+                                         [&](TimePoint) { loop.Stop(); });
+  loop.Run();
+  const Summary summary = runner.MakeSummary();
+  const ClassSummary& entry = summary.classes.at("s");
+  REQUIRE(entry.sent > 5);
+  CHECK((summary.unanswered == 0) == (resends == 1));
+  CHECK(summary.incomplete_answers == 0);
+  CHECK(entry.endings.at(Ending::kAnswered) + summary.unanswered == entry.sent);
+}
+
 }  // namespace teaselhill::load
