Let each run of the event loop last until it is stopped

Cause: Run() restarted the context before its work guard was released. Ruled out: timers, SnapshotReader and the callbacks (a debugger showed Run() returning without any Stop()).

--- a/lib/net/event_loop.cc
+++ b/lib/net/event_loop.cc
@@ -84,8 +84,11 @@
 }
 
 void EventLoop::Run() {
-  const auto guard = asio::make_work_guard(impl_->context);
-  impl_->context.run();
+  {
+    // Released before the restart: the last work that ends stops the context.
+    const auto guard = asio::make_work_guard(impl_->context);
+    impl_->context.run();
+  }
   // Lets Run() be called again; a Stop() that came before it is not lost.
   impl_->context.restart();
 }
