Read the log again in the client when an answer was lost

Cause: a command ended with LogUnavailable when one read got no answer. Reads change nothing, so they are repeated up to 4 times, 500 ms apart.

--- a/include/teaselhill/ctl/config_session.h
+++ b/include/teaselhill/ctl/config_session.h
@@ -49,6 +49,10 @@
 
  private:
   Result<platform::LogPage> Read(std::string_view stream, LogOffset from);
+  /// Runs a read until it succeeds, a bounded number of times. `start` takes
+  /// the callback of the read.
+  template <typename T, typename Start>
+  Result<T> ReadWithRetries(Start start);
   Result<LogOffset> Append(const config::Change& change);
   Status LoadSnapshots();
   Status Replay();
--- a/lib/ctl/config_session.cc
+++ b/lib/ctl/config_session.cc
@@ -16,6 +16,8 @@
 
 constexpr size_t kPageLimit = 512;
 constexpr int kAppendAttempts = 4;
+/// A read changes nothing, so one whose answer was lost is repeated.
+constexpr int kReadAttempts = 4;
 constexpr Duration kRetryDelay = std::chrono::milliseconds(500);
 /// Padding beyond this many records needs an operator's attention.
 constexpr LogOffset kMaxPadding = 10000;
@@ -25,14 +27,24 @@
 ConfigSession::ConfigSession(platform::LogClient& log, Waiter& waiter)
     : log_(log), waiter_(waiter) {}
 
+template <typename T, typename Start>
+Result<T> ConfigSession::ReadWithRetries(Start start) {
+  for (int attempt = 1;; ++attempt) {
+    std::optional<Result<T>> answer;
+    start([&answer](Result<T> read) { answer = std::move(read); });
+    waiter_.Until([&answer] { return answer.has_value(); });
+    if (answer->ok() || answer->error().code != ResultCode::kLogUnavailable ||
+        attempt == kReadAttempts)
+      return std::move(*answer);
+    waiter_.Sleep(kRetryDelay);
+  }
+}
+
 Result<platform::LogPage> ConfigSession::Read(std::string_view stream,
                                               LogOffset from) {
-  std::optional<Result<platform::LogPage>> answer;
-  log_.Read(
-      {std::string(stream), from, kPageLimit, Duration{}},
-      [&answer](Result<platform::LogPage> page) { answer = std::move(page); });
-  waiter_.Until([&answer] { return answer.has_value(); });
-  return std::move(*answer);
+  return ReadWithRetries<platform::LogPage>([&](auto done) {
+    log_.Read({std::string(stream), from, kPageLimit, Duration{}}, done);
+  });
 }
 
 Status ConfigSession::Load() {
@@ -41,16 +53,13 @@
 }
 
 Status ConfigSession::LoadSnapshots() {
-  std::optional<Result<std::vector<std::string>>> answer;
   platform::SnapshotReader reader(log_);
-  reader.Read([&answer](Result<std::vector<std::string>> snapshots) {
-    answer = std::move(snapshots);
-  });
-  waiter_.Until([&answer] { return answer.has_value(); });
-  if (!answer->ok())
-    return answer->error();
+  const auto snapshots = ReadWithRetries<std::vector<std::string>>(
+      [&](auto done) { reader.Read(done); });
+  if (!snapshots)
+    return snapshots.error();
   // A snapshot that cannot be read or is older changes nothing.
-  for (const std::string& snapshot : answer->value())
+  for (const std::string& snapshot : *snapshots)
     static_cast<void>(state_.Adopt(snapshot).ok());
   return Ok{};
 }
--- a/unittests/ctl/config_session_test.cc
+++ b/unittests/ctl/config_session_test.cc
@@ -44,6 +44,8 @@
             platform::ReadCallback callback) override {
     if (read.from < first_retained && read.stream == config::kConfigStream)
       return callback({ResultCode::kOffsetDropped, "dropped"});
+    if (lost_reads > 0 && lost_reads-- > 0)
+      return callback({ResultCode::kLogUnavailable, "no answer"});
     const auto& records = streams[read.stream];
     LogPage page;
     page.first_retained = 1;
@@ -56,6 +58,7 @@
   std::map<std::string, std::vector<std::string>> streams;
   std::vector<Fate> fates;  ///< of the coming appends, the next one last
   LogOffset first_retained = 1;
+  int lost_reads = 0;  ///< coming reads that get no answer
 };
 
 struct NoWait : public Waiter {
@@ -109,6 +112,17 @@
   });
 }
 
+TEST_CASE_METHOD(Fixture, "a lost read does not end a command") {
+  const int lost = GENERATE(1, 3);
+  log.lost_reads = lost;
+  REQUIRE(session.Load().ok());
+  log.lost_reads = lost;
+  CHECK(session.Submit(MakeChange("a")).ok());
+  log.lost_reads = 1000;  // an outage is told after a bounded number of reads
+  CHECK(session.Load().error().code == ResultCode::kLogUnavailable);
+  CHECK(log.lost_reads > 980);
+}
+
 TEST_CASE_METHOD(Fixture, "a change on a shortened log gets a valid offset") {
   config::ConfigState ahead;
   for (LogOffset at = 1; at <= 5; ++at)
