Give up a read of the log that does not answer a poke

Cause: a long poll whose answer was lost, or that was opened before a partition, hangs for 30 s; a poke (a peer's hint, an own append) had no effect meanwhile. A poked read now has 1 s to answer, doubled after each failure up to 8 s so that a slow log is still read, and then counts as failed.

The new test failed before (the tail stayed on the lost read) and passes now.

--- a/include/teaselhill/platform/log_tail.h
+++ b/include/teaselhill/platform/log_tail.h
@@ -23,6 +23,10 @@
   /// Delay between reads while the log ends before the tail's offset or its
   /// offset was dropped. A long poll cannot be used there.
   Duration recheck = std::chrono::seconds(2);
+  /// A read that does not answer within this time after Poke() counts as
+  /// failed. Doubled after each such read, so that a slow log is still read.
+  Duration poke_patience = std::chrono::seconds(1);
+  Duration max_poke_patience = std::chrono::seconds(8);
 };
 
 /// What the tail knows of the log.
@@ -69,7 +73,8 @@
   void Seek(LogOffset from);
 
   /// Reads at once, for instance after a peer's hint that the log has more.
-  /// Does nothing while a read is in flight.
+  /// A read in flight is given `poke_patience` to answer: a long poll whose
+  /// answer was lost would otherwise hide new records until it times out.
   void Poke();
 
   LogOffset next_offset() const { return next_; }
@@ -78,6 +83,7 @@
  private:
   void Read();
   void ReadAfter(Duration delay);
+  void GiveUpRead();
   void OnAnswer(const Result<LogPage>& answer);
   void OnFailure(const Error& error);
   void Deliver(const LogPage& page);
@@ -90,7 +96,10 @@
   LogOffset next_ = 0;
   LogLag lag_;
   bool reading_ = false;
+  bool poked_ = false;  ///< during the read in flight
+  Duration patience_{};
   TimerSubscription timer_;
+  TimerSubscription patience_timer_;
   /// Replaced by Seek() and released with the tail; answers to older reads find
   /// it expired.
   std::shared_ptr<int> epoch_ = std::make_shared<int>(0);
--- a/lib/platform/log_tail.cc
+++ b/lib/platform/log_tail.cc
@@ -16,7 +16,8 @@
       timers_(timers),
       options_(std::move(options)),
       observer_(observer),
-      backoff_(rng, options_.backoff) {}
+      backoff_(rng, options_.backoff),
+      patience_(options_.poke_patience) {}
 
 LogTail::~LogTail() = default;
 
@@ -27,7 +28,8 @@
 void LogTail::Seek(LogOffset from) {
   next_ = from;
   epoch_ = std::make_shared<int>(0);
-  reading_ = false;
+  reading_ = poked_ = false;
+  patience_timer_.Cancel();
   lag_.offset_dropped = false;
   lag_.ends_before = false;
   ReadAfter(Duration{});
@@ -35,7 +37,19 @@
 
 void LogTail::Poke() {
   if (!reading_)
-    Read();
+    return Read();
+  if (std::exchange(poked_, true))
+    return;
+  patience_timer_ =
+      timers_.After(patience_, [this](TimePoint) { GiveUpRead(); });
+}
+
+void LogTail::GiveUpRead() {
+  // Its answer may still arrive and is dropped.
+  epoch_ = std::make_shared<int>(0);
+  reading_ = poked_ = false;
+  patience_ = std::min(patience_ * 2, options_.max_poke_patience);
+  OnFailure({ResultCode::kTimedOut, "the read did not answer after a poke"});
 }
 
 void LogTail::ReadAfter(Duration delay) {
@@ -55,7 +69,8 @@
 }
 
 void LogTail::OnAnswer(const Result<LogPage>& answer) {
-  reading_ = false;
+  reading_ = poked_ = false;
+  patience_timer_.Cancel();
   if (!answer) {
     OnFailure(answer.error());
     return;
@@ -65,6 +80,7 @@
   lag_.failures = 0;
   lag_.offset_dropped = false;
   backoff_.Reset();
+  patience_ = std::max(patience_ / 2, options_.poke_patience);
   if (answer->next_offset < next_) {
     const bool begins = !lag_.ends_before;
     lag_.ends_before = true;
--- a/unittests/platform/log_tail_test.cc
+++ b/unittests/platform/log_tail_test.cc
@@ -93,6 +93,28 @@
 
 }  // namespace
 
+TEST_CASE("a poke replaces a read whose answer was lost") {
+  Fixture f;
+  f.tail.Start(1);
+  f.timers.Advance(Duration{});
+  REQUIRE(f.log.reads == 1);
+  const ReadCallback lost = std::exchange(f.log.pending, nullptr);
+  f.log.next = 3;
+  f.tail.Poke();
+  CHECK(f.log.reads == 1);  // a long poll answers by itself
+  f.Step(seconds(1));       // given up
+  CHECK_FALSE(f.tail.lag().reachable);
+  f.Step(seconds(1));
+  CHECK(f.observer.seen == std::vector<LogOffset>{1, 2});
+  // The lost answer may still arrive.
+  LogPage late;
+  late.first_retained = 1;
+  late.next_offset = 3;
+  late.records = {{1, {}, "1"}, {2, {}, "2"}};
+  lost(late);
+  CHECK(f.observer.seen == std::vector<LogOffset>{1, 2});
+}
+
 TEST_CASE("each record is delivered once, in order, through any outages") {
   rc::prop("appends, outages and peers' hints", [] {
     Fixture f;
