Settle a hint with the peer when the log does not confirm it

Cause: a host whose last read of the log succeeded ignored hints and waited for the read in flight, which hangs for 30 s when its answer was lost. A host now asks the peer after 500 ms, and a change is told to two hosts at once instead of with the next hint.

--- a/include/teaselhill/router/config_exchange.h
+++ b/include/teaselhill/router/config_exchange.h
@@ -59,7 +59,9 @@
   SendFunction send_;
   ChangeFunction on_change_;
   platform::ConfigFollower follower_;
+  LogOffset hinted_{};  ///< highest hint that the log has not confirmed yet
   TimerSubscription timer_;
+  TimerSubscription hint_timer_;
 };
 
 }  // namespace teaselhill::router
--- a/lib/router/config_exchange.cc
+++ b/lib/router/config_exchange.cc
@@ -3,6 +3,9 @@
 
 #include "teaselhill/router/config_exchange.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace teaselhill::router {
 
 namespace {
@@ -11,6 +14,14 @@
 /// host that is cut off from the log within a few seconds.
 constexpr std::chrono::seconds kGossipPeriod{1};
 
+/// A hint that the log has not confirmed by then is settled with the peer: the
+/// read of the log may hang for 30 s when its answer was lost. Several hosts
+/// may hang, and each passes the change on to the next only after this time.
+constexpr std::chrono::milliseconds kHintPatience{500};
+
+/// Hosts that are told of a change at once; hints passed on reach all hosts.
+constexpr int kHintsPerChange = 2;
+
 platform::ConfigFollowerOptions FollowerOptions(const std::string& host) {
   platform::ConfigFollowerOptions options;
   options.host = host;
@@ -52,7 +63,15 @@
   const bool log_helps =
       lag().reachable && !lag().offset_dropped && !lag().ends_before;
   if (!log_helps)
-    send_(from, peer::ConfigFetch{next_offset()});
+    return send_(from, peer::ConfigFetch{next_offset()});
+  const bool pending = hinted_ != LogOffset{};
+  hinted_ = std::max(hinted_, hint.next_offset);
+  if (pending)
+    return;
+  hint_timer_ = timers_.After(kHintPatience, [this, from](TimePoint) {
+    if (next_offset() < std::exchange(hinted_, LogOffset{}))
+      send_(from, peer::ConfigFetch{next_offset()});
+  });
 }
 
 void ConfigExchange::OnFetch(const std::string& from,
@@ -77,6 +96,8 @@
 
 void ConfigExchange::OnConfig(std::shared_ptr<const config::ConfigView> view) {
   on_change_(std::move(view));
+  for (int i = 0; i < kHintsPerChange; ++i)
+    Gossip();
 }
 
 void ConfigExchange::OnVerdict(const config::Verdict& verdict) {
