Wait for the answer to an earlier send of a key

Cause: a keyed request without a deadline was given up 10 s after its arrival also when it waited for an earlier send of its key on the same host. The bound is meant for claims that the log does not settle; the answer to an earlier send comes without the log. Such a request now waits until its deadline.

The new test failed before (given up after 10 s, no replay) and passes now.

--- a/include/teaselhill/claims/claim_table.h
+++ b/include/teaselhill/claims/claim_table.h
@@ -160,6 +160,10 @@
   /// Drops kept answers after their time. Called about once a second.
   void OnTick(TimePoint now);
 
+  /// Whether the request waits for the answer to an earlier send of its key,
+  /// whose claim this host holds.
+  bool AwaitsAnswer(RequestId request) const;
+
   ClaimStats Stats() const;
 
  private:
--- a/lib/claims/claim_table.cc
+++ b/lib/claims/claim_table.cc
@@ -420,6 +420,16 @@
   }
 }
 
+bool ClaimTable::AwaitsAnswer(RequestId request) const {
+  const auto key = by_request_.find(request);
+  if (key == by_request_.end())
+    return false;
+  const auto at = entries_.find(key->second);
+  return at != entries_.end() && at->second.owner != request &&
+         (at->second.state == State::kWon ||
+          at->second.state == State::kRunning);
+}
+
 ClaimStats ClaimTable::Stats() const {
   ClaimStats stats;
   stats.indexed = index_.size();
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -980,9 +980,14 @@
 void RequestCoordinator::ExpireClaims(TimePoint now) {
   std::vector<RequestId> late;
   for (const auto& [id, request] : requests_) {
+    if (request->phase != Request::Phase::kClaiming)
+      continue;
+    // The answer to the earlier send comes without the log.
     const TimePoint limit =
-        std::min(request->deadline, request->arrival + kClaimPatience);
-    if (request->phase == Request::Phase::kClaiming && now >= limit)
+        parts_.claims->AwaitsAnswer(id)
+            ? request->deadline
+            : std::min(request->deadline, request->arrival + kClaimPatience);
+    if (now >= limit)
       late.push_back(id);
   }
   for (RequestId id : late) {
--- a/unittests/router/request_coordinator_test.cc
+++ b/unittests/router/request_coordinator_test.cc
@@ -109,6 +109,37 @@
   CHECK(fixture.coordinator.open_requests() == 0);
 }
 
+TEST_CASE("a resend without a deadline waits for the answer of its key") {
+  CoordinatorFixture fixture;
+  RequestInfo info;
+  info.customer = "c";
+  info.team = "t";
+  info.class_name = "report";
+  info.model = "m";
+  info.idempotent = false;
+  info.idempotency_key = claims::FormatToken(
+      "c", fixture.self, fixture.claims.IssueToken(), "0123456789abcdef");
+  for (info.id = 1; info.id <= 2; ++info.id)
+    fixture.coordinator.OnArrived(info, fixture.now);
+  REQUIRE(fixture.traffic.running.size() == 1);
+  for (int second = 0; second < 25; ++second) {
+    fixture.Advance(seconds(1));
+    fixture.coordinator.OnProgress({{1, 0, static_cast<uint32_t>(second + 1)}},
+                                   fixture.now);
+  }
+  CHECK(fixture.traffic.failures.count(2) == 0);
+  auto kept = std::make_shared<KeptAnswer>();
+  kept->status = 200;
+  kept->body = "whole";
+  AttemptEnd end;
+  end.request = 1;
+  end.complete = true;
+  end.may_have_been_sent = true;
+  end.code = ResultCode::kOk;
+  fixture.coordinator.OnAttemptEnded(end, kept, fixture.now);
+  CHECK(fixture.traffic.replays[2] == std::vector<std::string>{"whole"});
+}
+
 namespace {
 
 /// How the property ends an attempt.
