--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -596,6 +596,10 @@
     if (orders_)
       orders_->ApplyConfig(view);
     shared_.SetConfig(view);
+    logger_.Write(LogLine(LogLevel::kInfo, "in_force")
+                      .Field("host", self_.host)
+                      .Field("incarnation", self_.incarnation)
+                      .Field("offset", view->next_offset - 1));
     coordinator_.ApplyConfig(std::move(view), now);
   }
 
