Keep dead hosts addressable so that their probe ends a partition

Cause: hosts that were held for dead were taken out of the transport's peers, so the probe that is meant to find them again was dropped. Ruled out: the block list (cleared at the heal).

--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -14,6 +14,7 @@
 #include "teaselhill/router/claims_driver.h"
 #include "teaselhill/router/config_exchange.h"
 #include "teaselhill/router/orders_driver.h"
+#include "teaselhill/router/peers.h"
 #include "teaselhill/router/report_poller.h"
 #include "teaselhill/router/request_coordinator.h"
 
@@ -456,7 +457,6 @@
   }
 
   void RefreshMembers(TimePoint now) {
-    std::vector<peer::PeerAddress> peers;
     quota::MembershipView view;
     std::vector<std::string> live = {self_.host};
     addresses_.clear();
@@ -464,7 +464,8 @@
     other_domains_.clear();
     view.members.push_back(
         {self_.host, settings_.domain, quota::MemberState::kAlive});
-    for (const membership::MemberView& seen : members_.Members(now)) {
+    const std::vector<membership::MemberView> members = members_.Members(now);
+    for (const membership::MemberView& seen : members) {
       const membership::MemberUpdate& member = seen.member;
       if (member.id.host == self_.host)
         continue;
@@ -473,7 +474,6 @@
       if (member.state == membership::MemberState::kDead)
         continue;
       addresses_[member.id.host] = member.address;
-      peers.push_back({member.id.host, member.address, settings_.peer_port});
       if (member.state == membership::MemberState::kLeaving)
         continue;
       live.push_back(member.id.host);
@@ -481,7 +481,7 @@
           .push_back(member.id.host);
     }
     view.listed_total = std::max(listed_hosts_, view.members.size());
-    transport_->SetPeers(peers);
+    transport_->SetPeers(PeersOf(members, self_.host, settings_.peer_port));
     limits_.OnMembers(view, now);
     claims_.SetAppendInterval(std::max<Duration>(
         kMinClaimInterval,
--- /dev/null
+++ b/lib/router/peers.cc
@@ -0,0 +1,20 @@
+/// \file
+/// Addresses that the transport may reach.
+
+#include "teaselhill/router/peers.h"
+
+namespace teaselhill::router {
+
+std::vector<peer::PeerAddress> PeersOf(
+    const std::vector<membership::MemberView>& members,
+    const std::string& self,
+    uint16_t port) {
+  std::vector<peer::PeerAddress> peers;
+  for (const membership::MemberView& seen : members) {
+    if (seen.member.id.host != self)
+      peers.push_back({seen.member.id.host, seen.member.address, port});
+  }
+  return peers;
+}
+
+}  // namespace teaselhill::router
