--- a/lib/router/config_exchange.cc
+++ b/lib/router/config_exchange.cc
@@ -3,6 +3,7 @@
 
 #include "teaselhill/router/config_exchange.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace teaselhill::router {
@@ -13,13 +14,15 @@
 /// host that is cut off from the log within a few seconds.
 constexpr std::chrono::seconds kGossipPeriod{1};
 
-/// Hosts drawn at random that are told of a change at once. Gossip alone left a
-/// domain without the log behind for up to 17 s.
-constexpr int kHintsPerChange = 3;
+/// A hint that the log has not confirmed by then is settled with the peer: the
+/// read of the log may hang for 30 s when its answer was lost. Several hosts
+/// may hang, and each passes the change on to the next only after this time.
+constexpr std::chrono::milliseconds kHintPatience{500};
 
-/// A host that a peer is ahead of waits this long for the log. The log may be
-/// lost without a sign: a read that it holds open is noticed after 25 s.
-constexpr std::chrono::seconds kLogPatience{1};
+/// Hosts drawn at random that are told of a change at once; hints passed on
+/// reach all hosts. Gossip alone left a domain without the log behind for up to
+/// 17 s.
+constexpr int kHintsPerChange = 3;
 
 platform::ConfigFollowerOptions FollowerOptions(const std::string& host) {
   platform::ConfigFollowerOptions options;
@@ -61,18 +64,16 @@
   follower_.OnPeerOffset(hint.next_offset);
   const bool log_helps =
       lag().reachable && !lag().offset_dropped && !lag().ends_before;
-  if (!log_helps) {
-    send_(from, peer::ConfigFetch{next_offset()});
+  if (!log_helps)
+    return send_(from, peer::ConfigFetch{next_offset()});
+  const bool pending = hinted_ != LogOffset{};
+  hinted_ = std::max(hinted_, hint.next_offset);
+  if (pending)
     return;
-  }
-  if (std::exchange(waiting_for_log_, true))
-    return;
-  patience_ = timers_.After(kLogPatience,
-                            [this, from, known = next_offset()](TimePoint) {
-                              waiting_for_log_ = false;
-                              if (next_offset() == known)
-                                send_(from, peer::ConfigFetch{known});
-                            });
+  hint_timer_ = timers_.After(kHintPatience, [this, from](TimePoint) {
+    if (next_offset() < std::exchange(hinted_, LogOffset{}))
+      send_(from, peer::ConfigFetch{next_offset()});
+  });
 }
 
 void ConfigExchange::OnFetch(const std::string& from,
@@ -98,7 +99,7 @@
 void ConfigExchange::OnConfig(std::shared_ptr<const config::ConfigView> view) {
   on_change_(std::move(view));
   for (int i = 0; i < kHintsPerChange; ++i)
-    send_("", peer::ConfigHint{next_offset()});
+    Gossip();
 }
 
 void ConfigExchange::OnVerdict(const config::Verdict& verdict) {
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -15,6 +15,7 @@
 #include "teaselhill/router/claims_driver.h"
 #include "teaselhill/router/config_exchange.h"
 #include "teaselhill/router/orders_driver.h"
+#include "teaselhill/router/peers.h"
 #include "teaselhill/router/report_poller.h"
 #include "teaselhill/router/request_coordinator.h"
 #include "teaselhill/router/state_gauges.h"
@@ -483,7 +484,6 @@
   }
 
   void RefreshMembers(TimePoint now) {
-    std::vector<peer::PeerAddress> peers;
     quota::MembershipView view;
     std::vector<std::string> live = {self_.host};
     addresses_.clear();
@@ -491,7 +491,8 @@
     other_domains_.clear();
     view.members.push_back(
         {self_.host, settings_.domain, quota::MemberState::kAlive});
-    for (const membership::MemberView& seen : members_.Members(now)) {
+    const std::vector<membership::MemberView> members = members_.Members(now);
+    for (const membership::MemberView& seen : members) {
       const membership::MemberUpdate& member = seen.member;
       if (member.id.host == self_.host)
         continue;
@@ -510,7 +511,7 @@
           .push_back(member.id.host);
     }
     view.listed_total = std::max(listed_hosts_, view.members.size());
-    transport_->SetPeers(peers);
+    transport_->SetPeers(PeersOf(members, self_.host, settings_.peer_port));
     limits_.OnMembers(view, now);
     claims_.SetAppendInterval(std::max<Duration>(
         kMinClaimInterval,
@@ -705,6 +706,10 @@
     if (orders_)
       orders_->ApplyConfig(view);
     shared_.SetConfig(view);
+    logger_.Write(LogLine(LogLevel::kInfo, "in_force")
+                      .Field("host", self_.host)
+                      .Field("incarnation", self_.incarnation)
+                      .Field("offset", view->next_offset - 1));
     coordinator_.ApplyConfig(std::move(view), now);
   }
 
--- a/unittests/router/config_exchange_test.cc
+++ b/unittests/router/config_exchange_test.cc
@@ -4,6 +4,7 @@
 
 #include "teaselhill/router/config_exchange.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace teaselhill::router {
@@ -70,4 +71,29 @@
   CHECK(hints >= 1);
 }
 
+TEST_CASE("a hint that the log does not confirm is settled with the peer") {
+  SilentLog log;
+  ManualTimerService timers;
+  Rng rng{1};
+  NullLogger logger;
+  std::vector<std::string> fetched_from;
+  ConfigExchange exchange(
+      "h", log, timers, rng, logger,
+      [&](const std::string& to, const peer::Message& message) {
+        if (std::holds_alternative<peer::ConfigFetch>(message))
+          fetched_from.push_back(to);
+      },
+      [](std::shared_ptr<const config::ConfigView>) {});
+  exchange.Start();
+  for (int i = 0; i < 4; ++i)
+    timers.Advance(std::chrono::seconds(1));
+  REQUIRE(exchange.lag().reachable);
+  fetched_from.clear();
+  exchange.OnHint("peer", {kFirstOffset + 3});
+  CHECK(fetched_from.empty());  // the log answers first when it works
+  for (int i = 0; i < 2; ++i)
+    timers.Advance(std::chrono::seconds(1));
+  CHECK(std::count(fetched_from.begin(), fetched_from.end(), "peer") >= 1);
+}
+
 }  // namespace teaselhill::router
