Let a new owner of limits grant once all hosts and domains were heard

A new owner waited 2 s before it granted.

A new owner now asks for a full message of each host, announces the sum to the other domains after 1 s, and grants when they have announced theirs; after 2 s it goes on without those that are silent. Shares of concurrency that move and gain a whole number are held back like those that grow.

Both new tests failed before (20 of 400 requests/s usable after 2 s; 6 of 150 after an owner's death). Granting without the 1 s of collection was tried and dropped: 'concurrent requests reach the limit and not more' saw 12 requests of 10.

--- a/lib/quota/fleet_view.cc
+++ b/lib/quota/fleet_view.cc
@@ -106,6 +106,15 @@
   return domains;
 }
 
+std::vector<std::string> FleetView::LiveHosts(const std::string& domain) const {
+  std::vector<std::string> hosts;
+  for (const auto& [host, in] : live_) {
+    if (in == domain)
+      hosts.push_back(host);
+  }
+  return hosts;
+}
+
 double FleetView::Fraction(TimePoint now) const {
   return now >= raised_at_ ? next_fraction_ : fraction_;
 }
--- a/lib/quota/fleet_view.h
+++ b/lib/quota/fleet_view.h
@@ -30,6 +30,7 @@
 
   /// Domains with a live host.
   std::vector<std::string> LiveDomains() const;
+  std::vector<std::string> LiveHosts(const std::string& domain) const;
 
   /// Part of every limit that the live hosts may use together.
   double Fraction(TimePoint now) const;
--- a/lib/quota/limit_share.cc
+++ b/lib/quota/limit_share.cc
@@ -375,7 +375,9 @@
       const std::string& owner = view_.Owner(index, self_.domain);
       const bool silent =
           !shard.reported_at || now - *shard.reported_at >= options_.keep_alive;
-      const bool send = !due[index].empty() || (active[index] && silent) ||
+      // A new owner waits for a full message of each host, also without demand.
+      const bool send = shard.resend || !due[index].empty() ||
+                        (active[index] && silent) ||
                         Missed(owner, Kind::kShareGrant, index);
       if (!send)
         continue;
--- a/lib/quota/shard_owner.cc
+++ b/lib/quota/shard_owner.cc
@@ -20,6 +20,9 @@
 constexpr int kKeepAlivesUntilDropped = 3;
 /// The same for a live host or domain, whose messages may be held up.
 constexpr int kKeepAlivesUntilSilent = 5;
+/// A new owner collects demand for at least this long: hosts smooth it over one
+/// second, and shares cut by its first values would move again at once.
+constexpr Duration kCollectTime = std::chrono::seconds(1);
 /// A larger share goes out this many ticks after the smaller ones that make
 /// room for it, which cross from domain to domain in the meantime.
 constexpr int kGrowthHoldTicks = 2;
@@ -60,10 +63,17 @@
   return range.end - range.begin;
 }
 
-bool Grows(const ContractShare& from, const ContractShare& to) {
+/// Requests at a time in a range; a range that only moves may gain one.
+double WholeNumber(const ShareRange& range, int limit) {
+  return std::floor(range.end * limit) - std::floor(range.begin * limit);
+}
+
+bool Grows(const ContractShare& from, const ContractShare& to, int limit) {
   return Width(to.requests) > Width(from.requests) ||
          Width(to.tokens) > Width(from.tokens) ||
-         Width(to.concurrency) > Width(from.concurrency);
+         Width(to.concurrency) > Width(from.concurrency) ||
+         WholeNumber(to.concurrency, limit) >
+             WholeNumber(from.concurrency, limit);
 }
 
 bool DiffersWidth(const ShareRange& from, const ShareRange& to) {
@@ -151,6 +161,12 @@
 ShardOwner::ShardOwner(const HostIdentity& self, const QuotaOptions& options)
     : self_(self), options_(options) {}
 
+void ShardOwner::Release() {
+  owned_since_.reset();
+  complete_hosts_.clear();
+  complete_domains_.clear();
+}
+
 void ShardOwner::ForgetHost(const std::string& host) {
   for (auto& [key, contract] : contracts_) {
     contract.hosts.erase(host);
@@ -176,6 +192,8 @@
       contract.hosts.erase(name);
   }
   host.heard = now;
+  if (message.head.full)
+    complete_hosts_.insert(name);
   for (const ContractDemand& demand : message.demands) {
     Contract& contract = contracts_[demand.contract];
     if (IsZero(demand)) {
@@ -188,8 +206,10 @@
 }
 
 void ShardOwner::OnDomainDemand(const DomainDemand& message, TimePoint now) {
-  if (message.head.full)
+  if (message.head.full) {
     ForgetDomain(message.domain);
+    complete_domains_.insert(message.domain);
+  }
   domains_[message.domain] = now;
   for (const ContractDemand& demand : message.demands) {
     Contract& contract = contracts_[demand.contract];
@@ -224,6 +244,20 @@
   }
 }
 
+bool ShardOwner::HeardAllHosts(const FleetView& view) const {
+  const std::vector<std::string> hosts = view.LiveHosts(self_.domain);
+  return std::all_of(hosts.begin(), hosts.end(), [this](const auto& host) {
+    return complete_hosts_.count(host) > 0;
+  });
+}
+
+bool ShardOwner::HeardAllDomains(const FleetView& view) const {
+  const std::vector<std::string> domains = view.LiveDomains();
+  return std::all_of(domains.begin(), domains.end(), [this](const auto& name) {
+    return name == self_.domain || complete_domains_.count(name) > 0;
+  });
+}
+
 /// Returns false while a live domain is silent, because it may not have heard
 /// of more demand here. After a longer silence its demand is dropped and does
 /// not stand in the way any more.
@@ -295,7 +329,7 @@
       sent.growing_ticks = 0;
       continue;
     }
-    if (!full && hold_growth && Grows(sent.share, share) &&
+    if (!full && hold_growth && Grows(sent.share, share, limits.concurrency) &&
         sent.growing_ticks++ < kGrowthHoldTicks)
       continue;
     if (!full && quiet && IsMinor(sent.share, share))
@@ -305,6 +339,19 @@
   }
 }
 
+void ShardOwner::Announce(const LimitLookup& limits,
+                          TimePoint now,
+                          Output* output) {
+  for (auto& [key, contract] : contracts_)
+    UpdateDomainDemand(key, &contract, limits.LimitsOf(key), /*may_grow=*/true,
+                       output);
+  output->full_domain_demands = resend_;
+  output->send_domain_demands = resend_ || !output->domain_demands.empty();
+  if (output->send_domain_demands)
+    last_domain_send_ = now;
+  resend_ = false;
+}
+
 ShardOwner::Output ShardOwner::Tick(const FleetView& view,
                                     const LimitLookup& limits,
                                     TimePoint now) {
@@ -312,6 +359,7 @@
   if (!owned_since_) {
     owned_since_ = now;
     granting_ = false;
+    resend_ = true;
     for (auto& [key, contract] : contracts_) {
       contract.sent = {};
       contract.shares.clear();
@@ -320,12 +368,22 @@
       host.full = true;
   }
   DropSilent(view, now);
-  // A new owner first hears from every host and domain. Until then it keeps
-  // silent: a sum over some of the hosts would be too small.
+  // A new owner first hears from every host, tells the other domains, and hears
+  // from them; what does not arrive in time is left out. A sum over some of the
+  // hosts would be too small.
   const bool alone = view.listed() == 1;
-  if (!alone && now - *owned_since_ < options_.keep_alive)
-    return output;
-  const bool hold_growth = granting_ && !alone;
+  const bool late = now - *owned_since_ >= options_.keep_alive;
+  if (!alone && !granting_ && !late) {
+    if (now - *owned_since_ < kCollectTime || !HeardAllHosts(view))
+      return output;
+    if (!HeardAllDomains(view)) {
+      Announce(limits, now, &output);
+      return output;
+    }
+  }
+  // An owner that starts early is as likely as a running one to meet demand
+  // that is on its way from another domain.
+  const bool hold_growth = (granting_ || !late) && !alone;
   if (!granting_)
     resend_ = true;
   granting_ = true;
--- a/lib/quota/shard_owner.h
+++ b/lib/quota/shard_owner.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,8 +69,8 @@
   /// The next message to the other owners names all demand.
   void ResendDomainDemand() { resend_ = true; }
 
-  /// Stops granting; the owner that takes over starts after a hold.
-  void Release() { owned_since_.reset(); }
+  /// Stops granting; the owner that takes over first collects all demand.
+  void Release();
 
   Output Tick(const FleetView& view, const LimitLookup& limits, TimePoint now);
 
@@ -95,12 +96,16 @@
   void ForgetHost(const std::string& host);
   void ForgetDomain(const std::string& domain);
   void DropSilent(const FleetView& view, TimePoint now);
+  bool HeardAllHosts(const FleetView& view) const;
+  bool HeardAllDomains(const FleetView& view) const;
   bool MayGrow(const FleetView& view, TimePoint now) const;
   void UpdateDomainDemand(ContractKey key,
                           Contract* contract,
                           const config::Limits& limits,
                           bool may_grow,
                           Output* output) const;
+  /// Sends the domain's demand without granting anything yet.
+  void Announce(const LimitLookup& limits, TimePoint now, Output* output);
   void Grant(ContractKey key,
              Contract* contract,
              const config::Limits& limits,
@@ -113,6 +118,9 @@
   std::map<ContractKey, Contract> contracts_;
   std::map<std::string, Host> hosts_;         // that reported demand
   std::map<std::string, TimePoint> domains_;  // time last heard
+  // Whose full message arrived since this host last was not the owner.
+  std::set<std::string> complete_hosts_;
+  std::set<std::string> complete_domains_;
   std::optional<TimePoint> owned_since_;
   TimePoint last_domain_send_{};
   bool granting_ = false;
--- a/unittests/quota/limit_share_test.cc
+++ b/unittests/quota/limit_share_test.cc
@@ -167,6 +167,40 @@
   CHECK(Sum(fleet.Measure(seconds(5))) == Approx(limit).epsilon(0.06));
 }
 
+// Guards against hosts that start together and wait a fixed time before the
+// limit becomes usable.
+TEST_CASE("hosts that start together use the limit after 2 s") {
+  const auto row = GENERATE(table<int, int>({{6, 2}, {7, 3}, {40, 13}}));
+  const double limit = 400;
+  Fleet fleet(std::get<0>(row), std::get<1>(row), Requests(limit));
+  fleet.demand = [&](int) { return 2 * limit / fleet.size(); };
+  fleet.Run(seconds(2));
+  CHECK(fleet.SumOfShares() >= 0.9 * limit);
+  for (int i = 0; i < 20; ++i) {
+    fleet.Run(milliseconds(250));
+    CHECK(fleet.SumOfShares() <= 1.05 * limit);
+  }
+}
+
+// Guards against granted shares that expire before the owner that takes over
+// from a dead one has granted new ones.
+TEST_CASE("a dead owner leaves no gap in the shares of the others") {
+  const double limit = 150;
+  const int dead = GENERATE(range(1, 6));
+  Fleet fleet(6, 2, Requests(limit));
+  fleet.demand = [](int host) { return host == 0 ? 300.0 : 0; };
+  fleet.Run(seconds(10));
+  fleet.Crash(dead);
+  fleet.Run(milliseconds(2800));  // until the membership knows
+  for (int host = 0; host < 6; ++host)
+    fleet.SetView(host, [&](int other) { return other != dead; });
+  for (int i = 0; i < 16; ++i) {
+    fleet.Run(milliseconds(250));
+    CHECK(fleet.SumOfShares() >= 0.85 * limit);
+    CHECK(fleet.SumOfShares() <= 1.05 * limit);
+  }
+}
+
 // Guards against sides of a partition that together exceed the limit, or a
 // side that falls below its stated floor, for any split, demand, message loss
 // and order of detection.
