--- a/include/teaselhill/membership/member_table.h
+++ b/include/teaselhill/membership/member_table.h
@@ -100,6 +100,7 @@
 struct MemberView {
   MemberUpdate member;
   Duration last_heard{};  ///< age of the last direct or indirect sign of life
+  bool listed = false;    ///< on the host list
 };
 
 /// The state machine of one host.
--- /dev/null
+++ b/include/teaselhill/router/quota_view.h
@@ -0,0 +1,26 @@
+/// \file
+/// What the limits need to know of the membership.
+
+#ifndef TEASELHILL_ROUTER_QUOTA_VIEW_H_
+#define TEASELHILL_ROUTER_QUOTA_VIEW_H_
+
+#include <string>
+#include <vector>
+
+#include "teaselhill/membership/member_table.h"
+#include "teaselhill/quota/limit_share.h"
+
+namespace teaselhill::router {
+
+/// Converts the membership, which leaves out the own host. A dead host counts
+/// while the host list names it, because it may only be cut off.
+/// `listed_hosts` is the number of hosts on the list that stay.
+quota::MembershipView MakeQuotaView(
+    const std::string& own_host,
+    const std::string& own_domain,
+    const std::vector<membership::MemberView>& members,
+    size_t listed_hosts);
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_ROUTER_QUOTA_VIEW_H_
--- a/include/teaselhill/router/request_coordinator.h
+++ b/include/teaselhill/router/request_coordinator.h
@@ -135,6 +135,11 @@
   bool CheckCare(Request& request, TimePoint now);
   void Park(Request& request, TimePoint now);
   void ResumeParked(TimePoint now);
+  /// Refuses the newest waiting request of the least urgent tier below that of
+  /// `urgent` and of its customer. Returns whether there was one.
+  bool ShedForUrgency(const Request& urgent,
+                      const quota::LimitRefusal& refusal,
+                      TimePoint now);
   bool TakeQuota(Request& request, TimePoint now);
   void Act(Request& request, const claims::Decision& decision, TimePoint now);
   void Forward(Request& request, const HostIncarnation& holder, TimePoint now);
--- a/lib/membership/member_table.cc
+++ b/lib/membership/member_table.cc
@@ -515,7 +515,7 @@
   std::vector<MemberView> views;
   views.reserve(members_.size());
   for (const auto& [name, member] : members_)
-    views.push_back({member.update, now - member.heard});
+    views.push_back({member.update, now - member.heard, member.listed});
   return views;
 }
 
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -2,6 +2,7 @@
 /// Control thread.
 
 #include "teaselhill/router/control.h"
+#include "teaselhill/router/quota_view.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -77,19 +78,6 @@
   return options;
 }
 
-quota::MemberState ToQuotaState(membership::MemberState state) {
-  switch (state) {
-    case membership::MemberState::kAlive:
-      return quota::MemberState::kAlive;
-    case membership::MemberState::kSuspect:
-      return quota::MemberState::kSuspect;
-    case membership::MemberState::kLeaving:
-    case membership::MemberState::kDead:
-      break;
-  }
-  return quota::MemberState::kDead;
-}
-
 const char* StateName(membership::MemberState state) {
   switch (state) {
     case membership::MemberState::kAlive:
@@ -414,7 +402,7 @@
     if (!list)
       return;
     std::vector<membership::HostListEntry> hosts;
-    listed_hosts_ = 0;
+    const size_t listed_before = std::exchange(listed_hosts_, 0);
     for (const platform::ListedHost& host : list->hosts) {
       hosts.push_back(
           {host.name, WithoutPort(host.address), host.domain, host.leaving});
@@ -431,6 +419,9 @@
         SpreadLeaving(upstreams_.MakeLeavingMessage(now));
     }
     Carry(members_.OnHostList(hosts, upstreams, now), now);
+    // The limits depend on the number of listed hosts.
+    if (listed_hosts_ != listed_before)
+      RefreshMembers(now);
   }
 
   /// Sends messages and reacts to changes of the membership.
@@ -457,19 +448,15 @@
 
   void RefreshMembers(TimePoint now) {
     std::vector<peer::PeerAddress> peers;
-    quota::MembershipView view;
+    const std::vector<membership::MemberView> members = members_.Members(now);
     std::vector<std::string> live = {self_.host};
     addresses_.clear();
     same_domain_.clear();
     other_domains_.clear();
-    view.members.push_back(
-        {self_.host, settings_.domain, quota::MemberState::kAlive});
-    for (const membership::MemberView& seen : members_.Members(now)) {
+    for (const membership::MemberView& seen : members) {
       const membership::MemberUpdate& member = seen.member;
       if (member.id.host == self_.host)
         continue;
-      view.members.push_back(
-          {member.id.host, member.domain, ToQuotaState(member.state)});
       if (member.state == membership::MemberState::kDead)
         continue;
       addresses_[member.id.host] = member.address;
@@ -480,9 +467,10 @@
       (member.domain == settings_.domain ? same_domain_ : other_domains_)
           .push_back(member.id.host);
     }
-    view.listed_total = std::max(listed_hosts_, view.members.size());
     transport_->SetPeers(peers);
-    limits_.OnMembers(view, now);
+    limits_.OnMembers(
+        MakeQuotaView(self_.host, settings_.domain, members, listed_hosts_),
+        now);
     claims_.SetAppendInterval(std::max<Duration>(
         kMinClaimInterval,
         std::chrono::seconds(live.size()) / kClaimAppendsPerSecond));
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -4,6 +4,7 @@
 #include "teaselhill/router/request_coordinator.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace teaselhill::router {
@@ -390,13 +391,49 @@
   }
 }
 
+bool RequestCoordinator::ShedForUrgency(const Request& urgent,
+                                        const quota::LimitRefusal& refusal,
+                                        TimePoint now) {
+  Request* victim = nullptr;
+  const auto place = [](const Request& request) {
+    return std::make_tuple(request.request_class.tier, request.arrival,
+                           request.info.id);
+  };
+  for (const auto& [id, other] : requests_) {
+    const bool lower = other->phase == Request::Phase::kQueued &&
+                       other->quota_taken &&
+                       other->info.customer == urgent.info.customer &&
+                       other->request_class.tier > urgent.request_class.tier &&
+                       !other->history.may_have_run;
+    if (lower && (!victim || place(*victim) < place(*other)))
+      victim = other.get();
+  }
+  if (!victim)
+    return false;
+  log_.Add(victim->info.external_id,
+           DecisionLog::Line("limit", victim->info.external_id)
+               .Field("customer", victim->info.customer)
+               .Field("limit", quota::LimitName(refusal.limit))
+               .Field("reason", "made room for a more urgent request")
+               .Field("urgent", urgent.info.external_id));
+  GiveUp(*victim, refusal.error, refusal.retry_after, now);
+  return true;
+}
+
 bool RequestCoordinator::TakeQuota(Request& request, TimePoint now) {
   if (request.quota_taken)
     return true;
   request.cost.tokens = static_cast<double>(request.predicted_tokens);
-  const quota::TakeResult taken =
+  quota::TakeResult taken =
       parts_.limits->TryTake(request.info.customer, request.cost, now);
   const auto* refusal = std::get_if<quota::LimitRefusal>(&taken);
+  // Requests that only wait count towards the concurrency limit as well; they
+  // must not keep out a more urgent one.
+  if (refusal && refusal->limit == quota::LimitKind::kConcurrency &&
+      ShedForUrgency(request, *refusal, now)) {
+    taken = parts_.limits->TryTake(request.info.customer, request.cost, now);
+    refusal = std::get_if<quota::LimitRefusal>(&taken);
+  }
   if (!refusal) {
     request.quota_taken = true;
     return true;
--- a/unittests/router/request_coordinator_test.cc
+++ b/unittests/router/request_coordinator_test.cc
@@ -97,6 +97,31 @@
   CHECK(fixture.traffic.failures[id][0] == ResultCode::kNoUpstream);
 }
 
+// Guards against urgent requests refused because less urgent ones of the same
+// customer, which only wait, use up its concurrency limit (I1).
+TEST_CASE("an urgent request takes the place of a waiting lower tier") {
+  CoordinatorFixture fixture(/*engines=*/1);
+  config::Limits limits;
+  limits.concurrency = 8;
+  fixture.limits.ApplyContract("c", limits, fixture.now);
+  std::vector<RequestId> reports = {fixture.Arrive(/*idempotent=*/true)};
+  for (int i = 0; i < 2; ++i) {  // demand is reported, then granted
+    fixture.now += milliseconds(300);
+    fixture.limits.MakeDemand(fixture.now);
+  }
+  for (int i = 1; i < 8; ++i)
+    reports.push_back(fixture.Arrive(/*idempotent=*/true));
+  REQUIRE(fixture.traffic.started.size() < 8);
+  const RequestId refused = fixture.Arrive(/*idempotent=*/true);
+  CHECK(fixture.traffic.Finals(refused) == 1);
+  const RequestId urgent = fixture.Arrive(/*idempotent=*/true, "urgent");
+  CHECK(fixture.traffic.Finals(urgent) == 0);
+  CHECK(fixture.traffic.failures[reports.back()] ==
+        std::vector<ResultCode>{ResultCode::kLimitExceeded});
+  for (size_t i = 0; i + 1 < reports.size(); ++i)
+    CHECK(fixture.traffic.Finals(reports[i]) == 0);
+}
+
 TEST_CASE("a draining host takes no request and finishes what it has") {
   CoordinatorFixture fixture;
   const RequestId running = fixture.Arrive(/*idempotent=*/true);
