Grant the even part of a domain at once when a contract was idle

An owner that knows of no use now grants its domain's even part at once and the rest after the usual hold. Hosts keep shares that are in force for 2.5 s after a change of owner, and a rise of the usable part that follows only from dead hosts leaving the host list is not held for 3 s.

'hosts that were idle use half of a limit after 0.75 s' failed before.

--- a/lib/quota/fleet_view.cc
+++ b/lib/quota/fleet_view.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "teaselhill/support/hash.h"
 
@@ -32,7 +33,9 @@
 }
 
 void FleetView::Apply(const MembershipView& view, TimePoint now) {
-  live_.clear();
+  const size_t listed_before = listed_;
+  const std::map<std::string, std::string> live_before =
+      std::exchange(live_, {});
   owners_.clear();
   rank_ = 0;
   const auto place = std::tie(self_.domain, self_.host);
@@ -50,8 +53,10 @@
   const double fraction = FractionOf(live_.size());
   const double in_force = Fraction(now);
   // A cut takes effect at once. A rise waits until the other hosts have seen
-  // the same view and their demand has arrived.
-  if (!applied_ || fraction <= in_force) {
+  // the same view and their demand has arrived, but not when it only follows
+  // from dead hosts that left the host list: nobody new takes part.
+  const bool dropped = live_ == live_before && listed_ < listed_before;
+  if (!applied_ || fraction <= in_force || dropped) {
     fraction_ = next_fraction_ = fraction;
   } else if (fraction != next_fraction_) {
     fraction_ = in_force;
--- a/lib/quota/limit_share.cc
+++ b/lib/quota/limit_share.cc
@@ -109,7 +109,7 @@
           continue;
         owners_[shard].ResendDomainDemand();
         if (domain == self_.domain)
-          shards_[shard].resend = true;
+          OnOwnerChanged(&shards_[shard], now);
       }
     }
     DropStreams(&received_);
@@ -254,6 +254,17 @@
     return static_cast<uint32_t>(key % options_.shards);
   }
 
+  /// Shares that are in force stay so until the new owner has granted its own.
+  void OnOwnerChanged(Shard* shard, TimePoint now) const {
+    shard->resend = true;
+    const Duration takeover = options_.keep_alive + 2 * options_.send_interval;
+    const TimePoint renewed_at = now - options_.share_lifetime + takeover;
+    const bool in_force = shard->renewed_at &&
+                          now - *shard->renewed_at <= options_.share_lifetime;
+    if (in_force)
+      shard->renewed_at = std::max(*shard->renewed_at, renewed_at);
+  }
+
   bool IsGranted(const Contract& contract, TimePoint now) const {
     const auto& renewed_at = shards_[ShardOf(contract.key)].renewed_at;
     return contract.has_share && renewed_at &&
--- a/lib/quota/shard_owner.cc
+++ b/lib/quota/shard_owner.cc
@@ -27,6 +27,9 @@
 /// room for it, which cross from domain to domain in the meantime.
 constexpr int kGrowthHoldTicks = 2;
 
+/// Weight of a domain when all count alike.
+const ContractDemand kOneDomain{0, 1, 1, 1};
+
 bool Starts(float sent, float now) {
   return (sent == 0) != (now == 0);
 }
@@ -298,10 +301,19 @@
 void ShardOwner::Grant(ContractKey key,
                        Contract* contract,
                        const config::Limits& limits,
+                       const FleetView& view,
                        bool hold_growth,
                        TimePoint now,
                        Output* output) {
-  const ContractDemand& own = contract->sent;
+  // Nobody known uses the contract: the even part of the domain is granted at
+  // once, because all domains may do the same within the limit. The first
+  // grants of an owner replace those of the one before it.
+  if (granting_ && contract->shares.empty() && contract->domains.empty())
+    contract->starting_ticks = kGrowthHoldTicks + 1;
+  const bool starting = contract->starting_ticks > 0;
+  if (starting)
+    --contract->starting_ticks;
+  ContractDemand own = contract->sent;
   ContractDemand before;
   ContractDemand total = own;
   for (const auto& [domain, demand] : contract->domains) {
@@ -309,6 +321,15 @@
     if (domain < self_.domain)
       AddTo(&before, demand);
   }
+  if (starting) {
+    own = before = total = {};
+    for (const std::string& domain : view.LiveDomains()) {
+      AddTo(&total, kOneDomain);
+      if (domain < self_.domain)
+        AddTo(&before, kOneDomain);
+    }
+    own = kOneDomain;
+  }
   ContractDemand hosts;
   for (const auto& [host, demand] : contract->hosts)
     AddTo(&hosts, demand);
@@ -329,7 +350,8 @@
       sent.growing_ticks = 0;
       continue;
     }
-    if (!full && hold_growth && Grows(sent.share, share, limits.concurrency) &&
+    if (!full && hold_growth && !starting &&
+        Grows(sent.share, share, limits.concurrency) &&
         sent.growing_ticks++ < kGrowthHoldTicks)
       continue;
     if (!full && quiet && IsMinor(sent.share, share))
@@ -386,17 +408,17 @@
   const bool hold_growth = (granting_ || !late) && !alone;
   if (!granting_)
     resend_ = true;
-  granting_ = true;
   const bool may_grow = alone || MayGrow(view, now);
   for (auto it = contracts_.begin(); it != contracts_.end();) {
     auto& [key, contract] = *it;
     const config::Limits known = limits.LimitsOf(key);
     UpdateDomainDemand(key, &contract, known, may_grow, &output);
-    Grant(key, &contract, known, hold_growth, now, &output);
+    Grant(key, &contract, known, view, hold_growth, now, &output);
     const bool unused = contract.hosts.empty() && contract.domains.empty() &&
                         IsZero(contract.sent);
     it = unused ? contracts_.erase(it) : std::next(it);
   }
+  granting_ = true;
   output.full_domain_demands = resend_;
   output.send_domain_demands = resend_ || !output.domain_demands.empty() ||
                                now - last_domain_send_ >= options_.keep_alive;
--- a/lib/quota/shard_owner.h
+++ b/lib/quota/shard_owner.h
@@ -91,6 +91,7 @@
     std::map<std::string, ContractDemand> domains;  // without the own
     ContractDemand sent;                            // to the other owners
     std::map<std::string, SentShare> shares;        // by host
+    int starting_ticks = 0;  // left in which the domain keeps to its even part
   };
 
   void ForgetHost(const std::string& host);
@@ -109,6 +110,7 @@
   void Grant(ContractKey key,
              Contract* contract,
              const config::Limits& limits,
+             const FleetView& view,
              bool hold_growth,
              TimePoint now,
              Output* output);
--- a/unittests/quota/limit_share_test.cc
+++ b/unittests/quota/limit_share_test.cc
@@ -182,6 +182,21 @@
   }
 }
 
+// Guards against an idle fleet of which only the floor is usable for a second
+// after requests come.
+TEST_CASE("hosts that were idle use half of a limit after 0.75 s") {
+  const double limit = 400;
+  Fleet fleet(6, 2, Requests(limit));
+  fleet.Run(seconds(10));
+  fleet.demand = [&](int) { return 2 * limit / 6; };
+  fleet.Run(milliseconds(750));
+  CHECK(fleet.SumOfShares() >= 0.5 * limit);
+  for (int i = 0; i < 20; ++i) {
+    fleet.Run(milliseconds(250));
+    CHECK(fleet.SumOfShares() <= 1.05 * limit);
+  }
+}
+
 // Guards against granted shares that expire before the owner that takes over
 // from a dead one has granted new ones.
 TEST_CASE("a dead owner leaves no gap in the shares of the others") {
