--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -428,9 +428,10 @@
       parts_.limits->TryTake(request.info.customer, request.cost, now);
   const auto* refusal = std::get_if<quota::LimitRefusal>(&taken);
   // Requests that only wait count towards the concurrency limit as well; they
-  // must not keep out a more urgent one.
-  if (refusal && refusal->limit == quota::LimitKind::kConcurrency &&
-      ShedForUrgency(request, *refusal, now)) {
+  // must not keep out a more urgent one. More than one has to go when the share
+  // shrank below what is open.
+  while (refusal && refusal->limit == quota::LimitKind::kConcurrency &&
+         ShedForUrgency(request, *refusal, now)) {
     taken = parts_.limits->TryTake(request.info.customer, request.cost, now);
     refusal = std::get_if<quota::LimitRefusal>(&taken);
   }
--- a/unittests/router/request_coordinator_test.cc
+++ b/unittests/router/request_coordinator_test.cc
@@ -120,6 +120,10 @@
         std::vector<ResultCode>{ResultCode::kLimitExceeded});
   for (size_t i = 0; i + 1 < reports.size(); ++i)
     CHECK(fixture.traffic.Finals(reports[i]) == 0);
+  limits.concurrency = 7;  // the share shrinks below what is open
+  fixture.limits.ApplyContract("c", limits, fixture.now);
+  const RequestId second = fixture.Arrive(/*idempotent=*/true, "urgent");
+  CHECK(fixture.traffic.Finals(second) == 0);
 }
 
 TEST_CASE("a draining host takes no request and finishes what it has") {
