Report the start of demand within 50 ms

The first request for an idle contract now makes the next message due after 50 ms, at the host and at the owner, once until the contract is idle again. Growth is held by time instead of ticks, so early ticks do not shorten it.

--- a/include/teaselhill/quota/limit_share.h
+++ b/include/teaselhill/quota/limit_share.h
@@ -91,6 +91,8 @@
   Duration keep_alive = std::chrono::seconds(2);
   /// Shortest time between two messages of a kind to one host.
   Duration send_interval = std::chrono::milliseconds(250);
+  /// The same when use of a contract starts: it has only the floor until then.
+  Duration start_interval = std::chrono::milliseconds(50);
 };
 
 /// Splits every contract's limits over the hosts by exchanged demand. A
@@ -119,7 +121,7 @@
               Cost actual,
               TimePoint now);
 
-  /// Returns the messages due now; call it every `send_interval`.
+  /// Returns the messages due now; call it every `start_interval`.
   std::vector<OutgoingMessage> MakeDemand(TimePoint now);
 
   /// Takes in a message from another host. Old and repeated ones are ignored;
--- a/lib/quota/limit_share.cc
+++ b/lib/quota/limit_share.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <tuple>
+#include <utility>
 
 #include "demand_meter.h"
 #include "fleet_view.h"
@@ -123,6 +124,9 @@
     Contract& contract = found->second;
     const config::Limits& limits = contract.limits;
     contract.meter.OnAttempt(cost.tokens, now);
+    // Once a contract: small demand may go unreported for a while.
+    if (IsZero(contract.reported) && !std::exchange(contract.woke, true))
+      wake_ = true;
     const Shares shares = SharesOf(contract, now);
     const double request_depth = Depth(limits.requests_per_second, 1);
     const double token_depth = Depth(limits.tokens_per_second, cost.tokens);
@@ -167,9 +171,12 @@
 
   std::vector<OutgoingMessage> MakeDemand(TimePoint now) {
     now_ = now;
-    if (last_tick_ && now - *last_tick_ < options_.send_interval)
+    const Duration interval =
+        wake_ ? options_.start_interval : options_.send_interval;
+    if (last_tick_ && now - *last_tick_ < interval)
       return {};
     last_tick_ = now;
+    wake_ = false;
     std::vector<OutgoingMessage> messages;
     ReportDemand(now, &messages);
     for (uint32_t shard = 0; shard < options_.shards; ++shard) {
@@ -219,6 +226,7 @@
     int in_flight = 0;
     DemandMeter meter;
     ContractDemand reported;
+    bool woke = false;  // has asked for an early tick since it was idle
     ContractShare share;
     bool has_share = false;  // and has had demand since
   };
@@ -376,6 +384,7 @@
       // The owner gives the share of an idle host to others without asking.
       if (IsZero(contract.reported)) {
         contract.has_share = false;
+        contract.woke &= !IsZero(demand);
       } else {
         active[shard] = true;
         ++active_contracts_;
@@ -478,7 +487,8 @@
     if (!view_.InDomain(head.host, self_.domain) ||
         !IsNew(head, Kind::kHostDemand))
       return;
-    owners_[head.shard].OnHostDemand(message, now);
+    if (owners_[head.shard].OnHostDemand(message, now))
+      wake_ = true;
     if (head.resync)
       owners_[head.shard].ResendShares(head.host);
     if (Missed(head.host, Kind::kHostDemand, head.shard))
@@ -538,6 +548,7 @@
   std::map<StreamKey, uint64_t> sent_;  // last sequence number
   size_t active_contracts_ = 0;         // with demand at the last tick
   std::optional<TimePoint> last_tick_;
+  bool wake_ = false;  // use of a contract starts, so the next tick is early
   TimePoint now_;
 };
 
--- a/lib/quota/shard_owner.cc
+++ b/lib/quota/shard_owner.cc
@@ -23,9 +23,9 @@
 /// A new owner collects demand for at least this long: hosts smooth it over one
 /// second, and shares cut by its first values would move again at once.
 constexpr Duration kCollectTime = std::chrono::seconds(1);
-/// A larger share goes out this many ticks after the smaller ones that make
-/// room for it, which cross from domain to domain in the meantime.
-constexpr int kGrowthHoldTicks = 2;
+/// A larger share goes out this many send intervals after the smaller ones that
+/// make room for it, which cross from domain to domain in the meantime.
+constexpr int kGrowthHoldIntervals = 2;
 
 /// Weight of a domain when all count alike.
 const ContractDemand kOneDomain{0, 1, 1, 1};
@@ -182,7 +182,7 @@
     contract.domains.erase(domain);
 }
 
-void ShardOwner::OnHostDemand(const HostDemand& message, TimePoint now) {
+bool ShardOwner::OnHostDemand(const HostDemand& message, TimePoint now) {
   const std::string& name = message.head.host;
   Host& host = hosts_[name];
   // An earlier run of the host uses nothing any more.
@@ -197,15 +197,18 @@
   host.heard = now;
   if (message.head.full)
     complete_hosts_.insert(name);
+  bool starts = false;
   for (const ContractDemand& demand : message.demands) {
     Contract& contract = contracts_[demand.contract];
     if (IsZero(demand)) {
       contract.hosts.erase(name);
       contract.shares.erase(name);
     } else {
+      starts |= contract.hosts.count(name) == 0;
       contract.hosts[name] = demand;
     }
   }
+  return starts;
 }
 
 void ShardOwner::OnDomainDemand(const DomainDemand& message, TimePoint now) {
@@ -309,10 +312,9 @@
   // once, because all domains may do the same within the limit. The first
   // grants of an owner replace those of the one before it.
   if (granting_ && contract->shares.empty() && contract->domains.empty())
-    contract->starting_ticks = kGrowthHoldTicks + 1;
-  const bool starting = contract->starting_ticks > 0;
-  if (starting)
-    --contract->starting_ticks;
+    contract->even_until =
+        now + options_.send_interval * (kGrowthHoldIntervals + 1);
+  const bool starting = now < contract->even_until;
   ContractDemand own = contract->sent;
   ContractDemand before;
   ContractDemand total = own;
@@ -347,16 +349,20 @@
     const bool full = hosts_[host].full;
     const bool quiet = now - hosts_[host].sent < kMinorInterval;
     if (!full && sent.ever && !Differs(sent.share, share, limits)) {
-      sent.growing_ticks = 0;
+      sent.held_since.reset();
       continue;
     }
     if (!full && hold_growth && !starting &&
-        Grows(sent.share, share, limits.concurrency) &&
-        sent.growing_ticks++ < kGrowthHoldTicks)
-      continue;
+        Grows(sent.share, share, limits.concurrency)) {
+      if (!sent.held_since)
+        sent.held_since = now;
+      if (now - *sent.held_since <
+          options_.send_interval * kGrowthHoldIntervals)
+        continue;
+    }
     if (!full && quiet && IsMinor(sent.share, share))
       continue;
-    sent = {share, 0, true};
+    sent = {share, std::nullopt, true};
     output->shares[host].shares.push_back(share);
   }
 }
--- a/lib/quota/shard_owner.h
+++ b/lib/quota/shard_owner.h
@@ -55,7 +55,8 @@
 
   ShardOwner(const HostIdentity& self, const QuotaOptions& options);
 
-  void OnHostDemand(const HostDemand& message, TimePoint now);
+  /// Returns whether a host starts to use a contract, so that a tick is urgent.
+  bool OnHostDemand(const HostDemand& message, TimePoint now);
   void OnDomainDemand(const DomainDemand& message, TimePoint now);
 
   /// The next message to `host` names all its shares.
@@ -83,7 +84,7 @@
   };
   struct SentShare {
     ContractShare share;
-    int growing_ticks = 0;  // for which a larger share was held back
+    std::optional<TimePoint> held_since;  // a larger share is held back
     bool ever = false;
   };
   struct Contract {
@@ -91,7 +92,7 @@
     std::map<std::string, ContractDemand> domains;  // without the own
     ContractDemand sent;                            // to the other owners
     std::map<std::string, SentShare> shares;        // by host
-    int starting_ticks = 0;  // left in which the domain keeps to its even part
+    TimePoint even_until{};  // the domain keeps to its even part until then
   };
 
   void ForgetHost(const std::string& host);
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -29,6 +29,8 @@
 constexpr milliseconds kMemberTick{50};
 constexpr milliseconds kSendsTick{100};
 constexpr milliseconds kExchangeTick{250};
+/// Most calls do nothing: demand is due every 250 ms, or when use starts.
+constexpr std::chrono::milliseconds kDemandTick{50};
 constexpr milliseconds kDrainPoll{20};
 
 /// How long the listener answers "not ready" before it is closed, so that the
@@ -229,6 +231,7 @@
     Every(kMemberTick,
           [this](TimePoint now) { Carry(members_.OnTick(now, &rng_), now); });
     Every(kSendsTick, [this](TimePoint) { SpreadSends(); });
+    Every(kDemandTick, [this](TimePoint now) { SendDemand(now); });
     Every(kExchangeTick, [this](TimePoint now) { Exchange(now); });
     return Ok{};
   }
@@ -509,14 +512,17 @@
       transport_->Send(hosts[rng_.Below(hosts.size())], peer::Encode(message));
   }
 
-  void Exchange(TimePoint now) {
-    RefreshMembers(now);
+  void SendDemand(TimePoint now) {
     for (const quota::OutgoingMessage& outgoing : limits_.MakeDemand(now))
       std::visit(
           [&](const auto& message) {
             transport_->Send(outgoing.to_host, peer::Encode(message));
           },
           outgoing.message);
+  }
+
+  void Exchange(TimePoint now) {
+    RefreshMembers(now);
     upstreams_.Tick(now);
     crashes_.Expire(now);
     // Renewed every fourth time, because a mark from a peer expires.
--- a/unittests/quota/limit_share_test.cc
+++ b/unittests/quota/limit_share_test.cc
@@ -197,6 +197,29 @@
   }
 }
 
+// Guards against a first request that waits for the next regular message.
+TEST_CASE("the start of demand is reported at once, but only once") {
+  TimePoint now{seconds(100)};
+  LimitShare share({"h1", "d", 1}, {}, now);
+  share.ApplyContract("c", Requests(100), now);
+  MembershipView view;
+  view.members = {{"h1", "d", MemberState::kAlive},
+                  {"h2", "e", MemberState::kAlive}};
+  share.OnMembers(view, now);
+  for (int i = 0; i < 60; ++i) {
+    share.MakeDemand(now);
+    now += milliseconds(250);
+  }
+  share.MakeDemand(now);
+  share.TryTake("c", {10}, now);
+  now += milliseconds(50);
+  share.MakeDemand(now);
+  CHECK(share.Figures("c", now).granted);
+  now += milliseconds(50);
+  share.TryTake("c", {10}, now);
+  CHECK(share.MakeDemand(now).empty());
+}
+
 // Guards against granted shares that expire before the owner that takes over
 // from a dead one has granted new ones.
 TEST_CASE("a dead owner leaves no gap in the shares of the others") {
