--- a/lib/quota/limit_share.cc
+++ b/lib/quota/limit_share.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <tuple>
+#include <utility>
 
 #include "demand_meter.h"
 #include "fleet_view.h"
@@ -109,7 +110,7 @@
           continue;
         owners_[shard].ResendDomainDemand();
         if (domain == self_.domain)
-          shards_[shard].resend = true;
+          OnOwnerChanged(&shards_[shard], now);
       }
     }
     DropStreams(&received_);
@@ -123,6 +124,9 @@
     Contract& contract = found->second;
     const config::Limits& limits = contract.limits;
     contract.meter.OnAttempt(cost.tokens, now);
+    // Once a contract: small demand may go unreported for a while.
+    if (IsZero(contract.reported) && !std::exchange(contract.woke, true))
+      wake_ = true;
     const Shares shares = SharesOf(contract, now);
     const double request_depth = Depth(limits.requests_per_second, 1);
     const double token_depth = Depth(limits.tokens_per_second, cost.tokens);
@@ -167,9 +171,12 @@
 
   std::vector<OutgoingMessage> MakeDemand(TimePoint now) {
     now_ = now;
-    if (last_tick_ && now - *last_tick_ < options_.send_interval)
+    const Duration interval =
+        wake_ ? options_.start_interval : options_.send_interval;
+    if (last_tick_ && now - *last_tick_ < interval)
       return {};
     last_tick_ = now;
+    wake_ = false;
     std::vector<OutgoingMessage> messages;
     ReportDemand(now, &messages);
     for (uint32_t shard = 0; shard < options_.shards; ++shard) {
@@ -219,6 +226,7 @@
     int in_flight = 0;
     DemandMeter meter;
     ContractDemand reported;
+    bool woke = false;  // has asked for an early tick since it was idle
     ContractShare share;
     bool has_share = false;  // and has had demand since
   };
@@ -254,6 +262,17 @@
     return static_cast<uint32_t>(key % options_.shards);
   }
 
+  /// Shares that are in force stay so until the new owner has granted its own.
+  void OnOwnerChanged(Shard* shard, TimePoint now) const {
+    shard->resend = true;
+    const Duration takeover = options_.keep_alive + 2 * options_.send_interval;
+    const TimePoint renewed_at = now - options_.share_lifetime + takeover;
+    const bool in_force = shard->renewed_at &&
+                          now - *shard->renewed_at <= options_.share_lifetime;
+    if (in_force)
+      shard->renewed_at = std::max(*shard->renewed_at, renewed_at);
+  }
+
   bool IsGranted(const Contract& contract, TimePoint now) const {
     const auto& renewed_at = shards_[ShardOf(contract.key)].renewed_at;
     return contract.has_share && renewed_at &&
@@ -365,6 +384,7 @@
       // The owner gives the share of an idle host to others without asking.
       if (IsZero(contract.reported)) {
         contract.has_share = false;
+        contract.woke &= !IsZero(demand);
       } else {
         active[shard] = true;
         ++active_contracts_;
@@ -375,7 +395,9 @@
       const std::string& owner = view_.Owner(index, self_.domain);
       const bool silent =
           !shard.reported_at || now - *shard.reported_at >= options_.keep_alive;
-      const bool send = !due[index].empty() || (active[index] && silent) ||
+      // A new owner waits for a full message of each host, also without demand.
+      const bool send = shard.resend || !due[index].empty() ||
+                        (active[index] && silent) ||
                         Missed(owner, Kind::kShareGrant, index);
       if (!send)
         continue;
@@ -465,7 +487,8 @@
     if (!view_.InDomain(head.host, self_.domain) ||
         !IsNew(head, Kind::kHostDemand))
       return;
-    owners_[head.shard].OnHostDemand(message, now);
+    if (owners_[head.shard].OnHostDemand(message, now))
+      wake_ = true;
     if (head.resync)
       owners_[head.shard].ResendShares(head.host);
     if (Missed(head.host, Kind::kHostDemand, head.shard))
@@ -525,6 +548,7 @@
   std::map<StreamKey, uint64_t> sent_;  // last sequence number
   size_t active_contracts_ = 0;         // with demand at the last tick
   std::optional<TimePoint> last_tick_;
+  bool wake_ = false;  // use of a contract starts, so the next tick is early
   TimePoint now_;
 };
 
--- a/lib/quota/shard_owner.cc
+++ b/lib/quota/shard_owner.cc
@@ -20,9 +20,15 @@
 constexpr int kKeepAlivesUntilDropped = 3;
 /// The same for a live host or domain, whose messages may be held up.
 constexpr int kKeepAlivesUntilSilent = 5;
-/// A larger share goes out this many ticks after the smaller ones that make
-/// room for it, which cross from domain to domain in the meantime.
-constexpr int kGrowthHoldTicks = 2;
+/// A new owner collects demand for at least this long: hosts smooth it over one
+/// second, and shares cut by its first values would move again at once.
+constexpr Duration kCollectTime = std::chrono::seconds(1);
+/// A larger share goes out this many send intervals after the smaller ones that
+/// make room for it, which cross from domain to domain in the meantime.
+constexpr int kGrowthHoldIntervals = 2;
+
+/// Weight of a domain when all count alike.
+const ContractDemand kOneDomain{0, 1, 1, 1};
 
 bool Starts(float sent, float now) {
   return (sent == 0) != (now == 0);
@@ -60,10 +66,17 @@
   return range.end - range.begin;
 }
 
-bool Grows(const ContractShare& from, const ContractShare& to) {
+/// Requests at a time in a range; a range that only moves may gain one.
+double WholeNumber(const ShareRange& range, int limit) {
+  return std::floor(range.end * limit) - std::floor(range.begin * limit);
+}
+
+bool Grows(const ContractShare& from, const ContractShare& to, int limit) {
   return Width(to.requests) > Width(from.requests) ||
          Width(to.tokens) > Width(from.tokens) ||
-         Width(to.concurrency) > Width(from.concurrency);
+         Width(to.concurrency) > Width(from.concurrency) ||
+         WholeNumber(to.concurrency, limit) >
+             WholeNumber(from.concurrency, limit);
 }
 
 bool DiffersWidth(const ShareRange& from, const ShareRange& to) {
@@ -151,6 +164,12 @@
 ShardOwner::ShardOwner(const HostIdentity& self, const QuotaOptions& options)
     : self_(self), options_(options) {}
 
+void ShardOwner::Release() {
+  owned_since_.reset();
+  complete_hosts_.clear();
+  complete_domains_.clear();
+}
+
 void ShardOwner::ForgetHost(const std::string& host) {
   for (auto& [key, contract] : contracts_) {
     contract.hosts.erase(host);
@@ -163,7 +182,7 @@
     contract.domains.erase(domain);
 }
 
-void ShardOwner::OnHostDemand(const HostDemand& message, TimePoint now) {
+bool ShardOwner::OnHostDemand(const HostDemand& message, TimePoint now) {
   const std::string& name = message.head.host;
   Host& host = hosts_[name];
   // An earlier run of the host uses nothing any more.
@@ -176,20 +195,27 @@
       contract.hosts.erase(name);
   }
   host.heard = now;
+  if (message.head.full)
+    complete_hosts_.insert(name);
+  bool starts = false;
   for (const ContractDemand& demand : message.demands) {
     Contract& contract = contracts_[demand.contract];
     if (IsZero(demand)) {
       contract.hosts.erase(name);
       contract.shares.erase(name);
     } else {
+      starts |= contract.hosts.count(name) == 0;
       contract.hosts[name] = demand;
     }
   }
+  return starts;
 }
 
 void ShardOwner::OnDomainDemand(const DomainDemand& message, TimePoint now) {
-  if (message.head.full)
+  if (message.head.full) {
     ForgetDomain(message.domain);
+    complete_domains_.insert(message.domain);
+  }
   domains_[message.domain] = now;
   for (const ContractDemand& demand : message.demands) {
     Contract& contract = contracts_[demand.contract];
@@ -224,6 +250,20 @@
   }
 }
 
+bool ShardOwner::HeardAllHosts(const FleetView& view) const {
+  const std::vector<std::string> hosts = view.LiveHosts(self_.domain);
+  return std::all_of(hosts.begin(), hosts.end(), [this](const auto& host) {
+    return complete_hosts_.count(host) > 0;
+  });
+}
+
+bool ShardOwner::HeardAllDomains(const FleetView& view) const {
+  const std::vector<std::string> domains = view.LiveDomains();
+  return std::all_of(domains.begin(), domains.end(), [this](const auto& name) {
+    return name == self_.domain || complete_domains_.count(name) > 0;
+  });
+}
+
 /// Returns false while a live domain is silent, because it may not have heard
 /// of more demand here. After a longer silence its demand is dropped and does
 /// not stand in the way any more.
@@ -264,10 +304,18 @@
 void ShardOwner::Grant(ContractKey key,
                        Contract* contract,
                        const config::Limits& limits,
+                       const FleetView& view,
                        bool hold_growth,
                        TimePoint now,
                        Output* output) {
-  const ContractDemand& own = contract->sent;
+  // Nobody known uses the contract: the even part of the domain is granted at
+  // once, because all domains may do the same within the limit. The first
+  // grants of an owner replace those of the one before it.
+  if (granting_ && contract->shares.empty() && contract->domains.empty())
+    contract->even_until =
+        now + options_.send_interval * (kGrowthHoldIntervals + 1);
+  const bool starting = now < contract->even_until;
+  ContractDemand own = contract->sent;
   ContractDemand before;
   ContractDemand total = own;
   for (const auto& [domain, demand] : contract->domains) {
@@ -275,6 +323,15 @@
     if (domain < self_.domain)
       AddTo(&before, demand);
   }
+  if (starting) {
+    own = before = total = {};
+    for (const std::string& domain : view.LiveDomains()) {
+      AddTo(&total, kOneDomain);
+      if (domain < self_.domain)
+        AddTo(&before, kOneDomain);
+    }
+    own = kOneDomain;
+  }
   ContractDemand hosts;
   for (const auto& [host, demand] : contract->hosts)
     AddTo(&hosts, demand);
@@ -292,19 +349,37 @@
     const bool full = hosts_[host].full;
     const bool quiet = now - hosts_[host].sent < kMinorInterval;
     if (!full && sent.ever && !Differs(sent.share, share, limits)) {
-      sent.growing_ticks = 0;
+      sent.held_since.reset();
       continue;
     }
-    if (!full && hold_growth && Grows(sent.share, share) &&
-        sent.growing_ticks++ < kGrowthHoldTicks)
-      continue;
+    if (!full && hold_growth && !starting &&
+        Grows(sent.share, share, limits.concurrency)) {
+      if (!sent.held_since)
+        sent.held_since = now;
+      if (now - *sent.held_since <
+          options_.send_interval * kGrowthHoldIntervals)
+        continue;
+    }
     if (!full && quiet && IsMinor(sent.share, share))
       continue;
-    sent = {share, 0, true};
+    sent = {share, std::nullopt, true};
     output->shares[host].shares.push_back(share);
   }
 }
 
+void ShardOwner::Announce(const LimitLookup& limits,
+                          TimePoint now,
+                          Output* output) {
+  for (auto& [key, contract] : contracts_)
+    UpdateDomainDemand(key, &contract, limits.LimitsOf(key), /*may_grow=*/true,
+                       output);
+  output->full_domain_demands = resend_;
+  output->send_domain_demands = resend_ || !output->domain_demands.empty();
+  if (output->send_domain_demands)
+    last_domain_send_ = now;
+  resend_ = false;
+}
+
 ShardOwner::Output ShardOwner::Tick(const FleetView& view,
                                     const LimitLookup& limits,
                                     TimePoint now) {
@@ -312,6 +387,7 @@
   if (!owned_since_) {
     owned_since_ = now;
     granting_ = false;
+    resend_ = true;
     for (auto& [key, contract] : contracts_) {
       contract.sent = {};
       contract.shares.clear();
@@ -320,25 +396,35 @@
       host.full = true;
   }
   DropSilent(view, now);
-  // A new owner first hears from every host and domain. Until then it keeps
-  // silent: a sum over some of the hosts would be too small.
+  // A new owner first hears from every host, tells the other domains, and hears
+  // from them; what does not arrive in time is left out. A sum over some of the
+  // hosts would be too small.
   const bool alone = view.listed() == 1;
-  if (!alone && now - *owned_since_ < options_.keep_alive)
-    return output;
-  const bool hold_growth = granting_ && !alone;
+  const bool late = now - *owned_since_ >= options_.keep_alive;
+  if (!alone && !granting_ && !late) {
+    if (now - *owned_since_ < kCollectTime || !HeardAllHosts(view))
+      return output;
+    if (!HeardAllDomains(view)) {
+      Announce(limits, now, &output);
+      return output;
+    }
+  }
+  // An owner that starts early is as likely as a running one to meet demand
+  // that is on its way from another domain.
+  const bool hold_growth = (granting_ || !late) && !alone;
   if (!granting_)
     resend_ = true;
-  granting_ = true;
   const bool may_grow = alone || MayGrow(view, now);
   for (auto it = contracts_.begin(); it != contracts_.end();) {
     auto& [key, contract] = *it;
     const config::Limits known = limits.LimitsOf(key);
     UpdateDomainDemand(key, &contract, known, may_grow, &output);
-    Grant(key, &contract, known, hold_growth, now, &output);
+    Grant(key, &contract, known, view, hold_growth, now, &output);
     const bool unused = contract.hosts.empty() && contract.domains.empty() &&
                         IsZero(contract.sent);
     it = unused ? contracts_.erase(it) : std::next(it);
   }
+  granting_ = true;
   output.full_domain_demands = resend_;
   output.send_domain_demands = resend_ || !output.domain_demands.empty() ||
                                now - last_domain_send_ >= options_.keep_alive;
--- a/lib/quota/shard_owner.h
+++ b/lib/quota/shard_owner.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,7 +55,8 @@
 
   ShardOwner(const HostIdentity& self, const QuotaOptions& options);
 
-  void OnHostDemand(const HostDemand& message, TimePoint now);
+  /// Returns whether a host starts to use a contract, so that a tick is urgent.
+  bool OnHostDemand(const HostDemand& message, TimePoint now);
   void OnDomainDemand(const DomainDemand& message, TimePoint now);
 
   /// The next message to `host` names all its shares.
@@ -68,8 +70,8 @@
   /// The next message to the other owners names all demand.
   void ResendDomainDemand() { resend_ = true; }
 
-  /// Stops granting; the owner that takes over starts after a hold.
-  void Release() { owned_since_.reset(); }
+  /// Stops granting; the owner that takes over first collects all demand.
+  void Release();
 
   Output Tick(const FleetView& view, const LimitLookup& limits, TimePoint now);
 
@@ -82,7 +84,7 @@
   };
   struct SentShare {
     ContractShare share;
-    int growing_ticks = 0;  // for which a larger share was held back
+    std::optional<TimePoint> held_since;  // a larger share is held back
     bool ever = false;
   };
   struct Contract {
@@ -90,20 +92,26 @@
     std::map<std::string, ContractDemand> domains;  // without the own
     ContractDemand sent;                            // to the other owners
     std::map<std::string, SentShare> shares;        // by host
+    TimePoint even_until{};  // the domain keeps to its even part until then
   };
 
   void ForgetHost(const std::string& host);
   void ForgetDomain(const std::string& domain);
   void DropSilent(const FleetView& view, TimePoint now);
+  bool HeardAllHosts(const FleetView& view) const;
+  bool HeardAllDomains(const FleetView& view) const;
   bool MayGrow(const FleetView& view, TimePoint now) const;
   void UpdateDomainDemand(ContractKey key,
                           Contract* contract,
                           const config::Limits& limits,
                           bool may_grow,
                           Output* output) const;
+  /// Sends the domain's demand without granting anything yet.
+  void Announce(const LimitLookup& limits, TimePoint now, Output* output);
   void Grant(ContractKey key,
              Contract* contract,
              const config::Limits& limits,
+             const FleetView& view,
              bool hold_growth,
              TimePoint now,
              Output* output);
@@ -113,6 +121,9 @@
   std::map<ContractKey, Contract> contracts_;
   std::map<std::string, Host> hosts_;         // that reported demand
   std::map<std::string, TimePoint> domains_;  // time last heard
+  // Whose full message arrived since this host last was not the owner.
+  std::set<std::string> complete_hosts_;
+  std::set<std::string> complete_domains_;
   std::optional<TimePoint> owned_since_;
   TimePoint last_domain_send_{};
   bool granting_ = false;
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -16,6 +16,7 @@
 #include "teaselhill/router/config_exchange.h"
 #include "teaselhill/router/orders_driver.h"
 #include "teaselhill/router/peers.h"
+#include "teaselhill/router/quota_view.h"
 #include "teaselhill/router/report_poller.h"
 #include "teaselhill/router/request_coordinator.h"
 #include "teaselhill/router/state_gauges.h"
@@ -32,6 +33,8 @@
 constexpr milliseconds kSendsTick{100};
 constexpr milliseconds kExchangeTick{250};
 constexpr milliseconds kGaugeTick{1000};
+/// Most calls do nothing: demand is due every 250 ms, or when use starts.
+constexpr std::chrono::milliseconds kDemandTick{50};
 constexpr milliseconds kDrainPoll{20};
 
 /// How long the listener answers "not ready" before it is closed, so that the
@@ -81,19 +84,6 @@
   return options;
 }
 
-quota::MemberState ToQuotaState(membership::MemberState state) {
-  switch (state) {
-    case membership::MemberState::kAlive:
-      return quota::MemberState::kAlive;
-    case membership::MemberState::kSuspect:
-      return quota::MemberState::kSuspect;
-    case membership::MemberState::kLeaving:
-    case membership::MemberState::kDead:
-      break;
-  }
-  return quota::MemberState::kDead;
-}
-
 const char* StateName(membership::MemberState state) {
   switch (state) {
     case membership::MemberState::kAlive:
@@ -265,6 +255,7 @@
     Every(kMemberTick,
           [this](TimePoint now) { Carry(members_.OnTick(now, &rng_), now); });
     Every(kSendsTick, [this](TimePoint) { SpreadSends(); });
+    Every(kDemandTick, [this](TimePoint now) { SendDemand(now); });
     Every(kExchangeTick, [this](TimePoint now) { Exchange(now); });
     Every(kGaugeTick, [this](TimePoint now) { ExportGauges(now); });
     return Ok{};
@@ -442,7 +433,7 @@
     if (!list)
       return;
     std::vector<membership::HostListEntry> hosts;
-    listed_hosts_ = 0;
+    const size_t listed_before = std::exchange(listed_hosts_, 0);
     for (const platform::ListedHost& host : list->hosts) {
       hosts.push_back(
           {host.name, WithoutPort(host.address), host.domain, host.leaving});
@@ -459,6 +450,9 @@
         SpreadLeaving(upstreams_.MakeLeavingMessage(now));
     }
     Carry(members_.OnHostList(hosts, upstreams, now), now);
+    // The limits depend on the number of listed hosts.
+    if (listed_hosts_ != listed_before)
+      RefreshMembers(now);
   }
 
   /// Sends messages and reacts to changes of the membership.
@@ -484,23 +478,15 @@
   }
 
   void RefreshMembers(TimePoint now) {
-    quota::MembershipView view;
+    const std::vector<membership::MemberView> members = members_.Members(now);
     std::vector<std::string> live = {self_.host};
     addresses_.clear();
     same_domain_.clear();
     other_domains_.clear();
-    view.members.push_back(
-        {self_.host, settings_.domain, quota::MemberState::kAlive});
-    const std::vector<membership::MemberView> members = members_.Members(now);
     for (const membership::MemberView& seen : members) {
       const membership::MemberUpdate& member = seen.member;
       if (member.id.host == self_.host)
         continue;
-      view.members.push_back(
-          {member.id.host, member.domain, ToQuotaState(member.state)});
-      // Also the dead ones: the probes that find them again need a link, or
-      // two sides of a partition stay dead to each other when it has healed.
-      peers.push_back({member.id.host, member.address, settings_.peer_port});
       if (member.state == membership::MemberState::kDead)
         continue;
       addresses_[member.id.host] = member.address;
@@ -510,9 +496,10 @@
       (member.domain == settings_.domain ? same_domain_ : other_domains_)
           .push_back(member.id.host);
     }
-    view.listed_total = std::max(listed_hosts_, view.members.size());
     transport_->SetPeers(PeersOf(members, self_.host, settings_.peer_port));
-    limits_.OnMembers(view, now);
+    limits_.OnMembers(
+        MakeQuotaView(self_.host, settings_.domain, members, listed_hosts_),
+        now);
     claims_.SetAppendInterval(std::max<Duration>(
         kMinClaimInterval,
         std::chrono::seconds(live.size()) / kClaimAppendsPerSecond));
@@ -558,14 +545,17 @@
       SendTo(hosts[rng_.Below(hosts.size())], peer::Encode(message));
   }
 
-  void Exchange(TimePoint now) {
-    RefreshMembers(now);
+  void SendDemand(TimePoint now) {
     for (const quota::OutgoingMessage& outgoing : limits_.MakeDemand(now))
       std::visit(
           [&](const auto& message) {
             SendTo(outgoing.to_host, peer::Encode(message));
           },
           outgoing.message);
+  }
+
+  void Exchange(TimePoint now) {
+    RefreshMembers(now);
     upstreams_.Tick(now);
     crashes_.Expire(now);
     // Renewed every fourth time, because a mark from a peer expires.
