Limit connections on the operators' port

A caller without a key could use up the descriptors of the process there. In a trial a listener whose accept() had failed for want of descriptors never answered again after they were free.

--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -71,6 +71,8 @@
                                          restinio::noop_strand_t,
                                          CallerSocket> {
   using connection_state_listener_t = ConnectionListener;
+  // RESTinio looks this name up.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
 };
 
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -34,6 +34,10 @@
 /// platform's balancer sees it.
 constexpr milliseconds kDrainNotice{1000};
 
+/// Callers without a key can connect to the operators' port as well, and must
+/// not use up the descriptors of the process there.
+constexpr size_t kMaxOperatorConnections = 64;
+
 /// Appends a second on the log that claims of all hosts together may use.
 constexpr int kClaimAppendsPerSecond = 150;
 constexpr milliseconds kMinClaimInterval{10};
@@ -363,6 +367,7 @@
     options.address = settings_.address;
     options.port = settings_.admin_port;
     options.max_body_bytes = 1 << 20;
+    options.max_connections = kMaxOperatorConnections;
     options.tls = tls_.clients;
     return options;
   }
