Keep RESTinio's handling timeout out of the deadlines' way

At 24 h it met the longest deadline, and the socket would have answered 408 with "not-run" for a request that was running.

--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -18,8 +18,10 @@
 
 namespace {
 
-/// An answer may take minutes; the router's own deadlines end it, not RESTinio.
-constexpr std::chrono::hours kHandlingTimeout{24};
+/// The router's own deadlines (24 h at most) end an answer, not RESTinio: the
+/// socket could not tell this timeout from that of a request that trickles in,
+/// and would say "not run" of a request that is running.
+constexpr std::chrono::hours kHandlingTimeout{24 * 365};
 
 /// With a second request allowed in the pipeline RESTinio keeps reading while
 /// the first is handled, and so notices that the caller has disconnected.
