--- a/include/teaselhill/net/http_client.h
+++ b/include/teaselhill/net/http_client.h
@@ -6,12 +6,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_types.h"
+#include "teaselhill/net/tls.h"
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
 
@@ -30,6 +32,9 @@
   /// reused connection turns out to be dead, so a request that must not be
   /// sent twice sets this.
   bool fresh_connection = false;
+  /// Name under which the client counts the bytes of the transfer; empty: not
+  /// counted.
+  std::string purpose;
   std::string ca_file;  ///< trust anchors for https; empty: the system's
 };
 
@@ -60,6 +65,12 @@
 
 using TransferId = uint64_t;
 
+/// Bytes of HTTP heads and bodies, without those of lower layers.
+struct ByteCount {
+  uint64_t sent = 0;
+  uint64_t received = 0;
+};
+
 /// All functions must be called on the loop's thread.
 class HttpClient {
  public:
@@ -69,6 +80,10 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
+  /// Sets trust anchors and the own certificate for https. The files are read
+  /// for each new connection, so that a replaced file takes effect by itself.
+  void UseTls(TlsFiles files);
+
   /// Starts a transfer. The handler is kept until OnEnd() or Cancel().
   TransferId Start(ClientRequest request,
                    std::shared_ptr<TransferHandler> handler);
@@ -86,6 +101,9 @@
                    FetchCallback callback,
                    size_t max_body_bytes = 16 << 20);
 
+  /// Counts by purpose of the transfers that have ended.
+  const std::map<std::string, ByteCount>& byte_counts() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/include/teaselhill/router/metrics.h
+++ b/include/teaselhill/router/metrics.h
@@ -47,6 +47,13 @@
                  const std::string& label,
                  const std::map<std::string, double>& values);
 
+  /// Sets the value of a gauge for one value of one label.
+  void SetLabelledGauge(const std::string& name,
+                        const std::string& help,
+                        const std::string& label,
+                        const std::string& label_value,
+                        double value);
+
   /// Returns the text exposition format.
   std::string Exposition() const;
 
--- a/lib/ctl/host_commands.cc
+++ b/lib/ctl/host_commands.cc
@@ -31,6 +31,7 @@
   net::ClientRequest request;
   request.url = host.substr(0, host.find_last_not_of('/') + 1) + path;
   request.total_timeout = kHostTimeout;
+  request.ca_file = settings.tls_ca;
   request.headers = {{"Authorization", "Bearer " + settings.operator_key}};
   const auto answer = net::BlockingFetch(std::move(request));
   if (!answer)
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -28,6 +28,10 @@
 using CurlMulti = std::unique_ptr<CURLM, CurlMultiDeleter>;
 using CurlList = std::unique_ptr<curl_slist, CurlListDeleter>;
 
+/// libcurl's own sizes of 16 KiB and 64 KiB exceed what a stream may cost.
+constexpr long kReceiveBufferBytes = 4 << 10;
+constexpr long kSendBufferBytes = 16 << 10;
+
 void InitializeLibraryOnce() {
   static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   assert(initialized == CURLE_OK && "libcurl could not be initialized");
@@ -66,17 +70,39 @@
  public:
   Transfer(TransferId id,
            ClientRequest request,
-           std::shared_ptr<TransferHandler> handler)
+           std::shared_ptr<TransferHandler> handler,
+           const TlsFiles& tls)
       : id_(id),
         request_(std::move(request)),
         handler_(std::move(handler)),
         easy_(curl_easy_init()) {
     Configure();
+    if (request_.url.rfind("https:", 0) == 0)
+      ConfigureTls(tls);
   }
 
   TransferId id() const { return id_; }
   CURL* easy() const { return easy_.get(); }
 
+  const std::string& purpose() const { return request_.purpose; }
+
+  void CountBytes(ByteCount* count) const {
+    long request_bytes = 0;
+    long head_bytes = 0;
+    curl_off_t uploaded = 0;
+    curl_off_t downloaded = 0;
+    curl_easy_getinfo(easy(), CURLINFO_REQUEST_SIZE, &request_bytes);
+    curl_easy_getinfo(easy(), CURLINFO_HEADER_SIZE, &head_bytes);
+    curl_easy_getinfo(easy(), CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    curl_easy_getinfo(easy(), CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+    // libcurl counts a body that it sends together with the head as part of
+    // the request.
+    constexpr curl_off_t kSentWithHead = 64 * 1024;
+    count->sent += static_cast<uint64_t>(
+        request_bytes + (uploaded > kSentWithHead ? uploaded : 0));
+    count->received += static_cast<uint64_t>(head_bytes + downloaded);
+  }
+
   void End(CURLcode code) {
     DeliverHead();
     TransferEnd end;
@@ -99,6 +125,8 @@
     curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, error_);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, kSendBufferBytes);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      CurlMilliseconds(request_.connect_timeout));
     if (request_.total_timeout > Duration::zero())
@@ -107,8 +135,6 @@
     if (!request_.source_address.empty())
       curl_easy_setopt(easy, CURLOPT_INTERFACE,
                        request_.source_address.c_str());
-    if (!request_.ca_file.empty())
-      curl_easy_setopt(easy, CURLOPT_CAINFO, request_.ca_file.c_str());
     if (request_.fresh_connection)
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     ConfigureBody();
@@ -119,6 +145,22 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
   }
 
+  void ConfigureTls(const TlsFiles& tls) {
+    CURL* easy = easy_.get();
+    const std::string& ca =
+        request_.ca_file.empty() ? tls.ca : request_.ca_file;
+    if (!ca.empty())
+      curl_easy_setopt(easy, CURLOPT_CAINFO, ca.c_str());
+    // libcurl keeps trust anchors for a day otherwise.
+    curl_easy_setopt(easy, CURLOPT_CA_CACHE_TIMEOUT, 0L);
+    curl_easy_setopt(easy, CURLOPT_SSLVERSION,
+                     static_cast<long>(CURL_SSLVERSION_TLSv1_2));
+    if (!tls.enabled())
+      return;
+    curl_easy_setopt(easy, CURLOPT_SSLCERT, tls.certificate.c_str());
+    curl_easy_setopt(easy, CURLOPT_SSLKEY, tls.key.c_str());
+  }
+
   void ConfigureBody() {
     if (request_.method == "GET" && request_.body.empty())
       return;
@@ -279,11 +321,13 @@
     multi_.reset();
   }
 
+  void UseTls(TlsFiles files) { tls_ = std::move(files); }
+
   TransferId Start(ClientRequest request,
                    std::shared_ptr<TransferHandler> handler) {
     const TransferId id = ++last_id_;
-    auto transfer =
-        std::make_unique<Transfer>(id, std::move(request), std::move(handler));
+    auto transfer = std::make_unique<Transfer>(id, std::move(request),
+                                               std::move(handler), tls_);
     transfers_.emplace(id, std::move(transfer));
     if (!in_curl_) {
       Add(id);
@@ -315,6 +359,10 @@
     });
   }
 
+  const std::map<std::string, ByteCount>& byte_counts() const {
+    return byte_counts_;
+  }
+
   bool IsActive(TransferId id) const { return transfers_.count(id) > 0; }
 
   void SetPaused(TransferId id, bool paused) {
@@ -402,6 +450,8 @@
       const std::shared_ptr<Transfer> transfer = std::move(found->second);
       transfers_.erase(found);
       curl_multi_remove_handle(multi_.get(), transfer->easy());
+      if (!transfer->purpose().empty())
+        transfer->CountBytes(&byte_counts_[transfer->purpose()]);
       transfer->End(code);
       if (alive.expired())
         return;
@@ -409,8 +459,10 @@
   }
 
   EventLoop& loop_;
+  TlsFiles tls_;
   CurlMulti multi_;
   TransferId last_id_ = 0;
+  std::map<std::string, ByteCount> byte_counts_;
   bool in_curl_ = false;
   std::unordered_map<TransferId, std::shared_ptr<Transfer>> transfers_;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> watches_;
@@ -423,6 +475,10 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::UseTls(TlsFiles files) {
+  impl_->UseTls(std::move(files));
+}
+
 TransferId HttpClient::Start(ClientRequest request,
                              std::shared_ptr<TransferHandler> handler) {
   return impl_->Start(std::move(request), std::move(handler));
@@ -440,6 +496,10 @@
   impl_->SetPaused(id, false);
 }
 
+const std::map<std::string, ByteCount>& HttpClient::byte_counts() const {
+  return impl_->byte_counts();
+}
+
 namespace {
 
 class FetchHandler : public TransferHandler {
--- a/lib/router/metrics.cc
+++ b/lib/router/metrics.cc
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace teaselhill::router {
 
@@ -39,45 +40,27 @@
 class Metrics::Impl {
  public:
   prometheus::Gauge& FindGauge(const std::string& name,
-                               const std::string& help) {
+                               const std::string& help,
+                               const prometheus::Labels& labels) {
     const std::lock_guard<std::mutex> lock(mutex);
-    prometheus::Gauge*& gauge = gauges[name];
-    if (!gauge)
-      gauge = &prometheus::BuildGauge()
-                   .Name(name)
-                   .Help(help)
-                   .Register(registry)
-                   .Add({});
-    return *gauge;
+    prometheus::Family<prometheus::Gauge>*& family = gauges[name];
+    if (!family)
+      family =
+          &prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+    return family->Add(labels);
   }
 
-  void SetGauges(const std::string& name,
-                 const std::string& help,
-                 const std::string& label,
-                 const std::map<std::string, double>& values) {
+  /// Adds the values of the label and returns all that were ever given.
+  std::set<std::string> NoteValues(
+      const std::string& name,
+      const std::map<std::string, double>& values) {
     const std::lock_guard<std::mutex> lock(mutex);
-    const auto [entry, added] = labelled.try_emplace(name);
-    LabelledGauges& family = entry->second;
-    if (added)
-      family.family =
-          &prometheus::BuildGauge().Name(name).Help(help).Register(registry);
-    for (const auto& [value, gauge] : family.gauges) {
-      if (values.count(value) == 0)
-        gauge->Set(0);
-    }
-    for (const auto& [value, figure] : values) {
-      prometheus::Gauge*& gauge = family.gauges[value];
-      if (!gauge)
-        gauge = &family.family->Add({{label, value}});
-      gauge->Set(figure);
-    }
+    std::set<std::string>& known = label_values[name];
+    for (const auto& [value, figure] : values)
+      known.insert(value);
+    return known;
   }
 
-  struct LabelledGauges {
-    prometheus::Family<prometheus::Gauge>* family = nullptr;
-    std::map<std::string, prometheus::Gauge*> gauges;  ///< by label value
-  };
-
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& requests =
       prometheus::BuildCounter()
@@ -121,8 +104,8 @@
           .Help("Sends to upstreams by kind")
           .Register(registry);
   std::mutex mutex;
-  std::map<std::string, prometheus::Gauge*> gauges;
-  std::map<std::string, LabelledGauges> labelled;
+  std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges;
+  std::map<std::string, std::set<std::string>> label_values;  ///< by gauge
 };
 
 Metrics::Metrics() : impl_(std::make_unique<Impl>()) {}
@@ -173,7 +156,15 @@
 void Metrics::SetGauge(const std::string& name,
                        const std::string& help,
                        double value) {
-  impl_->FindGauge(name, help).Set(value);
+  impl_->FindGauge(name, help, {}).Set(value);
+}
+
+void Metrics::SetLabelledGauge(const std::string& name,
+                               const std::string& help,
+                               const std::string& label,
+                               const std::string& label_value,
+                               double value) {
+  impl_->FindGauge(name, help, {{label, label_value}}).Set(value);
 }
 
 void Metrics::ObserveControlDelay(Duration delay) {
@@ -184,7 +175,11 @@
                         const std::string& help,
                         const std::string& label,
                         const std::map<std::string, double>& values) {
-  impl_->SetGauges(name, help, label, values);
+  for (const std::string& value : impl_->NoteValues(name, values)) {
+    const auto given = values.find(value);
+    SetLabelledGauge(name, help, label, value,
+                     given == values.end() ? 0 : given->second);
+  }
 }
 
 std::string Metrics::Exposition() const {
