Read the order lease from the first offset of its stream

Cause: the driver started its tail at offset 0, but offsets start at 1. The tail took the first page for one with a hole and asked again for ever, so no host ever held the order lease once a record was on the stream.

--- a/lib/router/orders_driver.cc
+++ b/lib/router/orders_driver.cc
@@ -66,7 +66,7 @@
 OrdersDriver::~OrdersDriver() = default;
 
 void OrdersDriver::Start() {
-  tail_.Start(0);
+  tail_.Start(kFirstOffset);
   timer_ = context_.timers->Subscribe(kTickPeriod,
                                       [this](TimePoint now) { Tick(now); });
 }
