Read a large host list more rarely

A service that sends no ETag sends the whole list at each poll.

The period grows with the size of the answer, so that it takes 500 B/s. A host sees a change of a 500 KB list after 17 min; signs of leaving spread by membership from the first host that sees them.

--- a/include/teaselhill/platform/host_list_client.h
+++ b/include/teaselhill/platform/host_list_client.h
@@ -57,12 +57,14 @@
   std::string source_address;
   /// Time between polls, varied by up to a tenth at random.
   Duration period = std::chrono::seconds(30);
+  /// A large list that is sent whole is read more rarely than `period`.
+  double max_bytes_per_second = 500;
 };
 
 /// Sends `If-None-Match` with the last ETag: an unchanged list costs about
 /// 350 bytes a poll (12 B/s at 30 s) where the service supports it. Otherwise a
 /// poll costs the list's size; at 380 hosts and 4,100 upstreams (about 500 KB)
-/// the period must then be at least 10 min to stay within 1 KB/s.
+/// the byte limit then leaves about one poll in 17 min.
 class HttpHostListClient : public HostListClient {
  public:
   HttpHostListClient(net::HttpClient& client,
--- a/lib/platform/host_list_client.cc
+++ b/lib/platform/host_list_client.cc
@@ -3,6 +3,7 @@
 
 #include "teaselhill/platform/host_list_client.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -85,8 +86,12 @@
     return;
   }
   backoff_.Reset();
-  PollAfter(FromSeconds(ToSeconds(options_.period) *
-                        (1 + kPeriodSpread * (2 * rng_.Uniform() - 1))));
+  const double body_bytes =
+      unchanged ? 0 : static_cast<double>(answer->body.size());
+  const double period = std::max(ToSeconds(options_.period),
+                                 body_bytes / options_.max_bytes_per_second);
+  PollAfter(
+      FromSeconds(period * (1 + kPeriodSpread * (2 * rng_.Uniform() - 1))));
   if (unchanged)
     return;
   const uint64_t hash = Hash64(answer->body);
--- a/unittests/platform/http_clients_test.cc
+++ b/unittests/platform/http_clients_test.cc
@@ -137,6 +137,30 @@
   CHECK(lists == 1);
 }
 
+// Guards the byte budget: a service without ETag sends the whole list each
+// time.
+TEST_CASE_METHOD(Fixture, "a large host list is asked for more rarely") {
+  const bool large = GENERATE(false, true);
+  ManualTimerService timers;
+  Rng rng(1);
+  HostListOptions options{url, "", milliseconds(1000)};
+  options.max_bytes_per_second = 500;
+  HttpHostListClient list(client, timers, rng, options);
+  service.body =
+      R"({"hosts":[],"upstreams":[]})" + std::string(large ? 10000 : 0, ' ');
+  size_t lists = 0;
+  list.Start([&](const Result<HostList>&) { ++lists; });
+  RunUntil([&] { return lists == 1; });
+  // 10,000 bytes take 20 s at 500 B/s; the period varies by a tenth.
+  timers.Advance(seconds(large ? 17 : 2));
+  bool other_done = false;
+  client.Fetch({"GET", url}, [&](const auto&) { other_done = true; });
+  RunUntil([&] { return other_done; });
+  CHECK(service.requests.size() == (large ? 2 : 3));
+  timers.Advance(seconds(6));
+  RunUntil([&] { return service.requests.size() >= 3; });
+}
+
 TEST_CASE_METHOD(Fixture, "the weight store's rate limit is told apart") {
   HttpWeightStoreClient store(client, url);
   std::optional<Result<Duration>> answer;
