Divide load reports among hosts and send changes only

Each host polled each engine of its domain, and sent its figures of each engine in use by name to all hosts of the domain every 100 ms. The pace in UpstreamSends was never encoded.

Above 8 engines each engine is polled by one host, which tells the others the differences within 800 B/s. UpstreamSends holds changes only, with numbers instead of names, within a byte budget that falls above 8 receivers; the pace is encoded.

In the simulation of unittests/routing a listener of 29 hosts and 315 engines has no report older than 12.0 s, so reports are used for 15 s instead of 10 s.

--- a/include/teaselhill/peer/messages.h
+++ b/include/teaselhill/peer/messages.h
@@ -47,7 +47,8 @@
                              ConfigHint,
                              ConfigFetch,
                              ConfigTransfer,
-                             CrashFetch>;
+                             CrashFetch,
+                             routing::EngineReports>;
 
 /// Returns the CBOR form: an array of the type's number and its fields, which
 /// takes fewer bytes than maps with names.
--- a/include/teaselhill/router/report_poller.h
+++ b/include/teaselhill/router/report_poller.h
@@ -35,14 +35,21 @@
 
 class ReportPoller {
  public:
+  using ReportFunction = std::function<void(const std::string& engine,
+                                            const routing::LoadReport& report)>;
+
   ReportPoller(net::HttpClient& client,
                TimerService& timers,
                routing::UpstreamTable& table,
                Duration period,
                std::string source_address,
-               std::function<void()> on_report);
+               ReportFunction on_report);
   ~ReportPoller();
 
+  void SetPeriod(Duration period);
+  /// Cache events grow with the traffic of an engine, so a host that polls for
+  /// a whole failure domain does not read them.
+  void SetReadsEvents(bool reads_events) { reads_events_ = reads_events; }
   /// Replaces the engines that are polled.
   void SetEngines(const std::vector<PolledEngine>& engines);
 
@@ -66,7 +73,8 @@
   routing::UpstreamTable& table_;
   Duration period_;
   std::string source_address_;
-  std::function<void()> on_report_;
+  ReportFunction on_report_;
+  bool reads_events_ = true;
   std::map<std::string, Engine> engines_;
   uint64_t generation_ = 0;
   uint64_t rounds_ = 0;
--- a/include/teaselhill/routing/upstream_table.h
+++ b/include/teaselhill/routing/upstream_table.h
@@ -5,6 +5,7 @@
 #define TEASELHILL_ROUTING_UPSTREAM_TABLE_H_
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -127,6 +128,11 @@
   int64_t own_tokens_owed = 0;
   uint32_t sent_since_message = 0;
   uint32_t ended_since_message = 0;
+  TimePoint changed_at;  ///< first of these changes
+  TimePoint told_at;     ///< last entry in a message
+  uint32_t told_in_flight = 0;
+  uint32_t told_non_resumable = 0;
+  uint32_t told_suspects = 0;
 
   double seconds_per_token = 0;  ///< seen on own streams; 0: not seen
   double pace_samples = 0;       ///< tokens behind it, halved with age
@@ -180,7 +186,12 @@
 
   void OnPeerSends(const UpstreamSends& message, TimePoint now);
   void OnPeerLeaving(const UpstreamLeaving& message, TimePoint now);
-  UpstreamSends MakeSendsMessage(TimePoint now);
+  void OnPeerReports(const EngineReports& message, TimePoint now);
+  /// The most important changes since the previous message: at most
+  /// `max_entries`, and all changes of suspects in addition.
+  UpstreamSends MakeSendsMessage(
+      TimePoint now,
+      size_t max_entries = std::numeric_limits<size_t>::max());
   UpstreamLeaving MakeLeavingMessage(TimePoint now);
 
   /// Forgets peers that are gone, expires marks, updates medians and
@@ -234,6 +245,9 @@
   static int64_t Owed(const Attempt& attempt);
   bool Accepts(const HostIncarnation& sender) const;
   Upstream* Mutable(const std::string& name);
+  /// Null for an unknown number and for one that two names share.
+  Upstream* MutableByNumber(UpstreamNumber number);
+  void CountUntold(Upstream& upstream, uint32_t* count, TimePoint now);
   Peer& PeerOf(const HostIncarnation& host, TimePoint now);
   void AddChange(Upstream& upstream, TimePoint at, int delta);
   void RecordPace(Upstream& upstream,
@@ -256,6 +270,7 @@
   std::vector<Upstream> upstreams_;
   std::vector<uint32_t> free_;
   std::unordered_map<std::string, uint32_t> by_name_;
+  std::unordered_map<UpstreamNumber, uint32_t> by_number_;
   std::unordered_map<std::string, std::vector<uint32_t>> by_model_;
   std::unordered_map<std::string, std::vector<uint32_t>> by_service_;
   std::unordered_map<std::string, ModelPace> pace_;
--- a/lib/peer/messages.cc
+++ b/lib/peer/messages.cc
@@ -110,18 +110,43 @@
   Unpack(in.at(3), &share->concurrency);
 }
 
+constexpr Duration kPaceUnit = std::chrono::microseconds(100);
+constexpr Duration kReportAgeUnit = std::chrono::milliseconds(100);
+
 json Pack(const routing::UpstreamSendsEntry& entry) {
-  return json::array({entry.upstream, entry.sent, entry.ended, entry.in_flight,
-                      entry.non_resumable, entry.suspects});
+  json out = json::array({entry.upstream, entry.sent, entry.ended,
+                          entry.in_flight, entry.between_tokens / kPaceUnit,
+                          entry.non_resumable, entry.suspects});
+  // Most entries end in zeros, which are left out.
+  while (out.size() > 1 && out.back() == 0)
+    out.erase(out.size() - 1);
+  return out;
 }
 
 void Unpack(const json& in, routing::UpstreamSendsEntry* entry) {
-  entry->upstream = in.at(0).get<std::string>();
-  entry->sent = in.at(1).get<uint32_t>();
-  entry->ended = in.at(2).get<uint32_t>();
-  entry->in_flight = in.at(3).get<uint32_t>();
-  entry->non_resumable = in.at(4).get<uint32_t>();
-  entry->suspects = in.at(5).get<uint32_t>();
+  const auto field = [&in](size_t index) {
+    return index < in.size() ? in[index].get<uint32_t>() : 0;
+  };
+  entry->upstream = in.at(0).get<uint32_t>();
+  entry->sent = field(1);
+  entry->ended = field(2);
+  entry->in_flight = field(3);
+  entry->between_tokens = kPaceUnit * field(4);
+  entry->non_resumable = field(5);
+  entry->suspects = field(6);
+}
+
+json Pack(const routing::EngineReportEntry& entry) {
+  return json::array({entry.upstream, entry.load, entry.max_batch,
+                      entry.tokens_per_second, entry.age / kReportAgeUnit});
+}
+
+void Unpack(const json& in, routing::EngineReportEntry* entry) {
+  entry->upstream = in.at(0).get<uint32_t>();
+  entry->load = in.at(1).get<uint32_t>();
+  entry->max_batch = in.at(2).get<uint32_t>();
+  entry->tokens_per_second = in.at(3).get<uint32_t>();
+  entry->age = kReportAgeUnit * in.at(4).get<uint32_t>();
 }
 
 // The list templates see only what is declared before them.
@@ -265,14 +290,20 @@
 }
 
 json Pack(const routing::UpstreamSends& sends) {
-  return json::array(
-      {Pack(sends.sender), sends.sequence, PackList(sends.entries)});
+  return json::array({sends.sequence, PackList(sends.entries)});
 }
 
 void Unpack(const json& in, routing::UpstreamSends* sends) {
-  Unpack(in.at(0), &sends->sender);
-  sends->sequence = in.at(1).get<uint64_t>();
-  UnpackList(in.at(2), &sends->entries);
+  sends->sequence = in.at(0).get<uint64_t>();
+  UnpackList(in.at(1), &sends->entries);
+}
+
+json Pack(const routing::EngineReports& reports) {
+  return PackList(reports.entries);
+}
+
+void Unpack(const json& in, routing::EngineReports* reports) {
+  UnpackList(in, &reports->entries);
 }
 
 json Pack(const routing::UpstreamLeaving& leaving) {
@@ -367,7 +398,8 @@
                                                 "config_hint",
                                                 "config_fetch",
                                                 "config_transfer",
-                                                "crash_fetch"};
+                                                "crash_fetch",
+                                                "engine_reports"};
   static_assert(std::size(kNames) == std::variant_size_v<Message>);
   return index < std::size(kNames) ? kNames[index] : "unknown";
 }
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -17,6 +17,8 @@
 #include "teaselhill/router/orders_driver.h"
 #include "teaselhill/router/report_poller.h"
 #include "teaselhill/router/request_coordinator.h"
+#include "teaselhill/routing/byte_budget.h"
+#include "teaselhill/routing/report_sharing.h"
 
 namespace teaselhill::router {
 
@@ -31,6 +33,17 @@
 constexpr milliseconds kExchangeTick{250};
 constexpr milliseconds kDrainPoll{20};
 
+/// Bytes a second for `UpstreamSends` with up to `kFullSendsHosts` receivers.
+/// With more of them each message costs more and tells a smaller part of the
+/// load, so less is spent and load reports are relied on.
+constexpr double kSendsBytesPerSecond = 1000;
+constexpr size_t kFullSendsHosts = 8;
+constexpr std::chrono::seconds kSendsBurst{5};
+/// Size on the wire, with the frame.
+constexpr routing::MessageSize kSendsSize{14, 13};
+/// Fewer entries are not worth the head of a message.
+constexpr size_t kLeastSendsEntries = 4;
+
 /// How long the listener answers "not ready" before it is closed, so that the
 /// platform's balancer sees it.
 constexpr milliseconds kDrainNotice{1000};
@@ -168,6 +181,8 @@
                 {},
                 SteadyNow()),
         upstreams_(self_),
+        sharing_(settings.host, {}),
+        sends_budget_(kSendsBytesPerSecond, kSendsBurst),
         planner_(budget_),
         hedges_(HedgeSettings(settings)),
         crashes_(self_),
@@ -205,7 +220,11 @@
                 upstreams_,
                 settings.report_period,
                 settings.address,
-                [this] { coordinator_.Pump(Now()); }),
+                [this](const std::string& engine,
+                       const routing::LoadReport& report) {
+                  sharing_.OnOwnReport(engine, report, Now());
+                  coordinator_.Pump(Now());
+                }),
         admin_(*this, settings.operator_key_hashes),
         admin_server_(loop_, AdminOptions(), admin_) {
     if (settings.give_orders)
@@ -241,7 +260,7 @@
     });
     Every(kMemberTick,
           [this](TimePoint now) { Carry(members_.OnTick(now, &rng_), now); });
-    Every(kSendsTick, [this](TimePoint) { SpreadSends(); });
+    Every(kSendsTick, [this](TimePoint now) { TickSends(now); });
     Every(kExchangeTick, [this](TimePoint now) { Exchange(now); });
     return Ok{};
   }
@@ -291,9 +310,7 @@
   }
 
   void SpreadSends() override {
-    const routing::UpstreamSends sends = upstreams_.MakeSendsMessage(Now());
-    if (!sends.entries.empty())
-      Broadcast(sends, /*own_domain_only=*/true);
+    Spread(upstreams_.MakeSendsMessage(Now(), /*max_entries=*/0));
   }
 
   void SpreadLeaving(const routing::UpstreamLeaving& message) override {
@@ -390,6 +407,32 @@
     return options;
   }
 
+  void TickSends(TimePoint now) {
+    if (same_domain_.empty())
+      return;
+    const size_t entries = sends_budget_.Entries(
+        same_domain_.size(), kSendsSize, kLeastSendsEntries, now);
+    if (entries > 0)
+      Spread(upstreams_.MakeSendsMessage(now, entries));
+  }
+
+  void Spread(const routing::UpstreamSends& sends) {
+    if (sends.entries.empty())
+      return;
+    sends_budget_.Charge(same_domain_.size(), kSendsSize, sends.entries.size());
+    Broadcast(sends, /*own_domain_only=*/true);
+  }
+
+  /// Polls the engines that fall to this host.
+  void DivideReports() {
+    std::vector<PolledEngine> polled;
+    for (const std::string& engine : sharing_.polled())
+      polled.push_back({engine, engine_urls_[engine]});
+    poller_.SetEngines(polled);
+    poller_.SetPeriod(sharing_.PollPeriod(settings_.report_period));
+    poller_.SetReadsEvents(!sharing_.shared());
+  }
+
   void Every(Duration period, TimerService::Callback callback) {
     timers_.push_back(loop_.timers().Subscribe(period, std::move(callback)));
   }
@@ -481,6 +524,14 @@
       (member.domain == settings_.domain ? same_domain_ : other_domains_)
           .push_back(member.id.host);
     }
+    if (same_domain_ != sharing_hosts_) {
+      sharing_hosts_ = same_domain_;
+      sharing_.SetHosts(same_domain_);
+      DivideReports();
+      sends_budget_.SetRate(
+          kSendsBytesPerSecond * kFullSendsHosts /
+          static_cast<double>(std::max(kFullSendsHosts, same_domain_.size())));
+    }
     view.listed_total = std::max(listed_hosts_, view.members.size());
     transport_->SetPeers(peers);
     limits_.OnMembers(view, now);
@@ -538,6 +589,9 @@
           },
           outgoing.message);
     upstreams_.Tick(now);
+    const routing::EngineReports reports = sharing_.MakeMessage(now);
+    if (!reports.entries.empty())
+      Broadcast(reports, /*own_domain_only=*/true);
     crashes_.Expire(now);
     // Renewed every fourth time, because a mark from a peer expires.
     constexpr int kLeavingEvery = 4;
@@ -600,17 +654,21 @@
   void ApplyConfig(std::shared_ptr<const config::ConfigView> view) {
     const TimePoint now = Now();
     std::vector<routing::UpstreamSpec> specs;
-    std::vector<PolledEngine> polled;
+    std::vector<std::string> engines;
+    engine_urls_.clear();
     for (const auto& [name, entry] : view->assignments) {
       if (!entry.assignment)
         continue;
       specs.push_back(ToSpec(*entry.assignment));
       if (entry.assignment->kind == config::UpstreamKind::kEngine &&
-          entry.assignment->domain == settings_.domain)
-        polled.push_back({name, entry.assignment->url});
+          entry.assignment->domain == settings_.domain) {
+        engines.push_back(name);
+        engine_urls_[name] = entry.assignment->url;
+      }
     }
     upstreams_.Apply(specs, now);
-    poller_.SetEngines(polled);
+    sharing_.SetEngines(std::move(engines));
+    DivideReports();
     for (const auto& [customer, entry] : view->contracts) {
       if (entry.contract)
         limits_.ApplyContract(customer, entry.contract->limits, now);
@@ -671,11 +729,19 @@
                TimePoint now) {
     limits_.OnPeerDemand(message, now);
   }
-  void Receive(const HostIncarnation&,
-               const routing::UpstreamSends& message,
+  void Receive(const HostIncarnation& from,
+               routing::UpstreamSends message,
                TimePoint now) {
+    message.sender = from;
     upstreams_.OnPeerSends(message, now);
   }
+  void Receive(const HostIncarnation& from,
+               routing::EngineReports message,
+               TimePoint now) {
+    message.sender = from;
+    upstreams_.OnPeerReports(message, now);
+    coordinator_.Pump(now);
+  }
   void Receive(const HostIncarnation&,
                const routing::UpstreamLeaving& message,
                TimePoint now) {
@@ -722,6 +788,8 @@
   membership::MemberTable members_;
   quota::LimitShare limits_;
   routing::UpstreamTable upstreams_;
+  routing::ReportSharing sharing_;
+  routing::ByteBudget sends_budget_;
   retry::RetryBudget budget_;
   retry::AttemptPlanner planner_;
   retry::HedgePolicy hedges_;
@@ -741,6 +809,8 @@
   std::map<std::string, std::string> addresses_;
   std::vector<std::string> same_domain_;
   std::vector<std::string> other_domains_;
+  std::vector<std::string> sharing_hosts_;
+  std::map<std::string, std::string> engine_urls_;
   std::set<std::string> limited_;
   size_t listed_hosts_ = 0;
   bool host_list_reachable_ = false;
--- a/lib/router/report_poller.cc
+++ b/lib/router/report_poller.cc
@@ -85,7 +85,7 @@
                            routing::UpstreamTable& table,
                            Duration period,
                            std::string source_address,
-                           std::function<void()> on_report)
+                           ReportFunction on_report)
     : client_(client),
       timers_(timers),
       table_(table),
@@ -97,6 +97,13 @@
 
 ReportPoller::~ReportPoller() = default;
 
+void ReportPoller::SetPeriod(Duration period) {
+  if (period == period_)
+    return;
+  period_ = period;
+  timer_ = timers_.Subscribe(period_, [this](TimePoint now) { Poll(now); });
+}
+
 void ReportPoller::SetEngines(const std::vector<PolledEngine>& engines) {
   std::map<std::string, Engine> next;
   for (const PolledEngine& engine : engines) {
@@ -114,7 +121,8 @@
 }
 
 void ReportPoller::Poll(TimePoint) {
-  const bool with_events = rounds_++ % kRoundsPerEventPoll == 0;
+  const bool with_events =
+      rounds_++ % kRoundsPerEventPoll == 0 && reads_events_;
   for (auto& [name, engine] : engines_) {
     if (!engine.load_in_flight)
       PollLoad(name, engine);
@@ -159,7 +167,7 @@
                   if (!report)
                     return;
                   table_.OnReport(name, *report, timers_.Now());
-                  on_report_();
+                  on_report_(name, *report);
                 });
 }
 
--- a/lib/routing/upstream_table.cc
+++ b/lib/routing/upstream_table.cc
@@ -6,15 +6,25 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <tuple>
+
+#include "teaselhill/support/hash.h"
 
 namespace teaselhill::routing {
 
 namespace {
 
 /// A report older than this says less than the attempts in flight.
-constexpr Duration kReportUsable = std::chrono::seconds(10);
+/// At the design size, reports that hosts share are up to 12 s old.
+constexpr Duration kReportUsable = std::chrono::seconds(15);
 constexpr Duration kPeerLoadUsable = std::chrono::seconds(5);
 constexpr Duration kPeerForgotten = std::chrono::minutes(1);
+/// Counts that could not be told within this time are dropped: a report taken
+/// since then may contain them, and a receiver would count them twice.
+constexpr Duration kUntoldUsable = std::chrono::seconds(1);
+/// Repeats attempts in flight before `kPeerLoadUsable` ends at the receivers.
+constexpr Duration kSendsRenewal = std::chrono::seconds(1);
+constexpr uint32_t kAmbiguous = std::numeric_limits<uint32_t>::max();
 constexpr size_t kMaxChanges = 128;
 constexpr size_t kMaxPeerLoads = 64;
 constexpr size_t kMaxPeers = 1024;
@@ -44,7 +54,8 @@
 constexpr uint32_t kStallTokens = 4;  ///< weight of one stalled stream
 
 constexpr double kOutputLengthWeight = 0.05;
-constexpr double kPeerPaceWeight = 0.1;
+/// An upstream in use appears in about every second message of a peer.
+constexpr double kPeerPaceWeight = 0.2;
 
 uint8_t Bit(LeavingSign sign) {
   return static_cast<uint8_t>(sign);
@@ -70,6 +81,10 @@
 
 }  // namespace
 
+UpstreamNumber NumberOf(std::string_view upstream) {
+  return static_cast<UpstreamNumber>(Hash64(upstream));
+}
+
 int64_t UpstreamTable::Owed(const Attempt& attempt) {
   return static_cast<int64_t>(attempt.predicted) -
          std::min(attempt.tokens, attempt.predicted);
@@ -123,7 +138,11 @@
 void UpstreamTable::IndexTargets() {
   by_model_.clear();
   by_service_.clear();
+  by_number_.clear();
   for (const auto& [name, index] : by_name_) {
+    const auto [numbered, added] = by_number_.emplace(NumberOf(name), index);
+    if (!added)
+      numbered->second = kAmbiguous;
     const UpstreamSpec& spec = upstreams_[index].spec;
     if (spec.kind == UpstreamKind::kService) {
       by_service_[spec.service].push_back(index);
@@ -148,6 +167,20 @@
   return found == by_name_.end() ? nullptr : &upstreams_[found->second];
 }
 
+Upstream* UpstreamTable::MutableByNumber(UpstreamNumber number) {
+  const auto found = by_number_.find(number);
+  const bool known = found != by_number_.end() && found->second != kAmbiguous;
+  return known ? &upstreams_[found->second] : nullptr;
+}
+
+void UpstreamTable::CountUntold(Upstream& upstream,
+                                uint32_t* count,
+                                TimePoint now) {
+  if (upstream.sent_since_message == 0 && upstream.ended_since_message == 0)
+    upstream.changed_at = now;
+  ++*count;
+}
+
 const Upstream* UpstreamTable::Find(const std::string& upstream) const {
   const auto found = by_name_.find(upstream);
   return found == by_name_.end() ? nullptr : &upstreams_[found->second];
@@ -200,7 +233,7 @@
   upstream->own_non_resumable += sent.resumable ? 0 : 1;
   upstream->own_suspects += sent.suspect ? 1 : 0;
   upstream->own_tokens_owed += Owed(attempt);
-  ++upstream->sent_since_message;
+  CountUntold(*upstream, &upstream->sent_since_message, now);
   AddChange(*upstream, now, 1);
   if (HealthOf(*upstream, now) == Health::kProbing)
     upstream->probe = sent.attempt;
@@ -254,7 +287,7 @@
   upstream.own_non_resumable -= attempt.resumable ? 0 : 1;
   upstream.own_suspects -= attempt.suspect ? 1 : 0;
   upstream.own_tokens_owed -= Owed(attempt);
-  ++upstream.ended_since_message;
+  CountUntold(upstream, &upstream.ended_since_message, now);
   AddChange(upstream, now, -1);
   if (upstream.probe == id)
     upstream.probe = 0;
@@ -386,6 +419,11 @@
   fresh.own_tokens_owed = upstream.own_tokens_owed;
   fresh.sent_since_message = upstream.sent_since_message;
   fresh.ended_since_message = upstream.ended_since_message;
+  fresh.changed_at = upstream.changed_at;
+  fresh.told_at = upstream.told_at;
+  fresh.told_in_flight = upstream.told_in_flight;
+  fresh.told_non_resumable = upstream.told_non_resumable;
+  fresh.told_suspects = upstream.told_suspects;
   upstream = std::move(fresh);
   prefixes_.RemoveUpstream(upstream.index);
 }
@@ -426,7 +464,7 @@
     return;
   peer.sends_sequence = message.sequence;
   for (const UpstreamSendsEntry& entry : message.entries) {
-    Upstream* const upstream = Mutable(entry.upstream);
+    Upstream* const upstream = MutableByNumber(entry.upstream);
     if (upstream == nullptr)
       continue;
     const int64_t delta = int64_t{entry.sent} - int64_t{entry.ended};
@@ -479,21 +517,77 @@
   }
 }
 
-UpstreamSends UpstreamTable::MakeSendsMessage(TimePoint now) {
-  UpstreamSends message{self_, ++sends_sequence_, {}};
+void UpstreamTable::OnPeerReports(const EngineReports& message, TimePoint now) {
+  constexpr uint32_t kMostRequests = 1'000'000;
+  if (!Accepts(message.sender))
+    return;
+  for (const EngineReportEntry& entry : message.entries) {
+    const Upstream* const upstream = MutableByNumber(entry.upstream);
+    if (upstream == nullptr)
+      continue;
+    LoadReport report;
+    report.max_batch =
+        static_cast<int>(std::min(entry.max_batch, kMostRequests));
+    const int load = static_cast<int>(std::min(entry.load, kMostRequests));
+    report.running = std::min(load, report.max_batch);
+    report.waiting = load - report.running;
+    report.tokens_per_second = entry.tokens_per_second;
+    report.age = entry.age;
+    OnReport(upstream->spec.name, report, now);
+  }
+}
+
+UpstreamSends UpstreamTable::MakeSendsMessage(TimePoint now,
+                                              size_t max_entries) {
+  struct Candidate {
+    bool suspects;
+    bool non_resumable;
+    uint32_t change;
+    TimePoint told_at;
+    uint32_t index;
+  };
+  std::vector<Candidate> candidates;
   for (const auto& [name, index] : by_name_) {
     Upstream& upstream = upstreams_[index];
-    if (upstream.sent_since_message == 0 && upstream.ended_since_message == 0 &&
-        upstream.own_in_flight == 0)
-      continue;
+    uint32_t& sent = upstream.sent_since_message;
+    uint32_t& ended = upstream.ended_since_message;
+    if (now - upstream.changed_at > kUntoldUsable)
+      sent = ended = 0;
+    const bool renew =
+        upstream.own_in_flight > 0 && now - upstream.told_at >= kSendsRenewal;
+    const Candidate candidate = {
+        upstream.own_suspects != upstream.told_suspects ||
+            (renew && upstream.own_suspects > 0),
+        upstream.own_non_resumable != upstream.told_non_resumable ||
+            (renew && upstream.own_non_resumable > 0),
+        sent > ended ? sent - ended : ended - sent, upstream.told_at, index};
+    if (candidate.suspects || candidate.non_resumable || sent > 0 ||
+        ended > 0 || renew || upstream.own_in_flight != upstream.told_in_flight)
+      candidates.push_back(candidate);
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::tie(b.suspects, b.non_resumable, b.change, a.told_at,
+                              a.index) < std::tie(a.suspects, a.non_resumable,
+                                                  a.change, b.told_at, b.index);
+            });
+  UpstreamSends message{self_, ++sends_sequence_, {}};
+  for (const Candidate& candidate : candidates) {
+    if (message.entries.size() >= max_entries && !candidate.suspects)
+      break;
+    Upstream& upstream = upstreams_[candidate.index];
     const Duration pace = DecayedSamples(upstream, now) >= kMinPaceSamples
                               ? FromSeconds(upstream.seconds_per_token)
                               : Duration{};
     message.entries.push_back(
-        {name, upstream.sent_since_message, upstream.ended_since_message,
-         upstream.own_in_flight, upstream.own_non_resumable,
-         upstream.own_suspects, pace});
+        {NumberOf(upstream.spec.name), upstream.sent_since_message,
+         upstream.ended_since_message, upstream.own_in_flight,
+         upstream.own_non_resumable, upstream.own_suspects, pace});
     upstream.sent_since_message = upstream.ended_since_message = 0;
+    upstream.told_at = now;
+    upstream.told_in_flight = upstream.own_in_flight;
+    upstream.told_non_resumable = upstream.own_non_resumable;
+    upstream.told_suspects = upstream.own_suspects;
   }
   return message;
 }
@@ -645,8 +739,8 @@
              upstream.peers.capacity() * sizeof(PeerLoad);
     for (const std::string& model : upstream.spec.models)
       bytes += sizeof(std::string) + model.capacity() + sizeof(uint32_t);
-    // Entry of by_name_: node, key and bucket.
-    bytes += 64 + upstream.spec.name.capacity();
+    // Entries of by_name_ and by_number_: nodes, keys and buckets.
+    bytes += 64 + upstream.spec.name.capacity() + 32;
   }
   bytes += attempts_.size() * (sizeof(Attempt) + 32);
   return bytes;
--- a/scripts/lib/measure_slopes.py
+++ b/scripts/lib/measure_slopes.py
@@ -56,6 +56,9 @@
 
 def serve_engines():
     import asyncio
+    import resource
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     urls = json.load(sys.stdin)
     body = json.dumps({"running": 20, "waiting": 0, "max_batch": 64,
                        "tokens_per_second": 600.0, "report_age_ms": 100,
@@ -339,6 +342,30 @@
     return summarize("upstreams", "upstreams", DESIGN["upstreams"], runs)
 
 
+def part_reports(options):
+    """Hosts of one domain with its 316 engines, without traffic."""
+    runs = []
+    for _ in range(options.repeats):
+        run = []
+        for count in (8, 29):
+            with Fleet(options.build) as fleet:
+                fleet.start_platform()
+                fleet.farm = EngineFarm(fleet.net16, 316)
+                upstreams = engines_of(316, fleet.farm.urls, lambda i: "d0")
+                next_offset = configure(fleet, upstreams, 0)
+                fleet.start_hosts(["d0"] * count)
+                fleet.publish_list([])
+                fleet.wait_applied(next_offset)
+                time.sleep(options.settle)
+                rows = fleet.measure(10)
+                row = mean_row(rows)
+                row["most_bytes_per_second"] = max(r["bytes_per_second"]
+                                                   for r in rows)
+                run.append((count, row))
+        runs.append(run)
+    return summarize("reports", "hosts_of_domain", 29, runs)
+
+
 def part_contracts(options):
     runs = []
     for _ in range(options.repeats):
@@ -528,7 +555,8 @@
 
 
 PARTS = {"hosts": part_hosts, "upstreams": part_upstreams,
-         "contracts": part_contracts, "changes": part_changes,
+         "reports": part_reports, "contracts": part_contracts,
+         "changes": part_changes,
          "claims": part_claims, "sends": part_sends, "latency": part_latency}
 
 
--- a/unittests/peer/messages_test.cc
+++ b/unittests/peer/messages_test.cc
@@ -29,20 +29,21 @@
   suspicion.runs.push_back({{7, 8}, true});
   suspicion.exonerations.push_back({{5, 6}, std::chrono::seconds(2)});
   const quota::StreamHead head{"host-a", 1, 2, 3, true, false};
-  return {
-      membership::Ping{member, 7, gossip},
-      membership::Ack{member, 7, {}},
-      membership::IndirectPing{member, 7, "host-b", gossip},
-      quota::HostDemand{head, {{4, 1.5f, 2.5f, 3.0f}}},
-      quota::DomainDemand{head, "d1", {{4, 1.5f, 2.5f, 0}}},
-      quota::ShareGrant{head, {{4, {0, 0.5f}, {0.25f, 1}, {0, 1}}}},
-      routing::UpstreamSends{{"host-a", 1}, 9, {{"engine-1", 1, 2, 3, 4, 5}}},
-      routing::UpstreamLeaving{{"host-a", 1}, 9, {"engine-1", "engine-2"}},
-      suspicion,
-      ConfigHint{12},
-      ConfigFetch{11},
-      ConfigTransfer{"{\"state\":1}"},
-      CrashFetch{}};
+  return {membership::Ping{member, 7, gossip},
+          membership::Ack{member, 7, {}},
+          membership::IndirectPing{member, 7, "host-b", gossip},
+          quota::HostDemand{head, {{4, 1.5f, 2.5f, 3.0f}}},
+          quota::DomainDemand{head, "d1", {{4, 1.5f, 2.5f, 0}}},
+          quota::ShareGrant{head, {{4, {0, 0.5f}, {0.25f, 1}, {0, 1}}}},
+          routing::UpstreamSends{{"host-a", 1}, 9, {{1u << 31, 1, 2, 3, 4, 5}}},
+          routing::UpstreamLeaving{{"host-a", 1}, 9, {"engine-1", "engine-2"}},
+          suspicion,
+          ConfigHint{12},
+          ConfigFetch{11},
+          ConfigTransfer{"{\"state\":1}"},
+          CrashFetch{},
+          routing::EngineReports{
+              {}, {{7, 40, 64, 600, std::chrono::milliseconds(300)}}}};
 }
 
 }  // namespace
@@ -57,6 +58,24 @@
   }
 }
 
+// Guards against figures that the codec leaves out, as it once did with the
+// pace.
+TEST_CASE("all figures of an upstream reach the peer") {
+  const routing::UpstreamSendsEntry sent{
+      7, 1, 2, 3, 4, 5, std::chrono::microseconds(29300)};
+  const Result<Message> decoded =
+      Decode(Encode(routing::UpstreamSends{{}, 9, {sent}}));
+  REQUIRE(decoded.ok());
+  const auto& entry = std::get<routing::UpstreamSends>(*decoded).entries.at(0);
+  CHECK(entry.upstream == sent.upstream);
+  CHECK(entry.sent == sent.sent);
+  CHECK(entry.ended == sent.ended);
+  CHECK(entry.in_flight == sent.in_flight);
+  CHECK(entry.non_resumable == sent.non_resumable);
+  CHECK(entry.suspects == sent.suspects);
+  CHECK(entry.between_tokens == sent.between_tokens);
+}
+
 TEST_CASE("a truncated message is refused and never crashes the host") {
   for (const Message& message : Samples()) {
     const std::string payload = Encode(message);
--- /dev/null
+++ b/unittests/routing/report_sharing_test.cc
@@ -0,0 +1,145 @@
+/// \file
+/// Guards the division of load reports: an engine that no host polls, load that
+/// grows too old to use, and messages beyond the byte budget.
+
+#include "teaselhill/routing/report_sharing.h"
+
+#include <catch2/catch.hpp>
+
+#include "testing.h"
+
+namespace teaselhill::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<std::string> Names(const std::string& prefix, int count) {
+  std::vector<std::string> names;
+  for (int i = 0; i < count; ++i)
+    names.push_back(prefix + std::to_string(i));
+  return names;
+}
+
+/// One `ReportSharing` for each host, all with the same view.
+std::vector<ReportSharing> Fleet(const std::vector<std::string>& hosts,
+                                 int engines) {
+  std::vector<ReportSharing> fleet;
+  for (const std::string& self : hosts) {
+    std::vector<std::string> others;
+    for (const std::string& host : hosts) {
+      if (host != self)
+        others.push_back(host);
+    }
+    fleet.emplace_back(self, ReportSharingOptions{});
+    fleet.back().SetEngines(Names("e", engines));
+    fleet.back().SetHosts(others);
+  }
+  return fleet;
+}
+
+}  // namespace
+
+// Guards against an engine without a poller, and against a change of hosts that
+// moves engines between hosts that stay.
+TEST_CASE("each engine has one poller and a lost host moves few others") {
+  struct Row {
+    int hosts;
+    int engines;
+    size_t pollers;
+  };
+  const auto row =
+      GENERATE(values<Row>({{1, 40, 1}, {5, 8, 5}, {5, 9, 1}, {29, 315, 1}}));
+  const std::vector<std::string> hosts = Names("h", row.hosts);
+  const auto fleet = Fleet(hosts, row.engines);
+  const auto fewer = Fleet({hosts.begin() + 1, hosts.end()}, row.engines);
+  size_t moved = 0;
+  for (const std::string& engine : Names("e", row.engines)) {
+    size_t pollers = 0;
+    for (size_t i = 0; i < fleet.size(); ++i) {
+      const bool polls = fleet[i].polled().count(engine) > 0;
+      pollers += polls;
+      moved += i > 0 && polls && fewer[i - 1].polled().count(engine) == 0;
+    }
+    CHECK(pollers == row.pollers);
+  }
+  CHECK(moved <= static_cast<size_t>(row.engines) / 20);
+  for (const ReportSharing& sharing : fleet)
+    CHECK(sharing.polled().size() * row.hosts <=
+          1.3 * row.engines * row.pollers + row.hosts);
+}
+
+// Guards against polls that grow with the domain, and against a lone host whose
+// reports become too old to use.
+TEST_CASE("the poll period grows with the engines up to a bound") {
+  struct Row {
+    int hosts;
+    int engines;
+    Duration least;
+    Duration most;
+  };
+  const auto row = GENERATE(values<Row>({
+      {2, 8, milliseconds(500), milliseconds(500)},
+      {1, 315, seconds(5), seconds(5)},
+      {29, 315, milliseconds(1000), milliseconds(3500)},
+  }));
+  for (const ReportSharing& sharing :
+       Fleet(Names("h", row.hosts), row.engines)) {
+    CHECK(sharing.PollPeriod(milliseconds(500)) >= row.least);
+    CHECK(sharing.PollPeriod(milliseconds(500)) <= row.most);
+  }
+}
+
+// Guards against messages beyond the byte budget, and against reports that age
+// beyond the 15 s for which the table uses them.
+TEST_CASE("a domain at the design size hears of each engine in time") {
+  constexpr int kHosts = 29;
+  constexpr int kEngines = 315;
+  auto fleet = Fleet(Names("h", kHosts), kEngines);
+  UpstreamTable table({"listener", 1});
+  table.Apply(Engines(kEngines), kStart);
+  Rng rng(20261203);
+  std::vector<TimePoint> polled(kHosts, kStart);
+  std::vector<size_t> bytes(kHosts, 0);
+  Duration oldest{};
+  constexpr auto kLasts = seconds(120);
+  for (TimePoint now = kStart; now < kStart + kLasts;
+       now += milliseconds(250)) {
+    for (int host = 0; host < kHosts; ++host) {
+      ReportSharing& sharing = fleet[host];
+      if (now - polled[host] >= sharing.PollPeriod(milliseconds(500))) {
+        polled[host] = now;
+        for (const std::string& engine : sharing.polled())
+          sharing.OnOwnReport(engine,
+                              {20 + static_cast<int>(rng.Below(30)), 0, 64, 600,
+                               milliseconds(200)},
+                              now);
+      }
+      EngineReports message = sharing.MakeMessage(now);
+      if (message.entries.empty())
+        continue;
+      bytes[host] += (kHosts - 1) * (12 + 14 * message.entries.size());
+      message.sender = {"h" + std::to_string(host), 1};
+      table.OnPeerReports(message, now);
+    }
+    if (now - kStart < seconds(30))
+      continue;
+    for (const std::string& engine : Names("e", kEngines)) {
+      const Upstream& upstream = *table.Find(engine);
+      REQUIRE(upstream.has_report);
+      oldest = std::max(oldest, now - upstream.report_taken);
+    }
+  }
+  size_t most = 0;
+  for (const size_t sent : bytes)
+    most = std::max(most, sent);
+  WARN("oldest report " << ToMilliseconds(oldest) << " ms, most bytes "
+                        << static_cast<double>(most) / ToSeconds(kLasts)
+                        << " B/s a host");
+  // One burst of 8 s above the rate.
+  CHECK(static_cast<double>(most) <= 800 * (ToSeconds(kLasts) + 8));
+  CHECK(oldest < seconds(12));
+}
+
+}  // namespace teaselhill::routing
--- a/unittests/routing/routing_policy_test.cc
+++ b/unittests/routing/routing_policy_test.cc
@@ -159,9 +159,9 @@
       if (state == 1)
         request.excluded.push_back(name);
       if (state == 2)
-        peer.entries.push_back({name, 0, 0, 1, 1, 0});
+        peer.entries.push_back({NumberOf(name), 0, 0, 1, 1, 0});
       if (state == 3)
-        peer.entries.push_back({name, 0, 0, 1, 0, 1});
+        peer.entries.push_back({NumberOf(name), 0, 0, 1, 0, 1});
       if (state == 4) {
         Break(table, name, kStart);
         ++out;
@@ -205,7 +205,7 @@
   UpstreamTable table({"h0", 1});
   table.Apply(Engines(1), kStart);
   table.OnReport("e0", Load(7), kStart);
-  UpstreamSends peer{{"", 1}, 1, {{"e0", 0, 0, 1, 0, 0, {}}}};
+  UpstreamSends peer{{"", 1}, 1, {{NumberOf("e0"), 0, 0, 1, 0, 0, {}}}};
   for (const char* host : {"h1", "h2", "h3"}) {
     peer.sender.host = host;
     table.OnPeerSends(peer, kStart);
@@ -348,7 +348,7 @@
     table.OnReport(name, Load(i % 9), kStart);
     UpstreamSends peer{{"h" + std::to_string(1 + i % 30), 1}, 1, {}};
     for (const UpstreamSpec& spec : specs)
-      peer.entries.push_back({spec.name, 1, 1, 1, 0, 0});
+      peer.entries.push_back({NumberOf(spec.name), 1, 1, 1, 0, 0});
     table.OnPeerSends(peer, kStart);
     SentAttempt sent = Attempt(static_cast<AttemptId>(i), name);
     sent.prefix_blocks = request.prefix_blocks;
--- a/unittests/routing/upstream_table_test.cc
+++ b/unittests/routing/upstream_table_test.cc
@@ -74,15 +74,16 @@
         const UpstreamSends message{
             {"h1", 1},
             ++sequence,
-            {{"e0", sent, 0, static_cast<uint32_t>(peer), 0, 0}}};
+            {{NumberOf("e0"), sent, 0, static_cast<uint32_t>(peer), 0, 0}}};
         table.OnPeerSends(message, now);
         table.OnPeerSends(message, now);  // repeated: counts once
       } else if (operation.kind == 4 && peer > 0) {
         --peer;
-        table.OnPeerSends({{"h1", 1},
-                           ++sequence,
-                           {{"e0", 0, 1, static_cast<uint32_t>(peer), 0, 0}}},
-                          now);
+        table.OnPeerSends(
+            {{"h1", 1},
+             ++sequence,
+             {{NumberOf("e0"), 0, 1, static_cast<uint32_t>(peer), 0, 0}}},
+            now);
       } else if (operation.kind == 5) {
         snapshot = static_cast<int>(own.size()) + peer;
         snapshot_at = now;
@@ -302,6 +303,47 @@
   CHECK(PrefixBlocks("n", std::string(1024, 'x')) != blocks);
 }
 
+// Guards against messages that grow with the attempts in flight instead of with
+// the changes, and against a limit that keeps back a crash suspect.
+TEST_CASE("a limited message tells suspects and the largest changes") {
+  UpstreamTable table({"h0", 1});
+  table.Apply(Engines(4), kStart);
+  TimePoint now = kStart;
+  AttemptId id = 0;
+  for (int engine = 0; engine < 3; ++engine) {
+    for (int i = 0; i <= engine; ++i)
+      table.OnSent(Attempt(++id, "e" + std::to_string(engine)), now);
+  }
+  SentAttempt suspect = Attempt(++id, "e3");
+  suspect.suspect = true;
+  table.OnSent(suspect, now);
+  const UpstreamSends urgent = table.MakeSendsMessage(now, 0);
+  REQUIRE(urgent.entries.size() == 1);
+  CHECK(urgent.entries[0].upstream == NumberOf("e3"));
+  CHECK(urgent.entries[0].suspects == 1);
+  const UpstreamSends limited = table.MakeSendsMessage(now, 1);
+  REQUIRE(limited.entries.size() == 1);
+  CHECK(limited.entries[0].upstream == NumberOf("e2"));
+  CHECK(limited.entries[0].sent == 3);
+  CHECK(table.MakeSendsMessage(now).entries.size() == 2);
+  now += milliseconds(900);
+  CHECK(table.MakeSendsMessage(now).entries.empty());
+  now += milliseconds(200);
+  CHECK(table.MakeSendsMessage(now).entries.size() == 4);
+}
+
+// Guards against load that is counted twice: by a report, and by a message
+// about attempts that the report already contains.
+TEST_CASE("counts that could not be told in time are dropped") {
+  UpstreamTable table({"h0", 1});
+  table.Apply(Engines(1), kStart);
+  table.OnSent(Attempt(1, "e0"), kStart);
+  const UpstreamSends late = table.MakeSendsMessage(kStart + seconds(2));
+  REQUIRE(late.entries.size() == 1);
+  CHECK(late.entries[0].sent == 0);
+  CHECK(late.entries[0].in_flight == 1);
+}
+
 // Guards the memory bound of docs/decisions/routing.md.
 TEST_CASE("4100 upstreams fit in 16 MB") {
   UpstreamTable table({"h0", 1});
@@ -312,7 +354,7 @@
   for (int peer = 1; peer <= 30; ++peer) {
     UpstreamSends message{{"host" + std::to_string(peer), 1}, 1, {}};
     for (const UpstreamSpec& spec : specs)
-      message.entries.push_back({spec.name, 1, 0, 1, 0, 0});
+      message.entries.push_back({NumberOf(spec.name), 1, 0, 1, 0, 0});
     table.OnPeerSends(message, kStart);
   }
   WARN("4100 upstreams with 30 peers: " << table.MemoryBytes() << " bytes");
