Read claims of other hosts in gathered answers

Each append to the claims stream ended the long poll of every host, so each cost 350 bytes of HTTP and a wake-up there in addition to its own size.

The script also measures control time against open streams (--part traffic).

--- a/include/teaselhill/platform/log_tail.h
+++ b/include/teaselhill/platform/log_tail.h
@@ -20,6 +20,9 @@
   size_t batch = 256;
   Duration poll_wait = std::chrono::seconds(25);
   Backoff::Options backoff;
+  /// Delay after records that reach the end of the log, so that those of many
+  /// hosts come in one answer; `Poke` ends it.
+  Duration pause{};
   /// Delay between reads while the log ends before the tail's offset or its
   /// offset was dropped. A long poll cannot be used there.
   Duration recheck = std::chrono::seconds(2);
--- a/lib/platform/log_tail.cc
+++ b/lib/platform/log_tail.cc
@@ -108,7 +108,10 @@
   next_ += records.size();
   lag_.behind = page.next_offset > next_ ? page.next_offset - next_ : 0;
   // An empty answer that came back at once must not make the tail spin.
-  ReadAfter(records.empty() ? backoff_.Next() : Duration{});
+  if (records.empty())
+    ReadAfter(backoff_.Next());
+  else
+    ReadAfter(lag_.behind == 0 ? options_.pause : Duration{});
   if (!records.empty())
     observer_.OnRecords(records);
 }
--- a/lib/router/claims_driver.cc
+++ b/lib/router/claims_driver.cc
@@ -14,10 +14,15 @@
 constexpr std::chrono::seconds kTickPeriod{1};
 constexpr std::chrono::milliseconds kBoundsRetry{500};
 
+/// Each answer costs 350 bytes of HTTP, which outweighs the claims of other
+/// hosts. An own append ends the pause, so own claims win as soon as before.
+constexpr std::chrono::milliseconds kReadPause{500};
+
 platform::LogTailOptions TailOptions() {
   platform::LogTailOptions options;
   options.stream = kClaimsStream;
   options.batch = 1024;
+  options.pause = kReadPause;
   return options;
 }
 
--- a/scripts/lib/measure_slopes.py
+++ b/scripts/lib/measure_slopes.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.request
 
@@ -153,7 +154,7 @@
                 "--domain", host["domain"], "--address", host["address"],
                 "--log-url", self.log, "--host-list-url", self.list,
                 "--peer-secret", SECRET, "--peers", peers,
-                "--traffic-threads", "1", "--log-level", "warning", *extra)
+                "--log-level", "warning", *(extra or ("--traffic-threads", "1")))
         for host in self.hosts[first:]:
             self.wait(f"http://{host['address']}:8080/healthz")
 
@@ -554,10 +555,44 @@
     return result
 
 
+def part_traffic(options):
+    """Control time against open streams of 290 tokens at 29 ms."""
+    runs = []
+    for _ in range(options.repeats):
+        run = []
+        with Fleet(options.build) as fleet:
+            fleet.start_platform()
+            upstreams = start_engines(fleet, 8, token_ms=29, max_batch=64)
+            next_offset = configure(fleet, upstreams, 1)
+            fleet.start_hosts(["d0"], "--traffic-threads", "2")
+            fleet.publish_list([])
+            fleet.wait_applied(next_offset)
+            time.sleep(5)
+            url = f"http://{fleet.hosts[0]['address']}:8080"
+            for streams in (0, 100, 400):
+                answers = {}
+
+                def load():
+                    answers.update(bench(fleet, [url], streams, 19, tokens=290))
+
+                thread = threading.Thread(target=load)
+                if streams:
+                    thread.start()
+                time.sleep(6)
+                row = mean_row(fleet.measure(10))
+                if streams:
+                    thread.join()
+                    row["tokens_per_second"] = answers["events_per_second"]
+                run.append((streams, row))
+        runs.append(run)
+    return summarize("traffic", "open_streams", 400, runs)
+
+
 PARTS = {"hosts": part_hosts, "upstreams": part_upstreams,
          "reports": part_reports, "contracts": part_contracts,
          "changes": part_changes,
-         "claims": part_claims, "sends": part_sends, "latency": part_latency}
+         "claims": part_claims, "sends": part_sends, "latency": part_latency,
+         "traffic": part_traffic}
 
 
 def main():
--- a/scripts/measure-slopes.sh
+++ b/scripts/measure-slopes.sh
@@ -4,7 +4,8 @@
 #
 #   scripts/measure-slopes.sh [--part NAME] [--repeats N] [--build DIR]
 #
-# Parts: hosts upstreams reports contracts changes claims sends latency; default: all.
+# Parts: hosts upstreams reports contracts changes claims sends latency
+# traffic; default: all.
 # The last line of output is a JSON object with the slopes, their spread over the
 # repeats and the extrapolation to the design size.
 set -eu
--- a/unittests/platform/log_tail_test.cc
+++ b/unittests/platform/log_tail_test.cc
@@ -70,10 +70,12 @@
 };
 
 struct Fixture {
-  Fixture() : tail(log, timers, rng, Options(), observer) {}
+  explicit Fixture(Duration pause = {})
+      : tail(log, timers, rng, Options(pause), observer) {}
 
-  static LogTailOptions Options() {
+  static LogTailOptions Options(Duration pause) {
     LogTailOptions options;
+    options.pause = pause;
     options.stream = "config";
     options.batch = 3;
     return options;
@@ -93,6 +95,29 @@
 
 }  // namespace
 
+// Guards the byte budget against one answer for each record, and own appends
+// against a pause.
+TEST_CASE("a pause gathers records unless more are known or a poke asks") {
+  Fixture f(seconds(1));
+  f.tail.Start(1);
+  f.log.next = 5;
+  f.Step({});
+  f.Step({});
+  CHECK(f.observer.seen.size() == 4);
+  CHECK(f.log.reads == 2);
+  f.log.next = 7;
+  f.Step(std::chrono::milliseconds(900));
+  CHECK(f.log.reads == 2);
+  const bool poke = GENERATE(false, true);
+  if (poke)
+    f.tail.Poke();
+  else
+    f.timers.Advance(std::chrono::milliseconds(100));
+  f.log.Answer();
+  CHECK(f.observer.seen.size() == 6);
+  CHECK(f.log.reads == 3);
+}
+
 TEST_CASE("each record is delivered once, in order, through any outages") {
   rc::prop("appends, outages and peers' hints", [] {
     Fixture f;
