--- a/include/teaselhill/router/request_coordinator.h
+++ b/include/teaselhill/router/request_coordinator.h
@@ -57,6 +57,8 @@
   Duration between_tokens_timeout = std::chrono::seconds(5);
   /// The same for a call to a plain service.
   Duration service_timeout = std::chrono::seconds(30);
+  /// The same once the deadline has passed.
+  Duration late_silence = std::chrono::milliseconds(500);
   /// Time without any upstream for a model before its waiting requests are
   /// given up; short enough to tell callers soon, long enough for a restart.
   Duration no_upstream_hold = std::chrono::seconds(3);
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -1043,12 +1043,17 @@
   std::vector<AttemptEnd> stalled;
   for (const auto& [id, request] : requests_) {
     for (const auto& [number, attempt] : request->attempts) {
-      const Duration limit =
-          request->info.model.empty() ? options_.service_timeout
-          : attempt.tokens == 0       ? options_.first_token_timeout
-                                      : options_.between_tokens_timeout;
-      if (now - attempt.progress_at <= limit ||
-          request->phase == Request::Phase::kForwarded)
+      if (request->phase == Request::Phase::kForwarded)
+        continue;
+      Duration limit = request->info.model.empty() ? options_.service_timeout
+                       : attempt.tokens == 0 ? options_.first_token_timeout
+                                             : options_.between_tokens_timeout;
+      // A caller is not left waiting beyond its deadline for an upstream that
+      // says nothing. The answer to a keyed request is still worth having: it
+      // is kept for the next send of the key.
+      if (now >= request->deadline && !request->claimed)
+        limit = std::min(limit, options_.late_silence);
+      if (now - attempt.progress_at <= limit)
         continue;
       AttemptEnd end;
       end.request = id;
--- a/unittests/router/coordinator_fixture.h
+++ b/unittests/router/coordinator_fixture.h
@@ -128,7 +128,9 @@
     coordinator.ApplyConfig(view, now);
   }
 
-  RequestId Arrive(bool idempotent, const std::string& class_name = "report") {
+  RequestId Arrive(bool idempotent,
+                   const std::string& class_name = "report",
+                   Duration deadline = {}) {
     RequestInfo info;
     info.id = ++last_request;
     info.external_id = "r" + std::to_string(info.id);
@@ -137,6 +139,7 @@
     info.class_name = class_name;
     info.model = "m";
     info.idempotent = idempotent;
+    info.deadline = deadline;
     info.prompt_tokens = 10;
     info.fingerprint = {info.id, info.id};
     coordinator.OnArrived(std::move(info), now);
--- a/unittests/router/request_coordinator_test.cc
+++ b/unittests/router/request_coordinator_test.cc
@@ -67,6 +67,18 @@
   CHECK(fixture.traffic.running.count({id, 0}) == 0);
 }
 
+TEST_CASE("a silent upstream does not hold a caller beyond its deadline") {
+  CoordinatorFixture fixture;
+  const RequestId id =
+      fixture.Arrive(/*idempotent=*/false, "report", seconds(3));
+  REQUIRE(fixture.traffic.started.size() == 1);
+  for (int i = 0; i < 40; ++i)
+    fixture.Advance(milliseconds(100));
+  REQUIRE(fixture.traffic.failures[id].size() == 1);
+  CHECK(Describe(fixture.traffic.failures[id][0]).outcome == Outcome::kUnknown);
+  CHECK(fixture.coordinator.open_requests() == 0);
+}
+
 TEST_CASE("a caller that goes away frees its upstream at once") {
   CoordinatorFixture fixture;
   const RequestId id = fixture.Arrive(/*idempotent=*/true);
