--- a/include/teaselhill/router/request_coordinator.h
+++ b/include/teaselhill/router/request_coordinator.h
@@ -143,6 +143,8 @@
                       const quota::LimitRefusal& refusal,
                       TimePoint now);
   bool TakeQuota(Request& request, TimePoint now);
+  bool WaitForLimit(Request& request, TimePoint now);
+  void StopLimitWait(Request& request);
   void Act(Request& request, const claims::Decision& decision, TimePoint now);
   void Forward(Request& request, const HostIncarnation& holder, TimePoint now);
   routing::RouteRequest ToRoute(const Request& request, TimePoint now) const;
@@ -189,6 +191,7 @@
   std::unordered_map<routing::AttemptId, std::pair<RequestId, int>> attempts_;
   std::map<std::string, TimePoint> without_upstream_;
   std::set<RequestId> parked_;
+  std::map<std::string, int> limit_waiters_;  ///< by customer
   routing::AttemptId last_attempt_ = 0;
   TimePoint next_slow_tick_{};
   bool draining_ = false;
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -19,6 +19,14 @@
 
 constexpr std::chrono::seconds kKeyedRetryAfter{2};
 
+/// A host's share of a limit follows its demand within about 2 s. A request
+/// within the contract waits for it, instead of being refused on a host that
+/// was idle a moment ago. Only a few may wait, so a customer above its limit is
+/// still told at once.
+constexpr std::chrono::milliseconds kLimitPatience{1500};
+constexpr std::chrono::milliseconds kLimitRetry{40};
+constexpr int kMaxLimitWaiters = 16;
+
 /// A retry avoids the upstreams that failed the request for this long. Without
 /// an end it could wait for ever for the one upstream it has not tried.
 constexpr std::chrono::seconds kExclusion{2};
@@ -143,7 +151,9 @@
   bool admitted = false;  ///< known to the admission policy
   bool claimed = false;   ///< has an entry in the claim table
   bool caller_gone = false;
-  bool late = false;  ///< arrived while the host was draining
+  std::optional<TimePoint> limit_wait_end;  ///< set while it waits for a limit
+  TimePoint retry_at{};  ///< a parked request is looked at again
+  bool late = false;     ///< arrived while the host was draining
   std::optional<TimePoint> first_token_at;
 
   bool keyed() const {
@@ -385,6 +395,10 @@
       continue;
     if (request->phase != Request::Phase::kParked)
       continue;
+    if (now < request->retry_at) {
+      parked_.insert(id);
+      continue;
+    }
     if (now >= request->deadline)
       GiveUp(*request, {ResultCode::kDeadlineUnreachable, ""},
              std::chrono::seconds(1), now);
@@ -438,9 +452,12 @@
     refusal = std::get_if<quota::LimitRefusal>(&taken);
   }
   if (!refusal) {
+    StopLimitWait(request);
     request.quota_taken = true;
     return true;
   }
+  if (WaitForLimit(request, now))
+    return false;
   log_.Add(request.info, DecisionLog::Line("limit", request.info)
                              .Field("limit", quota::LimitName(refusal->limit))
                              .Field("share", refusal->share)
@@ -449,6 +466,34 @@
   return false;
 }
 
+bool RequestCoordinator::WaitForLimit(Request& request, TimePoint now) {
+  if (!request.limit_wait_end) {
+    int& waiting = limit_waiters_[request.info.customer];
+    if (waiting >= kMaxLimitWaiters)
+      return false;
+    ++waiting;
+    request.limit_wait_end = now + kLimitPatience;
+    log_.Add(request.info,
+             DecisionLog::Line("parked", request.info)
+                 .Field("reason", "this host's share of a limit may grow"));
+  }
+  if (now >= std::min(*request.limit_wait_end, request.deadline))
+    return false;
+  request.phase = Request::Phase::kParked;
+  request.retry_at = now + kLimitRetry;
+  parked_.insert(request.info.id);
+  return true;
+}
+
+void RequestCoordinator::StopLimitWait(Request& request) {
+  if (!request.limit_wait_end)
+    return;
+  request.limit_wait_end.reset();
+  const auto waiting = limit_waiters_.find(request.info.customer);
+  if (--waiting->second == 0)
+    limit_waiters_.erase(waiting);
+}
+
 void RequestCoordinator::Admit(Request& request, TimePoint now) {
   // Not earlier: only the claim table knows what the caller of a keyed request
   // may be told.
@@ -930,6 +975,7 @@
   if (found == requests_.end())
     return;
   Request& request = *found->second;
+  StopLimitWait(request);
   if (request.admitted) {
     if (request.phase == Request::Phase::kQueued)
       parts_.admission->Remove(id);
