--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -73,7 +73,7 @@
 
 # Waits until SECOND of the load, then runs the command.
 at() { # second command...
-  local wait_ms=$((load_started + $1 * 1000 - $(date +%s%3N)))
+  local wait_ms=$((load_started + $(awk "BEGIN{printf \"%d\", $1 * 1000}") - $(date +%s%3N)))
   shift
   if [ "$wait_ms" -gt 0 ]; then sleep "$(awk "BEGIN{print $wait_ms/1000}")"; fi
   echo "$*" >&2
--- a/scripts/experiments/host-freeze.sh
+++ b/scripts/experiments/host-freeze.sh
@@ -7,6 +7,11 @@
 # The lease holder is found by its log line, so any host may be frozen from 30 s.
 router_phases='[{"from_s":8,"to_s":16.5,"routers":[1,2,3,4,5]},{"from_s":20,"to_s":28.5,"routers":[0,1,2,3,5]}]'
 
+setup() {
+  state_setup
+  begin_orders
+}
+
 # Stops a host at the moment when it has claims on their way to the log: the log
 # is slow for a moment, so that claims are open and no send has been made.
 freeze_with_open_claims() { # host
--- a/scripts/experiments/two-masters.sh
+++ b/scripts/experiments/two-masters.sh
@@ -3,44 +3,40 @@
 
 . scripts/lib/state.sh
 
-# One failure domain, so one lease. Nothing binds the engines to a model: the
-# lease holder moves them with the demand.
+# One failure domain, so one lease. Each engine is bound to a model; the lease
+# holder carries out changes of that assignment.
 setup() {
   trap 'end_restarted; cluster_stop' EXIT
   start_platform
+  begin_orders
   local number model
   for number in 1 2 3; do add_host "d1-h$number" d1; done
-  for entry in "${HOSTS[@]}"; do start_host "${entry%%=*}"; done
   for number in 1 2 3 4 5 6; do
     model=job-sheet
     if [ "$number" -gt 3 ]; then model=clause; fi
     add_sized_engine "d1-e$number" d1 $model 15 16 --checks-fencing false \
       --weights-url "$WEIGHTS_URL" --load-ms 1000
-    wait_for "http://$(address_of "d1-e$number" "${ENGINES[@]}"):9000/v1/state"
-  done
-  publish_host_list
-  for number in 1 2 3 4 5 6; do
-    printf '{"name":"d1-e%s","url":"http://%s:9000","domain":"d1","kind":"engine","models":[]}\n' \
-      "$number" "$(address_of "d1-e$number" "${ENGINES[@]}")" >"$RUN/e$number.json"
-    ctl upstream assign "$RUN/e$number.json" >>"$RUN/ctl.log"
   done
   sed 's/"models": \["job-sheet"\]/"models": ["job-sheet", "clause"]/' examples/brazos.json >"$RUN/contract.json"
-  ctl contract put "$RUN/contract.json" >>"$RUN/ctl.log"
-  wait_ready
-  sleep 3
+  add_service office1 d1 office --work-ms 50
+  start_hosts "$RUN/contract.json"
 }
 
-# Three engines carry about 2,200 tokens/s. Demand is first on job-sheet, then on
-# clause.
 streams() {
   cat <<'JSON'
-[{"name": "draft", "key": "brazos-trucks", "class": "draft", "tier": 0, "model": "job-sheet", "rate": 3, "max_tokens": 100, "target_ms": 8000, "first_token_target_ms": 1800, "retries": 4, "loss_resends": 4},
- {"name": "sheet-key", "key": "brazos-office", "class": "sheet", "tier": 2, "model": "clause", "rate": 1, "streamed": false, "max_tokens": 100, "non_idempotent": true, "resend_share": 0.4, "retries": 6, "loss_resends": 4},
- {"name": "pull-sheets", "key": "brazos-office", "class": "pull", "tier": 4, "model": "job-sheet", "rate": 18, "max_tokens": 300, "retries": 6, "loss_resends": 4, "phases": [{"from_s": 34, "to_s": 60, "factor": 0.1}]},
- {"name": "pull-clauses", "key": "brazos-office", "class": "pull", "tier": 4, "model": "clause", "rate": 18, "max_tokens": 300, "retries": 6, "loss_resends": 4, "phases": [{"from_s": 0, "to_s": 34, "factor": 0.05}]}]
+[{"name": "draft", "key": "brazos-trucks", "class": "draft", "tier": 0, "model": "job-sheet", "rate": 5, "max_tokens": 100, "target_ms": 8000, "first_token_target_ms": 1800, "retries": 4, "loss_resends": 4},
+ {"name": "sheet-key", "key": "brazos-office", "class": "sheet", "tier": 2, "model": "clause", "rate": 2, "streamed": false, "max_tokens": 100, "non_idempotent": true, "resend_share": 0.4, "retries": 6, "loss_resends": 4},
+ {"name": "pull", "key": "brazos-office", "class": "pull", "tier": 4, "model": "clause", "rate": 3, "max_tokens": 200, "retries": 6, "loss_resends": 4}]
 JSON
 }
 
+# Moves an engine to a model by its assignment.
+assign_engine() { # name model
+  printf '{"name":"%s","url":"http://%s:9000","domain":"d1","kind":"engine","models":["%s"]}\n' \
+    "$1" "$(address_of "$1" "${ENGINES[@]}")" "$2" >"$RUN/assign.json"
+  ctl upstream assign "$RUN/assign.json" >>"$RUN/ctl.log" 2>&1
+}
+
 lease_holder() {
   local entry
   for entry in "${HOSTS[@]}"; do
@@ -63,20 +59,22 @@
   done
 }
 
-# The holder is stopped when it has begun to give orders, long enough for another
-# host to take the lease (at most 17 s), and wakes up while that one gives orders.
+# The holder is stopped after its first orders, long enough for another host to
+# take the lease (at most 17 s), and wakes up while that one gives orders.
 faults() {
   change_configuration 2 50 &
   local changes=$!
   watch_engines 50 &
   local watch=$!
   local holder
-  at 26 :
+  at 13 assign_engine d1-e3 clause
+  at 20 :
   holder=$(lease_holder)
   echo "lease holder: ${holder:-none}" >&2
   if [ -n "$holder" ]; then
     freeze_host "$holder"
-    at 46 thaw_host "$holder"
+    at 37.5 assign_engine d1-e6 job-sheet
+    at 39 thaw_host "$holder"
   fi
   wait "$changes" "$watch"
 }
--- a/scripts/lib/state.sh
+++ b/scripts/lib/state.sh
@@ -3,6 +3,12 @@
 # use, keyed requests that callers send again to other hosts, and configuration
 # changes during the run. Sourced by files in scripts/experiments/.
 
+# Puts a record on the stream of order leases. A host knows that it has read the
+# stream only after its first read returned, which takes 25 s on an empty one.
+begin_orders() {
+  curl -fs -m 5 -o /dev/null "$LOG_URL/v1/streams/orders/records" -d '{"records":[{}]}'
+}
+
 state_setup() { # extra arguments of the log
   trap 'end_restarted; cluster_stop' EXIT
   start_platform "$@"
