--- a/include/teaselhill/router/request_coordinator.h
+++ b/include/teaselhill/router/request_coordinator.h
@@ -145,7 +145,9 @@
   bool TakeQuota(Request& request, TimePoint now);
   bool WaitForLimit(Request& request, TimePoint now);
   void StopLimitWait(Request& request);
-  void Act(Request& request, const claims::Decision& decision, TimePoint now);
+  void FollowDecision(Request& request,
+                      const claims::Decision& decision,
+                      TimePoint now);
   void Forward(Request& request, const HostIncarnation& holder, TimePoint now);
   routing::RouteRequest ToRoute(const Request& request, TimePoint now) const;
   void Start(Request& request,
@@ -163,7 +165,9 @@
                   int attempt,
                   routing::EndKind kind,
                   TimePoint now);
-  void Apply(Request& request, const retry::AttemptPlan& plan, TimePoint now);
+  void FollowPlan(Request& request,
+                  const retry::AttemptPlan& plan,
+                  TimePoint now);
 
   /// Gives a request up that is not running; `error` says why.
   void GiveUp(Request& request,
@@ -172,7 +176,7 @@
               TimePoint now);
   void Fail(Request& request, Error error, Duration retry_after, TimePoint now);
   void Erase(RequestId id, uint64_t tokens, TimePoint now);
-  void Act(const retry::CrashActions& actions, TimePoint now);
+  void FollowCrashActions(const retry::CrashActions& actions, TimePoint now);
   void ExpireQueue(TimePoint now);
   void ExpireClaims(TimePoint now);
   void EndStalledAttempts(TimePoint now);
--- /dev/null
+++ b/lib/router/request_timeouts.cc
@@ -0,0 +1,147 @@
+/// \file
+/// Times that end the waiting of requests, and the demand they stand for.
+
+#include "teaselhill/router/request_coordinator.h"
+
+#include <algorithm>
+
+#include "request_state.h"
+
+namespace teaselhill::router {
+
+namespace {
+
+/// Waiting requests are checked for missing upstreams and stalls this often.
+constexpr std::chrono::milliseconds kSlowTick{100};
+
+/// Time that a request may wait for its claim when it has no deadline.
+constexpr std::chrono::seconds kClaimPatience{10};
+
+/// Backlog is turned into a rate as if it had to be served in this time.
+constexpr double kDemandHorizonSeconds = 5;
+
+}  // namespace
+
+void RequestCoordinator::Tick(TimePoint now) {
+  ExpireQueue(now);
+  ResumeParked(now);
+  StartHedges(now);
+  if (now >= next_slow_tick_) {
+    next_slow_tick_ = now + kSlowTick;
+    ExpireClaims(now);
+    EndStalledAttempts(now);
+    GiveUpWithoutUpstream(now);
+  }
+  Pump(now);
+}
+
+void RequestCoordinator::ExpireQueue(TimePoint now) {
+  for (const admission::Expiry& expiry : parts_.admission->Expire(now)) {
+    Request* request = Find(expiry.request.id);
+    if (!request)
+      continue;
+    request->admitted = false;
+    GiveUp(*request, expiry.error, expiry.retry_after, now);
+  }
+}
+
+void RequestCoordinator::ExpireClaims(TimePoint now) {
+  std::vector<RequestId> late;
+  for (const auto& [id, request] : requests_) {
+    if (request->phase != Request::Phase::kClaiming)
+      continue;
+    // The answer to the earlier send comes without the log.
+    const TimePoint limit =
+        parts_.claims->AwaitsAnswer(id)
+            ? request->deadline
+            : std::min(request->deadline, request->arrival + kClaimPatience);
+    if (now >= limit)
+      late.push_back(id);
+  }
+  for (RequestId id : late) {
+    if (Request* request = Find(id))
+      GiveUp(*request, {ResultCode::kDeadlineUnreachable, ""},
+             std::chrono::seconds(1), now);
+  }
+}
+
+void RequestCoordinator::EndStalledAttempts(TimePoint now) {
+  std::vector<AttemptEnd> stalled;
+  for (const auto& [id, request] : requests_) {
+    for (const auto& [number, attempt] : request->attempts) {
+      if (request->phase == Request::Phase::kForwarded)
+        continue;
+      Duration limit = request->info.model.empty() ? options_.service_timeout
+                       : attempt.tokens == 0 ? options_.first_token_timeout
+                                             : options_.between_tokens_timeout;
+      // A caller is not left waiting beyond its deadline for an upstream that
+      // says nothing. The answer to a keyed request is still worth having: it
+      // is kept for the next send of the key.
+      if (now >= request->deadline && !request->claimed)
+        limit = std::min(limit, options_.late_silence);
+      if (now - attempt.progress_at <= limit)
+        continue;
+      AttemptEnd end;
+      end.request = id;
+      end.attempt = number;
+      end.code = ResultCode::kTimedOut;
+      end.detail = "no progress";
+      end.may_have_been_sent = true;
+      end.tokens = attempt.tokens;
+      end.delivered_tokens = request->delivered_tokens;
+      stalled.push_back(std::move(end));
+    }
+  }
+  for (const AttemptEnd& end : stalled) {
+    Request* request = Find(end.request);
+    if (!request)
+      continue;
+    traffic_.CancelAttempt(request->info.worker, end.request, end.attempt);
+    OnAttemptEnded(end, nullptr, now);
+  }
+}
+
+void RequestCoordinator::GiveUpWithoutUpstream(TimePoint now) {
+  std::vector<RequestId> stranded;
+  for (const auto& [target, since] : without_upstream_) {
+    if (now - since < options_.no_upstream_hold)
+      continue;
+    for (const auto& [id, request] : requests_) {
+      if (request->phase == Request::Phase::kQueued &&
+          request->target() == target)
+        stranded.push_back(id);
+    }
+  }
+  for (RequestId id : stranded) {
+    if (Request* request = Find(id))
+      GiveUp(*request,
+             {ResultCode::kNoUpstream,
+              "no upstream serves '" + request->target() + "'"},
+             std::chrono::seconds(2), now);
+  }
+  // Without waiting requests nothing would clear an old mark.
+  if (stranded.empty()) {
+    for (auto mark = without_upstream_.begin();
+         mark != without_upstream_.end();) {
+      const bool old = now - mark->second >= 2 * options_.no_upstream_hold;
+      mark = old ? without_upstream_.erase(mark) : std::next(mark);
+    }
+  }
+}
+
+std::map<std::string, double> RequestCoordinator::DemandByModel() const {
+  std::map<std::string, double> demand;
+  for (const auto& [id, request] : requests_) {
+    if (request->info.model.empty())
+      continue;
+    const uint64_t owed =
+        request->predicted_tokens > request->delivered_tokens
+            ? request->predicted_tokens - request->delivered_tokens
+            : 1;
+    demand[request->info.model] +=
+        static_cast<double>(owed) / kDemandHorizonSeconds;
+  }
+  return demand;
+}
+
+}  // namespace teaselhill::router
