--- a/scripts/experiments/two-masters.sh
+++ b/scripts/experiments/two-masters.sh
@@ -83,8 +83,10 @@
   local state
   state=$(state_extra)
   grep -h -e '"event":"order"' -e '"event":"order_lease"' -e '"event":"order_answer"' "$RUN"/d1-h?.log >"$RUN/orders.json" || true
-  jq -n -c --argjson state "$state" --slurpfile lines "$RUN/orders.json" --slurpfile states "$RUN/states.json" '
-    ($lines | map(select(.event == "order" and .fencing != null)) | sort_by(.time_ms)) as $orders
+  # The engines list their models as objects.
+  jq -n -c --argjson state "$state" --slurpfile lines "$RUN/orders.json" --slurpfile raw "$RUN/states.json" '
+    ($raw | map(.models |= map(if type == "object" then .name else . end))) as $states
+    | ($lines | map(select(.event == "order" and .fencing != null)) | sort_by(.time_ms)) as $orders
     | ($states | group_by(.engine) | map({key: .[0].engine, value: (sort_by(.second) | .[-1].models | sort)}) | from_entries) as $last
     | ($states | group_by(.engine) | map({key: .[0].engine, value: (sort_by(.second) | .[0].models)}) | from_entries) as $first
     | (reduce $orders[] as $o ($first;
