--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -14,6 +14,7 @@
 #include "teaselhill/router/admin_api.h"
 #include "teaselhill/router/claims_driver.h"
 #include "teaselhill/router/config_exchange.h"
+#include "teaselhill/router/host_status.h"
 #include "teaselhill/router/orders_driver.h"
 #include "teaselhill/router/peers.h"
 #include "teaselhill/router/quota_view.h"
@@ -23,6 +24,8 @@
 #include "teaselhill/routing/byte_budget.h"
 #include "teaselhill/routing/report_sharing.h"
 
+#include "control_options.h"
+
 namespace teaselhill::router {
 
 namespace {
@@ -60,7 +63,6 @@
 
 /// Appends a second on the log that claims of all hosts together may use.
 constexpr int kClaimAppendsPerSecond = 150;
-constexpr milliseconds kMinClaimInterval{10};
 
 /// Grows with each start of a host, so that other hosts can tell a restarted
 /// host from the one before it. The low bits keep two starts in one
@@ -76,45 +78,6 @@
   return address.substr(0, address.find(':'));
 }
 
-admission::AdmissionOptions AdmissionSettings() {
-  return {};
-}
-
-routing::RoutingOptions RoutingSettings(const Settings& settings) {
-  routing::RoutingOptions options;
-  options.own_domain = settings.domain;
-  return options;
-}
-
-claims::ClaimOptions ClaimSettings(const Settings& settings) {
-  claims::ClaimOptions options;
-  options.index.window =
-      std::chrono::duration_cast<milliseconds>(settings.claim_window);
-  options.append_interval = kMinClaimInterval;
-  return options;
-}
-
-retry::HedgeOptions HedgeSettings(const Settings& settings) {
-  retry::HedgeOptions options;
-  if (!settings.hedging)
-    options.work_share = options.max_credit = 0;
-  return options;
-}
-
-const char* StateName(membership::MemberState state) {
-  switch (state) {
-    case membership::MemberState::kAlive:
-      return "alive";
-    case membership::MemberState::kSuspect:
-      return "suspect";
-    case membership::MemberState::kLeaving:
-      return "leaving";
-    case membership::MemberState::kDead:
-      break;
-  }
-  return "dead";
-}
-
 const char* EventName(membership::MemberEventKind kind) {
   switch (kind) {
     case membership::MemberEventKind::kUp:
@@ -129,47 +92,6 @@
   return "down";
 }
 
-const char* HealthName(routing::Health health) {
-  switch (health) {
-    case routing::Health::kHealthy:
-      return "healthy";
-    case routing::Health::kProbing:
-      return "probing";
-    case routing::Health::kEjected:
-      break;
-  }
-  return "ejected";
-}
-
-/// Where the signs come from that an upstream is leaving.
-std::string LeavingReason(const routing::Upstream& upstream) {
-  static constexpr std::pair<routing::LeavingSign, const char*> kNames[] = {
-      {routing::LeavingSign::kHostList, "host list"},
-      {routing::LeavingSign::kOperator, "assignment or orders"},
-      {routing::LeavingSign::kRefusal, "answered 503"},
-      {routing::LeavingSign::kPeer, "another host"}};
-  std::string reason;
-  for (const auto& [sign, name] : kNames) {
-    if ((upstream.leaving & static_cast<uint8_t>(sign)) != 0)
-      reason += (reason.empty() ? "" : ", ") + std::string(name);
-  }
-  return reason;
-}
-
-routing::UpstreamSpec ToSpec(const config::UpstreamAssignment& assignment) {
-  routing::UpstreamSpec spec;
-  spec.name = assignment.name;
-  spec.kind = assignment.kind == config::UpstreamKind::kEngine
-                  ? routing::UpstreamKind::kEngine
-                  : routing::UpstreamKind::kService;
-  spec.domain = assignment.domain;
-  spec.models = assignment.models;
-  spec.service = assignment.service;
-  spec.max_concurrency = assignment.max_concurrency;
-  spec.draining = assignment.draining;
-  return spec;
-}
-
 }  // namespace
 
 class Control::Impl : public HostDirectory, public AdminBackend {
@@ -337,7 +259,13 @@
   }
 
   // AdminBackend:
-  std::string StatusJson() override;
+  std::string StatusJson() override {
+    const TimePoint now = Now();
+    return router::StatusJson(
+        {self_, settings_.domain, State(now), members_.Members(now), upstreams_,
+         shared_.config()},
+        now);
+  }
   std::vector<std::string> Decisions(const std::string& request,
                                      const std::string& customer) override {
     return decisions_.Find(request, customer);
@@ -682,13 +610,13 @@
     state.open_requests = coordinator_.open_requests();
     state.queue = admission_->Stats(now);
     for (const membership::MemberView& seen : members_.Members(now))
-      ++state.members[StateName(seen.member.state)];
+      ++state.members[MemberStateName(seen.member.state)];
     const auto view = shared_.config();
     for (const auto& [name, entry] :
          view ? view->assignments
               : std::map<std::string, config::AssignmentEntry>()) {
       if (const routing::Upstream* upstream = upstreams_.Find(name))
-        ++state.upstreams[StateOf(*upstream, now)];
+        ++state.upstreams[UpstreamStateName(upstreams_, *upstream, now)];
     }
     state.domains = members_.Domains(now);
     state.limit_share = limits_.reachable_fraction();
@@ -702,14 +630,6 @@
     return state;
   }
 
-  std::string StateOf(const routing::Upstream& upstream, TimePoint now) const {
-    if (upstreams_.IsLeaving(upstream, now))
-      return "leaving";
-    if (upstream.straggler)
-      return "straggler";
-    return HealthName(upstreams_.HealthOf(upstream, now));
-  }
-
   /// Writes a line when a part of the platform is lost or is back.
   void LogReachability(const char* part, bool reachable, bool* known) {
     if (std::exchange(*known, reachable) == reachable)
@@ -907,66 +827,6 @@
   std::vector<TimerSubscription> timers_;
 };
 
-std::string Control::Impl::StatusJson() {
-  const TimePoint now = Now();
-  const HostState state = State(now);
-  json status = {
-      {"host", self_.host},
-      {"domain", settings_.domain},
-      {"incarnation", self_.incarnation},
-      {"ready", state.ready},
-      {"draining", state.draining},
-      {"config_offset", config_.next_offset() - 1},
-      {"config_records_behind", state.config_lag.behind},
-      {"log_reachable", state.config_lag.reachable},
-      {"log_silence_ms", ToMilliseconds(LogSilence(state.config_lag, now))},
-      {"host_list_reachable", state.host_list_reachable},
-      {"holds_order_lease", state.holds_order_lease},
-      {"share_of_limits", state.limit_share},
-      {"open_requests", state.open_requests},
-      {"claims_waiting", state.claims.waiting},
-      {"claims_caught_up", state.claims.caught_up},
-      {"suspects", state.crashes.suspects},
-      {"quarantined", state.crashes.quarantined}};
-  status["members"] = json::array();
-  for (const membership::MemberView& seen : members_.Members(now))
-    status["members"].push_back(
-        {{"name", seen.member.id.host},
-         {"domain", seen.member.domain},
-         {"state", StateName(seen.member.state)},
-         {"last_heard_ms", ToMilliseconds(seen.last_heard)}});
-  status["domains"] = json::array();
-  for (const membership::DomainStatus& domain : state.domains)
-    status["domains"].push_back({{"name", domain.domain},
-                                 {"known", domain.known},
-                                 {"reachable", domain.reachable}});
-  status["upstreams"] = json::array();
-  const auto view = shared_.config();
-  for (const auto& [name, entry] :
-       view ? view->assignments
-            : std::map<std::string, config::AssignmentEntry>()) {
-    const routing::Upstream* upstream = upstreams_.Find(name);
-    if (!upstream)
-      continue;
-    const bool leaving = upstreams_.IsLeaving(*upstream, now);
-    status["upstreams"].push_back(
-        {{"name", name},
-         {"state", StateOf(*upstream, now)},
-         {"in_flight", upstream->own_in_flight},
-         {"load", upstreams_.CorrectedLoad(*upstream, now)},
-         {"pace_ms", upstream->seconds_per_token * 1000},
-         {"reason", leaving ? LeavingReason(*upstream) : ""}});
-  }
-  status["queues"] = json::array();
-  for (const admission::TierStats& tier : state.queue.tiers)
-    status["queues"].push_back(
-        {{"tier", tier.tier},
-         {"queued", tier.queued},
-         {"queued_tokens", tier.queued_work},
-         {"oldest_wait_ms", ToMilliseconds(tier.oldest_wait)}});
-  return status.dump();
-}
-
 Control::Control(const Settings& settings,
                  const TlsSetup& tls,
                  SharedView& shared,
--- /dev/null
+++ b/lib/router/control_options.cc
@@ -0,0 +1,47 @@
+/// \file
+/// Options of the decision parts.
+
+#include "control_options.h"
+
+namespace teaselhill::router {
+
+admission::AdmissionOptions AdmissionSettings() {
+  return {};
+}
+
+routing::RoutingOptions RoutingSettings(const Settings& settings) {
+  routing::RoutingOptions options;
+  options.own_domain = settings.domain;
+  return options;
+}
+
+claims::ClaimOptions ClaimSettings(const Settings& settings) {
+  claims::ClaimOptions options;
+  options.index.window = std::chrono::duration_cast<std::chrono::milliseconds>(
+      settings.claim_window);
+  options.append_interval = kMinClaimInterval;
+  return options;
+}
+
+retry::HedgeOptions HedgeSettings(const Settings& settings) {
+  retry::HedgeOptions options;
+  if (!settings.hedging)
+    options.work_share = options.max_credit = 0;
+  return options;
+}
+
+routing::UpstreamSpec ToSpec(const config::UpstreamAssignment& assignment) {
+  routing::UpstreamSpec spec;
+  spec.name = assignment.name;
+  spec.kind = assignment.kind == config::UpstreamKind::kEngine
+                  ? routing::UpstreamKind::kEngine
+                  : routing::UpstreamKind::kService;
+  spec.domain = assignment.domain;
+  spec.models = assignment.models;
+  spec.service = assignment.service;
+  spec.max_concurrency = assignment.max_concurrency;
+  spec.draining = assignment.draining;
+  return spec;
+}
+
+}  // namespace teaselhill::router
--- /dev/null
+++ b/lib/router/control_options.h
@@ -0,0 +1,29 @@
+/// \file
+/// Options of the decision parts, from settings and configuration.
+
+#ifndef TEASELHILL_LIB_ROUTER_CONTROL_OPTIONS_H_
+#define TEASELHILL_LIB_ROUTER_CONTROL_OPTIONS_H_
+
+#include "teaselhill/admission/admission_policy.h"
+#include "teaselhill/claims/claim_table.h"
+#include "teaselhill/config/contract.h"
+#include "teaselhill/retry/hedge_policy.h"
+#include "teaselhill/router/settings.h"
+#include "teaselhill/routing/routing_policy.h"
+
+namespace teaselhill::router {
+
+/// Least time between two appends of claims by this host.
+constexpr std::chrono::milliseconds kMinClaimInterval{10};
+
+admission::AdmissionOptions AdmissionSettings();
+routing::RoutingOptions RoutingSettings(const Settings& settings);
+claims::ClaimOptions ClaimSettings(const Settings& settings);
+retry::HedgeOptions HedgeSettings(const Settings& settings);
+
+/// The part of an assignment that routing looks at.
+routing::UpstreamSpec ToSpec(const config::UpstreamAssignment& assignment);
+
+}  // namespace teaselhill::router
+
+#endif  // TEASELHILL_LIB_ROUTER_CONTROL_OPTIONS_H_
