Take a request lost on a reused connection for a possible crash

When an engine crashed at the start of a request on a reused connection, libcurl sent it again by itself and reported the refused second connection, so the crash left no suspect. A refused connection after bytes were sent is now a broken stream. Ruled out: late suspicion messages (crashes seen by all hosts within 1 ms).

--- a/lib/router/request_attempts.cc
+++ b/lib/router/request_attempts.cc
@@ -16,7 +16,7 @@
     return routing::EndKind::kCompleted;
   if (end.code == ResultCode::kUpstreamRefused)
     return routing::EndKind::kRefused;
-  if (!end.may_have_been_sent || end.code == ResultCode::kConnectFailed)
+  if (!end.may_have_been_sent)
     return routing::EndKind::kConnectFailed;
   if (end.code == ResultCode::kTimedOut)
     return routing::EndKind::kTimeout;
--- a/unittests/net/http_test.cc
+++ b/unittests/net/http_test.cc
@@ -1,6 +1,8 @@
 /// \file
 /// Guards the HTTP adapters: streaming, disconnects and connect failures.
 
+#include <array>
+#include <asio.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
 
@@ -157,4 +159,70 @@
   CHECK_FALSE(transfer->end->may_have_been_sent);
 }
 
+namespace {
+
+/// Answers the first request, then closes its connection and its listener when
+/// the second arrives, as an engine does that crashes on a request.
+class CrashingServer {
+ public:
+  explicit CrashingServer(EventLoop& loop)
+      : acceptor_(loop.context(), {asio::ip::make_address("127.0.0.1"), 0}),
+        socket_(loop.context()) {
+    acceptor_.async_accept(socket_, [this](const asio::error_code& error) {
+      if (!error)
+        Read();
+    });
+  }
+
+  std::string Url() const {
+    return "http://127.0.0.1:" +
+           std::to_string(acceptor_.local_endpoint().port()) + "/";
+  }
+
+ private:
+  void Read() {
+    socket_.async_read_some(
+        asio::buffer(data_), [this](const asio::error_code& error, size_t) {
+          if (error)
+            return;
+          if (answered_) {
+            acceptor_.close();
+            socket_.close();
+            return;
+          }
+          answered_ = true;
+          asio::write(socket_, asio::buffer(std::string(
+                                   "HTTP/1.1 200 OK\r\nContent-Length: "
+                                   "2\r\n\r\nok")));
+          Read();
+        });
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::ip::tcp::socket socket_;
+  std::array<char, 4096> data_{};
+  bool answered_ = false;
+};
+
+}  // namespace
+
+// libcurl sends a request again by itself when a reused connection is closed
+// without an answer. The failure of that second connection must not hide that
+// the first send may have reached the upstream.
+TEST_CASE("a request lost on a reused connection may have been sent") {
+  Fixture fixture;
+  CrashingServer server(fixture.loop);
+  for (const bool lost : {false, true}) {
+    auto transfer = std::make_shared<CountingTransfer>();
+    ClientRequest request;
+    request.method = "POST";
+    request.body = "x";
+    request.url = server.Url();
+    fixture.client.Start(request, transfer);
+    fixture.RunUntil([&] { return transfer->end.has_value(); });
+    CHECK((transfer->end->code == ResultCode::kOk) != lost);
+    CHECK(transfer->end->may_have_been_sent);
+  }
+}
+
 }  // namespace teaselhill::net
--- a/unittests/router/request_coordinator_test.cc
+++ b/unittests/router/request_coordinator_test.cc
@@ -58,6 +58,17 @@
   CHECK(fixture.coordinator.open_requests() == 0);
 }
 
+// Guards against a crash that leaves no suspect: after an engine has crashed at
+// the start of a request on a reused connection, libcurl tries once more and
+// reports that second, refused connection.
+TEST_CASE("a request lost on a reused connection is a suspect") {
+  const bool sent = GENERATE(false, true);
+  CoordinatorFixture fixture;
+  const RequestId id = fixture.Arrive(/*idempotent=*/true);
+  fixture.End(id, 0, ResultCode::kConnectFailed, sent);
+  CHECK(fixture.crashes.reports() == (sent ? 1 : 0));
+}
+
 TEST_CASE("a frozen engine does not hold a request for ever") {
   CoordinatorFixture fixture;
   const RequestId id = fixture.Arrive(/*idempotent=*/true);
