Stop hosts that an experiment restarted, and drop messages nobody sends

host-kill left its restarted host running, because its process number was kept in a subshell only. ClaimForward and AnswerRelay had no sender: keyed requests are passed on over HTTP.

--- a/include/teaselhill/claims/claim_table.h
+++ b/include/teaselhill/claims/claim_table.h
@@ -44,7 +44,7 @@
 struct Wait {};
 /// This request, and no other send of its key, may be dispatched.
 struct RunNow {};
-/// The router sends a ClaimForward to `holder`; when it is not reachable, the
+/// The router passes the request on to `holder`; when it is not reachable, the
 /// caller gets kHolderUnreachable.
 struct ForwardToHolder {
   HostIncarnation holder;
--- a/include/teaselhill/claims/messages.h
+++ b/include/teaselhill/claims/messages.h
@@ -1,6 +1,5 @@
 /// \file
-/// Records of stream `claims` and messages that pass a request to the host that
-/// holds its key.
+/// Records of stream `claims`, and answers that are kept for resends.
 
 #ifndef TEASELHILL_CLAIMS_MESSAGES_H_
 #define TEASELHILL_CLAIMS_MESSAGES_H_
@@ -56,25 +55,6 @@
   std::string body;
 };
 
-/// Asks the holder (or issuer) of a key for the answer. Carries the whole
-/// request, because the issuer of a token may be the one to run it.
-struct ClaimForward {
-  uint64_t forward_id = 0;  ///< chosen by the sender
-  HostIncarnation holder;   ///< refused as unknown by any other incarnation
-  std::string customer;
-  std::string key_text;  ///< the Idempotency-Key header
-  uint64_t body_hash = 0;
-  std::string path;
-  std::vector<std::pair<std::string, std::string>> headers;
-  std::string body;
-};
-
-/// Answers a ClaimForward whole.
-struct AnswerRelay {
-  uint64_t forward_id = 0;
-  Answer answer;
-};
-
 }  // namespace teaselhill::claims
 
 #endif  // TEASELHILL_CLAIMS_MESSAGES_H_
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -29,6 +29,8 @@
   # Appended to: a host that comes back under its name keeps its earlier lines.
   "$BIN/$@" >>"$RUN/$name.log" 2>>"$RUN/$name.err" &
   PIDS[$name]=$!
+  # A fault function runs in a subshell, whose PIDS are lost with it.
+  echo "${PIDS[$name]}" >>"$RUN/pids"
 }
 
 # Waits until a URL answers with success, at most 10 s.
@@ -184,11 +186,16 @@
 }
 
 cluster_stop() {
-  local name
-  for name in "${!PIDS[@]}"; do kill -CONT "${PIDS[$name]}" 2>/dev/null || true; done
-  for name in "${!PIDS[@]}"; do kill -TERM "${PIDS[$name]}" 2>/dev/null || true; done
-  sleep 0.3
-  for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
+  local signal pid
+  for signal in CONT TERM KILL; do
+    for pid in $(cat "$RUN/pids" 2>/dev/null); do
+      # A number may have been given to another program meanwhile.
+      if readlink "/proc/$pid/exe" 2>/dev/null | grep -q "^$BIN/"; then
+        kill -$signal "$pid" 2>/dev/null || true
+      fi
+    done
+    if [ $signal = TERM ]; then sleep 0.3; fi
+  done
   wait 2>/dev/null || true
   if [ "${KEEP:-0}" = 1 ]; then echo "files are in $RUN" >&2; else rm -rf "$RUN"; fi
 }
