Let a host end while nobody reads its log pipe

Traffic went on with a full pipe (300 of 300 answered), but the log thread hung in write() and the process did not end within 10 s of SIGTERM. It now waits with poll() and gives the lines up at the end. test/log-pipe.sh failed before and passes after.

--- a/lib/support/logger.cc
+++ b/lib/support/logger.cc
@@ -14,9 +14,11 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
 
+#include <limits.h>
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 #include <cmath>
@@ -151,7 +153,8 @@
 /// Lines that wait for the output at most; beyond it lines are dropped.
 constexpr size_t kQueuedLines = 16384;
 
-/// A reader that takes nothing for this long does not hold up the exit.
+/// A reader that takes nothing for this long does not hold up the exit: the
+/// lines that still wait are lost.
 constexpr int kExitFlushMilliseconds = 500;
 
 std::atomic<uint64_t> dropped_lines{0};
@@ -176,9 +179,11 @@
     std::string line = formatted + "\n";
     std::string_view rest = line;
     while (!rest.empty()) {
-      if (stopping_ && !WritableWithin(kExitFlushMilliseconds))
+      if (!WaitUntilWritable())
         return;
-      const ssize_t written = ::write(STDOUT_FILENO, rest.data(), rest.size());
+      // A pipe that is writable takes this much without blocking.
+      const size_t size = std::min<size_t>(rest.size(), PIPE_BUF);
+      const ssize_t written = ::write(STDOUT_FILENO, rest.data(), size);
       if (written <= 0)
         return;
       rest.remove_prefix(static_cast<size_t>(written));
@@ -188,12 +193,20 @@
   void StopSoon() { stopping_ = true; }
 
  private:
-  static bool WritableWithin(int milliseconds) {
-    pollfd output{STDOUT_FILENO, POLLOUT, 0};
-    return ::poll(&output, 1, milliseconds) > 0;
+  /// Returns false when the process ends while nobody reads the output. All
+  /// further lines are lost then, or each of them would wait.
+  bool WaitUntilWritable() {
+    while (!abandoned_) {
+      pollfd output{STDOUT_FILENO, POLLOUT, 0};
+      if (::poll(&output, 1, kExitFlushMilliseconds) > 0)
+        return true;
+      abandoned_ = stopping_;
+    }
+    return false;
   }
 
   std::atomic<bool> stopping_{false};
+  bool abandoned_ = false;
 };
 
 using AsyncSink = logging::sinks::asynchronous_sink<
