--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the packages that the build and the tests need (Debian 12).
 set -eu
-packages="g++ cmake ninja-build ccache clang-format clang-tidy curl jq
+packages="g++ cmake ninja-build ccache clang-format clang-tidy curl jq python3
 librestinio-dev libasio-dev libwebsocketpp-dev prometheus-cpp-dev libcli11-dev
 libboost-log-dev catch2 librapidcheck-dev nlohmann-json3-dev
 libcurl4-openssl-dev libxxhash-dev libssl-dev libpcg-cpp-dev"
--- a/scripts/lib/measure_slopes.py
+++ b/scripts/lib/measure_slopes.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import hashlib
 import json
 import os
 import random
@@ -20,6 +21,7 @@
 import urllib.request
 
 SECRET = "slopes-secret-0123456789"
+OPERATOR_KEY = "slopes-operator"
 DOMAINS = 13
 DESIGN = {"hosts": 380, "upstreams": 4100, "contracts": 770,
           "changes_per_second": 4700 / 86400, "claims_per_second": 50}
@@ -27,9 +29,11 @@
 KEY_HASH = __import__("hashlib").sha256(KEY.encode()).hexdigest()
 
 
-def fetch(url, body=None, method=None, timeout=10):
+def fetch(url, body=None, method=None, timeout=10, key=None):
     data = json.dumps(body).encode() if body is not None else None
     request = urllib.request.Request(url, data=data, method=method)
+    if key:
+        request.add_header("Authorization", "Bearer " + key)
     with urllib.request.urlopen(request, timeout=timeout) as answer:
         return answer.read()
 
@@ -129,11 +133,11 @@
         self.wait(self.log + "/v1/streams/config/records")
         self.wait(self.list + "/v1/hosts")
 
-    def wait(self, url, seconds=20):
+    def wait(self, url, seconds=20, key=None):
         end = time.monotonic() + seconds
         while True:
             try:
-                return fetch(url, timeout=2)
+                return fetch(url, timeout=2, key=key)
             except OSError:
                 if time.monotonic() > end:
                     raise
@@ -154,6 +158,8 @@
                 "--domain", host["domain"], "--address", host["address"],
                 "--log-url", self.log, "--host-list-url", self.list,
                 "--peer-secret", SECRET, "--peers", peers,
+                "--operator-key-hashes",
+                hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
                 "--log-level", "warning", *(extra or ("--traffic-threads", "1")))
         for host in self.hosts[first:]:
             self.wait(f"http://{host['address']}:8080/healthz")
@@ -180,7 +186,8 @@
                 time.sleep(0.1)
 
     def metrics(self, host):
-        text = self.wait(f"http://{host['address']}:8080/metrics").decode()
+        text = self.wait(f"http://{host['address']}:8082/metrics",
+                         key=OPERATOR_KEY).decode()
         values = {}
         for line in text.splitlines():
             match = re.match(r"^(teaselhill_\w+)(?:\{\w+=\"([^\"]*)\"\})? (\S+)$",
