--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
+#include <type_traits>
 
 #include "teaselhill/membership/member_table.h"
 #include "teaselhill/peer/messages.h"
@@ -30,7 +30,6 @@
 
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRequestTick{20};
@@ -696,39 +695,20 @@
     }
     received_bytes_[message->index()] += payload.size();
     const TimePoint now = Now();
-    std::visit([&](const auto& value) { Receive(from, value, now); }, *message);
+    std::visit([&](const auto& value) { Dispatch(from, value, now); },
+               *message);
   }
 
-  void Receive(const HostIncarnation&,
-               const membership::Ping& message,
-               TimePoint now) {
-    Carry(members_.OnMessage(message, now, &rng_), now);
-  }
-  void Receive(const HostIncarnation&,
-               const membership::Ack& message,
-               TimePoint now) {
-    Carry(members_.OnMessage(message, now, &rng_), now);
-  }
-  void Receive(const HostIncarnation&,
-               const membership::IndirectPing& message,
-               TimePoint now) {
-    Carry(members_.OnMessage(message, now, &rng_), now);
-  }
-  void Receive(const HostIncarnation&,
-               const quota::HostDemand& message,
-               TimePoint now) {
-    limits_.OnPeerDemand(message, now);
-  }
-  void Receive(const HostIncarnation&,
-               const quota::DomainDemand& message,
-               TimePoint now) {
-    limits_.OnPeerDemand(message, now);
-  }
-  void Receive(const HostIncarnation&,
-               const quota::ShareGrant& message,
-               TimePoint now) {
-    limits_.OnPeerDemand(message, now);
+  template <typename T>
+  void Dispatch(const HostIncarnation& from, const T& message, TimePoint now) {
+    if constexpr (std::is_convertible_v<T, membership::Message>)
+      Carry(members_.OnMessage(message, now, &rng_), now);
+    else if constexpr (std::is_convertible_v<T, quota::QuotaMessage>)
+      limits_.OnPeerDemand(message, now);
+    else
+      Receive(from, message, now);
   }
+
   void Receive(const HostIncarnation& from,
                routing::UpstreamSends message,
                TimePoint now) {
