Use one fetch for both engine polls and one fingerprint function

The load and the cache event polls were twins; they share the request and its checks now. The traffic thread hashed requests by itself although the crash tracker has Fingerprint().

--- a/include/teaselhill/router/report_poller.h
+++ b/include/teaselhill/router/report_poller.h
@@ -63,6 +63,12 @@
   };
 
   void Poll(TimePoint now);
+  /// Fetches a path of the engine; `use` gets the body of a 200 answer.
+  void Ask(const std::string& name,
+           Engine& engine,
+           const std::string& path,
+           bool Engine::*in_flight,
+           std::function<void(Engine&, const std::string& body)> use);
   void PollLoad(const std::string& name, Engine& engine);
   void PollEvents(const std::string& name, Engine& engine);
   net::ClientRequest Request(const std::string& url) const;
--- a/lib/router/report_poller.cc
+++ b/lib/router/report_poller.cc
@@ -149,48 +149,49 @@
   return same ? &found->second : nullptr;
 }
 
-void ReportPoller::PollLoad(const std::string& name, Engine& engine) {
-  engine.load_in_flight = true;
-  client_.Fetch(Request(engine.url + "/v1/load"),
-                [this, name, generation = engine.generation,
-                 alive = std::weak_ptr<int>(alive_)](
-                    Result<net::ClientResponse> response) {
-                  if (alive.expired())
-                    return;
-                  Engine* polled = Find(name, generation);
-                  if (!polled)
-                    return;
-                  polled->load_in_flight = false;
-                  if (!response || response->status != 200)
-                    return;
-                  const auto report = ParseLoadReport(response->body);
-                  if (!report)
-                    return;
-                  table_.OnReport(name, *report, timers_.Now());
-                  on_report_(name, *report);
-                });
-}
-
-void ReportPoller::PollEvents(const std::string& name, Engine& engine) {
-  engine.events_in_flight = true;
-  const uint64_t from = engine.next_event;
+void ReportPoller::Ask(
+    const std::string& name,
+    Engine& engine,
+    const std::string& path,
+    bool Engine::*in_flight,
+    std::function<void(Engine&, const std::string& body)> use) {
+  engine.*in_flight = true;
   client_.Fetch(
-      Request(engine.url + "/v1/cache/events?from=" + std::to_string(from)),
-      [this, name, from, generation = engine.generation,
-       alive =
-           std::weak_ptr<int>(alive_)](Result<net::ClientResponse> response) {
+      Request(engine.url + path),
+      [this, name, in_flight, use = std::move(use),
+       generation = engine.generation, alive = std::weak_ptr<int>(alive_)](
+          const Result<net::ClientResponse>& response) {
         if (alive.expired())
           return;
         Engine* polled = Find(name, generation);
         if (!polled)
           return;
-        polled->events_in_flight = false;
-        if (!response || response->status != 200)
+        polled->*in_flight = false;
+        if (response && response->status == 200)
+          use(*polled, response->body);
+      });
+}
+
+void ReportPoller::PollLoad(const std::string& name, Engine& engine) {
+  Ask(name, engine, "/v1/load", &Engine::load_in_flight,
+      [this, name](Engine&, const std::string& body) {
+        const auto report = ParseLoadReport(body);
+        if (!report)
           return;
-        const auto page = ParseCacheEvents(response->body, from);
+        table_.OnReport(name, *report, timers_.Now());
+        on_report_(name, *report);
+      });
+}
+
+void ReportPoller::PollEvents(const std::string& name, Engine& engine) {
+  const uint64_t from = engine.next_event;
+  Ask(name, engine, "/v1/cache/events?from=" + std::to_string(from),
+      &Engine::events_in_flight,
+      [this, name, from](Engine& polled, const std::string& body) {
+        const auto page = ParseCacheEvents(body, from);
         if (!page)
           return;
-        polled->next_event = page->next;
+        polled.next_event = page->next;
         table_.OnCacheEvents(name, page->events, page->gap, timers_.Now());
       });
 }
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -10,6 +10,7 @@
 
 #include "teaselhill/net/http_client.h"
 #include "teaselhill/net/http_server.h"
+#include "teaselhill/retry/crash_tracker.h"
 #include "teaselhill/router/relay.h"
 #include "teaselhill/support/hash.h"
 #include "teaselhill/support/logger.h"
@@ -323,7 +324,7 @@
     info.max_tokens = body->max_tokens;
     info.prompt_tokens = body->prompt_tokens;
     info.prefix_hashes = std::move(body->prefix_hashes);
-    info.fingerprint = HashWide(body->engine_body);
+    info.fingerprint = retry::Fingerprint(info.model, body->engine_body);
     outgoing.target = "/v1/chat/completions";
     outgoing.body = std::move(body->engine_body);
     return Ok{};
@@ -353,7 +354,7 @@
     outgoing.body = request.body;
     outgoing.headers = WithoutCredentials(request.headers);
     info.fingerprint =
-        HashWide(request.method + " " + request.path + "\n" + request.body);
+        retry::Fingerprint(request.method + " " + request.path, request.body);
     return Ok{};
   }
 
