--- a/cmake/Teaselhill.cmake
+++ b/cmake/Teaselhill.cmake
@@ -1,10 +1,21 @@
 # teaselhill_part(name [PLUGIN] [USES part...] [LIBS library...])
-# Defines library teaselhill_<name> from lib/<name>/ and its test binary from
-# unittests/<name>/. A PLUGIN part is linked whole, because its objects are
+# Defines library teaselhill_<name> from lib/<name>/ and, with TEASELHILL_TESTS,
+# its test binary from unittests/<name>/. A PLUGIN part is linked whole, because its objects are
 # reached only through their static registrations.
 function(teaselhill_part name)
+  teaselhill_library(${name} lib/${name} ${ARGN})
+endfunction()
+
+# teaselhill_adapter(name ...) takes the same arguments for the sources of the
+# folder `name` at the root.
+function(teaselhill_adapter name)
+  teaselhill_library(${name} ${name} ${ARGN})
+  target_include_directories(teaselhill_${name} PUBLIC ${CMAKE_SOURCE_DIR})
+endfunction()
+
+function(teaselhill_library name folder)
   cmake_parse_arguments(PART "PLUGIN" "" "USES;LIBS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/lib/${name}/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.cc)
   set(scope PUBLIC)
   if(sources)
     add_library(teaselhill_${name} STATIC ${sources})
@@ -20,6 +31,9 @@
   endforeach()
   target_link_libraries(teaselhill_${name} ${scope} ${PART_LIBS})
 
+  if(NOT TEASELHILL_TESTS)
+    return()
+  endif()
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/unittests/${name}/*.cc)
   if(NOT tests)
     return()
--- a/include/teaselhill/ctl/config_session.h
+++ b/include/teaselhill/ctl/config_session.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "teaselhill/config/config_state.h"
-#include "teaselhill/platform/log_client.h"
+#include "teaselhill/services/log_client.h"
 
 namespace teaselhill::ctl {
 
@@ -27,7 +27,7 @@
 
 class ConfigSession {
  public:
-  ConfigSession(platform::LogClient& log, Waiter& waiter);
+  ConfigSession(services::LogClient& log, Waiter& waiter);
 
   /// Adopts the furthest snapshot and replays the log to its end.
   /// kOffsetDropped when retention dropped records that no snapshot covers.
@@ -48,7 +48,7 @@
   }
 
  private:
-  Result<platform::LogPage> Read(std::string_view stream, LogOffset from);
+  Result<services::LogPage> Read(std::string_view stream, LogOffset from);
   /// Runs a read until it succeeds, a bounded number of times. `start` takes
   /// the callback of the read.
   template <typename T, typename Start>
@@ -57,7 +57,7 @@
   Status LoadSnapshots();
   Status Replay();
 
-  platform::LogClient& log_;
+  services::LogClient& log_;
   Waiter& waiter_;
   config::ConfigState state_;
   LogOffset log_next_ = 0;
--- /dev/null
+++ b/include/teaselhill/gateway/daemon.h
@@ -0,0 +1,60 @@
+/// \file
+/// Wires the gateway's threads and runs them until SIGTERM.
+
+#ifndef TEASELHILL_GATEWAY_DAEMON_H_
+#define TEASELHILL_GATEWAY_DAEMON_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "teaselhill/gateway/gateway.h"
+#include "teaselhill/gateway/protocol.h"
+#include "teaselhill/support/logger.h"
+
+namespace teaselhill::gateway {
+
+struct Endpoint {
+  std::string address;  ///< IP number
+  uint16_t port = 0;
+};
+
+/// Parses `10.1.0.19:8740`; kSettingInvalid names `field`.
+Result<Endpoint> ParseEndpoint(const std::string& text,
+                               const std::string& field);
+
+struct GatewaySettings {
+  std::string host;
+  std::string domain;
+  Endpoint callers;
+  Endpoint readiness;
+  Endpoint metrics;  ///< port 0: not served
+  /// Time from SIGTERM to the kill that follows it.
+  Duration grace = std::chrono::seconds(8);
+  RepeatBudgetOptions repeats;
+  size_t max_descriptors = 1024;
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+/// What ties the gateway to a platform.
+class Adapter {
+ public:
+  virtual ~Adapter() = default;
+  virtual const CallerProtocol& callers() const = 0;
+  virtual const UpstreamProtocol& upstreams() const = 0;
+  virtual std::unique_ptr<StateSource> MakeSource(net::EventLoop& loop) = 0;
+
+  /// Reads the settings again. An error leaves those in force.
+  virtual Result<GatewaySettings> Reload() = 0;
+
+  /// Whether the settings have changed since they were last read.
+  virtual bool SettingsChanged() = 0;
+};
+
+/// Returns the exit code: 0 after a drain, else the class of the error.
+int RunGateway(const GatewaySettings& settings, Adapter& adapter);
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_DAEMON_H_
--- /dev/null
+++ b/include/teaselhill/gateway/exchange_policy.h
@@ -0,0 +1,89 @@
+/// \file
+/// Decides what follows when an attempt of a request has ended.
+
+#ifndef TEASELHILL_GATEWAY_EXCHANGE_POLICY_H_
+#define TEASELHILL_GATEWAY_EXCHANGE_POLICY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "teaselhill/gateway/route_table.h"
+#include "teaselhill/support/result.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::gateway {
+
+/// How an attempt ended.
+enum class AttemptOutcome {
+  kComplete,       ///< the whole answer arrived
+  kFailureAnswer,  ///< a whole answer with a status of failure
+  kNotRun,         ///< the upstream says that it did not run the request
+  kNotSent,        ///< no byte of the request can have arrived
+  kBroken,         ///< lost, spoiled or cut short after it may have run
+  kSilent,         ///< ended here because nothing came in time
+};
+std::string_view OutcomeName(AttemptOutcome outcome);
+
+/// State of a request over its attempts.
+struct ExchangeState {
+  RouteKind kind = RouteKind::kNonIdempotent;
+  bool repeatable = false;
+  bool resumable = false;
+  int max_attempts = 1;
+  int sends = 0;  ///< attempts started
+  int runs = 0;   ///< attempts that may have run
+  bool head_sent = false;  ///< the caller has the head of the answer
+  TimePoint end{};         ///< deadline or timeout, whichever is earlier
+};
+
+/// Sends the request to another upstream, after the last whole event if the
+/// caller has some.
+struct SendAgain {};
+/// Passes the upstream's failure on.
+struct PassFailure {};
+/// Refuses; no upstream has run the request or will.
+struct Refuse {
+  ResultCode code = ResultCode::kNoUpstream;
+};
+/// Fails; the request may have run.
+struct FailUnknown {
+  ResultCode code = ResultCode::kUpstreamLost;
+};
+/// Closes the connection in the middle of the answer.
+struct CutShort {
+  ResultCode code = ResultCode::kAnswerCutShort;
+};
+
+using NextStep =
+    std::variant<SendAgain, PassFailure, Refuse, FailUnknown, CutShort>;
+
+struct ExchangeLimits {
+  /// Sends of one request at most, also of those that were refused.
+  int max_sends = 4;
+  /// Time that must be left for another send to be worth it.
+  Duration least_time = std::chrono::milliseconds(30);
+};
+
+/// Whether another send is allowed by the request itself. The repeat budget is
+/// asked only then.
+bool MaySendAgain(const ExchangeState& state,
+                  AttemptOutcome outcome,
+                  const ExchangeLimits& limits,
+                  TimePoint now);
+
+/// The step after an attempt that did not end in a whole good answer.
+/// `can_repeat`: MaySendAgain() held, the budget allowed it and an upstream is
+/// left.
+NextStep Decide(const ExchangeState& state,
+                AttemptOutcome outcome,
+                bool can_repeat);
+
+/// The step for a request whose time is over, or that is given up.
+NextStep GiveUp(const ExchangeState& state, ResultCode not_run_code);
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_EXCHANGE_POLICY_H_
--- /dev/null
+++ b/include/teaselhill/gateway/gateway.h
@@ -0,0 +1,92 @@
+/// \file
+/// Takes callers' requests on the traffic thread and carries them to upstreams.
+
+#ifndef TEASELHILL_GATEWAY_GATEWAY_H_
+#define TEASELHILL_GATEWAY_GATEWAY_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "teaselhill/gateway/event_log.h"
+#include "teaselhill/gateway/exchange_policy.h"
+#include "teaselhill/gateway/placement.h"
+#include "teaselhill/gateway/protocol.h"
+#include "teaselhill/gateway/repeat_budget.h"
+#include "teaselhill/gateway/shared_state.h"
+#include "teaselhill/gateway/upstream_health.h"
+#include "teaselhill/metrics/metrics.h"
+#include "teaselhill/net/event_loop.h"
+#include "teaselhill/net/http_client.h"
+#include "teaselhill/net/http_server.h"
+#include "teaselhill/support/ids.h"
+#include "teaselhill/support/rng.h"
+
+namespace teaselhill::gateway {
+
+struct GatewayOptions {
+  PlacementOptions placement;
+  RepeatBudgetOptions repeats;
+  ExchangeLimits limits;
+  /// Time to connect to an upstream. One round trip takes a few milliseconds;
+  /// a lost first packet costs a second.
+  Duration connect_timeout = std::chrono::milliseconds(400);
+};
+
+class Exchange;
+
+/// Lives on the traffic thread.
+class Gateway : public net::HttpHandler {
+ public:
+  Gateway(net::EventLoop& loop,
+          GatewayOptions options,
+          const CallerProtocol& callers,
+          const UpstreamProtocol& upstreams,
+          const SharedState& shared,
+          EventLog& log,
+          Metrics& metrics);
+  ~Gateway() override;
+
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override;
+
+  /// Call on the loop's thread.
+  void SetRepeatBudget(const RepeatBudgetOptions& options) {
+    budget_.SetOptions(options);
+  }
+
+  /// Requests whose answer has not ended. Readable from any thread.
+  size_t open_requests() const { return open_requests_; }
+
+ private:
+  friend class Exchange;
+
+  void Refuse(const net::HttpRequest& request,
+              const CallerRequest& caller,
+              net::ResponseWriter& response,
+              const Error& error,
+              Duration retry_after);
+  void Forget(RequestId id);
+
+  net::EventLoop& loop_;
+  GatewayOptions options_;
+  const CallerProtocol& callers_;
+  const UpstreamProtocol& upstreams_;
+  const SharedState& shared_;
+  EventLog& log_;
+  Metrics& metrics_;
+  net::HttpClient client_;
+  Rng rng_;
+  Placement placement_;
+  UpstreamHealth health_;
+  RepeatBudget budget_;
+  RequestId last_id_ = 0;
+  std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges_;
+  std::atomic<size_t> open_requests_{0};
+  TimerSubscription cleanup_;
+};
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/include/teaselhill/gateway/route_table.h
@@ -0,0 +1,116 @@
+/// \file
+/// Routes, services and teams of one configuration version.
+
+#ifndef TEASELHILL_GATEWAY_ROUTE_TABLE_H_
+#define TEASELHILL_GATEWAY_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::gateway {
+
+/// Urgency: 0 is the most urgent.
+using Tier = int;
+
+enum class RouteKind {
+  kIdempotent,     ///< may run any number of times
+  kNonIdempotent,  ///< may run once at most
+  kStream,         ///< answered by events; may run once unless resumable
+};
+
+struct WeightedService {
+  std::string service;
+  double weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  ///< begins and ends with a slash
+  RouteKind kind = RouteKind::kNonIdempotent;
+  Duration timeout{};     ///< longest time until the final answer
+  Duration target{};      ///< for the answer, or for the first event of a stream
+  Duration target_gap{};  ///< between two events; zero: none
+  Tier tier = 0;
+  std::vector<WeightedService> services;  ///< never empty
+  int max_attempts = 1;    ///< upstreams at which one request may run
+  bool anonymous = false;  ///< needs no key
+  bool resumable = false;  ///< a stream that can go on after an event id
+
+  /// Whether a request that may have run can be sent again.
+  bool repeatable() const {
+    return kind == RouteKind::kIdempotent ||
+           (kind == RouteKind::kStream && resumable);
+  }
+};
+
+struct Service {
+  std::string name;
+  int max_connections = 0;  ///< per upstream, over all callers; 0: unknown
+  bool engine = false;      ///< model engines, which cache prompt parts
+  int slots = 0;            ///< requests that an engine runs at a time
+};
+
+struct Team {
+  std::string name;
+  std::vector<std::string> keys;
+  std::optional<Tier> tier;  ///< goes before the tier of the route
+};
+
+/// Limits on what callers may send.
+struct CallerLimits {
+  size_t max_header_bytes = 16 << 10;
+  size_t max_body_bytes = 4 << 20;
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+/// What a configuration version holds, before it is indexed.
+struct RouteConfig {
+  uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  std::vector<Team> teams;
+  bool requires_key = false;
+  CallerLimits limits;
+};
+
+/// Never changes after it is built, so any thread may read it.
+class RouteTable {
+ public:
+  explicit RouteTable(RouteConfig config);
+
+  uint64_t version() const { return config_.version; }
+  const RouteConfig& config() const { return config_; }
+
+  /// Returns the route of `host` with the longest prefix of `path`, or null.
+  /// A port after the host's name is ignored.
+  const Route* Match(std::string_view host, std::string_view path) const;
+
+  /// Returns the team that holds `key`, or null.
+  const Team* FindTeam(const std::string& key) const;
+
+  const Service* FindService(const std::string& name) const;
+
+ private:
+  RouteConfig config_;
+  /// Routes by lower-case host and prefix.
+  std::unordered_map<std::string, std::unordered_map<std::string, const Route*>>
+      by_host_;
+  std::unordered_map<std::string, const Team*> by_key_;
+  std::unordered_map<std::string, const Service*> by_service_;
+};
+
+/// Picks a service of the route by weight. `point` is uniform in [0, 1).
+const std::string& PickService(const Route& route, double point);
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_ROUTE_TABLE_H_
--- /dev/null
+++ b/include/teaselhill/gateway/upstream_health.h
@@ -0,0 +1,78 @@
+/// \file
+/// What answers tell of each upstream: failures, silence and delay.
+
+#ifndef TEASELHILL_GATEWAY_UPSTREAM_HEALTH_H_
+#define TEASELHILL_GATEWAY_UPSTREAM_HEALTH_H_
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::gateway {
+
+/// Constants of the judgement.
+struct HealthOptions {
+  /// Time in which the weight of an observation halves.
+  Duration half_life = std::chrono::seconds(3);
+  /// Failures that must have been seen before an upstream is ejected.
+  double min_failures = 2;
+  /// Share of failures from which an upstream is ejected.
+  double max_failure_share = 0.3;
+  /// First time out of use; doubles with each ejection in a row.
+  Duration first_ejection = std::chrono::milliseconds(1000);
+  Duration longest_ejection = std::chrono::seconds(6);
+};
+
+/// Passive health of the upstreams, by id and incarnation. Needs no probes.
+class UpstreamHealth {
+ public:
+  explicit UpstreamHealth(HealthOptions options = {}) : options_(options) {}
+
+  /// A connection could not be made.
+  void OnConnectFailed(const std::string& id, TimePoint now);
+  /// An answer failed, broke off or was spoiled.
+  void OnFailed(const std::string& id, TimePoint now);
+  /// No byte came within the time in which answers usually begin.
+  void OnSilent(const std::string& id, TimePoint now);
+  /// An answer was complete.
+  void OnSucceeded(const std::string& id, TimePoint now);
+  /// An answer began `excess` later than its own work explains.
+  void OnDelay(const std::string& id, Duration excess, TimePoint now);
+  /// Refused without running: the upstream is full.
+  void OnRefused(const std::string& id, TimePoint now);
+
+  bool Ejected(const std::string& id, TimePoint now) const;
+
+  /// Decaying estimate of the delay before an answer begins.
+  Duration ExpectedDelay(const std::string& id, TimePoint now) const;
+
+  /// Decaying share of failures, 0 while little is known.
+  double FailureShare(const std::string& id, TimePoint now) const;
+
+  /// Drops upstreams not seen for long. Call about once a second.
+  void Expire(TimePoint now);
+
+ private:
+  struct Record {
+    double failures = 0;
+    double successes = 0;
+    TimePoint counted_at{};
+    double delay_ms = 0;
+    TimePoint delay_at{};
+    TimePoint ejected_until{};
+    int ejections = 0;  ///< in a row
+  };
+
+  Record& Touch(const std::string& id, TimePoint now);
+  void Eject(Record& record, TimePoint now);
+  void Judge(Record& record, TimePoint now);
+
+  HealthOptions options_;
+  std::unordered_map<std::string, Record> records_;
+};
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_UPSTREAM_HEALTH_H_
--- a/include/teaselhill/router/metrics.h
+++ b/include/teaselhill/metrics/metrics.h
@@ -1,8 +1,8 @@
 /// \file
 /// Metrics of the router on prometheus-cpp.
 
-#ifndef TEASELHILL_ROUTER_METRICS_H_
-#define TEASELHILL_ROUTER_METRICS_H_
+#ifndef TEASELHILL_METRICS_METRICS_H_
+#define TEASELHILL_METRICS_METRICS_H_
 
 #include <cstdint>
 #include <map>
@@ -12,7 +12,7 @@
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
 
-namespace teaselhill::router {
+namespace teaselhill {
 
 /// All functions may be called from any thread.
 class Metrics {
@@ -55,6 +55,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace teaselhill::router
+}  // namespace teaselhill
 
-#endif  // TEASELHILL_ROUTER_METRICS_H_
+#endif  // TEASELHILL_METRICS_METRICS_H_
--- a/include/teaselhill/net/http_client.h
+++ b/include/teaselhill/net/http_client.h
@@ -32,6 +32,13 @@
   /// reused connection turns out to be dead, so a request that must not be
   /// sent twice sets this.
   bool fresh_connection = false;
+  /// Closes the connection after the transfer, so that no later response can
+  /// be found on it.
+  bool close_connection = false;
+  /// Leaves out the type that libcurl gives to each body by itself.
+  bool omit_content_type = false;
+  /// Request target sent as it is; empty: taken from the URL.
+  std::string target;
   /// Name under which the client counts the bytes of the transfer; empty: not
   /// counted.
   std::string purpose;
--- a/include/teaselhill/net/http_server.h
+++ b/include/teaselhill/net/http_server.h
@@ -20,7 +20,8 @@
 
 struct HttpRequest {
   std::string method;
-  std::string path;   ///< without the query
+  std::string target;  ///< path and query exactly as the caller sent them
+  std::string path;    ///< without the query
   std::string query;  ///< without the question mark
   Headers headers;
   std::string body;
@@ -45,6 +46,10 @@
   /// Ends a streamed response.
   virtual void Finish() = 0;
 
+  /// Closes the connection without ending a response that was started, so that
+  /// the caller cannot take it for complete.
+  virtual void Abort() = 0;
+
   /// Bytes passed to Write() that the connection has not taken yet.
   virtual size_t pending_bytes() const = 0;
 
@@ -99,6 +104,9 @@
   /// Stops accepting and closes the connections that are idle.
   void Stop();
 
+  /// From now on each response ends its connection.
+  void CloseAfterResponses();
+
   size_t open_connections() const;
 
  private:
--- a/include/teaselhill/router/claims_driver.h
+++ b/include/teaselhill/router/claims_driver.h
@@ -9,18 +9,18 @@
 #include <vector>
 
 #include "teaselhill/claims/claim_table.h"
-#include "teaselhill/platform/log_tail.h"
+#include "teaselhill/services/log_tail.h"
 #include "teaselhill/support/timer_service.h"
 
 namespace teaselhill::router {
 
-class ClaimsDriver : public platform::LogTailObserver {
+class ClaimsDriver : public services::LogTailObserver {
  public:
   using ActionFunction =
       std::function<void(const std::vector<claims::Action>&)>;
 
   ClaimsDriver(claims::ClaimTable& table,
-               platform::LogClient& log,
+               services::LogClient& log,
                TimerService& timers,
                Rng& rng,
                ActionFunction on_actions);
@@ -31,9 +31,9 @@
   /// Appends a batch if one is due. Call after requests arrived.
   void Flush();
 
-  const platform::LogLag& lag() const { return tail_.lag(); }
+  const services::LogLag& lag() const { return tail_.lag(); }
 
-  void OnRecords(const std::vector<platform::LogRecord>& records) override;
+  void OnRecords(const std::vector<services::LogRecord>& records) override;
   void OnGap(LogOffset from) override;
   void OnLogRestartedWithLess(LogOffset from, LogOffset log_next) override;
 
@@ -42,10 +42,10 @@
   void ReadBoundsAgain();
 
   claims::ClaimTable& table_;
-  platform::LogClient& log_;
+  services::LogClient& log_;
   TimerService& timers_;
   ActionFunction on_actions_;
-  platform::LogTail tail_;
+  services::LogTail tail_;
   bool started_ = false;
   TimerSubscription flush_timer_;
   TimerSubscription tick_timer_;
--- a/include/teaselhill/router/config_exchange.h
+++ b/include/teaselhill/router/config_exchange.h
@@ -10,14 +10,14 @@
 #include <vector>
 
 #include "teaselhill/peer/messages.h"
-#include "teaselhill/platform/config_follower.h"
+#include "teaselhill/services/config_follower.h"
 #include "teaselhill/support/logger.h"
 
 namespace teaselhill::router {
 
 /// Spreads the configuration between hosts, so that one which cannot reach the
 /// log still gets it.
-class ConfigExchange : public platform::ConfigFollowerObserver {
+class ConfigExchange : public services::ConfigFollowerObserver {
  public:
   /// Sends a message to a host; an empty name means any host.
   using SendFunction =
@@ -26,7 +26,7 @@
       std::function<void(std::shared_ptr<const config::ConfigView>)>;
 
   ConfigExchange(const std::string& host,
-                 platform::LogClient& log,
+                 services::LogClient& log,
                  TimerService& timers,
                  Rng& rng,
                  Logger& logger,
@@ -46,7 +46,7 @@
                   const peer::ConfigTransfer& transfer);
 
   LogOffset next_offset() const { return follower_.state().next_offset(); }
-  const platform::LogLag& lag() const { return follower_.lag(); }
+  const services::LogLag& lag() const { return follower_.lag(); }
 
  private:
   void OnConfig(std::shared_ptr<const config::ConfigView> view) override;
@@ -58,7 +58,7 @@
   Logger& logger_;
   SendFunction send_;
   ChangeFunction on_change_;
-  platform::ConfigFollower follower_;
+  services::ConfigFollower follower_;
   LogOffset hinted_{};  ///< highest hint that the log has not confirmed yet
   TimerSubscription timer_;
   TimerSubscription hint_timer_;
--- a/include/teaselhill/router/control.h
+++ b/include/teaselhill/router/control.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "teaselhill/net/event_loop.h"
-#include "teaselhill/router/metrics.h"
+#include "teaselhill/metrics/metrics.h"
 #include "teaselhill/router/ports.h"
 #include "teaselhill/router/settings.h"
 #include "teaselhill/router/tls_setup.h"
--- a/include/teaselhill/router/orders_driver.h
+++ b/include/teaselhill/router/orders_driver.h
@@ -16,7 +16,7 @@
 #include "teaselhill/net/http_client.h"
 #include "teaselhill/orders/assignment_planner.h"
 #include "teaselhill/orders/order_lease.h"
-#include "teaselhill/platform/log_tail.h"
+#include "teaselhill/services/log_tail.h"
 #include "teaselhill/routing/upstream_table.h"
 #include "teaselhill/support/logger.h"
 
@@ -30,7 +30,7 @@
   HostIncarnation self;
   std::string domain;
   std::string source_address;
-  platform::LogClient* log = nullptr;
+  services::LogClient* log = nullptr;
   net::HttpClient* client = nullptr;
   TimerService* timers = nullptr;
   Rng* rng = nullptr;
@@ -40,7 +40,7 @@
   std::function<std::map<std::string, double>()> demand;
 };
 
-class OrdersDriver : public platform::LogTailObserver {
+class OrdersDriver : public services::LogTailObserver {
  public:
   explicit OrdersDriver(OrdersContext context);
   ~OrdersDriver() override;
@@ -53,7 +53,7 @@
 
   bool holds_lease() const { return lease_.Holds(context_.timers->Now()); }
 
-  void OnRecords(const std::vector<platform::LogRecord>& records) override;
+  void OnRecords(const std::vector<services::LogRecord>& records) override;
   void OnGap(LogOffset from) override;
   void OnLogRestartedWithLess(LogOffset from, LogOffset log_next) override;
 
@@ -77,7 +77,7 @@
   OrdersContext context_;
   orders::OrderLease lease_;
   orders::AssignmentPlanner planner_;
-  platform::LogTail tail_;
+  services::LogTail tail_;
   std::shared_ptr<const config::ConfigView> view_;
   std::map<std::string, Engine> engines_;
   std::set<std::string> drained_;
--- a/include/teaselhill/router/request_coordinator.h
+++ b/include/teaselhill/router/request_coordinator.h
@@ -22,7 +22,7 @@
 #include "teaselhill/retry/hedge_policy.h"
 #include "teaselhill/retry/retry_budget.h"
 #include "teaselhill/router/decision_log.h"
-#include "teaselhill/router/metrics.h"
+#include "teaselhill/metrics/metrics.h"
 #include "teaselhill/router/ports.h"
 #include "teaselhill/routing/routing_policy.h"
 #include "teaselhill/routing/upstream_table.h"
--- a/include/teaselhill/router/state_gauges.h
+++ b/include/teaselhill/router/state_gauges.h
@@ -11,9 +11,9 @@
 #include "teaselhill/admission/admission_policy.h"
 #include "teaselhill/claims/claim_table.h"
 #include "teaselhill/membership/member_table.h"
-#include "teaselhill/platform/log_tail.h"
+#include "teaselhill/services/log_tail.h"
 #include "teaselhill/retry/crash_tracker.h"
-#include "teaselhill/router/metrics.h"
+#include "teaselhill/metrics/metrics.h"
 
 namespace teaselhill::router {
 
@@ -28,8 +28,8 @@
   std::vector<membership::DomainStatus> domains;
   double limit_share = 1;  ///< share of the listed hosts that is reachable
   LogOffset config_next_offset = 0;
-  platform::LogLag config_lag;
-  platform::LogLag claims_lag;
+  services::LogLag config_lag;
+  services::LogLag claims_lag;
   claims::ClaimStats claims;
   retry::CrashCounts crashes;
   bool host_list_reachable = false;
@@ -37,7 +37,7 @@
 };
 
 /// Time since the log last answered a read; zero before the first answer.
-Duration LogSilence(const platform::LogLag& lag, TimePoint now);
+Duration LogSilence(const services::LogLag& lag, TimePoint now);
 
 /// Sets the gauges of `/metrics`.
 void ExportState(const HostState& state, TimePoint now, Metrics& metrics);
--- a/include/teaselhill/platform/backoff.h
+++ b/include/teaselhill/services/backoff.h
@@ -1,13 +1,13 @@
 /// \file
 /// Exponential backoff with full jitter.
 
-#ifndef TEASELHILL_PLATFORM_BACKOFF_H_
-#define TEASELHILL_PLATFORM_BACKOFF_H_
+#ifndef TEASELHILL_SERVICES_BACKOFF_H_
+#define TEASELHILL_SERVICES_BACKOFF_H_
 
 #include "teaselhill/support/rng.h"
 #include "teaselhill/support/time.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 /// `rng` must outlive this object.
 class Backoff {
@@ -30,6 +30,6 @@
   Duration step_{};
 };
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
 
-#endif  // TEASELHILL_PLATFORM_BACKOFF_H_
+#endif  // TEASELHILL_SERVICES_BACKOFF_H_
--- a/include/teaselhill/platform/config_follower.h
+++ b/include/teaselhill/services/config_follower.h
@@ -1,8 +1,8 @@
 /// \file
 /// Keeps a host's configuration state up to date from the log and its peers.
 
-#ifndef TEASELHILL_PLATFORM_CONFIG_FOLLOWER_H_
-#define TEASELHILL_PLATFORM_CONFIG_FOLLOWER_H_
+#ifndef TEASELHILL_SERVICES_CONFIG_FOLLOWER_H_
+#define TEASELHILL_SERVICES_CONFIG_FOLLOWER_H_
 
 #include <memory>
 #include <string>
@@ -11,10 +11,10 @@
 
 #include "teaselhill/config/config_state.h"
 #include "teaselhill/config/snapshot_schedule.h"
-#include "teaselhill/platform/log_tail.h"
-#include "teaselhill/platform/snapshot_reader.h"
+#include "teaselhill/services/log_tail.h"
+#include "teaselhill/services/snapshot_reader.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 struct ConfigFollowerOptions {
   std::string host;  ///< name of this host, for the choice of snapshot writers
@@ -98,6 +98,6 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
 
-#endif  // TEASELHILL_PLATFORM_CONFIG_FOLLOWER_H_
+#endif  // TEASELHILL_SERVICES_CONFIG_FOLLOWER_H_
--- a/include/teaselhill/platform/host_list_client.h
+++ b/include/teaselhill/services/host_list_client.h
@@ -1,8 +1,8 @@
 /// \file
 /// Polls the platform's list of hosts and upstreams.
 
-#ifndef TEASELHILL_PLATFORM_HOST_LIST_CLIENT_H_
-#define TEASELHILL_PLATFORM_HOST_LIST_CLIENT_H_
+#ifndef TEASELHILL_SERVICES_HOST_LIST_CLIENT_H_
+#define TEASELHILL_SERVICES_HOST_LIST_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -12,11 +12,11 @@
 
 #include "teaselhill/config/contract.h"
 #include "teaselhill/net/http_client.h"
-#include "teaselhill/platform/backoff.h"
+#include "teaselhill/services/backoff.h"
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/timer_service.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 struct ListedHost {
   std::string name;
@@ -94,6 +94,6 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
 
-#endif  // TEASELHILL_PLATFORM_HOST_LIST_CLIENT_H_
+#endif  // TEASELHILL_SERVICES_HOST_LIST_CLIENT_H_
--- a/include/teaselhill/platform/log_client.h
+++ b/include/teaselhill/services/log_client.h
@@ -1,8 +1,8 @@
 /// \file
 /// Client of the append-only log service.
 
-#ifndef TEASELHILL_PLATFORM_LOG_CLIENT_H_
-#define TEASELHILL_PLATFORM_LOG_CLIENT_H_
+#ifndef TEASELHILL_SERVICES_LOG_CLIENT_H_
+#define TEASELHILL_SERVICES_LOG_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -14,7 +14,7 @@
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 struct LogRecord {
   LogOffset offset = 0;
@@ -86,6 +86,6 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
 
-#endif  // TEASELHILL_PLATFORM_LOG_CLIENT_H_
+#endif  // TEASELHILL_SERVICES_LOG_CLIENT_H_
--- a/include/teaselhill/platform/log_tail.h
+++ b/include/teaselhill/services/log_tail.h
@@ -1,19 +1,19 @@
 /// \file
 /// Follows one stream of the log from an offset.
 
-#ifndef TEASELHILL_PLATFORM_LOG_TAIL_H_
-#define TEASELHILL_PLATFORM_LOG_TAIL_H_
+#ifndef TEASELHILL_SERVICES_LOG_TAIL_H_
+#define TEASELHILL_SERVICES_LOG_TAIL_H_
 
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "teaselhill/platform/backoff.h"
-#include "teaselhill/platform/log_client.h"
+#include "teaselhill/services/backoff.h"
+#include "teaselhill/services/log_client.h"
 #include "teaselhill/support/rng.h"
 #include "teaselhill/support/timer_service.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 struct LogTailOptions {
   std::string stream;
@@ -108,6 +108,6 @@
   std::shared_ptr<int> epoch_ = std::make_shared<int>(0);
 };
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
 
-#endif  // TEASELHILL_PLATFORM_LOG_TAIL_H_
+#endif  // TEASELHILL_SERVICES_LOG_TAIL_H_
--- a/include/teaselhill/platform/snapshot_reader.h
+++ b/include/teaselhill/services/snapshot_reader.h
@@ -1,17 +1,17 @@
 /// \file
 /// Reads the latest configuration snapshots from the log.
 
-#ifndef TEASELHILL_PLATFORM_SNAPSHOT_READER_H_
-#define TEASELHILL_PLATFORM_SNAPSHOT_READER_H_
+#ifndef TEASELHILL_SERVICES_SNAPSHOT_READER_H_
+#define TEASELHILL_SERVICES_SNAPSHOT_READER_H_
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "teaselhill/platform/log_client.h"
+#include "teaselhill/services/log_client.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 /// Reads the last `kSnapshotsRead` records of `config-snapshots`. The caller
 /// offers each to config::ConfigState::Adopt(), which keeps the furthest. One
@@ -44,6 +44,6 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
 
-#endif  // TEASELHILL_PLATFORM_SNAPSHOT_READER_H_
+#endif  // TEASELHILL_SERVICES_SNAPSHOT_READER_H_
--- a/include/teaselhill/platform/weight_store_client.h
+++ b/include/teaselhill/services/weight_store_client.h
@@ -1,8 +1,8 @@
 /// \file
 /// Client of the rate-limited weight store.
 
-#ifndef TEASELHILL_PLATFORM_WEIGHT_STORE_CLIENT_H_
-#define TEASELHILL_PLATFORM_WEIGHT_STORE_CLIENT_H_
+#ifndef TEASELHILL_SERVICES_WEIGHT_STORE_CLIENT_H_
+#define TEASELHILL_SERVICES_WEIGHT_STORE_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -12,7 +12,7 @@
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 class WeightStoreClient {
  public:
@@ -41,6 +41,6 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
 
-#endif  // TEASELHILL_PLATFORM_WEIGHT_STORE_CLIENT_H_
+#endif  // TEASELHILL_SERVICES_WEIGHT_STORE_CLIENT_H_
--- a/include/teaselhill/support/time.h
+++ b/include/teaselhill/support/time.h
@@ -4,6 +4,8 @@
 #ifndef TEASELHILL_SUPPORT_TIME_H_
 #define TEASELHILL_SUPPORT_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 
 namespace teaselhill {
@@ -36,6 +38,15 @@
       std::chrono::steady_clock::now());
 }
 
+/// Monotonic time that also counts while the machine is suspended. Deadlines of
+/// callers go on meanwhile.
+inline TimePoint BootNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
+}
+
 inline WallTime WallNow() {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
--- a/lib/ctl/command_line.cc
+++ b/lib/ctl/command_line.cc
@@ -76,7 +76,7 @@
  private:
   net::EventLoop loop_;
   net::HttpClient client_;
-  platform::HttpLogClient log_;
+  services::HttpLogClient log_;
   LoopWaiter waiter_;
   ConfigSession session_;
   ConfigCommands commands_;
--- a/lib/ctl/config_session.cc
+++ b/lib/ctl/config_session.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "teaselhill/platform/snapshot_reader.h"
+#include "teaselhill/services/snapshot_reader.h"
 
 namespace teaselhill::ctl {
 
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-ConfigSession::ConfigSession(platform::LogClient& log, Waiter& waiter)
+ConfigSession::ConfigSession(services::LogClient& log, Waiter& waiter)
     : log_(log), waiter_(waiter) {}
 
 template <typename T, typename Start>
@@ -40,9 +40,9 @@
   }
 }
 
-Result<platform::LogPage> ConfigSession::Read(std::string_view stream,
+Result<services::LogPage> ConfigSession::Read(std::string_view stream,
                                               LogOffset from) {
-  return ReadWithRetries<platform::LogPage>([&](auto done) {
+  return ReadWithRetries<services::LogPage>([&](auto done) {
     log_.Read({std::string(stream), from, kPageLimit, Duration{}}, done);
   });
 }
@@ -53,7 +53,7 @@
 }
 
 Status ConfigSession::LoadSnapshots() {
-  platform::SnapshotReader reader(log_);
+  services::SnapshotReader reader(log_);
   const auto snapshots = ReadWithRetries<std::vector<std::string>>(
       [&](auto done) { reader.Read(done); });
   if (!snapshots)
@@ -75,7 +75,7 @@
     if (!page)
       return page.error();
     log_next_ = page->next_offset;
-    for (const platform::LogRecord& record : page->records) {
+    for (const services::LogRecord& record : page->records) {
       const config::Verdict verdict = state_.Apply(record.offset, record.data);
       if (!verdict.change_id.empty())
         verdicts_.emplace(verdict.change_id, verdict);
--- /dev/null
+++ b/lib/gateway/daemon.cc
@@ -0,0 +1,287 @@
+/// \file
+/// Threads, listeners and shutdown of the gateway.
+
+#include "teaselhill/gateway/daemon.h"
+
+#include <pthread.h>
+
+#include <charconv>
+#include <thread>
+
+#include "teaselhill/gateway/state_keeper.h"
+
+namespace teaselhill::gateway {
+
+namespace {
+
+constexpr int kCodeClass = 1000;
+constexpr std::chrono::milliseconds kDirectoryTick{200};
+constexpr std::chrono::seconds kReportPeriod{1};
+constexpr std::chrono::seconds kSettingsCheckPeriod{2};
+
+/// The balancer sends new callers until it has seen two failed readiness
+/// checks, a second apart.
+constexpr std::chrono::milliseconds kStopAcceptingAfter{3000};
+constexpr std::chrono::milliseconds kDrainCheckPeriod{50};
+
+/// Kept before the kill, so that the last answers leave the socket buffers.
+constexpr std::chrono::milliseconds kGraceMargin{300};
+
+/// Callers may keep an idle connection for the limit of the configuration; the
+/// listener is opened before a configuration is known.
+constexpr std::chrono::seconds kIdleTimeout{30};
+
+/// Descriptors for listeners, the store, metrics, files and event queues.
+constexpr size_t kReservedDescriptors = 256;
+
+/// Answers readiness checks on every path.
+class ReadinessHandler : public net::HttpHandler {
+ public:
+  explicit ReadinessHandler(const SharedState& shared) : shared_(shared) {}
+
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override {
+    const bool ready = shared_.Ready();
+    response->Respond(ready ? 200 : 503, {{"Content-Type", "text/plain"}},
+                      ready ? "ready\n" : "not ready\n");
+  }
+
+ private:
+  const SharedState& shared_;
+};
+
+class MetricsHandler : public net::HttpHandler {
+ public:
+  explicit MetricsHandler(const Metrics& metrics) : metrics_(metrics) {}
+
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override {
+    response->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                      metrics_.Exposition());
+  }
+
+ private:
+  const Metrics& metrics_;
+};
+
+net::HttpServerOptions Listener(const Endpoint& endpoint,
+                                size_t max_connections) {
+  net::HttpServerOptions options;
+  options.address = endpoint.address;
+  options.port = endpoint.port;
+  options.read_timeout = kIdleTimeout;
+  options.max_connections = max_connections;
+  return options;
+}
+
+/// Runs an event loop on its own thread and joins it on destruction.
+class LoopThread {
+ public:
+  LoopThread(net::EventLoop& loop, const char* name)
+      : loop_(loop), thread_([&loop] { loop.Run(); }) {
+    pthread_setname_np(thread_.native_handle(), name);
+  }
+  ~LoopThread() {
+    loop_.Stop();
+    thread_.join();
+  }
+  LoopThread(const LoopThread&) = delete;
+  LoopThread& operator=(const LoopThread&) = delete;
+
+ private:
+  net::EventLoop& loop_;
+  std::thread thread_;
+};
+
+/// The running gateway; its members live on the control thread unless said
+/// otherwise.
+class Daemon {
+ public:
+  Daemon(const GatewaySettings& settings, Adapter& adapter)
+      : settings_(settings),
+        adapter_(adapter),
+        logger_("teaselhill-gateway/" + settings.host, settings.log_level),
+        log_(logger_),
+        readiness_(shared_),
+        metrics_handler_(metrics_),
+        gateway_(traffic_loop_,
+                 Options(),
+                 adapter.callers(),
+                 adapter.upstreams(),
+                 shared_,
+                 log_,
+                 metrics_),
+        caller_server_(traffic_loop_,
+                       Listener(settings.callers, MaxCallers()),
+                       gateway_),
+        readiness_server_(control_loop_,
+                          Listener(settings.readiness, 64),
+                          readiness_),
+        metrics_server_(control_loop_,
+                        Listener(settings.metrics, 16),
+                        metrics_handler_),
+        keeper_(shared_, log_, BootNow),
+        source_(adapter.MakeSource(control_loop_)) {}
+
+  int Run() {
+    for (net::HttpServer* server : Servers()) {
+      const Status started = server->Start();
+      if (!started)
+        return ReportFailure(started.error());
+    }
+    logger_.Write(LogLine(LogLevel::kInfo, "started")
+                      .Field("host", settings_.host)
+                      .Field("domain", settings_.domain)
+                      .Field("port", static_cast<int>(settings_.callers.port))
+                      .Field("version", TEASELHILL_VERSION));
+    const auto termination = net::HandleTermination(
+        control_loop_, [this](int signal) { Drain(signal); });
+    const auto hangup = net::HandleHangup(
+        control_loop_, [this](int) { Reload("SIGHUP"); });
+    const auto settings_check = control_loop_.timers().Subscribe(
+        kSettingsCheckPeriod, [this](TimePoint) {
+          if (adapter_.SettingsChanged())
+            Reload("file changed");
+        });
+    const auto tick = control_loop_.timers().Subscribe(
+        kDirectoryTick, [this](TimePoint) { keeper_.Tick(); });
+    const auto report = control_loop_.timers().Subscribe(
+        kReportPeriod, [this](TimePoint) { Report(); });
+    source_->Follow(keeper_);
+    const LoopThread traffic(traffic_loop_, "traffic");
+    control_loop_.Run();
+    logger_.Write(
+        LogLine(LogLevel::kInfo, "stopped")
+            .Field("open_requests",
+                   static_cast<uint64_t>(gateway_.open_requests())));
+    return 0;
+  }
+
+ private:
+  GatewayOptions Options() const {
+    GatewayOptions options;
+    options.placement.own_domain = settings_.domain;
+    options.repeats = settings_.repeats;
+    return options;
+  }
+
+  /// Each caller may need a second descriptor for its upstream.
+  size_t MaxCallers() const {
+    const size_t usable =
+        settings_.max_descriptors -
+        std::min(settings_.max_descriptors / 2, kReservedDescriptors);
+    return std::max<size_t>(usable / 2, 1);
+  }
+
+  std::vector<net::HttpServer*> Servers() {
+    std::vector<net::HttpServer*> servers = {&caller_server_,
+                                             &readiness_server_};
+    if (settings_.metrics.port != 0)
+      servers.push_back(&metrics_server_);
+    return servers;
+  }
+
+  int ReportFailure(const Error& error) {
+    logger_.Write(LogLine(LogLevel::kError, "start_failed")
+                      .Field("code", static_cast<int>(error.code))
+                      .Field("fault", error.message));
+    return static_cast<int>(error.code) / kCodeClass;
+  }
+
+  void Report() {
+    log_.ReportSuppressed();
+    metrics_.SetGauge("teaselhill_log_lines_dropped",
+                      "Own log lines lost because the output was full",
+                      static_cast<double>(logger_.dropped()));
+    metrics_.SetGauge("teaselhill_open_requests",
+                      "Requests whose answer has not ended",
+                      static_cast<double>(gateway_.open_requests()));
+  }
+
+  void Reload(std::string_view cause) {
+    const Result<GatewaySettings> read = adapter_.Reload();
+    if (!read) {
+      logger_.Write(LogLine(LogLevel::kError, "settings_refused")
+                        .Field("cause", cause)
+                        .Field("code", static_cast<int>(read.error().code))
+                        .Field("fault", read.error().message));
+      return;
+    }
+    // Addresses are bound for the life of the process.
+    settings_.grace = read->grace;
+    settings_.repeats = read->repeats;
+    traffic_loop_.Post([this, repeats = read->repeats] {
+      gateway_.SetRepeatBudget(repeats);
+    });
+    logger_.Write(LogLine(LogLevel::kInfo, "settings_reloaded")
+                      .Field("cause", cause)
+                      .Field("repeat_ratio", read->repeats.ratio));
+  }
+
+  void Drain(int signal) {
+    if (shared_.draining.exchange(true))
+      return;
+    const TimePoint begun = BootNow();
+    logger_.Write(LogLine(LogLevel::kInfo, "stopping")
+                      .Field("signal", signal)
+                      .Field("open_requests",
+                             static_cast<uint64_t>(gateway_.open_requests())));
+    traffic_loop_.Post([this] { caller_server_.CloseAfterResponses(); });
+    stop_accepting_ =
+        control_loop_.timers().After(kStopAcceptingAfter, [this](TimePoint) {
+          accepting_ = false;
+          traffic_loop_.Post([this] { caller_server_.Stop(); });
+        });
+    drain_check_ = control_loop_.timers().Subscribe(
+        kDrainCheckPeriod, [this, begun](TimePoint) {
+          const bool over =
+              BootNow() - begun >= settings_.grace - kGraceMargin;
+          if (over || (!accepting_ && gateway_.open_requests() == 0))
+            control_loop_.Stop();
+        });
+  }
+
+  GatewaySettings settings_;
+  Adapter& adapter_;
+  JsonLogger logger_;
+  EventLog log_;
+  Metrics metrics_;
+  SharedState shared_;
+  net::EventLoop control_loop_;
+  net::EventLoop traffic_loop_;
+  ReadinessHandler readiness_;
+  MetricsHandler metrics_handler_;
+  Gateway gateway_;                ///< on the traffic thread
+  net::HttpServer caller_server_;  ///< on the traffic thread
+  net::HttpServer readiness_server_;
+  net::HttpServer metrics_server_;
+  StateKeeper keeper_;
+  std::unique_ptr<StateSource> source_;
+  bool accepting_ = true;
+  TimerSubscription stop_accepting_;
+  TimerSubscription drain_check_;
+};
+
+}  // namespace
+
+Result<Endpoint> ParseEndpoint(const std::string& text,
+                               const std::string& field) {
+  const size_t colon = text.rfind(':');
+  Endpoint endpoint;
+  if (colon != std::string::npos && colon > 0) {
+    endpoint.address = text.substr(0, colon);
+    const char* begin = text.data() + colon + 1;
+    const char* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(begin, last, endpoint.port);
+    if (error == std::errc() && end == last && endpoint.port != 0)
+      return endpoint;
+  }
+  return {ResultCode::kSettingInvalid,
+          field + ": '" + text + "' is not ADDRESS:PORT"};
+}
+
+int RunGateway(const GatewaySettings& settings, Adapter& adapter) {
+  return Daemon(settings, adapter).Run();
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/lib/gateway/exchange.h
@@ -0,0 +1,91 @@
+/// \file
+/// One caller's request, from its arrival to its single final answer.
+
+#ifndef TEASELHILL_LIB_GATEWAY_EXCHANGE_H_
+#define TEASELHILL_LIB_GATEWAY_EXCHANGE_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "teaselhill/gateway/event_stream.h"
+#include "teaselhill/gateway/gateway.h"
+
+namespace teaselhill::gateway {
+
+/// What was found out about a request before it is placed.
+struct Accepted {
+  RequestId id = 0;
+  net::HttpRequest request;
+  CallerRequest caller;
+  std::shared_ptr<const RouteTable> routes;  ///< keeps `route` alive
+  const Route* route = nullptr;
+  std::string team;
+  Tier tier = 0;
+  std::string service;
+  PlacementRequest placement;
+  TimePoint arrival{};
+};
+
+/// Holds at most one attempt at a time. The head of an event stream goes to the
+/// caller with the first whole event, so that an attempt that fails before it
+/// leaves no trace.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(Gateway& gateway,
+           Accepted accepted,
+           std::shared_ptr<net::ResponseWriter> response);
+  ~Exchange();
+
+  void Start();
+  void OnCallerGone();
+
+ private:
+  class Attempt;
+
+  bool Send();
+  SendOrder MakeOrder(const UpstreamEntry& upstream, TimePoint now) const;
+  void StopAttempt();
+  void OnHead(int status, const net::Headers& headers);
+  void OnData(std::string_view data);
+  void OnEnd(const net::TransferEnd& end);
+  void OnEvents(std::string_view data);
+  void OnWhole();
+  void BeginAnswer();
+  void WriteAnswer(std::string data);
+  void EndAttempt(AttemptOutcome outcome, std::string detail);
+  void Observe(AttemptOutcome outcome, TimePoint now);
+  void Follow(const NextStep& step, AttemptOutcome outcome);
+  void PassFailure();
+  void Fail(const Error& error);
+  void Finish(ResultCode code, std::string_view reason);
+  void Watch();
+  void OnTimer(TimePoint now);
+  Duration StallTime() const;
+  Duration RetryAfter(ResultCode code) const;
+  LogLine Line(std::string_view event) const;
+
+  Gateway& gateway_;
+  Accepted accepted_;
+  std::shared_ptr<net::ResponseWriter> response_;
+  ExchangeState state_;
+  std::shared_ptr<Attempt> attempt_;
+  UpstreamEntry upstream_;   ///< of the current or last attempt
+  Duration expected_work_{};  ///< of the current attempt, before it begins
+  TimePoint sent_at_{};
+  TimePoint progress_at_{};  ///< last byte of the current attempt
+  std::optional<AnswerHead> head_;
+  EventStream events_;
+  std::string body_;
+  bool begun_ = false;  ///< the current attempt has begun to answer
+  bool paused_ = false;
+  bool finished_ = false;
+  std::optional<TimePoint> first_event_at_;
+  Duration longest_gap_{};
+  Duration upstream_retry_after_{};
+  TimerSubscription timer_;
+};
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_LIB_GATEWAY_EXCHANGE_H_
--- /dev/null
+++ b/lib/gateway/gateway.cc
@@ -0,0 +1,140 @@
+/// \file
+/// Arrival of callers' requests.
+
+#include "teaselhill/gateway/gateway.h"
+
+#include "exchange.h"
+#include "teaselhill/net/error_response.h"
+#include "teaselhill/support/hash.h"
+
+namespace teaselhill::gateway {
+
+namespace {
+
+constexpr std::chrono::seconds kCleanupPeriod{1};
+
+/// A configuration or the upstreams are read again within this time.
+constexpr std::chrono::seconds kRetryWithoutConfig{1};
+
+PlacementRequest ToPlacement(const CallerRequest& caller,
+                             const Route& route,
+                             const Service* service,
+                             const std::string& service_name) {
+  PlacementRequest placement;
+  placement.service = service_name;
+  placement.engine = service && service->engine;
+  placement.repeatable = route.repeatable();
+  uint32_t prompt = 0;
+  // The last part is the request's own and never found in a cache.
+  for (size_t i = 0; i + 1 < caller.prompt.size(); ++i) {
+    placement.affinity = caller.prompt[i].id;
+    placement.shared_tokens += caller.prompt[i].tokens;
+  }
+  for (const PromptPart& part : caller.prompt)
+    prompt += part.tokens;
+  prompt = std::max(prompt, caller.prompt_tokens);
+  placement.own_tokens = prompt - placement.shared_tokens;
+  return placement;
+}
+
+}  // namespace
+
+Gateway::Gateway(net::EventLoop& loop,
+                 GatewayOptions options,
+                 const CallerProtocol& callers,
+                 const UpstreamProtocol& upstreams,
+                 const SharedState& shared,
+                 EventLog& log,
+                 Metrics& metrics)
+    : loop_(loop),
+      options_(std::move(options)),
+      callers_(callers),
+      upstreams_(upstreams),
+      shared_(shared),
+      log_(log),
+      metrics_(metrics),
+      client_(loop, /*max_idle_connections=*/16),
+      rng_(EntropySeed()),
+      placement_(options_.placement),
+      budget_(options_.repeats) {
+  cleanup_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
+    const TimePoint now = BootNow();
+    placement_.Expire(now);
+    health_.Expire(now);
+  });
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::Handle(net::HttpRequest request,
+                     std::shared_ptr<net::ResponseWriter> response) {
+  Accepted accepted;
+  accepted.arrival = BootNow();
+  Result<CallerRequest> caller = callers_.Read(request);
+  if (!caller)
+    return Refuse(request, {}, *response, caller.error(), Duration::zero());
+  accepted.caller = std::move(*caller);
+  accepted.routes = shared_.routes();
+  if (!accepted.routes || !shared_.upstreams())
+    return Refuse(request, accepted.caller, *response,
+                  {ResultCode::kNoConfiguration, ""}, kRetryWithoutConfig);
+  accepted.route = accepted.routes->Match(accepted.caller.host, request.path);
+  if (!accepted.route)
+    return Refuse(request, accepted.caller, *response,
+                  {ResultCode::kUnknownPath, "no route for this host and path"},
+                  Duration::zero());
+  accepted.tier = accepted.route->tier;
+  const Team* team = accepted.caller.key.empty()
+                         ? nullptr
+                         : accepted.routes->FindTeam(accepted.caller.key);
+  if (team) {
+    accepted.team = team->name;
+    accepted.tier = team->tier.value_or(accepted.tier);
+  } else if (accepted.routes->config().requires_key &&
+             !accepted.route->anonymous) {
+    return Refuse(request, accepted.caller, *response,
+                  {ResultCode::kBadKey, ""}, Duration::zero());
+  }
+  accepted.service = PickService(*accepted.route, rng_.Uniform());
+  accepted.placement = ToPlacement(
+      accepted.caller, *accepted.route,
+      accepted.routes->FindService(accepted.service), accepted.service);
+  accepted.request = std::move(request);
+  accepted.id = ++last_id_;
+  budget_.OnRequest(accepted.service, accepted.arrival);
+  const RequestId id = accepted.id;
+  const auto exchange = std::make_shared<Exchange>(*this, std::move(accepted),
+                                                   std::move(response));
+  exchanges_.emplace(id, exchange);
+  open_requests_ = exchanges_.size();
+  exchange->Start();
+}
+
+void Gateway::Refuse(const net::HttpRequest& request,
+                     const CallerRequest& caller,
+                     net::ResponseWriter& response,
+                     const Error& error,
+                     Duration retry_after) {
+  const auto routes = shared_.routes();
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kInfo, "refused")
+                 .Field("request", caller.id)
+                 .Field("code", static_cast<int>(error.code))
+                 .Field("reason", Describe(error.code).name)
+                 .Field("host", caller.host)
+                 .Field("path", request.path)
+                 .Field("config_version", routes ? routes->version() : 0)
+                 .Field("upstreams_known", shared_.upstreams() != nullptr),
+             BootNow());
+  metrics_.CountOutcome("", "refused", error.code);
+  response.Respond(Describe(error.code).http_status,
+                   callers_.ErrorHeaders(error, retry_after),
+                   net::ErrorBody(error));
+}
+
+void Gateway::Forget(RequestId id) {
+  exchanges_.erase(id);
+  open_requests_ = exchanges_.size();
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/lib/gateway/placement.cc
@@ -0,0 +1,192 @@
+/// \file
+/// Rendezvous hashing with bounded delay.
+
+#include "teaselhill/gateway/placement.h"
+
+#include <algorithm>
+
+#include "teaselhill/support/hash.h"
+
+namespace teaselhill::gateway {
+
+std::string_view ReasonName(PlacementReason reason) {
+  switch (reason) {
+    case PlacementReason::kAffinityOwner:
+      return "affinity_owner";
+    case PlacementReason::kHolder:
+      return "holder";
+    case PlacementReason::kLeastDelay:
+      return "least_delay";
+    case PlacementReason::kNearest:
+      return "nearest";
+    case PlacementReason::kProbe:
+      return "probe";
+    case PlacementReason::kAllEjected:
+      return "all_ejected";
+  }
+  return "unknown";
+}
+
+std::optional<Placed> Placement::Choose(const PlacementRequest& request,
+                                        const UpstreamList& upstreams,
+                                        const UpstreamHealth& health,
+                                        TimePoint now) {
+  std::vector<Candidate> candidates;
+  std::vector<Candidate> ejected;
+  for (const UpstreamEntry& upstream : upstreams.Of(request.service)) {
+    if (std::find(request.excluded.begin(), request.excluded.end(),
+                  upstream.id) != request.excluded.end())
+      continue;
+    Candidate candidate;
+    candidate.upstream = &upstream;
+    candidate.rank = Hash64(upstream.id, request.affinity);
+    (health.Ejected(upstream.id, now) ? ejected : candidates)
+        .push_back(candidate);
+  }
+  const bool all_ejected = candidates.empty();
+  const int ejected_count = static_cast<int>(ejected.size());
+  if (all_ejected)
+    candidates = std::move(ejected);
+  if (candidates.empty())
+    return std::nullopt;
+  uint64_t first_rank = 0;
+  for (const Candidate& candidate : candidates)
+    first_rank = std::max(first_rank, candidate.rank);
+  for (Candidate& candidate : candidates) {
+    candidate.holds =
+        request.affinity != 0 &&
+        (candidate.rank == first_rank ||
+         Holds(request.affinity, *candidate.upstream, now));
+    candidate.cost = Cost(request, candidate, health, now);
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.cost != b.cost ? a.cost < b.cost : a.rank > b.rank;
+            });
+  const Candidate& best = candidates.front();
+  Placed placed;
+  placed.upstream = *best.upstream;
+  placed.expected_delay = best.cost;
+  placed.second_best = candidates.size() > 1 ? candidates[1].cost : best.cost;
+  placed.candidates = static_cast<int>(candidates.size());
+  placed.ejected = ejected_count;
+  if (all_ejected)
+    placed.reason = PlacementReason::kAllEjected;
+  else if (!request.engine)
+    placed.reason = PlacementReason::kNearest;
+  else if (best.rank == first_rank)
+    placed.reason = PlacementReason::kAffinityOwner;
+  else if (best.holds)
+    placed.reason = PlacementReason::kHolder;
+  else
+    placed.reason = PlacementReason::kLeastDelay;
+  return placed;
+}
+
+bool Placement::Holds(uint64_t affinity,
+                      const UpstreamEntry& upstream,
+                      TimePoint now) const {
+  const auto found = holders_.find(affinity);
+  if (found == holders_.end())
+    return false;
+  for (const Holder& holder : found->second) {
+    if (holder.upstream == upstream.id &&
+        holder.incarnation == upstream.incarnation)
+      return now - holder.used_at < options_.part_retention;
+  }
+  return false;
+}
+
+Duration Placement::Cost(const PlacementRequest& request,
+                         const Candidate& candidate,
+                         const UpstreamHealth& health,
+                         TimePoint now) const {
+  const std::string& id = candidate.upstream->id;
+  const auto found = loads_.find(id);
+  const Load load = found == loads_.end() ? Load{} : found->second;
+  double cost_ms = ToMilliseconds(health.ExpectedDelay(id, now)) +
+                   ToMilliseconds(options_.failure_cost) *
+                       health.FailureShare(id, now);
+  if (!request.engine) {
+    cost_ms += ToMilliseconds(options_.service_slot_cost) * load.in_flight;
+    if (candidate.upstream->domain != options_.own_domain)
+      cost_ms += ToMilliseconds(options_.crossing_cost);
+    return FromSeconds(cost_ms / 1000);
+  }
+  double tokens = load.waiting_tokens;
+  if (!candidate.holds)
+    tokens += request.shared_tokens;
+  cost_ms += tokens / options_.prefill_tokens_per_ms;
+  return FromSeconds(cost_ms / 1000);
+}
+
+void Placement::OnSent(const PlacementRequest& request,
+                       const UpstreamEntry& upstream,
+                       TimePoint now) {
+  Load& load = loads_[upstream.id];
+  ++load.in_flight;
+  load.used_at = now;
+  load.waiting_tokens += request.own_tokens;
+  if (request.affinity == 0)
+    return;
+  std::vector<Holder>& holders = holders_[request.affinity];
+  for (Holder& holder : holders) {
+    if (holder.upstream == upstream.id) {
+      holder.incarnation = upstream.incarnation;
+      holder.used_at = now;
+      return;
+    }
+  }
+  holders.push_back({upstream.id, upstream.incarnation, now});
+}
+
+void Placement::OnBegun(const PlacementRequest& request,
+                        const std::string& upstream) {
+  Load& load = loads_[upstream];
+  load.waiting_tokens =
+      std::max(0.0, load.waiting_tokens - request.own_tokens);
+}
+
+void Placement::OnEnded(const PlacementRequest& request,
+                        const std::string& upstream,
+                        bool begun) {
+  if (!begun)
+    OnBegun(request, upstream);
+  Load& load = loads_[upstream];
+  load.in_flight = std::max(0, load.in_flight - 1);
+}
+
+Duration Placement::ExpectedPrefill(const PlacementRequest& request,
+                                    const UpstreamEntry& upstream,
+                                    TimePoint now) const {
+  double tokens = request.own_tokens;
+  if (request.affinity == 0 || !Holds(request.affinity, upstream, now))
+    tokens += request.shared_tokens;
+  return FromSeconds(tokens / options_.prefill_tokens_per_ms / 1000);
+}
+
+void Placement::Expire(TimePoint now) {
+  for (auto entry = holders_.begin(); entry != holders_.end();) {
+    std::vector<Holder>& holders = entry->second;
+    holders.erase(std::remove_if(holders.begin(), holders.end(),
+                                 [&](const Holder& holder) {
+                                   return now - holder.used_at >=
+                                          options_.part_retention;
+                                 }),
+                  holders.end());
+    entry = holders.empty() ? holders_.erase(entry) : std::next(entry);
+  }
+  for (auto entry = loads_.begin(); entry != loads_.end();) {
+    const Load& load = entry->second;
+    const bool idle = load.in_flight == 0 &&
+                      now - load.used_at >= options_.part_retention;
+    entry = idle ? loads_.erase(entry) : std::next(entry);
+  }
+}
+
+int Placement::in_flight(const std::string& upstream) const {
+  const auto found = loads_.find(upstream);
+  return found == loads_.end() ? 0 : found->second.in_flight;
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/lib/gateway/route_table.cc
@@ -0,0 +1,75 @@
+/// \file
+/// Index of routes and keys.
+
+#include "teaselhill/gateway/route_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+
+namespace teaselhill::gateway {
+
+namespace {
+
+std::string LowerHost(std::string_view host) {
+  std::string lower(host.substr(0, host.find(':')));
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+}  // namespace
+
+RouteTable::RouteTable(RouteConfig config) : config_(std::move(config)) {
+  for (const Route& route : config_.routes)
+    by_host_[LowerHost(route.host)].emplace(route.path_prefix, &route);
+  for (const Team& team : config_.teams) {
+    for (const std::string& key : team.keys)
+      by_key_.emplace(key, &team);
+  }
+  for (const Service& service : config_.services)
+    by_service_.emplace(service.name, &service);
+}
+
+const Route* RouteTable::Match(std::string_view host,
+                               std::string_view path) const {
+  const auto routes = by_host_.find(LowerHost(host));
+  if (routes == by_host_.end())
+    return nullptr;
+  // Prefixes end with a slash, so only the slashes of the path can match.
+  for (size_t slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos
+                          : path.rfind('/', slash - 1)) {
+    const auto route =
+        routes->second.find(std::string(path.substr(0, slash + 1)));
+    if (route != routes->second.end())
+      return route->second;
+  }
+  return nullptr;
+}
+
+const Team* RouteTable::FindTeam(const std::string& key) const {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : found->second;
+}
+
+const Service* RouteTable::FindService(const std::string& name) const {
+  const auto found = by_service_.find(name);
+  return found == by_service_.end() ? nullptr : found->second;
+}
+
+const std::string& PickService(const Route& route, double point) {
+  assert(!route.services.empty() && "a route without services");
+  double total = 0;
+  for (const WeightedService& candidate : route.services)
+    total += candidate.weight;
+  double left = point * total;
+  for (const WeightedService& candidate : route.services) {
+    if (left < candidate.weight)
+      return candidate.service;
+    left -= candidate.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/lib/gateway/state_keeper.cc
@@ -0,0 +1,121 @@
+/// \file
+/// Configuration and upstreams in force.
+
+#include "teaselhill/gateway/state_keeper.h"
+
+namespace teaselhill::gateway {
+
+void StateKeeper::OnConfig(std::shared_ptr<const RouteTable> routes) {
+  const auto current = shared_.routes();
+  if (current && routes->version() <= current->version())
+    return;
+  log_.Write(LineKind::kState,
+             LogLine(LogLevel::kInfo, "config_applied")
+                 .Field("version", routes->version())
+                 .Field("previous", current ? current->version() : 0)
+                 .Field("routes", routes->config().routes.size())
+                 .Field("services", routes->config().services.size())
+                 .Field("teams", routes->config().teams.size()),
+             clock_());
+  shared_.SetRoutes(std::move(routes));
+}
+
+void StateKeeper::OnListing(const UpstreamListing& listing) {
+  const TimePoint now = clock_();
+  for (const UpstreamRecord& record : listing.records)
+    LogRecord(record, now);
+  directory_.ApplyListing(listing, now);
+  listed_ = true;
+  Publish(now);
+}
+
+void StateKeeper::OnRecords(const std::vector<UpstreamRecord>& records) {
+  const TimePoint now = clock_();
+  for (const UpstreamRecord& record : records) {
+    LogRecord(record, now);
+    directory_.Apply(record, now);
+  }
+  Publish(now);
+}
+
+void StateKeeper::OnAnswer() {
+  const TimePoint now = clock_();
+  shared_.SetUpstreamsReadAt(now);
+  if (!lost_at_)
+    return;
+  log_.Write(LineKind::kState,
+             LogLine(LogLevel::kInfo, "dependency_regained")
+                 .Field("dependency", "store")
+                 .Field("lost_for_ms", now - *lost_at_),
+             now);
+  lost_at_.reset();
+  directory_.OnSourceBack(now);
+}
+
+void StateKeeper::OnLost(const Error& error) {
+  if (lost_at_)
+    return;
+  const TimePoint now = clock_();
+  lost_at_ = now;
+  directory_.OnSourceLost(now);
+  const auto routes = shared_.routes();
+  log_.Write(LineKind::kState,
+             LogLine(LogLevel::kWarning, "dependency_lost")
+                 .Field("dependency", "store")
+                 .Field("code", static_cast<int>(error.code))
+                 .Field("fault", error.message)
+                 .Field("config_version", routes ? routes->version() : 0),
+             now);
+}
+
+void StateKeeper::OnUnreadable(const std::string& name, const Error& error) {
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kWarning, "record_unreadable")
+                 .Field("name", name)
+                 .Field("code", static_cast<int>(error.code))
+                 .Field("fault", error.message),
+             clock_());
+}
+
+void StateKeeper::Tick() {
+  const TimePoint now = clock_();
+  directory_.Expire(now);
+  Publish(now);
+}
+
+void StateKeeper::LogRecord(const UpstreamRecord& record, TimePoint now) {
+  std::string state = "gone";
+  if (record.entry)
+    state = std::string(record.entry->draining ? "draining" : "ready") + " " +
+            record.entry->address + " " +
+            std::to_string(record.entry->incarnation);
+  std::string& logged = logged_[record.id];
+  if (logged == state)
+    return;
+  logged = state;
+  LogLine line(LogLevel::kInfo, "upstream_changed");
+  line.Field("upstream", record.id)
+      .Field("offset", record.offset)
+      .Field("state", !record.entry            ? "gone"
+                      : record.entry->draining ? "draining"
+                                               : "ready");
+  if (record.entry)
+    line.Field("service", record.entry->service)
+        .Field("address", record.entry->address)
+        .Field("domain", record.entry->domain)
+        .Field("incarnation", record.entry->incarnation);
+  log_.Write(LineKind::kState, line, now);
+  if (!record.entry)
+    logged_.erase(record.id);
+}
+
+void StateKeeper::Publish(TimePoint now) {
+  if (!listed_ || !directory_.TakeChanged()) {
+    if (listed_ && !shared_.upstreams())
+      shared_.SetUpstreams(directory_.BuildList(now));
+    return;
+  }
+  shared_.SetUpstreams(directory_.BuildList(now));
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/lib/gateway/upstream_health.cc
@@ -0,0 +1,136 @@
+/// \file
+/// Passive health of upstreams.
+
+#include "teaselhill/gateway/upstream_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselhill::gateway {
+
+namespace {
+
+/// The delay of an upstream that is not used any more is forgotten faster than
+/// its failures: queues drain within a second or two.
+constexpr std::chrono::milliseconds kDelayHalfLife{700};
+
+/// Weight of one observed delay against the estimate so far.
+constexpr double kDelayWeight = 0.4;
+
+constexpr std::chrono::seconds kForgetAfter{60};
+
+/// A refusal counts as such a delay, so that load moves elsewhere.
+constexpr double kRefusalDelayMs = 400;
+
+double Decay(Duration age, Duration half_life) {
+  return std::exp2(-ToSeconds(age) / ToSeconds(half_life));
+}
+
+}  // namespace
+
+UpstreamHealth::Record& UpstreamHealth::Touch(const std::string& id,
+                                              TimePoint now) {
+  Record& record = records_[id];
+  const double factor = Decay(now - record.counted_at, options_.half_life);
+  record.failures *= factor;
+  record.successes *= factor;
+  record.counted_at = now;
+  return record;
+}
+
+void UpstreamHealth::OnConnectFailed(const std::string& id, TimePoint now) {
+  Record& record = Touch(id, now);
+  record.failures += 1;
+  Eject(record, now);
+}
+
+void UpstreamHealth::OnFailed(const std::string& id, TimePoint now) {
+  Record& record = Touch(id, now);
+  record.failures += 1;
+  Judge(record, now);
+}
+
+void UpstreamHealth::OnSilent(const std::string& id, TimePoint now) {
+  OnFailed(id, now);
+}
+
+void UpstreamHealth::OnSucceeded(const std::string& id, TimePoint now) {
+  Record& record = Touch(id, now);
+  record.successes += 1;
+  if (now >= record.ejected_until)
+    record.ejections = 0;
+}
+
+void UpstreamHealth::OnDelay(const std::string& id,
+                             Duration excess,
+                             TimePoint now) {
+  Record& record = Touch(id, now);
+  const double known =
+      record.delay_ms * Decay(now - record.delay_at, kDelayHalfLife);
+  const double seen = std::max(0.0, ToMilliseconds(excess));
+  record.delay_ms = known + kDelayWeight * (seen - known);
+  record.delay_at = now;
+}
+
+void UpstreamHealth::OnRefused(const std::string& id, TimePoint now) {
+  Record& record = Touch(id, now);
+  record.delay_ms = std::max(
+      kRefusalDelayMs,
+      record.delay_ms * Decay(now - record.delay_at, kDelayHalfLife));
+  record.delay_at = now;
+}
+
+bool UpstreamHealth::Ejected(const std::string& id, TimePoint now) const {
+  const auto found = records_.find(id);
+  return found != records_.end() && now < found->second.ejected_until;
+}
+
+Duration UpstreamHealth::ExpectedDelay(const std::string& id,
+                                       TimePoint now) const {
+  const auto found = records_.find(id);
+  if (found == records_.end())
+    return Duration::zero();
+  const Record& record = found->second;
+  return FromSeconds(record.delay_ms / 1000 *
+                     Decay(now - record.delay_at, kDelayHalfLife));
+}
+
+double UpstreamHealth::FailureShare(const std::string& id,
+                                    TimePoint now) const {
+  const auto found = records_.find(id);
+  if (found == records_.end())
+    return 0;
+  const Record& record = found->second;
+  const double factor = Decay(now - record.counted_at, options_.half_life);
+  // One assumed success keeps a single failure from looking like a rule.
+  const double all = (record.failures + record.successes) * factor + 1;
+  return record.failures * factor / all;
+}
+
+void UpstreamHealth::Expire(TimePoint now) {
+  for (auto entry = records_.begin(); entry != records_.end();) {
+    if (now - entry->second.counted_at > kForgetAfter)
+      entry = records_.erase(entry);
+    else
+      ++entry;
+  }
+}
+
+void UpstreamHealth::Eject(Record& record, TimePoint now) {
+  if (now < record.ejected_until)
+    return;
+  Duration time = options_.first_ejection;
+  for (int i = 0; i < record.ejections && time < options_.longest_ejection; ++i)
+    time *= 2;
+  record.ejected_until = now + std::min(time, options_.longest_ejection);
+  ++record.ejections;
+}
+
+void UpstreamHealth::Judge(Record& record, TimePoint now) {
+  const double all = record.failures + record.successes;
+  if (record.failures >= options_.min_failures &&
+      record.failures >= options_.max_failure_share * all)
+    Eject(record, now);
+}
+
+}  // namespace teaselhill::gateway
--- a/lib/router/metrics.cc
+++ b/lib/metrics/metrics.cc
@@ -1,7 +1,7 @@
 /// \file
 /// prometheus-cpp adapter.
 
-#include "teaselhill/router/metrics.h"
+#include "teaselhill/metrics/metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -12,7 +12,7 @@
 #include <map>
 #include <mutex>
 
-namespace teaselhill::router {
+namespace teaselhill {
 
 namespace {
 
@@ -191,4 +191,4 @@
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
 
-}  // namespace teaselhill::router
+}  // namespace teaselhill
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -137,6 +137,10 @@
                        request_.source_address.c_str());
     if (request_.fresh_connection)
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    if (request_.close_connection)
+      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    if (!request_.target.empty())
+      curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request_.target.c_str());
     ConfigureBody();
     ConfigureHeaders();
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Transfer::OnHeaderLine);
@@ -164,6 +168,10 @@
   void ConfigureBody() {
     if (request_.method == "GET" && request_.body.empty())
       return;
+    if (request_.method == "HEAD") {
+      curl_easy_setopt(easy(), CURLOPT_NOBODY, 1L);
+      return;
+    }
     curl_easy_setopt(easy(), CURLOPT_POSTFIELDS, request_.body.data());
     curl_easy_setopt(easy(), CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(request_.body.size()));
@@ -172,11 +180,17 @@
 
   void ConfigureHeaders() {
     curl_slist* list = nullptr;
-    for (const Header& header : request_.headers)
-      list =
-          curl_slist_append(list, (header.name + ": " + header.value).c_str());
+    for (const Header& header : request_.headers) {
+      // libcurl drops a header that ends with its colon.
+      const std::string line = header.value.empty()
+                                   ? header.name + ";"
+                                   : header.name + ": " + header.value;
+      list = curl_slist_append(list, line.c_str());
+    }
     // Without this libcurl waits a second for "100 Continue" on large bodies.
     list = curl_slist_append(list, "Expect:");
+    if (request_.omit_content_type)
+      list = curl_slist_append(list, "Content-Type:");
     headers_list_.reset(list);
     curl_easy_setopt(easy(), CURLOPT_HTTPHEADER, list);
   }
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -93,6 +93,7 @@
       {404, "Not Found"},
       {405, "Method Not Allowed"},
       {408, "Request Timeout"},
+      {421, "Misdirected Request"},
       {409, "Conflict"},
       {410, "Gone"},
       {413, "Payload Too Large"},
@@ -120,10 +121,14 @@
                          public std::enable_shared_from_this<RestinioResponse> {
  public:
   RestinioResponse(restinio::request_handle_t request,
-                   std::weak_ptr<ConnectionTable> table)
+                   std::weak_ptr<ConnectionTable> table,
+                   std::shared_ptr<const bool> close_after_response)
       : request_(std::move(request)),
         connection_(request_->connection_id()),
-        table_(std::move(table)) {}
+        request_id_(request_->request_id()),
+        raw_connection_(restinio::impl::access_req_connection(*request_)),
+        table_(std::move(table)),
+        close_after_response_(std::move(close_after_response)) {}
   ~RestinioResponse() override;
 
   void Respond(int status, Headers headers, std::string body) override {
@@ -168,6 +173,23 @@
     stream_.reset();
   }
 
+  void Abort() override {
+    if (closed_ || ended_)
+      return;
+    End();
+    // A final part without the last chunk makes RESTinio close the connection
+    // after what was flushed before.
+    restinio::write_group_t nothing{restinio::writable_items_container_t{}};
+    if (const auto connection = raw_connection_.lock())
+      connection->write_response_parts(
+          request_id_,
+          {restinio::response_parts_attr_t::final_parts,
+           restinio::response_connection_attr_t::connection_close},
+          std::move(nothing));
+    stream_.reset();
+    request_.reset();
+  }
+
   size_t pending_bytes() const override { return pending_bytes_; }
 
   /// Whether the connection has taken the whole response.
@@ -194,7 +216,9 @@
 
  private:
   template <typename Builder>
-  static void AddHeaders(Builder& response, const Headers& headers) {
+  void AddHeaders(Builder& response, const Headers& headers) const {
+    if (*close_after_response_)
+      response.connection_close();
     for (const Header& header : headers) {
       if (!IsManagedByServer(header.name))
         response.append_header(header.name, header.value);
@@ -229,7 +253,10 @@
   std::optional<restinio::response_builder_t<restinio::chunked_output_t>>
       stream_;
   restinio::connection_id_t connection_;
+  restinio::request_id_t request_id_;
+  std::weak_ptr<restinio::impl::connection_base_t> raw_connection_;
   std::weak_ptr<ConnectionTable> table_;
+  std::shared_ptr<const bool> close_after_response_;
   std::function<void()> close_handler_;
   std::function<void()> drain_handler_;
   size_t pending_bytes_ = 0;
@@ -364,6 +391,7 @@
 HttpRequest ToRequest(restinio::request_t& request) {
   HttpRequest converted;
   converted.method = request.header().method().c_str();
+  converted.target = request.header().request_target();
   converted.path = std::string(request.header().path());
   converted.query = std::string(request.header().query());
   converted.body = std::move(request.body());
@@ -415,6 +443,8 @@
       server_->close_sync();
   }
 
+  void CloseAfterResponses() { *close_after_response_ = true; }
+
   uint16_t port() const { return port_; }
   size_t open_connections() const { return table_->open(); }
 
@@ -465,7 +495,8 @@
     if (HeaderBytes(request->header()) > options_.max_header_bytes)
       return Refuse(*request, {ResultCode::kHeaderTooLarge,
                                "all headers together exceed the size limit"});
-    auto response = std::make_shared<RestinioResponse>(request, table_);
+    auto response = std::make_shared<RestinioResponse>(
+        request, table_, close_after_response_);
     table_->Add(request->connection_id(), response);
     handler_.Handle(ToRequest(*request), std::move(response));
     return restinio::request_accepted();
@@ -489,6 +520,7 @@
   uint16_t port_;
   std::shared_ptr<ConnectionTable> table_;
   std::shared_ptr<SocketPolicy> policy_;
+  std::shared_ptr<bool> close_after_response_ = std::make_shared<bool>(false);
   std::unique_ptr<RestinioServer> server_;
 };
 
@@ -511,6 +543,10 @@
   impl_->Stop();
 }
 
+void HttpServer::CloseAfterResponses() {
+  impl_->CloseAfterResponses();
+}
+
 size_t HttpServer::open_connections() const {
   return impl_->open_connections();
 }
--- a/lib/router/claims_driver.cc
+++ b/lib/router/claims_driver.cc
@@ -18,8 +18,8 @@
 /// hosts. An own append ends the pause, so own claims win as soon as before.
 constexpr std::chrono::milliseconds kReadPause{500};
 
-platform::LogTailOptions TailOptions() {
-  platform::LogTailOptions options;
+services::LogTailOptions TailOptions() {
+  services::LogTailOptions options;
   options.stream = kClaimsStream;
   options.batch = 1024;
   options.pause = kReadPause;
@@ -37,7 +37,7 @@
 }  // namespace
 
 ClaimsDriver::ClaimsDriver(claims::ClaimTable& table,
-                           platform::LogClient& log,
+                           services::LogClient& log,
                            TimerService& timers,
                            Rng& rng,
                            ActionFunction on_actions)
@@ -59,7 +59,7 @@
 
 void ClaimsDriver::ReadBounds() {
   log_.ReadBounds(kClaimsStream, [this, alive = std::weak_ptr<int>(alive_)](
-                                     Result<platform::LogPage> page) {
+                                     Result<services::LogPage> page) {
     if (alive.expired())
       return;
     if (!page) {
@@ -99,10 +99,10 @@
               });
 }
 
-void ClaimsDriver::OnRecords(const std::vector<platform::LogRecord>& records) {
+void ClaimsDriver::OnRecords(const std::vector<services::LogRecord>& records) {
   std::vector<claims::ClaimRecord> converted;
   converted.reserve(records.size());
-  for (const platform::LogRecord& record : records) {
+  for (const services::LogRecord& record : records) {
     claims::ClaimRecord claim;
     claim.offset = record.offset;
     claim.time = record.time;
--- a/lib/router/config_exchange.cc
+++ b/lib/router/config_exchange.cc
@@ -24,8 +24,8 @@
 /// 17 s.
 constexpr int kHintsPerChange = 3;
 
-platform::ConfigFollowerOptions FollowerOptions(const std::string& host) {
-  platform::ConfigFollowerOptions options;
+services::ConfigFollowerOptions FollowerOptions(const std::string& host) {
+  services::ConfigFollowerOptions options;
   options.host = host;
   return options;
 }
@@ -33,7 +33,7 @@
 }  // namespace
 
 ConfigExchange::ConfigExchange(const std::string& host,
-                               platform::LogClient& log,
+                               services::LogClient& log,
                                TimerService& timers,
                                Rng& rng,
                                Logger& logger,
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -10,7 +10,7 @@
 #include "teaselhill/membership/member_table.h"
 #include "teaselhill/peer/messages.h"
 #include "teaselhill/peer/transport.h"
-#include "teaselhill/platform/host_list_client.h"
+#include "teaselhill/services/host_list_client.h"
 #include "teaselhill/router/admin_api.h"
 #include "teaselhill/router/claims_driver.h"
 #include "teaselhill/router/config_exchange.h"
@@ -166,7 +166,7 @@
     if (settings.give_orders)
       orders_ = std::make_unique<OrdersDriver>(OrdersSettings());
     if (!settings.host_list_url.empty())
-      host_list_ = std::make_unique<platform::HttpHostListClient>(
+      host_list_ = std::make_unique<services::HttpHostListClient>(
           client_, loop_.timers(), rng_, HostListSettings());
     transport_ = peer::CreateWebSocketTransport(
         loop_,
@@ -188,7 +188,7 @@
     if (orders_)
       orders_->Start();
     if (host_list_)
-      host_list_->Start([this](Result<platform::HostList> list) {
+      host_list_->Start([this](Result<services::HostList> list) {
         OnHostList(std::move(list));
       });
     Every(kRequestTick, [this](TimePoint now) {
@@ -349,8 +349,8 @@
     return context;
   }
 
-  platform::HostListOptions HostListSettings() const {
-    platform::HostListOptions options;
+  services::HostListOptions HostListSettings() const {
+    services::HostListOptions options;
     options.base_url = settings_.host_list_url;
     options.source_address = settings_.address;
     options.period = settings_.host_list_period;
@@ -402,20 +402,20 @@
     Carry(members_.OnHostList(hosts, {}, Now()), Now());
   }
 
-  void OnHostList(Result<platform::HostList> list) {
+  void OnHostList(Result<services::HostList> list) {
     const TimePoint now = Now();
     host_list_reachable_ = list.ok();
     if (!list)
       return;
     std::vector<membership::HostListEntry> hosts;
     const size_t listed_before = std::exchange(listed_hosts_, 0);
-    for (const platform::ListedHost& host : list->hosts) {
+    for (const services::ListedHost& host : list->hosts) {
       hosts.push_back(
           {host.name, WithoutPort(host.address), host.domain, host.leaving});
       listed_hosts_ += !host.leaving;
     }
     std::vector<membership::UpstreamListEntry> upstreams;
-    for (const platform::ListedUpstream& upstream : list->upstreams) {
+    for (const services::ListedUpstream& upstream : list->upstreams) {
       upstreams.push_back({upstream.name, upstream.domain, upstream.leaving});
       if (!upstream.leaving)
         upstreams_.ClearLeaving(upstream.name, routing::LeavingSign::kHostList,
@@ -764,7 +764,7 @@
   Rng rng_;
   net::EventLoop loop_;
   net::HttpClient client_;
-  platform::HttpLogClient log_client_;
+  services::HttpLogClient log_client_;
   DecisionLog decisions_;
   membership::MemberTable members_;
   quota::LimitShare limits_;
@@ -784,7 +784,7 @@
   ClaimsDriver claims_driver_;
   ReportPoller poller_;
   std::unique_ptr<OrdersDriver> orders_;
-  std::unique_ptr<platform::HostListClient> host_list_;
+  std::unique_ptr<services::HostListClient> host_list_;
   AdminApi admin_;
   net::HttpServer admin_server_;
   std::map<std::string, std::string> addresses_;
--- a/lib/router/orders_driver.cc
+++ b/lib/router/orders_driver.cc
@@ -16,8 +16,8 @@
 constexpr std::chrono::milliseconds kStateTimeout{2000};
 constexpr std::chrono::milliseconds kOrderTimeout{5000};
 
-platform::LogTailOptions TailOptions() {
-  platform::LogTailOptions options;
+services::LogTailOptions TailOptions() {
+  services::LogTailOptions options;
   options.stream = kOrdersStream;
   return options;
 }
@@ -99,9 +99,9 @@
   engines_ = std::move(next);
 }
 
-void OrdersDriver::OnRecords(const std::vector<platform::LogRecord>& records) {
+void OrdersDriver::OnRecords(const std::vector<services::LogRecord>& records) {
   const TimePoint now = context_.timers->Now();
-  for (const platform::LogRecord& record : records) {
+  for (const services::LogRecord& record : records) {
     const Result<orders::LeaseRecord> lease = orders::DecodeLease(record.data);
     if (lease)
       lease_.OnRecord(record.offset, *lease, now);
@@ -112,7 +112,7 @@
   lease_.OnGap(context_.timers->Now());
   context_.log->ReadBounds(kOrdersStream,
                            [this, alive = std::weak_ptr<int>(alive_)](
-                               Result<platform::LogPage> page) {
+                               Result<services::LogPage> page) {
                              if (!alive.expired() && page)
                                tail_.Seek(page->first_retained);
                            });
--- a/lib/router/state_gauges.cc
+++ b/lib/router/state_gauges.cc
@@ -84,7 +84,7 @@
 
 }  // namespace
 
-Duration LogSilence(const platform::LogLag& lag, TimePoint now) {
+Duration LogSilence(const services::LogLag& lag, TimePoint now) {
   return lag.last_answer == TimePoint{} ? Duration::zero()
                                         : now - lag.last_answer;
 }
--- a/lib/platform/backoff.cc
+++ b/lib/services/backoff.cc
@@ -1,11 +1,11 @@
 /// \file
 /// Backoff steps.
 
-#include "teaselhill/platform/backoff.h"
+#include "teaselhill/services/backoff.h"
 
 #include <algorithm>
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 Duration Backoff::Next() {
   step_ = step_ == Duration{} ? options_.first
@@ -14,4 +14,4 @@
   return half + FromSeconds(ToSeconds(half) * rng_.Uniform());
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/lib/platform/config_follower.cc
+++ b/lib/services/config_follower.cc
@@ -1,11 +1,11 @@
 /// \file
 /// Configuration follower.
 
-#include "teaselhill/platform/config_follower.h"
+#include "teaselhill/services/config_follower.h"
 
 #include <utility>
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 namespace {
 
@@ -159,4 +159,4 @@
                  [](const Result<LogOffset>&) {});
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/lib/platform/host_list_client.cc
+++ b/lib/services/host_list_client.cc
@@ -1,7 +1,7 @@
 /// \file
 /// Host list polling.
 
-#include "teaselhill/platform/host_list_client.h"
+#include "teaselhill/services/host_list_client.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -9,7 +9,7 @@
 
 #include "teaselhill/support/hash.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 namespace {
 
@@ -111,4 +111,4 @@
   timer_ = timers_.After(delay, [this](TimePoint) { Poll(); });
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/lib/platform/log_client.cc
+++ b/lib/services/log_client.cc
@@ -1,12 +1,12 @@
 /// \file
 /// HTTP form of the log client.
 
-#include "teaselhill/platform/log_client.h"
+#include "teaselhill/services/log_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 namespace {
 
@@ -167,4 +167,4 @@
       kMaxPageBytes);
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/lib/platform/log_tail.cc
+++ b/lib/services/log_tail.cc
@@ -1,11 +1,11 @@
 /// \file
 /// Log tail.
 
-#include "teaselhill/platform/log_tail.h"
+#include "teaselhill/services/log_tail.h"
 
 #include <utility>
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 LogTail::LogTail(LogClient& client,
                  TimerService& timers,
@@ -134,4 +134,4 @@
     observer_.OnRecords(records);
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/lib/platform/snapshot_reader.cc
+++ b/lib/services/snapshot_reader.cc
@@ -1,14 +1,14 @@
 /// \file
 /// Snapshot reader.
 
-#include "teaselhill/platform/snapshot_reader.h"
+#include "teaselhill/services/snapshot_reader.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "teaselhill/config/config_state.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 namespace {
 
@@ -68,4 +68,4 @@
   std::exchange(callback_, nullptr)(std::move(snapshots_));
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/lib/platform/weight_store_client.cc
+++ b/lib/services/weight_store_client.cc
@@ -1,12 +1,12 @@
 /// \file
 /// Weight store client.
 
-#include "teaselhill/platform/weight_store_client.h"
+#include "teaselhill/services/weight_store_client.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 namespace {
 
@@ -59,4 +59,4 @@
       });
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/lib/standin/standin.cc
+++ b/lib/standin/standin.cc
@@ -44,6 +44,10 @@
     if (Open())
       real_->Finish();
   }
+  void Abort() override {
+    if (Open())
+      real_->Abort();
+  }
   size_t pending_bytes() const override { return real_->pending_bytes(); }
   void SetCloseHandler(std::function<void()> handler) override {
     real_->SetCloseHandler(std::move(handler));
--- a/unittests/ctl/config_session_test.cc
+++ b/unittests/ctl/config_session_test.cc
@@ -15,16 +15,16 @@
 using config::ChangeAction;
 using config::ObjectKind;
 using config::VerdictKind;
-using platform::LogPage;
+using services::LogPage;
 
 /// How the log treats one append.
 enum class Fate { kAnswered, kLostAfter, kLostBefore, kRefused };
 
-class FakeLog : public platform::LogClient {
+class FakeLog : public services::LogClient {
  public:
   void Append(const std::string& stream,
               std::vector<std::string> records,
-              platform::AppendCallback callback) override {
+              services::AppendCallback callback) override {
     const Fate fate = fates.empty() ? Fate::kAnswered : fates.back();
     if (!fates.empty())
       fates.pop_back();
@@ -40,8 +40,8 @@
                 "no answer"});
   }
 
-  void Read(const platform::LogRead& read,
-            platform::ReadCallback callback) override {
+  void Read(const services::LogRead& read,
+            services::ReadCallback callback) override {
     if (read.from < first_retained && read.stream == config::kConfigStream)
       return callback({ResultCode::kOffsetDropped, "dropped"});
     if (lost_reads > 0 && lost_reads-- > 0)
--- a/unittests/router/access_test.cc
+++ b/unittests/router/access_test.cc
@@ -118,6 +118,7 @@
   void Start(int, net::Headers) override {}
   void Write(std::string) override {}
   void Finish() override {}
+  void Abort() override {}
   size_t pending_bytes() const override { return 0; }
   void SetCloseHandler(std::function<void()>) override {}
   void SetDrainHandler(std::function<void()>) override {}
--- a/unittests/router/config_exchange_test.cc
+++ b/unittests/router/config_exchange_test.cc
@@ -12,25 +12,25 @@
 namespace {
 
 /// Answers at once with no records, and never answers a read that it may hold.
-class SilentLog : public platform::LogClient {
+class SilentLog : public services::LogClient {
  public:
   void Append(const std::string&,
               std::vector<std::string>,
-              platform::AppendCallback) override {}
+              services::AppendCallback) override {}
 
-  void Read(const platform::LogRead& read,
-            platform::ReadCallback callback) override {
+  void Read(const services::LogRead& read,
+            services::ReadCallback callback) override {
     if (read.wait > Duration::zero()) {
       held.push_back(std::move(callback));
       return;
     }
-    platform::LogPage page;
+    services::LogPage page;
     page.first_retained = kFirstOffset;
     page.next_offset = kFirstOffset;
     callback(page);
   }
 
-  std::vector<platform::ReadCallback> held;
+  std::vector<services::ReadCallback> held;
 };
 
 }  // namespace
--- a/unittests/router/metrics_test.cc
+++ b/unittests/router/metrics_test.cc
@@ -3,7 +3,7 @@
 /// waste that is not counted, and a page that names a metric which is not
 /// there.
 
-#include "teaselhill/router/metrics.h"
+#include "teaselhill/metrics/metrics.h"
 
 #include <catch2/catch.hpp>
 #include <fstream>
--- a/unittests/router/orders_driver_test.cc
+++ b/unittests/router/orders_driver_test.cc
@@ -12,19 +12,19 @@
 namespace {
 
 /// A log that answers at once, as the platform's protocol has it.
-class InstantLog : public platform::LogClient {
+class InstantLog : public services::LogClient {
  public:
   void Append(const std::string&,
               std::vector<std::string> added,
-              platform::AppendCallback callback) override {
+              services::AppendCallback callback) override {
     const LogOffset first = records.size() + 1;
     records.insert(records.end(), added.begin(), added.end());
     callback(first);
   }
 
-  void Read(const platform::LogRead& read,
-            platform::ReadCallback callback) override {
-    platform::LogPage page;
+  void Read(const services::LogRead& read,
+            services::ReadCallback callback) override {
+    services::LogPage page;
     page.first_retained = 1;
     page.next_offset = records.size() + 1;
     for (LogOffset at = std::max<LogOffset>(read.from, 1); at <= records.size();
--- a/unittests/platform/config_follower_test.cc
+++ b/unittests/services/config_follower_test.cc
@@ -2,13 +2,13 @@
 /// Guards a host's configuration through faults of the log: going back to an
 /// older state, a gap passed over in silence, and snapshots that nobody writes.
 
-#include "teaselhill/platform/config_follower.h"
+#include "teaselhill/services/config_follower.h"
 
 #include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
 #include <map>
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 using std::chrono::seconds;
 
@@ -185,4 +185,4 @@
   CHECK_FALSE(hosts[0]->lag().offset_dropped);
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/unittests/platform/http_clients_test.cc
+++ b/unittests/services/http_clients_test.cc
@@ -5,11 +5,11 @@
 #include <catch2/catch.hpp>
 
 #include "teaselhill/net/http_server.h"
-#include "teaselhill/platform/host_list_client.h"
-#include "teaselhill/platform/log_client.h"
-#include "teaselhill/platform/weight_store_client.h"
+#include "teaselhill/services/host_list_client.h"
+#include "teaselhill/services/log_client.h"
+#include "teaselhill/services/weight_store_client.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -178,4 +178,4 @@
                                        : ResultCode::kProtocolError));
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
--- a/unittests/platform/log_tail_test.cc
+++ b/unittests/services/log_tail_test.cc
@@ -2,14 +2,14 @@
 /// Guards the log tail: lost or repeated records, a silent gap, and a tail that
 /// polls a failing log without pause.
 
-#include "teaselhill/platform/log_tail.h"
+#include "teaselhill/services/log_tail.h"
 
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
-#include "teaselhill/platform/snapshot_reader.h"
+#include "teaselhill/services/snapshot_reader.h"
 
-namespace teaselhill::platform {
+namespace teaselhill::services {
 
 using std::chrono::seconds;
 
@@ -254,4 +254,4 @@
   CHECK(**answer == row.expected);
 }
 
-}  // namespace teaselhill::platform
+}  // namespace teaselhill::services
