Close idle connections while draining and test the gateway's modules

Change: idle connections close 2.2 s after SIGTERM, later requests are refused as not run; unit tests for server drain and all gateway modules.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -51,6 +51,9 @@
   void Handle(net::HttpRequest request,
               std::shared_ptr<net::ResponseWriter> response) override;
 
+  /// Refuses every request that arrives from now on. Call on the loop's thread.
+  void RefuseNew() { refusing_ = true; }
+
   /// Call on the loop's thread.
   void SetRepeatBudget(const RepeatBudgetOptions& options) {
     budget_.SetOptions(options);
@@ -82,6 +85,7 @@
   UpstreamHealth health_;
   RepeatBudget budget_;
   RequestId last_id_ = 0;
+  bool refusing_ = false;
   std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges_;
   std::atomic<size_t> open_requests_{0};
   TimerSubscription cleanup_;
--- a/include/teaselhill/net/http_server.h
+++ b/include/teaselhill/net/http_server.h
@@ -107,6 +107,10 @@
   /// From now on each response ends its connection.
   void CloseAfterResponses();
 
+  /// Closes the connections on which nothing of a request was received since
+  /// the last response.
+  void CloseIdle();
+
   size_t open_connections() const;
 
  private:
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -21,7 +21,10 @@
 
 /// The balancer sends new callers until it has seen two failed readiness
 /// checks, a second apart.
-constexpr std::chrono::milliseconds kStopAcceptingAfter{3000};
+constexpr std::chrono::milliseconds kStopAcceptingAfter{2900};
+
+/// Callers whose idle connection is closed then come back at another host.
+constexpr std::chrono::milliseconds kCloseIdleAfter{2200};
 constexpr std::chrono::milliseconds kDrainCheckPeriod{50};
 
 /// Kept before the kill, so that the last answers leave the socket buffers.
@@ -227,10 +230,18 @@
                       .Field("open_requests",
                              static_cast<uint64_t>(gateway_.open_requests())));
     traffic_loop_.Post([this] { caller_server_.CloseAfterResponses(); });
+    close_idle_ =
+        control_loop_.timers().After(kCloseIdleAfter, [this](TimePoint) {
+          traffic_loop_.Post([this] { caller_server_.CloseIdle(); });
+        });
     stop_accepting_ =
         control_loop_.timers().After(kStopAcceptingAfter, [this](TimePoint) {
           accepting_ = false;
-          traffic_loop_.Post([this] { caller_server_.Stop(); });
+          traffic_loop_.Post([this] {
+            gateway_.RefuseNew();
+            caller_server_.Stop();
+            caller_server_.CloseIdle();
+          });
         });
     drain_check_ = control_loop_.timers().Subscribe(
         kDrainCheckPeriod, [this, begun](TimePoint) {
@@ -258,6 +269,7 @@
   StateKeeper keeper_;
   std::unique_ptr<StateSource> source_;
   bool accepting_ = true;
+  TimerSubscription close_idle_;
   TimerSubscription stop_accepting_;
   TimerSubscription drain_check_;
 };
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -16,6 +16,9 @@
 /// A configuration or the upstreams are read again within this time.
 constexpr std::chrono::seconds kRetryWithoutConfig{1};
 
+/// Another host takes the request at once.
+constexpr std::chrono::milliseconds kRetryElsewhere{50};
+
 PlacementRequest ToPlacement(const CallerRequest& caller,
                              const Route& route,
                              const Service* service,
@@ -74,6 +77,9 @@
   if (!caller)
     return Refuse(request, {}, *response, caller.error(), Duration::zero());
   accepted.caller = std::move(*caller);
+  if (refusing_)
+    return Refuse(request, accepted.caller, *response,
+                  {ResultCode::kDraining, ""}, kRetryElsewhere);
   accepted.routes = shared_.routes();
   if (!accepted.routes || !shared_.upstreams())
     return Refuse(request, accepted.caller, *response,
--- a/lib/net/caller_socket.h
+++ b/lib/net/caller_socket.h
@@ -5,6 +5,7 @@
 #ifndef TEASELHILL_LIB_NET_CALLER_SOCKET_H_
 #define TEASELHILL_LIB_NET_CALLER_SOCKET_H_
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <asio/ssl.hpp>
@@ -14,6 +15,7 @@
 #include <restinio/all.hpp>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "teaselhill/net/tls.h"
 #include "teaselhill/support/result.h"
@@ -21,21 +23,6 @@
 
 namespace teaselhill::net {
 
-/// State that the sockets of one server share; used on the loop's thread only.
-struct SocketPolicy {
-  std::shared_ptr<TlsContext> tls;  ///< null: plain TCP
-  Duration handshake_timeout{};
-  /// Each chunk of a chunked body costs RESTinio a list entry however small it
-  /// is, so that the input as such is limited as well.
-  size_t max_unanswered_bytes = 0;
-  /// Serializes the response to a request that was not accepted.
-  std::function<std::string(ResultCode)> refusal;
-  /// Set by the logger hook just before RESTinio closes a connection because of
-  /// its input, and taken by the socket that is closed.
-  std::optional<ResultCode> fault;
-  size_t refusals_open = 0;
-};
-
 /// The stream below a socket; its address is stable while operations run.
 struct Channel {
   using TlsStream = asio::ssl::stream<asio::ip::tcp::socket&>;
@@ -52,6 +39,55 @@
   size_t unanswered_bytes = 0;
 };
 
+/// Channels of one server that are alive, in no order.
+class ChannelList {
+ public:
+  void Add(const std::shared_ptr<Channel>& channel) {
+    if (channels_.size() >= next_cleanup_)
+      Clean();
+    channels_.push_back(channel);
+  }
+
+  template <typename Use>
+  void ForEach(Use use) {
+    Clean();
+    for (const std::weak_ptr<Channel>& entry : channels_) {
+      if (const auto channel = entry.lock())
+        use(*channel);
+    }
+  }
+
+ private:
+  static constexpr size_t kLeastCleanup = 64;
+
+  void Clean() {
+    channels_.erase(
+        std::remove_if(channels_.begin(), channels_.end(),
+                       [](const auto& entry) { return entry.expired(); }),
+        channels_.end());
+    next_cleanup_ = std::max(kLeastCleanup, 2 * channels_.size());
+  }
+
+  std::vector<std::weak_ptr<Channel>> channels_;
+  size_t next_cleanup_ = kLeastCleanup;
+};
+
+/// State that the sockets of one server share; used on the loop's thread only.
+struct SocketPolicy {
+  std::shared_ptr<TlsContext> tls;  ///< null: plain TCP
+  Duration handshake_timeout{};
+  /// Each chunk of a chunked body costs RESTinio a list entry however small it
+  /// is, so that the input as such is limited as well.
+  size_t max_unanswered_bytes = 0;
+  /// Serializes the response to a request that was not accepted.
+  std::function<std::string(ResultCode)> refusal;
+  /// Set by the logger hook just before RESTinio closes a connection because of
+  /// its input, and taken by the socket that is closed.
+  std::optional<ResultCode> fault;
+  size_t refusals_open = 0;
+  ChannelList channels;
+};
+
 /// Sends a refusal and then discards input for a bounded time, because closing
 /// a socket with unread input resets the connection and the caller would lose
 /// the response.
@@ -85,7 +121,9 @@
 
   CallerSocket(asio::io_context& context, std::shared_ptr<SocketPolicy> policy)
       : policy_(std::move(policy)),
-        channel_(std::make_shared<Channel>(context)) {}
+        channel_(std::make_shared<Channel>(context)) {
+    policy_->channels.Add(channel_);
+  }
 
   lowest_layer_type& lowest_layer() { return channel_->tcp; }
   const lowest_layer_type& lowest_layer() const { return channel_->tcp; }
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -8,8 +8,8 @@
 
 #include <charconv>
 #include <restinio/all.hpp>
+#include <set>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "caller_socket.h"
 #include "teaselhill/net/error_response.h"
@@ -285,8 +285,19 @@
     }
   }
 
-  void OnOpened(restinio::connection_id_t connection) {
-    open_.insert(connection);
+  void OnOpened(restinio::connection_id_t connection,
+                const restinio::endpoint_t& remote) {
+    open_.emplace(connection, remote);
+  }
+
+  /// Peers of the connections that have no response in progress.
+  std::set<restinio::endpoint_t> IdlePeers() const {
+    std::set<restinio::endpoint_t> idle;
+    for (const auto& [connection, remote] : open_) {
+      if (!IsBusy(connection))
+        idle.insert(remote);
+    }
+    return idle;
   }
 
   /// Whether the connection has a response that is not written whole.
@@ -318,7 +329,7 @@
   std::unordered_multimap<restinio::connection_id_t,
                           std::weak_ptr<RestinioResponse>>
       responses_;
-  std::unordered_set<restinio::connection_id_t> open_;
+  std::unordered_map<restinio::connection_id_t, restinio::endpoint_t> open_;
 };
 
 ResultCode CodeOfParserError(std::string_view name) {
@@ -383,7 +394,7 @@
   const auto cause = notice.cause();
   if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
           cause))
-    table_->OnOpened(notice.connection_id());
+    table_->OnOpened(notice.connection_id(), notice.remote_endpoint());
   if (restinio::holds_alternative<restinio::connection_state::closed_t>(cause))
     table_->OnClosed(notice.connection_id());
 }
@@ -445,6 +456,17 @@
 
   void CloseAfterResponses() { *close_after_response_ = true; }
 
+  void CloseIdle() {
+    const std::set<restinio::endpoint_t> idle = table_->IdlePeers();
+    policy_->channels.ForEach([&idle](Channel& channel) {
+      asio::error_code error;
+      const auto remote = channel.tcp.remote_endpoint(error);
+      // Part of a request may have arrived.
+      if (!error && channel.unanswered_bytes == 0 && idle.count(remote) > 0)
+        channel.tcp.close(error);
+    });
+  }
+
   uint16_t port() const { return port_; }
   size_t open_connections() const { return table_->open(); }
 
@@ -547,6 +569,10 @@
   impl_->CloseAfterResponses();
 }
 
+void HttpServer::CloseIdle() {
+  impl_->CloseIdle();
+}
+
 size_t HttpServer::open_connections() const {
   return impl_->open_connections();
 }
--- /dev/null
+++ b/unittests/gateway/exchange_policy_test.cc
@@ -0,0 +1,101 @@
+/// \file
+/// Guards the promises to callers: a request that runs twice, a "not run" that
+/// is untrue, an answer that is joined or cut without need.
+
+#include "teaselhill/gateway/exchange_policy.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::gateway {
+
+namespace {
+
+constexpr TimePoint kNow{};
+
+ExchangeState MakeState(RouteKind kind, bool resumable, int attempts) {
+  ExchangeState state;
+  state.kind = kind;
+  state.resumable = resumable;
+  state.repeatable = resumable || kind == RouteKind::kIdempotent;
+  state.max_attempts = attempts;
+  state.sends = state.runs = 1;
+  state.end = kNow + std::chrono::seconds(1);
+  return state;
+}
+
+}  // namespace
+
+TEST_CASE("what may have run is repeated only if it can be") {
+  struct Row {
+    const char* what;
+    RouteKind kind;
+    bool resumable;
+    int max_attempts;
+    int runs;  ///< after the attempt; 0: it is known not to have run
+    bool head_sent;
+    AttemptOutcome outcome;
+    bool again;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"idempotent, broken", RouteKind::kIdempotent, false, 2, 1, false,
+       AttemptOutcome::kBroken, true},
+      {"idempotent, attempts used", RouteKind::kIdempotent, false, 1, 1, false,
+       AttemptOutcome::kBroken, false},
+      {"non-idempotent, broken", RouteKind::kNonIdempotent, false, 3, 1, false,
+       AttemptOutcome::kBroken, false},
+      {"non-idempotent, failed answer", RouteKind::kNonIdempotent, false, 3, 1,
+       false, AttemptOutcome::kFailureAnswer, false},
+      {"non-idempotent, not run", RouteKind::kNonIdempotent, false, 1, 0, false,
+       AttemptOutcome::kNotRun, true},
+      {"non-idempotent, not sent", RouteKind::kNonIdempotent, false, 1, 0,
+       false, AttemptOutcome::kNotSent, true},
+      {"stream, broken before an event", RouteKind::kStream, false, 2, 1, false,
+       AttemptOutcome::kBroken, false},
+      {"resumable, broken midway", RouteKind::kStream, true, 2, 1, true,
+       AttemptOutcome::kBroken, true},
+      {"resumable, attempts used", RouteKind::kStream, true, 2, 2, true,
+       AttemptOutcome::kBroken, false},
+      {"idempotent, answer begun", RouteKind::kIdempotent, false, 2, 1, true,
+       AttemptOutcome::kBroken, false},
+  }));
+  CAPTURE(row.what);
+  ExchangeState state = MakeState(row.kind, row.resumable, row.max_attempts);
+  state.runs = row.runs;
+  state.head_sent = row.head_sent;
+  CHECK(MaySendAgain(state, row.outcome, {}, kNow) == row.again);
+}
+
+TEST_CASE("no send begins without time or beyond the bound") {
+  ExchangeState state = MakeState(RouteKind::kIdempotent, false, 9);
+  CHECK(MaySendAgain(state, AttemptOutcome::kBroken, {}, kNow));
+  CHECK_FALSE(MaySendAgain(state, AttemptOutcome::kBroken, {}, state.end));
+  state.sends = ExchangeLimits{}.max_sends;
+  CHECK_FALSE(MaySendAgain(state, AttemptOutcome::kBroken, {}, kNow));
+}
+
+TEST_CASE("a refusal is given only when nothing can have run") {
+  const AttemptOutcome outcome = GENERATE(
+      AttemptOutcome::kFailureAnswer, AttemptOutcome::kNotRun,
+      AttemptOutcome::kNotSent, AttemptOutcome::kBroken,
+      AttemptOutcome::kSilent);
+  const int runs = GENERATE(0, 1, 2);
+  const bool head_sent = GENERATE(false, true);
+  ExchangeState state = MakeState(RouteKind::kNonIdempotent, false, 1);
+  state.runs = runs;
+  state.head_sent = head_sent;
+  for (const NextStep& step :
+       {Decide(state, outcome, false), GiveUp(state, ResultCode::kQueueFull)}) {
+    if (const auto* refuse = std::get_if<Refuse>(&step)) {
+      CHECK(runs == 0);
+      CHECK_FALSE(head_sent);
+      CHECK(Describe(refuse->code).outcome == Outcome::kNotRun);
+    }
+    if (const auto* failed = std::get_if<FailUnknown>(&step)) {
+      const int status = Describe(failed->code).http_status;
+      CHECK((status == 502 || status == 504));
+    }
+    CHECK(std::holds_alternative<CutShort>(step) == head_sent);
+  }
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/unittests/gateway/placement_test.cc
@@ -0,0 +1,162 @@
+/// \file
+/// Guards where work goes: engines that forget cached prompts because hosts
+/// disagree, a hot prompt that queues at one engine, failing upstreams that
+/// keep their share.
+
+#include "teaselhill/gateway/placement.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+namespace teaselhill::gateway {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+UpstreamList MakeList(int engines) {
+  UpstreamList list;
+  for (int i = 0; i < engines; ++i) {
+    UpstreamEntry entry;
+    entry.id = "e" + std::to_string(i);
+    entry.service = "llm";
+    entry.domain = "d" + std::to_string(i % 3);
+    list.by_service["llm"].push_back(entry);
+  }
+  return list;
+}
+
+PlacementRequest Draft(uint64_t subject) {
+  PlacementRequest request;
+  request.service = "llm";
+  request.engine = true;
+  request.affinity = subject;
+  request.shared_tokens = 6300;
+  request.own_tokens = 2890;
+  return request;
+}
+
+PlacementRequest Fetch() {
+  PlacementRequest request;
+  request.service = "llm";
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("hosts agree on the engine of a prompt without talking") {
+  const UpstreamList list = MakeList(18);
+  const UpstreamHealth health;
+  std::set<std::string> used;
+  for (uint64_t subject = 1; subject <= 200; ++subject) {
+    Placement first({"d0"});
+    Placement second({"d1"});
+    const auto a = first.Choose(Draft(subject), list, health, TimePoint{});
+    const auto b = second.Choose(Draft(subject), list, health, TimePoint{});
+    REQUIRE(a->upstream.id == b->upstream.id);
+    used.insert(a->upstream.id);
+  }
+  CHECK(used.size() == 18);
+}
+
+TEST_CASE("an engine that goes moves its own prompts only") {
+  const UpstreamList before = MakeList(18);
+  UpstreamList after = before;
+  after.by_service["llm"].erase(after.by_service["llm"].begin() + 5);
+  const UpstreamHealth health;
+  Placement placement({});
+  for (uint64_t subject = 1; subject <= 200; ++subject) {
+    const auto old =
+        placement.Choose(Draft(subject), before, health, TimePoint{});
+    const auto now =
+        placement.Choose(Draft(subject), after, health, TimePoint{});
+    if (old->upstream.id != "e5")
+      CHECK(now->upstream.id == old->upstream.id);
+  }
+}
+
+TEST_CASE("a burst on one prompt spreads once waiting costs more than reading") {
+  const UpstreamList list = MakeList(18);
+  const UpstreamHealth health;
+  Placement placement({});
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 24; ++i) {
+    const auto placed =
+        placement.Choose(Draft(7), list, health, TimePoint{});
+    placement.OnSent(Draft(7), placed->upstream, TimePoint{});
+    ++sent[placed->upstream.id];
+  }
+  // 2,890 own tokens a request against 6,300 shared ones: the second engine is
+  // worth it from the third waiting request on.
+  CHECK(sent.size() > 2);
+  CHECK(sent.size() < 12);
+  for (const auto& [engine, count] : sent)
+    CHECK(count <= 6);
+}
+
+TEST_CASE("delay seen at an engine moves its prompts and is forgotten") {
+  const UpstreamList list = MakeList(18);
+  UpstreamHealth health;
+  Placement placement({});
+  TimePoint now{};
+  const std::string owner =
+      placement.Choose(Draft(3), list, health, now)->upstream.id;
+  for (int i = 0; i < 4; ++i)
+    health.OnDelay(owner, milliseconds(900), now);
+  CHECK(placement.Choose(Draft(3), list, health, now)->upstream.id != owner);
+  now += std::chrono::seconds(5);
+  CHECK(placement.Choose(Draft(3), list, health, now)->upstream.id == owner);
+}
+
+TEST_CASE("an upstream that fails is left out and comes back") {
+  const UpstreamList list = MakeList(3);
+  UpstreamHealth health;
+  Placement placement({"d1"});
+  TimePoint now{};
+  const int failures = GENERATE(1, 2, 5);
+  CHECK(placement.Choose(Fetch(), list, health, now)->upstream.id == "e1");
+  for (int i = 0; i < failures; ++i)
+    health.OnFailed("e1", now);
+  CHECK(placement.Choose(Fetch(), list, health, now)->upstream.id != "e1");
+  now += std::chrono::seconds(60);
+  CHECK(placement.Choose(Fetch(), list, health, now)->upstream.id == "e1");
+}
+
+TEST_CASE("when all are ejected the request still goes somewhere") {
+  const UpstreamList list = MakeList(3);
+  UpstreamHealth health;
+  for (const char* id : {"e0", "e1", "e2"})
+    health.OnConnectFailed(id, TimePoint{});
+  Placement placement({});
+  const auto placed = placement.Choose(Fetch(), list, health, TimePoint{});
+  REQUIRE(placed);
+  CHECK(placed->reason == PlacementReason::kAllEjected);
+}
+
+TEST_CASE("an upstream that was tried is not chosen again") {
+  const UpstreamList list = MakeList(2);
+  const UpstreamHealth health;
+  Placement placement({});
+  PlacementRequest request = Fetch();
+  request.excluded = {"e0"};
+  CHECK(placement.Choose(request, list, health, TimePoint{})->upstream.id ==
+        "e1");
+  request.excluded = {"e0", "e1"};
+  CHECK_FALSE(placement.Choose(request, list, health, TimePoint{}));
+}
+
+TEST_CASE("a plain service is called in the own domain until it is busy") {
+  const UpstreamList list = MakeList(3);
+  const UpstreamHealth health;
+  Placement placement({"d2"});
+  const auto near = placement.Choose(Fetch(), list, health, TimePoint{});
+  CHECK(near->upstream.id == "e2");
+  placement.OnSent(Fetch(), near->upstream, TimePoint{});
+  CHECK(placement.Choose(Fetch(), list, health, TimePoint{})->upstream.id !=
+        "e2");
+  placement.OnEnded(Fetch(), "e2", /*begun=*/true);
+  CHECK(placement.in_flight("e2") == 0);
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/unittests/gateway/route_table_test.cc
@@ -0,0 +1,80 @@
+/// \file
+/// Guards the choice of a route and of a key's owner.
+
+#include "teaselhill/gateway/route_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::gateway {
+
+namespace {
+
+Route MakeRoute(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = host + prefix;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.services = {{"s", 1}};
+  return route;
+}
+
+RouteTable MakeTable() {
+  RouteConfig config;
+  config.version = 3;
+  config.routes = {MakeRoute("a.example", "/"), MakeRoute("a.example", "/x/"),
+                   MakeRoute("a.example", "/x/y/"),
+                   MakeRoute("b.example", "/x/")};
+  config.teams = {{"crew", {"k1", "k2"}, 1}, {"office", {"k3"}, std::nullopt}};
+  config.services = {{"s", 10, true, 64}};
+  return RouteTable(std::move(config));
+}
+
+}  // namespace
+
+TEST_CASE("the longest prefix of the host's routes is selected") {
+  struct Row {
+    const char* host;
+    const char* path;
+    const char* route;  ///< null: none
+  };
+  const Row row = GENERATE(values<Row>({
+      {"a.example", "/", "a.example/"},
+      {"a.example", "/x", "a.example/"},
+      {"a.example", "/x/", "a.example/x/"},
+      {"A.Example:8740", "/x/z", "a.example/x/"},
+      {"a.example", "/x/y/z", "a.example/x/y/"},
+      {"b.example", "/x/y/z", "b.example/x/"},
+      {"b.example", "/y", nullptr},
+      {"b.example", "", nullptr},
+      {"c.example", "/x/", nullptr},
+  }));
+  CAPTURE(row.host, row.path);
+  const RouteTable table = MakeTable();
+  const Route* route = table.Match(row.host, row.path);
+  REQUIRE((route != nullptr) == (row.route != nullptr));
+  if (route)
+    CHECK(route->name == row.route);
+}
+
+TEST_CASE("a key belongs to one team") {
+  const RouteTable table = MakeTable();
+  REQUIRE(table.FindTeam("k2"));
+  CHECK(table.FindTeam("k2")->name == "crew");
+  CHECK(table.FindTeam("k3")->name == "office");
+  CHECK_FALSE(table.FindTeam("k"));
+  CHECK_FALSE(table.FindTeam(""));
+}
+
+TEST_CASE("weights split a route between its services") {
+  Route route;
+  route.services = {{"old", 90}, {"new", 10}};
+  struct Row {
+    double point;
+    const char* service;
+  };
+  const Row row = GENERATE(
+      values<Row>({{0, "old"}, {0.89, "old"}, {0.91, "new"}, {0.999, "new"}}));
+  CHECK(PickService(route, row.point) == row.service);
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/unittests/gateway/upstream_directory_test.cc
@@ -0,0 +1,120 @@
+/// \file
+/// Guards the list of usable upstreams: one that leaves and stays in use, one
+/// that lives and is dropped after an outage, an old record that wins.
+
+#include "teaselhill/gateway/upstream_directory.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::gateway {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+UpstreamRecord Ready(const std::string& id,
+                     uint64_t offset,
+                     uint64_t incarnation = 1) {
+  UpstreamEntry entry;
+  entry.id = id;
+  entry.service = "s";
+  entry.address = "10.0.0.1:80";
+  entry.incarnation = incarnation;
+  return {id, offset, entry};
+}
+
+UpstreamRecord Draining(const std::string& id,
+                        uint64_t offset,
+                        uint64_t incarnation = 1) {
+  UpstreamRecord record = Ready(id, offset, incarnation);
+  record.entry->draining = true;
+  return record;
+}
+
+UpstreamRecord Gone(const std::string& id, uint64_t offset) {
+  return {id, offset, std::nullopt};
+}
+
+std::string Usable(const UpstreamDirectory& directory) {
+  std::string ids;
+  const auto list = directory.BuildList({});
+  for (const UpstreamEntry& entry : list->Of("s"))
+    ids += entry.id;
+  return ids;
+}
+
+}  // namespace
+
+TEST_CASE("records of upstreams take effect in the order of their offsets") {
+  struct Row {
+    const char* what;
+    std::vector<UpstreamRecord> records;
+    const char* usable;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"registered", {Ready("a", 0), Ready("b", 1)}, "ab"},
+      {"draining", {Ready("a", 0), Draining("a", 1)}, ""},
+      {"removed without notice", {Ready("a", 0), Gone("a", 1)}, ""},
+      {"repeated record", {Ready("a", 0), Gone("a", 1), Ready("a", 0)}, ""},
+      {"delayed record of a draining upstream",
+       {Ready("a", 0), Draining("a", 1), Ready("a", 2)},
+       ""},
+      {"restart under the same id",
+       {Ready("a", 0), Draining("a", 1), Ready("a", 2, 2)},
+       "a"},
+      {"unreadable entry", {Ready("a", 0), Ready("b", 1), Gone("a", 2)}, "b"},
+  }));
+  CAPTURE(row.what);
+  UpstreamDirectory directory;
+  for (const UpstreamRecord& record : row.records)
+    directory.Apply(record, TimePoint{});
+  CHECK(Usable(directory) == row.usable);
+}
+
+TEST_CASE("a listing drops what it lacks unless it is older") {
+  UpstreamDirectory directory;
+  directory.Apply(Ready("a", 4), TimePoint{});
+  directory.Apply(Ready("b", 9), TimePoint{});
+  directory.ApplyListing({7, {Ready("c", 3)}}, TimePoint{});
+  CHECK(Usable(directory) == "bc");
+}
+
+TEST_CASE("an entry that lapsed during an outage may come back for 2 s") {
+  const bool returns = GENERATE(true, false);
+  TimePoint now{};
+  UpstreamDirectory directory;
+  directory.Apply(Ready("a", 0), now);
+  directory.OnSourceLost(now);
+  now += milliseconds(5000);
+  directory.OnSourceBack(now);
+  directory.ApplyListing({2, {}}, now);
+  now += milliseconds(1000);
+  directory.Expire(now);
+  CHECK(Usable(directory) == "a");
+  if (returns)
+    directory.Apply(Ready("a", 3), now);
+  now += milliseconds(1100);
+  directory.Expire(now);
+  CHECK(Usable(directory) == (returns ? "a" : ""));
+}
+
+TEST_CASE("a draining upstream gets no time to come back") {
+  UpstreamDirectory directory;
+  directory.Apply(Draining("a", 0), TimePoint{});
+  directory.OnSourceLost(TimePoint{});
+  directory.OnSourceBack(TimePoint{});
+  directory.Apply(Gone("a", 1), TimePoint{});
+  CHECK(Usable(directory).empty());
+}
+
+TEST_CASE("a change is told once, and a renewal is none") {
+  UpstreamDirectory directory;
+  directory.Apply(Ready("a", 0), TimePoint{});
+  CHECK(directory.TakeChanged());
+  directory.Apply(Ready("a", 1), TimePoint{});
+  CHECK_FALSE(directory.TakeChanged());
+  directory.Apply(Ready("a", 2, 7), TimePoint{});
+  CHECK(directory.TakeChanged());
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/unittests/net/server_drain_test.cc
@@ -0,0 +1,99 @@
+/// \file
+/// Guards shutdown and broken answers: an answer that is cut short and looks
+/// complete, and kept connections that outlive their host.
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "raw_connection.h"
+#include "teaselhill/net/http_server.h"
+
+namespace teaselhill::net {
+
+namespace {
+
+/// Streams one piece and leaves the rest to the test; /whole answers at once.
+class PieceHandler : public HttpHandler {
+ public:
+  void Handle(HttpRequest request,
+              std::shared_ptr<ResponseWriter> response) override {
+    target = request.target;
+    if (request.path == "/whole")
+      return response->Respond(200, {}, "whole");
+    response->Start(200, {});
+    response->Write("piece");
+    open = std::move(response);
+  }
+
+  std::string target;
+  std::shared_ptr<ResponseWriter> open;
+};
+
+struct Fixture {
+  Fixture() : server(loop, {}, handler) { REQUIRE(server.Start().ok()); }
+
+  bool Received(const RawConnection& caller, const std::string& text) const {
+    return caller.received().find(text) != std::string::npos;
+  }
+
+  EventLoop loop;
+  PieceHandler handler;
+  HttpServer server;
+};
+
+constexpr const char* kLastChunk = "\r\n0\r\n";
+
+}  // namespace
+
+TEST_CASE("an aborted answer closes without the last chunk") {
+  Fixture fixture;
+  RawConnection caller(fixture.loop, fixture.server.port());
+  caller.Read();
+  caller.Send("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil(fixture.loop, [&] { return fixture.Received(caller, "piece"); });
+  const bool finished = GENERATE(false, true);
+  if (finished)
+    fixture.handler.open->Finish();
+  else
+    fixture.handler.open->Abort();
+  RunUntil(fixture.loop, [&] {
+    return finished ? fixture.Received(caller, kLastChunk) : caller.closed();
+  });
+  CHECK(fixture.Received(caller, kLastChunk) == finished);
+}
+
+TEST_CASE("idle connections are closed and busy ones are not") {
+  Fixture fixture;
+  RawConnection idle(fixture.loop, fixture.server.port());
+  RawConnection busy(fixture.loop, fixture.server.port());
+  idle.Read();
+  busy.Read();
+  idle.Send("GET /whole HTTP/1.1\r\nHost: a\r\n\r\n");
+  busy.Send("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil(fixture.loop, [&] {
+    return fixture.Received(idle, "whole") && fixture.Received(busy, "piece");
+  });
+  fixture.server.CloseIdle();
+  RunUntil(fixture.loop, [&] { return idle.closed(); });
+  CHECK_FALSE(busy.closed());
+  fixture.handler.open->Finish();
+  RunUntil(fixture.loop, [&] { return fixture.Received(busy, kLastChunk); });
+}
+
+TEST_CASE("each answer ends its connection once the server is told to") {
+  Fixture fixture;
+  RawConnection caller(fixture.loop, fixture.server.port());
+  caller.Read();
+  const bool draining = GENERATE(false, true);
+  if (draining)
+    fixture.server.CloseAfterResponses();
+  caller.Send("GET /whole?a=%2F..&b HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil(fixture.loop, [&] {
+    return fixture.Received(caller, "whole") && (!draining || caller.closed());
+  });
+  CHECK(fixture.Received(caller, "Connection: close") == draining);
+  CHECK(caller.closed() == draining);
+  CHECK(fixture.handler.target == "/whole?a=%2F..&b");
+}
+
+}  // namespace teaselhill::net
--- /dev/null
+++ b/unittests/platform/decode_test.cc
@@ -0,0 +1,259 @@
+/// \file
+/// Guards the boundary to the platform: one entry that cannot be read takes
+/// others with it, a header that only the gateway may set is passed on, a
+/// status that is taken for "not run" although it does not say so.
+
+#include "platform/decode.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "platform/boot_settings.h"
+#include "platform/http_protocol.h"
+#include "platform/store_client.h"
+
+namespace platform {
+
+namespace gateway = teaselhill::gateway;
+namespace net = teaselhill::net;
+using teaselhill::ResultCode;
+
+namespace {
+
+constexpr const char* kConfig = R"({"version":7,"routes":[
+  {"name":"r","host":"h.example","pathPrefix":"/p/","kind":"streaming",
+   "timeoutMs":5000,"goalMs":800,"priority":1,
+   "split":[{"service":"a","weight":90},{"service":"b","weight":10}],
+   "attempts":2,"allowAnon":false,"resumable":true,"gapGoalMs":400}],
+  "services":[{"name":"a","healthPath":"/h","maxConns":360,
+    "engine":{"slots":64,"models":[]}},{"name":"b","maxConns":100}],
+  "tenants":[{"name":"t","apiKeys":["k"],"priority":1}],"unknown":1})";
+
+constexpr const char* kEntry = R"({"service":"a","addr":"10.0.0.9:80",
+  "zone":"z","version":"v1","slots":64,"state":"ready","coldLeftMs":0,
+  "seq":4,"born":1783591597048})";
+
+std::string Replace(std::string text,
+                    const std::string& from,
+                    const std::string& to) {
+  const size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+net::HttpRequest CallerHttp() {
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/p/2f?x=%2F";
+  request.path = "/p/2f";
+  request.headers = {{"Host", "h.example"},
+                     {"X-Attempt-Id", "9c41"},
+                     {"X-Token-Counts", "1460,80"},
+                     {"X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410"},
+                     {"X-Deadline-Ms", "5000"},
+                     {"Authorization", "Bearer k"},
+                     {"Connection", "keep-alive, X-Own"},
+                     {"X-Own", "1"},
+                     {"X-Kept", ""},
+                     {"X-Tenant", "forged"},
+                     {"X-Expect-Instance", "forged"},
+                     {"X-Kv-Hold", "forged"},
+                     {"Kv-From", "forged"},
+                     {"X-Request-Priority", "0"}};
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("a configuration is decoded whole") {
+  const auto config = DecodeConfig(kConfig);
+  REQUIRE(config.ok());
+  CHECK(config->version == 7);
+  REQUIRE(config->routes.size() == 1);
+  const gateway::Route& route = config->routes[0];
+  CHECK(route.kind == gateway::RouteKind::kStream);
+  CHECK(route.timeout == std::chrono::seconds(5));
+  CHECK(route.target_gap == std::chrono::milliseconds(400));
+  CHECK(route.services.size() == 2);
+  CHECK(route.max_attempts == 2);
+  CHECK(route.repeatable());
+  CHECK(config->services[0].engine);
+  CHECK_FALSE(config->services[1].engine);
+  CHECK(config->requires_key);
+  CHECK(config->teams[0].tier == 1);
+}
+
+TEST_CASE("a configuration with a fault is refused and the fault is named") {
+  struct Row {
+    const char* from;
+    const char* to;
+    const char* fault;
+  };
+  const Row row = GENERATE(values<Row>({
+      {R"("version":7)", R"("version":"7")", "version"},
+      {R"("kind":"streaming")", R"("kind":"other")", "kind"},
+      {R"("host":"h.example",)", "", "host"},
+      {R"("timeoutMs":5000)", R"("timeoutMs":null)", "timeoutMs"},
+      {R"("allowAnon":false)", R"("allowAnon":0)", "allowAnon"},
+      {R"(["k"])", "[1]", "key"},
+      {R"("unknown":1})", "", "not JSON"},
+  }));
+  const auto config = DecodeConfig(Replace(kConfig, row.from, row.to));
+  REQUIRE_FALSE(config.ok());
+  CHECK(config.error().code == ResultCode::kUnreadableRecord);
+  CHECK_THAT(config.error().message, Catch::Contains(row.fault));
+}
+
+TEST_CASE("an entry names an upstream only if every field can be read") {
+  struct Row {
+    const char* from;
+    const char* to;
+    bool good;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"", "", true},
+      {R"("state":"ready")", R"("state":"draining")", true},
+      {R"("state":"ready")", R"("state":"resting")", false},
+      {R"("state":"ready",)", "", false},
+      {R"("slots":64)", R"("slots":"64")", false},
+      {R"("born":1783591597048)", R"("born":1.5)", false},
+      {R"("addr":"10.0.0.9:80")", R"("addr":7)", false},
+      {R"("addr":"10.0.0.9:80")", R"("addr":"")", false},
+      {R"("service":"a")", R"("service":null)", false},
+      {R"({"service")", R"(["service")", false},
+  }));
+  CAPTURE(row.from, row.to);
+  CHECK(DecodeEntry("i", Replace(kEntry, row.from, row.to)).ok() == row.good);
+}
+
+TEST_CASE("bytes of another writer never end the process") {
+  rc::prop("any bytes", [](const std::string& bytes) {
+    (void)DecodeConfig(bytes).ok();
+    (void)DecodeEntry("i", bytes).ok();
+    (void)DecodeReadPage(bytes, 0).ok();
+    (void)DecodeListPage(bytes).ok();
+    (void)ParseBootSettings(bytes).ok();
+  });
+}
+
+TEST_CASE("records of the store are numbered from the offset that was asked") {
+  const std::string body("\0\0\0\0\0\0\0\x0c\0\0\0\0\0\0\0\x04"
+                         "\0\0\0\x04\x01k12\0\0\0\x02\x01q\0\0\0\0",
+                         34);
+  const auto page = DecodeReadPage(body, 9);
+  REQUIRE(page.ok());
+  CHECK(page->end == 12);
+  CHECK(page->first == 4);
+  REQUIRE(page->records.size() == 2);
+  CHECK(page->records[0].key == "k");
+  CHECK(page->records[0].value == "12");
+  CHECK(page->records[1].offset == 10);
+  CHECK_FALSE(page->records[1].value);
+  CHECK_FALSE(DecodeReadPage(body.substr(0, 33), 9).ok());
+}
+
+TEST_CASE("a listing carries values of any bytes") {
+  const auto page = DecodeListPage(
+      R"({"items":[{"key":"a","value":"AAH/","offset":3},
+                   {"key":"b","value":"eA==","offset":4}],
+          "hasMore":true,"end":6})");
+  REQUIRE(page.ok());
+  CHECK(page->end == 6);
+  CHECK(page->more);
+  CHECK(page->records[0].value == std::string("\0\x01\xff", 3));
+  CHECK(page->records[1].value == "x");
+}
+
+TEST_CASE("an upstream gets the caller's request and no forged header") {
+  const CallerHeaders callers;
+  const UpstreamHeaders upstreams;
+  const net::HttpRequest request = CallerHttp();
+  const auto caller = callers.Read(request);
+  REQUIRE(caller.ok());
+  CHECK(caller->id == "9c41");
+  CHECK(caller->key == "k");
+  CHECK(caller->deadline == std::chrono::seconds(5));
+  REQUIRE(caller->prompt.size() == 2);
+  CHECK(caller->prompt[1].id == 0x91bd3f06);
+  CHECK(caller->max_output_tokens == 80);
+  gateway::SendOrder order;
+  order.upstream.id = "i-1";
+  order.upstream.address = "10.0.0.9:80";
+  order.team = "crew";
+  order.tier = 12;
+  order.engine = true;
+  order.time_left = std::chrono::milliseconds(4321);
+  const net::ClientRequest sent = upstreams.Build(request, *caller, order);
+  CHECK(sent.target == "/p/2f?x=%2F");
+  const auto value = [&sent](const char* name) {
+    std::string joined;
+    for (const net::Header& header : sent.headers) {
+      if (net::SameHeaderName(header.name, name))
+        joined += "[" + header.value + "]";
+    }
+    return joined;
+  };
+  CHECK(value("X-Attempt-Id") == "[9c41]");
+  CHECK(value("X-Tenant") == "[crew]");
+  CHECK(value("X-Expect-Instance") == "[i-1]");
+  CHECK(value("X-Deadline-Ms") == "[4321]");
+  CHECK(value("X-Request-Priority") == "[9]");
+  CHECK(value("X-Prompt-Prefix") == "[5c1e07a2:800, 91bd3f06:410]");
+  CHECK(value("X-Kept") == "[]");
+  for (const char* dropped : {"Authorization", "X-Kv-Hold", "Kv-From", "X-Own",
+                              "Connection", "Last-Event-Id"})
+    CHECK(value(dropped).empty());
+}
+
+TEST_CASE("what the head of an answer means") {
+  struct Row {
+    const char* what;
+    int status;
+    net::Headers headers;
+    gateway::HeadKind kind;
+  };
+  const net::Header id{"X-Attempt-Id", "9c41"};
+  const net::Header checksum{"X-Server-Seal", "s"};
+  const net::Header not_run{"X-Not-Run", "1"};
+  using gateway::HeadKind;
+  const Row row = GENERATE_COPY(values<Row>({
+      {"good", 200, {id, checksum}, HeadKind::kAnswer},
+      {"of another request", 200, {{"X-Attempt-Id", "77"}, checksum},
+       HeadKind::kForeign},
+      {"without a checksum", 200, {id}, HeadKind::kForeign},
+      {"without an id", 200, {checksum}, HeadKind::kForeign},
+      {"encoded", 200, {id, checksum, {"Content-Encoding", "gzip"}},
+       HeadKind::kForeign},
+      {"failed", 500, {id, checksum}, HeadKind::kAnswer},
+      {"full", 503, {id, not_run}, HeadKind::kNotRun},
+      {"full, and may have run", 503, {id}, HeadKind::kUnsafeStatus},
+      {"limited, and may have run", 429, {id}, HeadKind::kUnsafeStatus},
+      {"another instance", 421, {}, HeadKind::kWrongUpstream},
+  }));
+  CAPTURE(row.what);
+  gateway::CallerRequest caller;
+  caller.id = "9c41";
+  const auto head =
+      UpstreamHeaders().ReadHead(row.status, row.headers, caller, {});
+  CHECK(head.kind == row.kind);
+}
+
+TEST_CASE("settings name every fault at once") {
+  const std::string good = R"({"node":"n","zone":"z","ip":"10.1.0.19",
+    "listen":{"front":"10.1.0.19:8740","ready":"10.1.0.19:8749"},
+    "limits":{"maxFds":4100},
+    "bounds":{"graceS":8,"retryRatio":0.2,"retryWindowS":10,"retryExtra":54,
+              "drainMs":2000},
+    "provider":{"addr":"10.200.1.7:8742"},"new":{"field":1}})";
+  const auto settings = ParseBootSettings(good);
+  REQUIRE(settings.ok());
+  CHECK(settings->gateway.callers.port == 8740);
+  CHECK(settings->gateway.grace == std::chrono::seconds(8));
+  const auto faulty = ParseBootSettings(
+      Replace(Replace(good, R"("graceS":8)", R"("graceS":"8")"), ":8740", ""));
+  REQUIRE_FALSE(faulty.ok());
+  CHECK_THAT(faulty.error().message, Catch::Contains("bounds.graceS"));
+  CHECK_THAT(faulty.error().message, Catch::Contains("listen.front"));
+}
+
+}  // namespace platform
