Stop a draining host only when the last answer has left the process

Ruled out: the bound of the grace period (4 s were left). Change: the traffic thread stops the host once no response is unsent.

--- a/include/teaselhill/net/http_server.h
+++ b/include/teaselhill/net/http_server.h
@@ -111,6 +111,10 @@
   /// the last response.
   void CloseIdle();
 
+  /// Whether a response has not been handed to the system whole. Call on the
+  /// loop's thread.
+  bool HasUnsentResponses() const;
+
   size_t open_connections() const;
 
  private:
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -245,13 +245,20 @@
         });
     drain_check_ = control_loop_.timers().Subscribe(
         kDrainCheckPeriod, [this, begun](TimePoint) {
-          const bool over =
-              BootNow() - begun >= settings_.grace - kGraceMargin;
-          if (over || (!accepting_ && gateway_.open_requests() == 0))
+          if (BootNow() - begun >= settings_.grace - kGraceMargin)
             control_loop_.Stop();
+          else if (!accepting_)
+            traffic_loop_.Post([this] { StopWhenIdle(); });
         });
   }
 
+  /// Runs on the traffic thread. A request is over for the gateway before the
+  /// end of its answer has left the process.
+  void StopWhenIdle() {
+    if (gateway_.open_requests() == 0 && !caller_server_.HasUnsentResponses())
+      control_loop_.Stop();
+  }
+
   GatewaySettings settings_;
   Adapter& adapter_;
   JsonLogger logger_;
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -309,6 +309,15 @@
     });
   }
 
+  bool HasUnsent() const {
+    return std::any_of(
+        responses_.begin(), responses_.end(), [](const auto& entry) {
+          const std::shared_ptr<RestinioResponse> response =
+              entry.second.lock();
+          return response && !response->sent();
+        });
+  }
+
   // Also called for a connection whose TLS handshake failed.
   void OnClosed(restinio::connection_id_t connection) {
     open_.erase(connection);
@@ -467,6 +476,8 @@
     });
   }
 
+  bool HasUnsentResponses() const { return table_->HasUnsent(); }
+
   uint16_t port() const { return port_; }
   size_t open_connections() const { return table_->open(); }
 
@@ -573,6 +584,10 @@
   impl_->CloseIdle();
 }
 
+bool HttpServer::HasUnsentResponses() const {
+  return impl_->HasUnsentResponses();
+}
+
 size_t HttpServer::open_connections() const {
   return impl_->open_connections();
 }
--- a/unittests/net/server_drain_test.cc
+++ b/unittests/net/server_drain_test.cc
@@ -96,4 +96,25 @@
   CHECK(fixture.handler.target == "/whole?a=%2F..&b");
 }
 
+// Guards the end of a host that stops when its last answer is over: the caller
+// of an answer whose last bytes are still queued would lose them.
+TEST_CASE("an answer counts as unsent until the system has taken all of it") {
+  Fixture fixture;
+  RawConnection caller(fixture.loop, fixture.server.port());
+  caller.Send("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil(fixture.loop, [&] { return fixture.handler.open != nullptr; });
+  // More than the socket buffers of both sides hold.
+  const std::string large(16 << 20, 'x');
+  fixture.handler.open->Write(large);
+  fixture.handler.open->Finish();
+  fixture.handler.open.reset();
+  RunUntil(fixture.loop, [&] { return true; });
+  CHECK(fixture.server.HasUnsentResponses());
+  caller.Read();
+  RunUntil(fixture.loop,
+           [&] { return fixture.Received(caller, kLastChunk); });
+  RunUntil(fixture.loop,
+           [&] { return !fixture.server.HasUnsentResponses(); });
+}
+
 }  // namespace teaselhill::net
