Keep prompts at two engines under load and judge silence by the usual delay

Urgent drafts had the engine priority of long ones of the same team. Change: only the first two engines in rank are asked, more for a part with a measured share; the stall time grows with the usual delay; the team's tier is refined by the route's.

--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "teaselhill/gateway/upstream_directory.h"
@@ -28,6 +29,41 @@
   Duration part_retention = std::chrono::seconds(20);
   /// Delay that one failure of every request is worth.
   Duration failure_cost = std::chrono::milliseconds(1500);
+  /// Engines that share the requests of an ordinary prompt part. Beyond the
+  /// first, the others take them while it is slow.
+  int engines_per_part = 2;
+  /// Part of an engine's time that the requests of one prompt part may take
+  /// before another engine shares them.
+  double part_load = 0.7;
+  /// Half-life of the counts that tell a hot prompt part.
+  Duration share_half_life = std::chrono::seconds(4);
+};
+
+/// Share of each prompt part in the work of this host, as a sample of all
+/// hosts' work. Counts decay; times never decrease.
+class PartShares {
+ public:
+  explicit PartShares(Duration half_life) : half_life_(half_life) {}
+
+  void Add(uint64_t part, double tokens, TimePoint now);
+
+  /// Share of the part in all tokens, with one average request left out: a
+  /// single one says nothing.
+  double ShareOf(uint64_t part, TimePoint now) const;
+
+  void Expire(TimePoint now);
+
+ private:
+  struct Count {
+    double tokens = 0;
+    double requests = 0;
+    TimePoint at{};
+  };
+  Count Decayed(const Count& count, TimePoint now) const;
+
+  Duration half_life_;
+  Count all_;
+  std::unordered_map<uint64_t, Count> parts_;
 };
 
 /// What placement needs to know of a request.
@@ -64,10 +100,14 @@
 /// All hosts rank the engines of a prompt part alike by rendezvous hashing, so
 /// that they find the cached part without asking each other. An engine with a
 /// queue loses the request to the next in rank once waiting there would cost
-/// more than reading the part again.
+/// more than reading the part again. Only a few in rank are asked, because each
+/// engine that reads the part anew takes time from all the others: under load
+/// that would feed on itself. A hot part gets as many engines as its work
+/// needs.
 class Placement {
  public:
-  explicit Placement(PlacementOptions options) : options_(std::move(options)) {}
+  explicit Placement(PlacementOptions options)
+      : options_(std::move(options)), shares_(options_.share_half_life) {}
 
   /// Nothing: no upstream of the service is left.
   std::optional<Placed> Choose(const PlacementRequest& request,
@@ -112,6 +152,10 @@
     bool holds = false;
   };
 
+  /// Engines that take the requests of the part now.
+  size_t EnginesFor(const PlacementRequest& request,
+                    size_t engines,
+                    TimePoint now) const;
   bool Holds(uint64_t affinity,
              const UpstreamEntry& upstream,
              TimePoint now) const;
@@ -121,6 +165,7 @@
                 TimePoint now) const;
 
   PlacementOptions options_;
+  PartShares shares_;
   std::unordered_map<std::string, Load> loads_;
   std::unordered_map<uint64_t, std::vector<Holder>> holders_;
 };
--- a/include/teaselhill/gateway/route_table.h
+++ b/include/teaselhill/gateway/route_table.h
@@ -65,6 +65,13 @@
   std::optional<Tier> tier;  ///< goes before the tier of the route
 };
 
+/// Route tiers that are told apart inside one tier of a team.
+constexpr Tier kRouteTiersPerTeamTier = 3;
+
+/// Orders requests by the tier of their team, and those of equal teams by the
+/// tier of their route. A team without a tier counts as the most urgent.
+Tier CombineTiers(std::optional<Tier> team, Tier route);
+
 /// Limits on what callers may send.
 struct CallerLimits {
   size_t max_header_bytes = 16 << 10;
--- a/include/teaselhill/gateway/upstream_health.h
+++ b/include/teaselhill/gateway/upstream_health.h
@@ -51,6 +51,13 @@
   /// Decaying share of failures, 0 while little is known.
   double FailureShare(const std::string& id, TimePoint now) const;
 
+  /// Decaying mean of the delays seen at all upstreams of `service`. While it
+  /// is long, silence tells of load rather than of a fault.
+  Duration TypicalDelay(const std::string& service, TimePoint now) const;
+  void OnServiceDelay(const std::string& service,
+                      Duration excess,
+                      TimePoint now);
+
   /// Drops upstreams not seen for long. Call about once a second.
   void Expire(TimePoint now);
 
@@ -70,7 +77,12 @@
   void Judge(Record& record, TimePoint now);
 
   HealthOptions options_;
+  struct Delay {
+    double ms = 0;
+    TimePoint at{};
+  };
   std::unordered_map<std::string, Record> records_;
+  std::unordered_map<std::string, Delay> services_;
 };
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -22,6 +22,10 @@
 /// caller.
 constexpr std::chrono::milliseconds kAnswerMargin{10};
 
+/// Silence longer than this many typical delays is taken for a fault: under
+/// load every upstream answers late, and sending again would add to the load.
+constexpr int kStallFactor = 4;
+
 /// Shortest silence that is taken for a fault of the upstream.
 constexpr std::chrono::milliseconds kLeastStall{250};
 
@@ -215,8 +219,9 @@
   if (!begun_) {
     begun_ = true;
     gateway_.placement_.OnBegun(accepted_.placement, upstream_.id);
-    gateway_.health_.OnDelay(upstream_.id, now - sent_at_ - expected_work_,
-                             now);
+    const Duration excess = now - sent_at_ - expected_work_;
+    gateway_.health_.OnDelay(upstream_.id, excess, now);
+    gateway_.health_.OnServiceDelay(accepted_.service, excess, now);
   }
   if (head_->success && head_->events)
     return OnEvents(data);
@@ -451,7 +456,9 @@
   const Duration usual =
       begun_ && route.target_gap > Duration::zero() ? route.target_gap
                                                     : route.target;
-  return std::max<Duration>(2 * usual, kLeastStall);
+  const Duration typical =
+      gateway_.health_.TypicalDelay(accepted_.service, BootNow());
+  return std::max<Duration>({2 * usual, kStallFactor * typical, kLeastStall});
 }
 
 void Exchange::OnTimer(TimePoint now) {
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -89,18 +89,19 @@
     return Refuse(request, accepted.caller, *response,
                   {ResultCode::kUnknownPath, "no route for this host and path"},
                   Duration::zero());
-  accepted.tier = accepted.route->tier;
+  std::optional<Tier> team_tier;
   const Team* team = accepted.caller.key.empty()
                          ? nullptr
                          : accepted.routes->FindTeam(accepted.caller.key);
   if (team) {
     accepted.team = team->name;
-    accepted.tier = team->tier.value_or(accepted.tier);
+    team_tier = team->tier;
   } else if (accepted.routes->config().requires_key &&
              !accepted.route->anonymous) {
     return Refuse(request, accepted.caller, *response,
                   {ResultCode::kBadKey, ""}, Duration::zero());
   }
+  accepted.tier = CombineTiers(team_tier, accepted.route->tier);
   accepted.service = PickService(*accepted.route, rng_.Uniform());
   accepted.placement = ToPlacement(
       accepted.caller, *accepted.route,
--- a/lib/gateway/placement.cc
+++ b/lib/gateway/placement.cc
@@ -4,6 +4,7 @@
 #include "teaselhill/gateway/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "teaselhill/support/hash.h"
 
@@ -27,6 +28,41 @@
   return "unknown";
 }
 
+PartShares::Count PartShares::Decayed(const Count& count,
+                                      TimePoint now) const {
+  const double factor =
+      std::exp2(-ToSeconds(now - count.at) / ToSeconds(half_life_));
+  return {count.tokens * factor, count.requests * factor, now};
+}
+
+void PartShares::Add(uint64_t part, double tokens, TimePoint now) {
+  for (Count* count : {&all_, &parts_[part]}) {
+    *count = Decayed(*count, now);
+    count->tokens += tokens;
+    count->requests += 1;
+  }
+}
+
+double PartShares::ShareOf(uint64_t part, TimePoint now) const {
+  const auto found = parts_.find(part);
+  if (found == parts_.end())
+    return 0;
+  const Count own = Decayed(found->second, now);
+  const Count all = Decayed(all_, now);
+  if (own.requests <= 1 || all.tokens <= 0)
+    return 0;
+  return own.tokens * (own.requests - 1) / own.requests / all.tokens;
+}
+
+void PartShares::Expire(TimePoint now) {
+  constexpr double kLeastRequests = 0.05;
+  for (auto entry = parts_.begin(); entry != parts_.end();) {
+    const bool forgotten =
+        Decayed(entry->second, now).requests < kLeastRequests;
+    entry = forgotten ? parts_.erase(entry) : std::next(entry);
+  }
+}
+
 std::optional<Placed> Placement::Choose(const PlacementRequest& request,
                                         const UpstreamList& upstreams,
                                         const UpstreamHealth& health,
@@ -49,9 +85,13 @@
     candidates = std::move(ejected);
   if (candidates.empty())
     return std::nullopt;
-  uint64_t first_rank = 0;
-  for (const Candidate& candidate : candidates)
-    first_rank = std::max(first_rank, candidate.rank);
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.rank > b.rank;
+            });
+  const uint64_t first_rank = candidates.front().rank;
+  if (request.affinity != 0)
+    candidates.resize(EnginesFor(request, candidates.size(), now));
   for (Candidate& candidate : candidates) {
     candidate.holds =
         request.affinity != 0 &&
@@ -83,6 +123,17 @@
   return placed;
 }
 
+size_t Placement::EnginesFor(const PlacementRequest& request,
+                             size_t engines,
+                             TimePoint now) const {
+  const double share = shares_.ShareOf(request.affinity, now);
+  const double needed =
+      share * static_cast<double>(engines) / options_.part_load;
+  const size_t wanted = static_cast<size_t>(options_.engines_per_part) +
+                        static_cast<size_t>(needed);
+  return std::clamp<size_t>(wanted, 1, engines);
+}
+
 bool Placement::Holds(uint64_t affinity,
                       const UpstreamEntry& upstream,
                       TimePoint now) const {
@@ -129,6 +180,7 @@
   load.waiting_tokens += request.own_tokens;
   if (request.affinity == 0)
     return;
+  shares_.Add(request.affinity, request.own_tokens, now);
   std::vector<Holder>& holders = holders_[request.affinity];
   for (Holder& holder : holders) {
     if (holder.upstream == upstream.id) {
@@ -166,6 +218,7 @@
 }
 
 void Placement::Expire(TimePoint now) {
+  shares_.Expire(now);
   for (auto entry = holders_.begin(); entry != holders_.end();) {
     std::vector<Holder>& holders = entry->second;
     holders.erase(std::remove_if(holders.begin(), holders.end(),
--- a/lib/gateway/route_table.cc
+++ b/lib/gateway/route_table.cc
@@ -58,6 +58,11 @@
   return found == by_service_.end() ? nullptr : found->second;
 }
 
+Tier CombineTiers(std::optional<Tier> team, Tier route) {
+  return team.value_or(0) * kRouteTiersPerTeamTier +
+         std::clamp<Tier>(route, 0, kRouteTiersPerTeamTier - 1);
+}
+
 const std::string& PickService(const Route& route, double point) {
   assert(!route.services.empty() && "a route without services");
   double total = 0;
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -19,6 +19,11 @@
 
 constexpr std::chrono::seconds kForgetAfter{60};
 
+/// Weight of one observed delay in the mean of a service, and the half-life of
+/// that mean without observations.
+constexpr double kServiceDelayWeight = 0.15;
+constexpr std::chrono::seconds kServiceDelayHalfLife{2};
+
 /// A refusal counts as such a delay, so that load moves elsewhere.
 constexpr double kRefusalDelayMs = 400;
 
@@ -95,6 +100,25 @@
                      Decay(now - record.delay_at, kDelayHalfLife));
 }
 
+Duration UpstreamHealth::TypicalDelay(const std::string& service,
+                                      TimePoint now) const {
+  const auto found = services_.find(service);
+  if (found == services_.end())
+    return Duration::zero();
+  return FromSeconds(found->second.ms / 1000 *
+                     Decay(now - found->second.at, kServiceDelayHalfLife));
+}
+
+void UpstreamHealth::OnServiceDelay(const std::string& service,
+                                    Duration excess,
+                                    TimePoint now) {
+  Delay& delay = services_[service];
+  const double known = ToMilliseconds(TypicalDelay(service, now));
+  const double seen = std::max(0.0, ToMilliseconds(excess));
+  delay.ms = known + kServiceDelayWeight * (seen - known);
+  delay.at = now;
+}
+
 double UpstreamHealth::FailureShare(const std::string& id,
                                     TimePoint now) const {
   const auto found = records_.find(id);
--- a/unittests/gateway/route_table_test.cc
+++ b/unittests/gateway/route_table_test.cc
@@ -65,6 +65,15 @@
   CHECK_FALSE(table.FindTeam(""));
 }
 
+// Guards urgent drafts of a team that waited behind long ones of the same team.
+TEST_CASE("the team's tier goes first and the route's tier breaks ties") {
+  CHECK(CombineTiers(0, 0) < CombineTiers(0, 1));
+  CHECK(CombineTiers(0, 2) < CombineTiers(1, 0));
+  CHECK(CombineTiers(1, 0) < CombineTiers(1, 1));
+  CHECK(CombineTiers(0, 7) < CombineTiers(1, 0));
+  CHECK(CombineTiers(std::nullopt, 1) == CombineTiers(0, 1));
+}
+
 TEST_CASE("weights split a route between its services") {
   Route route;
   route.services = {{"old", 90}, {"new", 10}};
