Refuse part of the long drafts while answers begin too late

Change: an integral controller per service on the time until answers begin; it refuses the least urgent level first and the most urgent route never.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -11,6 +11,7 @@
 
 #include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/exchange_policy.h"
+#include "teaselhill/gateway/overload_gate.h"
 #include "teaselhill/gateway/placement.h"
 #include "teaselhill/gateway/protocol.h"
 #include "teaselhill/gateway/repeat_budget.h"
@@ -28,6 +29,7 @@
 struct GatewayOptions {
   PlacementOptions placement;
   RepeatBudgetOptions repeats;
+  OverloadGateOptions gate;
   ExchangeLimits limits;
   /// Time to connect to an upstream. One round trip takes a few milliseconds;
   /// a lost first packet costs a second.
@@ -35,6 +37,7 @@
 };
 
 class Exchange;
+struct Accepted;
 
 /// Lives on the traffic thread.
 class Gateway : public net::HttpHandler {
@@ -65,6 +68,7 @@
  private:
   friend class Exchange;
 
+  bool PassGate(const Accepted& accepted, net::ResponseWriter& response);
   void Refuse(const net::HttpRequest& request,
               const CallerRequest& caller,
               net::ResponseWriter& response,
@@ -84,6 +88,7 @@
   Placement placement_;
   UpstreamHealth health_;
   RepeatBudget budget_;
+  OverloadGate gate_;
   RequestId last_id_ = 0;
   bool refusing_ = false;
   std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges_;
--- /dev/null
+++ b/include/teaselhill/gateway/overload_gate.h
@@ -0,0 +1,89 @@
+/// \file
+/// Refuses part of the less urgent requests while answers begin too late.
+
+#ifndef TEASELHILL_GATEWAY_OVERLOAD_GATE_H_
+#define TEASELHILL_GATEWAY_OVERLOAD_GATE_H_
+
+#include <map>
+#include <string>
+
+#include "teaselhill/gateway/route_table.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::gateway {
+
+struct OverloadGateOptions {
+  /// Part of its target after which an answer may begin while no request is
+  /// refused. Below it pressure falls, above it pressure rises.
+  double setpoint = 0.4;
+  /// Pressure that one answer adds for each target of time over the setpoint.
+  double gain = 0.06;
+  /// Bounds of the difference that one answer can tell.
+  double least_error = -0.5;
+  double most_error = 2;
+  /// Pressure halves in this time without answers.
+  Duration half_life = std::chrono::seconds(3);
+  /// Part of a level that is let in at any pressure, so that it is never
+  /// starved and the gate learns when the load is over.
+  double least_admitted = 0.1;
+  Duration shortest_return = std::chrono::milliseconds(600);
+  Duration longest_return = std::chrono::milliseconds(1600);
+};
+
+/// Urgency of a request at the gate. Routes go first: a long draft of one team
+/// waits before an urgent question of another.
+struct GateLevel {
+  Tier route = 0;
+  Tier team = 0;
+
+  friend bool operator<(const GateLevel& a, const GateLevel& b) {
+    return a.route != b.route ? a.route < b.route : a.team < b.team;
+  }
+};
+
+struct GateDecision {
+  bool admitted = true;
+  double pressure = 0;
+  double refused_part = 0;  ///< of the requests of this level
+  Duration retry_after{};   ///< set when refused
+};
+
+/// Demand above capacity makes every answer late and fills the engines with
+/// requests whose callers leave. The gate holds one pressure for each service:
+/// an integral controller on how late answers begin. Pressure 1 refuses the
+/// least urgent level, 2 the next as well; the most urgent route tier is never
+/// refused. Deterministic: time and dice are arguments.
+class OverloadGate {
+ public:
+  explicit OverloadGate(OverloadGateOptions options = {}) : options_(options) {}
+
+  /// `dice` and `spread` are uniform in [0, 1).
+  GateDecision Admit(const std::string& service,
+                     const GateLevel& level,
+                     double dice,
+                     double spread,
+                     TimePoint now);
+
+  /// An answer began after `waited`, or did not begin for so long.
+  void OnWaited(const std::string& service,
+                Duration waited,
+                Duration target,
+                TimePoint now);
+
+  double Pressure(const std::string& service, TimePoint now) const;
+
+ private:
+  struct State {
+    double pressure = 0;
+    TimePoint at{};
+    std::map<GateLevel, TimePoint> levels;  ///< seen, with the last time
+  };
+  double Decayed(const State& state, TimePoint now) const;
+
+  OverloadGateOptions options_;
+  std::map<std::string, State> services_;
+};
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_OVERLOAD_GATE_H_
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -26,6 +26,10 @@
 /// load every upstream answers late, and sending again would add to the load.
 constexpr int kStallFactor = 4;
 
+/// An answer that has not begun after this many targets counts as late before
+/// it begins.
+constexpr int kLateTargets = 2;
+
 /// Shortest silence that is taken for a fault of the upstream.
 constexpr std::chrono::milliseconds kLeastStall{250};
 
@@ -247,6 +251,7 @@
   progress_at_ = now;
   if (!first_event_at_) {
     first_event_at_ = now;
+    TellGate(now);
     gateway_.metrics_.ObserveFirstToken(ClassLabel(accepted_),
                                         now - accepted_.arrival);
   }
@@ -437,9 +442,17 @@
   gateway_.Forget(accepted_.id);
 }
 
+void Exchange::TellGate(TimePoint now) {
+  if (accepted_.placement.engine && !std::exchange(told_gate_, true))
+    gateway_.gate_.OnWaited(accepted_.service, now - accepted_.arrival,
+                            accepted_.route->target, now);
+}
+
 void Exchange::Watch() {
   const TimePoint now = BootNow();
   TimePoint next = state_.end;
+  if (accepted_.placement.engine && !told_gate_)
+    next = std::min(next, accepted_.arrival + GateDelay());
   if (state_.repeatable)
     next = std::min(next, progress_at_ + StallTime());
   const Duration delay = std::max<Duration>(next - now - kAnswerMargin,
@@ -451,6 +464,10 @@
       });
 }
 
+Duration Exchange::GateDelay() const {
+  return accepted_.route->target * kLateTargets;
+}
+
 Duration Exchange::StallTime() const {
   const Route& route = *accepted_.route;
   const Duration usual =
@@ -464,6 +481,8 @@
 void Exchange::OnTimer(TimePoint now) {
   if (finished_)
     return;
+  if (now + kAnswerMargin >= accepted_.arrival + GateDelay())
+    TellGate(now);
   if (now + 2 * kAnswerMargin >= state_.end) {
     StopAttempt();
     return Follow(GiveUp(state_, ResultCode::kDeadlineUnreachable),
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -60,7 +60,9 @@
   void Fail(const Error& error);
   void Finish(ResultCode code, std::string_view reason);
   void Watch();
+  void TellGate(TimePoint now);
   void OnTimer(TimePoint now);
+  Duration GateDelay() const;
   Duration StallTime() const;
   Duration RetryAfter(ResultCode code) const;
   LogLine Line(std::string_view event) const;
@@ -80,6 +82,7 @@
   bool begun_ = false;  ///< the current attempt has begun to answer
   bool paused_ = false;
   bool finished_ = false;
+  bool told_gate_ = false;
   std::optional<TimePoint> first_event_at_;
   Duration longest_gap_{};
   Duration upstream_retry_after_{};
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -59,7 +59,8 @@
       client_(loop, /*max_idle_connections=*/16),
       rng_(EntropySeed()),
       placement_(options_.placement),
-      budget_(options_.repeats) {
+      budget_(options_.repeats),
+      gate_(options_.gate) {
   cleanup_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
     const TimePoint now = BootNow();
     placement_.Expire(now);
@@ -106,6 +107,8 @@
   accepted.placement = ToPlacement(
       accepted.caller, *accepted.route,
       accepted.routes->FindService(accepted.service), accepted.service);
+  if (!PassGate(accepted, *response))
+    return;
   accepted.request = std::move(request);
   accepted.id = ++last_id_;
   budget_.OnRequest(accepted.service, accepted.arrival);
@@ -117,6 +120,37 @@
   exchange->Start();
 }
 
+bool Gateway::PassGate(const Accepted& accepted,
+                       net::ResponseWriter& response) {
+  // A plain service refuses by itself when it is full, within milliseconds.
+  if (!accepted.placement.engine)
+    return true;
+  const GateDecision decision = gate_.Admit(
+      accepted.service, {accepted.route->tier, accepted.tier}, rng_.Uniform(),
+      rng_.Uniform(), accepted.arrival);
+  if (decision.admitted)
+    return true;
+  const Error error{ResultCode::kQueueFull, "answers would begin too late"};
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kInfo, "shed")
+                 .Field("request", accepted.caller.id)
+                 .Field("route", accepted.route->name)
+                 .Field("code", static_cast<int>(error.code))
+                 .Field("team", accepted.team)
+                 .Field("tier", accepted.tier)
+                 .Field("service", accepted.service)
+                 .Field("pressure", decision.pressure)
+                 .Field("refused_part", decision.refused_part)
+                 .Field("retry_after_ms", decision.retry_after)
+                 .Field("config_version", accepted.routes->version()),
+             accepted.arrival);
+  metrics_.CountOutcome(accepted.team, "shed", error.code);
+  response.Respond(Describe(error.code).http_status,
+                   callers_.ErrorHeaders(error, decision.retry_after),
+                   net::ErrorBody(error));
+  return false;
+}
+
 void Gateway::Refuse(const net::HttpRequest& request,
                      const CallerRequest& caller,
                      net::ResponseWriter& response,
--- /dev/null
+++ b/unittests/gateway/overload_gate_test.cc
@@ -0,0 +1,113 @@
+/// \file
+/// Guards callers on the heaviest days: a burst of long drafts that makes every
+/// answer late, urgent questions refused for them, and a gate that stays shut.
+
+#include "teaselhill/gateway/overload_gate.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::gateway {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr GateLevel kUrgent{0, 3};
+constexpr GateLevel kDraftOfLargeTeam{1, 4};
+constexpr GateLevel kDraftOfUrgentTeam{1, 1};
+constexpr milliseconds kTarget{800};
+
+/// Requests of one host against engines that serve `capacity` of them a second:
+/// one queue, whose length is the wait of the next request.
+struct Simulation {
+  OverloadGate gate;
+  TimePoint now{};
+  Duration queue{};
+  int admitted = 0;
+  int in_time = 0;
+  int offered = 0;
+  uint32_t dice = 7;
+
+  double Roll() {
+    dice = dice * 1664525u + 1013904223u;
+    return (dice >> 8) / double(1 << 24);
+  }
+
+  void Run(int per_second, int capacity, std::chrono::seconds length) {
+    const Duration gap = Duration(std::chrono::seconds(1)) / per_second;
+    for (const TimePoint end = now + length; now < end; now += gap) {
+      queue = std::max<Duration>(queue - gap, Duration::zero());
+      gate.Admit("s", kUrgent, Roll(), Roll(), now);
+      const GateDecision decision =
+          gate.Admit("s", kDraftOfLargeTeam, Roll(), Roll(), now);
+      ++offered;
+      if (!decision.admitted)
+        continue;
+      ++admitted;
+      queue += Duration(std::chrono::seconds(1)) / capacity;
+      in_time += queue <= kTarget;
+      gate.OnWaited("s", queue, kTarget, now);
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a burst over capacity keeps most admitted drafts in time") {
+  Simulation burst;
+  burst.Run(20, 10, std::chrono::seconds(12));
+  // Without a gate the queue passes the target after 1.6 s of 12.
+  CHECK(burst.in_time > 0.6 * burst.admitted);
+  CHECK(burst.admitted < 0.75 * burst.offered);
+  CHECK(burst.admitted > 0.35 * burst.offered);
+}
+
+TEST_CASE("load below capacity is admitted whole") {
+  Simulation calm;
+  calm.Run(8, 10, std::chrono::seconds(12));
+  CHECK(calm.admitted == calm.offered);
+}
+
+TEST_CASE("the gate opens within seconds after a burst") {
+  Simulation load;
+  load.Run(30, 10, std::chrono::seconds(8));
+  load.Run(5, 10, std::chrono::seconds(6));
+  CHECK(load.gate.Pressure("s", load.now) < 0.1);
+}
+
+TEST_CASE("the less urgent are refused first and the urgent never") {
+  OverloadGate gate;
+  const TimePoint now{};
+  for (const GateLevel& level :
+       {kUrgent, kDraftOfLargeTeam, kDraftOfUrgentTeam})
+    gate.Admit("s", level, 0, 0, now);
+  const int late = GENERATE(0, 10, 20, 200);
+  for (int i = 0; i < late; ++i)
+    gate.OnWaited("s", 3 * kTarget, kTarget, now);
+  const GateDecision urgent = gate.Admit("s", kUrgent, 0, 0, now);
+  const GateDecision first = gate.Admit("s", kDraftOfUrgentTeam, 0, 0, now);
+  const GateDecision last = gate.Admit("s", kDraftOfLargeTeam, 0, 0, now);
+  CAPTURE(late, last.pressure);
+  CHECK(urgent.admitted);
+  CHECK(urgent.refused_part == 0);
+  CHECK(first.refused_part <= last.refused_part);
+  CHECK(last.refused_part <= 0.9);
+  if (first.refused_part > 0)
+    CHECK(last.refused_part == Approx(0.9));
+}
+
+TEST_CASE("a refusal says when to come back, spread over time") {
+  OverloadGate gate;
+  const TimePoint now{};
+  gate.Admit("s", kUrgent, 0, 0, now);
+  gate.Admit("s", kDraftOfLargeTeam, 0, 0, now);
+  for (int i = 0; i < 50; ++i)
+    gate.OnWaited("s", 3 * kTarget, kTarget, now);
+  const auto early = gate.Admit("s", kDraftOfLargeTeam, 0, 0, now);
+  const auto late = gate.Admit("s", kDraftOfLargeTeam, 0, 0.999, now);
+  REQUIRE_FALSE(early.admitted);
+  CHECK(early.retry_after >= milliseconds(600));
+  CHECK(late.retry_after > early.retry_after + milliseconds(800));
+}
+
+}  // namespace teaselhill::gateway
