Estimate the wait of a new request by Little's law at the gate

Cause: the gate learned of a wait only when it was over, 1 to 2.5 s after the first requests piled up, and urgent answers in time opened it again. Change: requests that wait over the rate at which answers begin is a second observation, at each arrival; urgent answers in time are not counted.

--- a/include/teaselhill/gateway/overload_gate.h
+++ b/include/teaselhill/gateway/overload_gate.h
@@ -44,10 +44,32 @@
 struct GateDecision {
   bool admitted = true;
   double pressure = 0;
+  Duration expected_wait{};
   double refused_part = 0;  ///< of the requests of this level
   Duration retry_after{};   ///< set when refused
 };
 
+/// Expected wait of a request that arrives now, by Little's law: requests that
+/// wait, over the rate at which answers begin. It grows with the first requests
+/// that pile up, long before one of them has waited for so long.
+class WaitEstimate {
+ public:
+  void OnQueued() { ++waiting_; }
+  void OnBegan(TimePoint now);
+  void OnLeft() { waiting_ -= waiting_ > 0; }
+
+  /// Zero while nothing waits; at most 10 s.
+  Duration Expected(TimePoint now) const;
+
+ private:
+  double Rate(TimePoint now) const;
+
+  int waiting_ = 0;
+  double begun_ = 0;  ///< decaying count
+  TimePoint at_{};
+  TimePoint since_{};  ///< first answer
+};
+
 /// Demand above capacity makes every answer late and fills the engines with
 /// requests whose callers leave. The gate holds one pressure for each service:
 /// an integral controller on how late answers begin. Pressure 1 refuses the
@@ -60,16 +82,26 @@
   /// `dice` and `spread` are uniform in [0, 1).
   GateDecision Admit(const std::string& service,
                      const GateLevel& level,
+                     Duration target,
                      double dice,
                      double spread,
                      TimePoint now);
 
-  /// An answer began after `waited`, or did not begin for so long.
+  /// An answer began after `waited`, or did not begin for so long. Urgent
+  /// answers in time say nothing of the levels that can be refused.
   void OnWaited(const std::string& service,
+                const GateLevel& level,
                 Duration waited,
                 Duration target,
                 TimePoint now);
 
+  /// An admitted request was sent, began to be answered, or ended before.
+  void OnQueued(const std::string& service, const GateLevel& level);
+  void OnBegan(const std::string& service,
+               const GateLevel& level,
+               TimePoint now);
+  void OnLeft(const std::string& service, const GateLevel& level);
+
   double Pressure(const std::string& service, TimePoint now) const;
 
  private:
@@ -77,6 +109,7 @@
     double pressure = 0;
     TimePoint at{};
     std::map<GateLevel, TimePoint> levels;  ///< seen, with the last time
+    std::map<Tier, WaitEstimate> waits;     ///< by route tier
   };
   double Decayed(const State& state, TimePoint now) const;
 
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -116,7 +116,11 @@
       self->OnCallerGone();
   });
   if (!Send())
-    Fail({ResultCode::kNoUpstream, ""});
+    return Fail({ResultCode::kNoUpstream, ""});
+  if (accepted_.placement.engine && !finished_ && !first_event_at_) {
+    queued_ = true;
+    gateway_.gate_.OnQueued(accepted_.service, accepted_.level());
+  }
 }
 
 bool Exchange::Send() {
@@ -252,6 +256,8 @@
   if (!first_event_at_) {
     first_event_at_ = now;
     TellGate(now);
+    if (std::exchange(queued_, false))
+      gateway_.gate_.OnBegan(accepted_.service, accepted_.level(), now);
     gateway_.metrics_.ObserveFirstToken(ClassLabel(accepted_),
                                         now - accepted_.arrival);
   }
@@ -419,6 +425,8 @@
 void Exchange::Finish(ResultCode code, std::string_view reason) {
   finished_ = true;
   timer_.Cancel();
+  if (std::exchange(queued_, false))
+    gateway_.gate_.OnLeft(accepted_.service, accepted_.level());
   const TimePoint now = BootNow();
   const bool good = code == ResultCode::kOk;
   LogLine line = Line(good ? "answered" : "failed");
@@ -444,8 +452,9 @@
 
 void Exchange::TellGate(TimePoint now) {
   if (accepted_.placement.engine && !std::exchange(told_gate_, true))
-    gateway_.gate_.OnWaited(accepted_.service, now - accepted_.arrival,
-                            accepted_.route->target, now);
+    gateway_.gate_.OnWaited(accepted_.service, accepted_.level(),
+                            now - accepted_.arrival, accepted_.route->target,
+                            now);
 }
 
 void Exchange::Watch() {
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -25,6 +25,8 @@
   std::string service;
   PlacementRequest placement;
   TimePoint arrival{};
+
+  GateLevel level() const { return {route->tier, tier}; }
 };
 
 /// Holds at most one attempt at a time. The head of an event stream goes to the
@@ -83,6 +85,7 @@
   bool paused_ = false;
   bool finished_ = false;
   bool told_gate_ = false;
+  bool queued_ = false;  ///< counted by the gate as waiting
   std::optional<TimePoint> first_event_at_;
   Duration longest_gap_{};
   Duration upstream_retry_after_{};
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -126,8 +126,8 @@
   if (!accepted.placement.engine)
     return true;
   const GateDecision decision = gate_.Admit(
-      accepted.service, {accepted.route->tier, accepted.tier}, rng_.Uniform(),
-      rng_.Uniform(), accepted.arrival);
+      accepted.service, accepted.level(), accepted.route->target,
+      rng_.Uniform(), rng_.Uniform(), accepted.arrival);
   if (decision.admitted)
     return true;
   const Error error{ResultCode::kQueueFull, "answers would begin too late"};
@@ -140,6 +140,7 @@
                  .Field("tier", accepted.tier)
                  .Field("service", accepted.service)
                  .Field("pressure", decision.pressure)
+                 .Field("expected_wait_ms", decision.expected_wait)
                  .Field("refused_part", decision.refused_part)
                  .Field("retry_after_ms", decision.retry_after)
                  .Field("config_version", accepted.routes->version()),
--- a/lib/gateway/overload_gate.cc
+++ b/lib/gateway/overload_gate.cc
@@ -13,10 +13,47 @@
 /// A level that sends nothing for this long does not count any more.
 constexpr std::chrono::seconds kForgetLevel{20};
 
+/// Half-life of the count of answers that began.
+constexpr std::chrono::milliseconds kRateHalfLife{1000};
+
+constexpr std::chrono::seconds kLongestWait{10};
+
 }  // namespace
 
+void WaitEstimate::OnBegan(TimePoint now) {
+  OnLeft();
+  const double factor =
+      std::exp2(-ToSeconds(now - at_) / ToSeconds(kRateHalfLife));
+  begun_ = begun_ * factor + 1;
+  at_ = now;
+  if (since_ == TimePoint{})
+    since_ = now;
+}
+
+double WaitEstimate::Rate(TimePoint now) const {
+  const double half_life = ToSeconds(kRateHalfLife);
+  const double count = begun_ * std::exp2(-ToSeconds(now - at_) / half_life);
+  // The decaying count of a constant rate is the rate times this time; it is
+  // shorter while the count is young.
+  const double full = half_life / std::log(2.0);
+  const double age = std::max(ToSeconds(now - since_), half_life / 4);
+  return count / (full * (1 - std::exp(-age / full)));
+}
+
+Duration WaitEstimate::Expected(TimePoint now) const {
+  // Before the first answers there is no rate, and a request alone says
+  // nothing.
+  if (waiting_ <= 1 || since_ == TimePoint{})
+    return Duration::zero();
+  const double rate = Rate(now);
+  const double seconds = rate > 0 ? (waiting_ - 1) / rate : 1e9;
+  return seconds > ToSeconds(kLongestWait) ? Duration(kLongestWait)
+                                           : FromSeconds(seconds);
+}
+
 GateDecision OverloadGate::Admit(const std::string& service,
                                  const GateLevel& level,
+                                 Duration target,
                                  double dice,
                                  double spread,
                                  TimePoint now) {
@@ -26,6 +63,8 @@
     entry = now - entry->second > kForgetLevel ? state.levels.erase(entry)
                                                : std::next(entry);
   GateDecision decision;
+  decision.expected_wait = state.waits[level.route].Expected(now);
+  OnWaited(service, level, decision.expected_wait, target, now);
   decision.pressure = Decayed(state, now);
   if (level.route == state.levels.begin()->first.route)
     return decision;
@@ -43,6 +82,7 @@
 }
 
 void OverloadGate::OnWaited(const std::string& service,
+                            const GateLevel& level,
                             Duration waited,
                             Duration target,
                             TimePoint now) {
@@ -54,13 +94,32 @@
                  options_.least_error, options_.most_error);
   // Levels of the most urgent route tier are never refused.
   double refusable = 0;
-  for (const auto& [level, seen] : state.levels)
-    refusable += level.route != state.levels.begin()->first.route;
+  for (const auto& [other, seen] : state.levels)
+    refusable += other.route != state.levels.begin()->first.route;
+  const bool urgent = !state.levels.empty() &&
+                      level.route <= state.levels.begin()->first.route;
+  if (urgent && error < 0)
+    return;
   state.pressure = std::clamp(
       Decayed(state, now) + options_.gain * error, 0.0, refusable);
   state.at = now;
 }
 
+void OverloadGate::OnQueued(const std::string& service,
+                            const GateLevel& level) {
+  services_[service].waits[level.route].OnQueued();
+}
+
+void OverloadGate::OnBegan(const std::string& service,
+                           const GateLevel& level,
+                           TimePoint now) {
+  services_[service].waits[level.route].OnBegan(now);
+}
+
+void OverloadGate::OnLeft(const std::string& service, const GateLevel& level) {
+  services_[service].waits[level.route].OnLeft();
+}
+
 double OverloadGate::Pressure(const std::string& service,
                               TimePoint now) const {
   const auto found = services_.find(service);
--- a/unittests/gateway/overload_gate_test.cc
+++ b/unittests/gateway/overload_gate_test.cc
@@ -5,6 +5,7 @@
 #include "teaselhill/gateway/overload_gate.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 
 namespace teaselhill::gateway {
 
@@ -18,11 +19,17 @@
 constexpr milliseconds kTarget{800};
 
 /// Requests of one host against engines that serve `capacity` of them a second:
-/// one queue, whose length is the wait of the next request.
+/// one queue. The gate learns of a wait when it is over, as the gateway does.
 struct Simulation {
+  struct Waiting {
+    TimePoint arrived;
+    TimePoint begins;
+  };
+
   OverloadGate gate;
-  TimePoint now{};
-  Duration queue{};
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  std::deque<Waiting> waiting;
+  TimePoint free_at{};  ///< when the last admitted request has been read
   int admitted = 0;
   int in_time = 0;
   int offered = 0;
@@ -33,20 +40,30 @@
     return (dice >> 8) / double(1 << 24);
   }
 
+  void Begin() {
+    while (!waiting.empty() && waiting.front().begins <= now) {
+      const Waiting begun = waiting.front();
+      waiting.pop_front();
+      gate.OnBegan("s", kDraftOfLargeTeam, begun.begins);
+      gate.OnWaited("s", kDraftOfLargeTeam, begun.begins - begun.arrived, kTarget, begun.begins);
+    }
+  }
+
   void Run(int per_second, int capacity, std::chrono::seconds length) {
     const Duration gap = Duration(std::chrono::seconds(1)) / per_second;
     for (const TimePoint end = now + length; now < end; now += gap) {
-      queue = std::max<Duration>(queue - gap, Duration::zero());
-      gate.Admit("s", kUrgent, Roll(), Roll(), now);
-      const GateDecision decision =
-          gate.Admit("s", kDraftOfLargeTeam, Roll(), Roll(), now);
+      Begin();
+      gate.Admit("s", kUrgent, kTarget, Roll(), Roll(), now);
       ++offered;
-      if (!decision.admitted)
+      if (!gate.Admit("s", kDraftOfLargeTeam, kTarget, Roll(), Roll(), now)
+               .admitted)
         continue;
       ++admitted;
-      queue += Duration(std::chrono::seconds(1)) / capacity;
-      in_time += queue <= kTarget;
-      gate.OnWaited("s", queue, kTarget, now);
+      free_at = std::max(free_at, now) +
+                Duration(std::chrono::seconds(1)) / capacity;
+      in_time += free_at - now <= kTarget;
+      gate.OnQueued("s", kDraftOfLargeTeam);
+      waiting.push_back({now, free_at});
     }
   }
 };
@@ -62,6 +79,24 @@
   CHECK(burst.admitted > 0.35 * burst.offered);
 }
 
+// Guards the first seconds of a burst, in which no answer has been late yet.
+TEST_CASE("requests that pile up are noticed before one has waited long") {
+  WaitEstimate estimate;
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  for (int i = 0; i < 100; ++i) {
+    now += milliseconds(100);
+    estimate.OnQueued();
+    estimate.OnBegan(now);
+  }
+  CHECK(estimate.Expected(now) == Duration::zero());
+  for (int i = 0; i < 11; ++i)
+    estimate.OnQueued();
+  CHECK(ToSeconds(estimate.Expected(now)) == Approx(1.0).margin(0.1));
+  for (int i = 0; i < 10; ++i)
+    estimate.OnLeft();
+  CHECK(estimate.Expected(now) == Duration::zero());
+}
+
 TEST_CASE("load below capacity is admitted whole") {
   Simulation calm;
   calm.Run(8, 10, std::chrono::seconds(12));
@@ -80,13 +115,13 @@
   const TimePoint now{};
   for (const GateLevel& level :
        {kUrgent, kDraftOfLargeTeam, kDraftOfUrgentTeam})
-    gate.Admit("s", level, 0, 0, now);
+    gate.Admit("s", level, kTarget, 0, 0, now);
   const int late = GENERATE(0, 10, 20, 200);
   for (int i = 0; i < late; ++i)
-    gate.OnWaited("s", 3 * kTarget, kTarget, now);
-  const GateDecision urgent = gate.Admit("s", kUrgent, 0, 0, now);
-  const GateDecision first = gate.Admit("s", kDraftOfUrgentTeam, 0, 0, now);
-  const GateDecision last = gate.Admit("s", kDraftOfLargeTeam, 0, 0, now);
+    gate.OnWaited("s", kDraftOfLargeTeam, 3 * kTarget, kTarget, now);
+  const GateDecision urgent = gate.Admit("s", kUrgent, kTarget, 0, 0, now);
+  const GateDecision first = gate.Admit("s", kDraftOfUrgentTeam, kTarget, 0, 0, now);
+  const GateDecision last = gate.Admit("s", kDraftOfLargeTeam, kTarget, 0, 0, now);
   CAPTURE(late, last.pressure);
   CHECK(urgent.admitted);
   CHECK(urgent.refused_part == 0);
@@ -99,12 +134,12 @@
 TEST_CASE("a refusal says when to come back, spread over time") {
   OverloadGate gate;
   const TimePoint now{};
-  gate.Admit("s", kUrgent, 0, 0, now);
-  gate.Admit("s", kDraftOfLargeTeam, 0, 0, now);
+  gate.Admit("s", kUrgent, kTarget, 0, 0, now);
+  gate.Admit("s", kDraftOfLargeTeam, kTarget, 0, 0, now);
   for (int i = 0; i < 50; ++i)
-    gate.OnWaited("s", 3 * kTarget, kTarget, now);
-  const auto early = gate.Admit("s", kDraftOfLargeTeam, 0, 0, now);
-  const auto late = gate.Admit("s", kDraftOfLargeTeam, 0, 0.999, now);
+    gate.OnWaited("s", kDraftOfLargeTeam, 3 * kTarget, kTarget, now);
+  const auto early = gate.Admit("s", kDraftOfLargeTeam, kTarget, 0, 0, now);
+  const auto late = gate.Admit("s", kDraftOfLargeTeam, kTarget, 0, 0.999, now);
   REQUIRE_FALSE(early.admitted);
   CHECK(early.retry_after >= milliseconds(600));
   CHECK(late.retry_after > early.retry_after + milliseconds(800));
