--- a/lib/ctl/command_line.cc
+++ b/lib/ctl/command_line.cc
@@ -5,11 +5,13 @@
 
 #include <CLI/CLI.hpp>
 #include <functional>
+#include <iostream>
 #include <memory>
 #include <ostream>
 
 #include "commands.h"
 #include "output.h"
+#include "teaselhill/ctl/log_explain.h"
 #include "teaselhill/net/http_client.h"
 
 namespace teaselhill::ctl {
@@ -30,6 +32,7 @@
   teaselhillctl --host http://127.0.1.1:8082 --host http://127.0.1.2:8082 status
   teaselhillctl --host http://127.0.1.1:8082 wait --offset 42 --timeout 10s
   teaselhillctl --host http://127.0.1.1:8082 why 4f1c
+  teaselhillctl explain 9c41d07be2a35f68 host-1.log host-2.log
 
 Exit codes: 0 success, otherwise the result code divided by 1000: 1 not found or
 not permitted, 4 change refused, 5 log, 6 network, 7 settings or timed out.)";
@@ -205,6 +208,14 @@
     CLI::App* why = Add(&app_, "why", "Show why a request was routed as it was",
                         [this] { return ShowRequest(settings_, out_); });
     why->add_option("request", settings_.name, "Request id")->required();
+    CLI::App* explain = Add(
+        &app_, "explain", "Tell the story of a request from hosts' logs", [this] {
+          return ExplainRequest(settings_.name, settings_.log_files, std::cin,
+                                out_);
+        });
+    explain->add_option("request", settings_.name, "Request id")->required();
+    explain->add_option("files", settings_.log_files,
+                        "Log files; default: standard input");
     CLI::App* wait = Add(&app_, "wait", "Wait until a change is in force",
                          [this] { return Wait(); });
     wait->add_option("--offset", settings_.offset,
--- a/lib/ctl/commands.h
+++ b/lib/ctl/commands.h
@@ -24,6 +24,7 @@
   std::string name;
   std::string offset;
   std::string timeout = "10s";
+  std::vector<std::string> log_files;
   bool json = false;
 };
 
