Leave a cut failure domain out after two of its upstreams

Ruled out: the store's word, which lapses three heartbeats later. Change: two upstreams of a domain that cannot be connected to within 1.5 s eject the domain for 0.8 s, doubling to 3 s, until one is reached; a send that did not arrive takes nothing from the budget; 200 ms to connect.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -32,8 +32,8 @@
   OverloadGateOptions gate;
   ExchangeLimits limits;
   /// Time to connect to an upstream. One round trip takes a few milliseconds;
-  /// a lost first packet costs a second.
-  Duration connect_timeout = std::chrono::milliseconds(400);
+  /// a lost first packet would cost a second.
+  Duration connect_timeout = std::chrono::milliseconds(200);
 };
 
 class Exchange;
--- a/include/teaselhill/gateway/upstream_health.h
+++ b/include/teaselhill/gateway/upstream_health.h
@@ -21,17 +21,31 @@
   /// Share of failures from which an upstream is ejected.
   double max_failure_share = 0.3;
   /// First time out of use; doubles with each ejection in a row.
-  Duration first_ejection = std::chrono::milliseconds(1000);
+  Duration first_ejection = std::chrono::milliseconds(700);
   Duration longest_ejection = std::chrono::seconds(6);
+  /// Upstreams of one failure domain that cannot be connected to within
+  /// `domain_window` before the whole domain is taken to be cut off.
+  size_t domain_failures = 2;
+  Duration domain_window = std::chrono::milliseconds(1500);
+  Duration first_domain_ejection = std::chrono::milliseconds(800);
+  Duration longest_domain_ejection = std::chrono::seconds(3);
 };
 
-/// Passive health of the upstreams, by id and incarnation. Needs no probes.
+/// Passive health of the upstreams. Needs no probes. A partition is learnt from
+/// a few of a domain's upstreams: finding each of them out by a connection that
+/// times out would cost as many callers their answer.
 class UpstreamHealth {
  public:
   explicit UpstreamHealth(HealthOptions options = {}) : options_(options) {}
 
   /// A connection could not be made.
-  void OnConnectFailed(const std::string& id, TimePoint now);
+  void OnConnectFailed(const std::string& id,
+                       const std::string& domain,
+                       TimePoint now);
+  /// An upstream of the domain was reached.
+  void OnReached(const std::string& domain);
+  /// Another upstream has the address.
+  void OnMisdirected(const std::string& id, TimePoint now);
   /// An answer failed, broke off or was spoiled.
   void OnFailed(const std::string& id, TimePoint now);
   /// No byte came within the time in which answers usually begin.
@@ -43,7 +57,10 @@
   /// Refused without running: the upstream is full.
   void OnRefused(const std::string& id, TimePoint now);
 
-  bool Ejected(const std::string& id, TimePoint now) const;
+  /// Whether the upstream, or its whole domain, is left out for now.
+  bool Ejected(const std::string& id,
+               const std::string& domain,
+               TimePoint now) const;
 
   /// Decaying estimate of the delay before an answer begins.
   Duration ExpectedDelay(const std::string& id, TimePoint now) const;
@@ -81,7 +98,15 @@
     double ms = 0;
     TimePoint at{};
   };
+  struct Domain {
+    std::unordered_map<std::string, TimePoint> failed;  ///< by upstream
+    TimePoint ejected_until{};
+    int ejections = 0;  ///< in a row
+  };
+  void JudgeDomain(Domain& domain, TimePoint now);
+
   std::unordered_map<std::string, Record> records_;
+  std::unordered_map<std::string, Domain> domains_;
   std::unordered_map<std::string, Delay> services_;
 };
 
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -195,6 +195,7 @@
 
 void Exchange::OnHead(int status, const net::Headers& headers) {
   progress_at_ = BootNow();
+  gateway_.health_.OnReached(upstream_.domain);
   AnswerHead head = gateway_.upstreams_.ReadHead(
       status, headers, accepted_.caller, *accepted_.route);
   upstream_retry_after_ = head.retry_after;
@@ -206,7 +207,7 @@
       return EndAttempt(AttemptOutcome::kNotRun,
                         "status " + std::to_string(status));
     case HeadKind::kWrongUpstream:
-      gateway_.health_.OnConnectFailed(upstream_.id, progress_at_);
+      gateway_.health_.OnMisdirected(upstream_.id, progress_at_);
       return EndAttempt(AttemptOutcome::kNotRun,
                         "another upstream has the address");
     case HeadKind::kUnsafeStatus:
@@ -339,8 +340,10 @@
   accepted_.placement.excluded.push_back(upstream_.id);
   const bool allowed =
       MaySendAgain(state_, outcome, gateway_.options_.limits, now);
+  // A send that did not arrive repeats nothing at any upstream.
   const bool budget =
-      allowed && gateway_.budget_.TryTake(accepted_.service, now);
+      allowed && (outcome == AttemptOutcome::kNotSent ||
+                  gateway_.budget_.TryTake(accepted_.service, now));
   gateway_.log_.Write(
       LineKind::kFailure,
       Line("attempt_ended")
@@ -373,7 +376,7 @@
     case AttemptOutcome::kNotRun:
       return health.OnRefused(id, now);
     case AttemptOutcome::kNotSent:
-      return health.OnConnectFailed(id, now);
+      return health.OnConnectFailed(id, upstream_.domain, now);
     case AttemptOutcome::kSilent:
       return health.OnSilent(id, now);
   }
--- a/lib/gateway/placement.cc
+++ b/lib/gateway/placement.cc
@@ -76,7 +76,7 @@
     Candidate candidate;
     candidate.upstream = &upstream;
     candidate.rank = Hash64(upstream.id, request.affinity);
-    (health.Ejected(upstream.id, now) ? ejected : candidates)
+    (health.Ejected(upstream.id, upstream.domain, now) ? ejected : candidates)
         .push_back(candidate);
   }
   const bool all_ejected = candidates.empty();
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -43,10 +43,42 @@
   return record;
 }
 
-void UpstreamHealth::OnConnectFailed(const std::string& id, TimePoint now) {
+void UpstreamHealth::OnConnectFailed(const std::string& id,
+                                     const std::string& domain,
+                                     TimePoint now) {
   Record& record = Touch(id, now);
   record.failures += 1;
   Eject(record, now);
+  Domain& state = domains_[domain];
+  state.failed[id] = now;
+  JudgeDomain(state, now);
+}
+
+void UpstreamHealth::OnReached(const std::string& domain) {
+  domains_.erase(domain);
+}
+
+void UpstreamHealth::OnMisdirected(const std::string& id, TimePoint now) {
+  Record& record = Touch(id, now);
+  record.failures += 1;
+  Eject(record, now);
+}
+
+void UpstreamHealth::JudgeDomain(Domain& domain, TimePoint now) {
+  if (now < domain.ejected_until)
+    return;
+  for (auto entry = domain.failed.begin(); entry != domain.failed.end();)
+    entry = now - entry->second > options_.domain_window
+                ? domain.failed.erase(entry)
+                : std::next(entry);
+  // After an ejection the first upstream that is tried decides.
+  if (domain.failed.size() < options_.domain_failures && domain.ejections == 0)
+    return;
+  Duration time = options_.first_domain_ejection;
+  for (int i = 0; i < domain.ejections; ++i)
+    time = std::min(2 * time, options_.longest_domain_ejection);
+  domain.ejected_until = now + time;
+  ++domain.ejections;
 }
 
 void UpstreamHealth::OnFailed(const std::string& id, TimePoint now) {
@@ -85,7 +117,12 @@
   record.delay_at = now;
 }
 
-bool UpstreamHealth::Ejected(const std::string& id, TimePoint now) const {
+bool UpstreamHealth::Ejected(const std::string& id,
+                             const std::string& domain,
+                             TimePoint now) const {
+  const auto state = domains_.find(domain);
+  if (state != domains_.end() && now < state->second.ejected_until)
+    return true;
   const auto found = records_.find(id);
   return found != records_.end() && now < found->second.ejected_until;
 }
--- a/unittests/gateway/placement_test.cc
+++ b/unittests/gateway/placement_test.cc
@@ -127,13 +127,46 @@
   const UpstreamList list = MakeList(3);
   UpstreamHealth health;
   for (const char* id : {"e0", "e1", "e2"})
-    health.OnConnectFailed(id, TimePoint{});
+    health.OnConnectFailed(id, "d", TimePoint{});
   Placement placement({});
   const auto placed = placement.Choose(Fetch(), list, health, TimePoint{});
   REQUIRE(placed);
   CHECK(placed->reason == PlacementReason::kAllEjected);
 }
 
+// Guards callers during a partition: each of a domain's engines found out by
+// a connection that times out costs one of them its answer.
+TEST_CASE("a domain whose upstreams cannot be connected to is left out") {
+  const UpstreamList list = MakeList(18);
+  UpstreamHealth health;
+  Placement placement({});
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  health.OnConnectFailed("e0", "d0", now);
+  CHECK_FALSE(health.Ejected("e3", "d0", now));
+  health.OnConnectFailed("e6", "d0", now);
+  for (uint64_t subject = 1; subject <= 100; ++subject)
+    CHECK(placement.Choose(Draft(subject), list, health, now)
+              ->upstream.domain != "d0");
+  CHECK_FALSE(health.Ejected("e1", "d1", now));
+  now += std::chrono::seconds(1);
+  CHECK_FALSE(health.Ejected("e3", "d0", now));
+  const bool healed = GENERATE(false, true);
+  if (healed)
+    health.OnReached("d0");
+  health.OnConnectFailed("e9", "d0", now);
+  CHECK(health.Ejected("e3", "d0", now) == !healed);
+}
+
+TEST_CASE("failures of a domain far apart are no partition") {
+  UpstreamHealth health;
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  for (const char* id : {"e0", "e3", "e6"}) {
+    health.OnConnectFailed(id, "d0", now);
+    now += std::chrono::seconds(2);
+  }
+  CHECK_FALSE(health.Ejected("e9", "d0", now));
+}
+
 TEST_CASE("an upstream that was tried is not chosen again") {
   const UpstreamList list = MakeList(2);
   const UpstreamHealth health;
