--- a/include/teaselhill/gateway/exchange_policy.h
+++ b/include/teaselhill/gateway/exchange_policy.h
@@ -33,8 +33,8 @@
   bool repeatable = false;
   bool resumable = false;
   int max_attempts = 1;
-  int sends = 0;  ///< attempts started
-  int runs = 0;   ///< attempts that may have run
+  int sends = 0;           ///< attempts started
+  int runs = 0;            ///< attempts that may have run
   bool head_sent = false;  ///< the caller has the head of the answer
   TimePoint end{};         ///< deadline or timeout, whichever is earlier
 };
--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -28,9 +28,9 @@
 
 /// What the headers of a caller's request say.
 struct CallerRequest {
-  std::string id;    ///< of this attempt of the caller
-  std::string host;  ///< name that selects the route
-  std::string key;   ///< empty: none
+  std::string id;                        ///< of this attempt of the caller
+  std::string host;                      ///< name that selects the route
+  std::string key;                       ///< empty: none
   Duration deadline{};                   ///< zero: none
   std::optional<uint64_t> resume_after;  ///< event id that the caller has
   std::vector<PromptPart> prompt;        ///< in order; the last is its own
@@ -55,8 +55,8 @@
 /// One send of a request.
 struct SendOrder {
   UpstreamEntry upstream;
-  std::string team;        ///< empty: the route is anonymous
-  Duration time_left{};    ///< of the deadline
+  std::string team;      ///< empty: the route is anonymous
+  Duration time_left{};  ///< of the deadline
   Tier tier = 0;
   bool engine = false;
   std::optional<uint64_t> resume_after;
--- a/include/teaselhill/gateway/route_table.h
+++ b/include/teaselhill/gateway/route_table.h
@@ -36,8 +36,8 @@
   std::string host;
   std::string path_prefix;  ///< begins and ends with a slash
   RouteKind kind = RouteKind::kNonIdempotent;
-  Duration timeout{};     ///< longest time until the final answer
-  Duration target{};      ///< for the answer, or for the first event of a stream
+  Duration timeout{};  ///< longest time until the final answer
+  Duration target{};   ///< for the answer, or for the first event of a stream
   Duration target_gap{};  ///< between two events; zero: none
   Tier tier = 0;
   std::vector<WeightedService> services;  ///< never empty
--- a/include/teaselhill/net/http_server.h
+++ b/include/teaselhill/net/http_server.h
@@ -22,7 +22,7 @@
   std::string method;
   std::string target;  ///< path and query exactly as the caller sent them
   std::string path;    ///< without the query
-  std::string query;  ///< without the question mark
+  std::string query;   ///< without the question mark
   Headers headers;
   std::string body;
   std::string remote_address;  ///< IP number without the port
--- a/include/teaselhill/router/control.h
+++ b/include/teaselhill/router/control.h
@@ -9,8 +9,8 @@
 #include <memory>
 #include <string>
 
-#include "teaselhill/net/event_loop.h"
 #include "teaselhill/metrics/metrics.h"
+#include "teaselhill/net/event_loop.h"
 #include "teaselhill/router/ports.h"
 #include "teaselhill/router/settings.h"
 #include "teaselhill/router/tls_setup.h"
--- a/include/teaselhill/router/orders_driver.h
+++ b/include/teaselhill/router/orders_driver.h
@@ -16,8 +16,8 @@
 #include "teaselhill/net/http_client.h"
 #include "teaselhill/orders/assignment_planner.h"
 #include "teaselhill/orders/order_lease.h"
-#include "teaselhill/services/log_tail.h"
 #include "teaselhill/routing/upstream_table.h"
+#include "teaselhill/services/log_tail.h"
 #include "teaselhill/support/logger.h"
 
 namespace teaselhill::router {
--- a/include/teaselhill/router/state_gauges.h
+++ b/include/teaselhill/router/state_gauges.h
@@ -11,9 +11,9 @@
 #include "teaselhill/admission/admission_policy.h"
 #include "teaselhill/claims/claim_table.h"
 #include "teaselhill/membership/member_table.h"
-#include "teaselhill/services/log_tail.h"
-#include "teaselhill/retry/crash_tracker.h"
 #include "teaselhill/metrics/metrics.h"
+#include "teaselhill/retry/crash_tracker.h"
+#include "teaselhill/services/log_tail.h"
 
 namespace teaselhill::router {
 
--- a/lib/ctl/command_line.cc
+++ b/lib/ctl/command_line.cc
@@ -208,11 +208,12 @@
     CLI::App* why = Add(&app_, "why", "Show why a request was routed as it was",
                         [this] { return ShowRequest(settings_, out_); });
     why->add_option("request", settings_.name, "Request id")->required();
-    CLI::App* explain = Add(
-        &app_, "explain", "Tell the story of a request from hosts' logs", [this] {
-          return ExplainRequest(settings_.name, settings_.log_files, std::cin,
-                                out_);
-        });
+    CLI::App* explain =
+        Add(&app_, "explain", "Tell the story of a request from hosts' logs",
+            [this] {
+              return ExplainRequest(settings_.name, settings_.log_files,
+                                    std::cin, out_);
+            });
     explain->add_option("request", settings_.name, "Request id")->required();
     explain->add_option("files", settings_.log_files,
                         "Log files; default: standard input");
--- a/lib/ctl/log_explain.cc
+++ b/lib/ctl/log_explain.cc
@@ -39,9 +39,8 @@
 
 std::string TextOf(const Json& object, const char* name) {
   const auto found = object.find(name);
-  return found != object.end() && found->is_string()
-             ? found->get<std::string>()
-             : "";
+  return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                     : "";
 }
 
 }  // namespace
@@ -52,9 +51,9 @@
     if (begin == std::string::npos)
       continue;
     ++lines_;
-    const Json object = Json::parse(raw.begin() + static_cast<long>(begin),
-                                    raw.end(), nullptr,
-                                    /*allow_exceptions=*/false);
+    const Json object =
+        Json::parse(raw.begin() + static_cast<long>(begin), raw.end(), nullptr,
+                    /*allow_exceptions=*/false);
     if (!object.is_object() || !object.contains("event")) {
       ++unreadable_;
       continue;
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -139,8 +139,8 @@
                       .Field("version", TEASELHILL_VERSION));
     const auto termination = net::HandleTermination(
         control_loop_, [this](int signal) { Drain(signal); });
-    const auto hangup = net::HandleHangup(
-        control_loop_, [this](int) { Reload("SIGHUP"); });
+    const auto hangup =
+        net::HandleHangup(control_loop_, [this](int) { Reload("SIGHUP"); });
     const auto settings_check = control_loop_.timers().Subscribe(
         kSettingsCheckPeriod, [this](TimePoint) {
           if (adapter_.SettingsChanged())
@@ -153,10 +153,9 @@
     source_->Follow(keeper_);
     const LoopThread traffic(traffic_loop_, "traffic");
     control_loop_.Run();
-    logger_.Write(
-        LogLine(LogLevel::kInfo, "stopped")
-            .Field("open_requests",
-                   static_cast<uint64_t>(gateway_.open_requests())));
+    logger_.Write(LogLine(LogLevel::kInfo, "stopped")
+                      .Field("open_requests",
+                             static_cast<uint64_t>(gateway_.open_requests())));
     return 0;
   }
 
@@ -213,9 +212,8 @@
     // Addresses are bound for the life of the process.
     settings_.grace = read->grace;
     settings_.repeats = read->repeats;
-    traffic_loop_.Post([this, repeats = read->repeats] {
-      gateway_.SetRepeatBudget(repeats);
-    });
+    traffic_loop_.Post(
+        [this, repeats = read->repeats] { gateway_.SetRepeatBudget(repeats); });
     logger_.Write(LogLine(LogLevel::kInfo, "settings_reloaded")
                       .Field("cause", cause)
                       .Field("repeat_ratio", read->repeats.ratio));
--- a/lib/gateway/event_stream.cc
+++ b/lib/gateway/event_stream.cc
@@ -75,13 +75,13 @@
   const auto [end, error] =
       std::from_chars(text->data(), text->data() + text->size(), id);
   if (error != std::errc() || end != text->data() + text->size())
-    return {ResultCode::kProtocolError,
-            "event id '" + std::string(text->substr(0, 32)) +
-                "' is not a number"};
+    return {
+        ResultCode::kProtocolError,
+        "event id '" + std::string(text->substr(0, 32)) + "' is not a number"};
   if (last_id_ && id <= *last_id_)
-    return {ResultCode::kProtocolError,
-            "event id " + std::to_string(id) + " after " +
-                std::to_string(*last_id_)};
+    return {ResultCode::kProtocolError, "event id " + std::to_string(id) +
+                                            " after " +
+                                            std::to_string(*last_id_)};
   last_id_ = id;
   return Ok{};
 }
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -104,8 +104,8 @@
   if (accepted_.caller.deadline > Duration::zero() &&
       (time == Duration::zero() || accepted_.caller.deadline < time))
     time = accepted_.caller.deadline;
-  state_.end = time == Duration::zero() ? TimePoint::max()
-                                        : accepted_.arrival + time;
+  state_.end =
+      time == Duration::zero() ? TimePoint::max() : accepted_.arrival + time;
 }
 
 Exchange::~Exchange() = default;
@@ -131,8 +131,8 @@
   if (!placed)
     return false;
   upstream_ = placed->upstream;
-  expected_work_ = gateway_.placement_.ExpectedPrefill(accepted_.placement,
-                                                       upstream_, now);
+  expected_work_ =
+      gateway_.placement_.ExpectedPrefill(accepted_.placement, upstream_, now);
   ++state_.sends;
   ++state_.runs;
   begun_ = false;
@@ -215,9 +215,9 @@
                         "status " + std::to_string(status) +
                             " without a statement that it was not run");
     case HeadKind::kForeign:
-      return EndAttempt(AttemptOutcome::kBroken,
-                        "not an answer to this request, status " +
-                            std::to_string(status));
+      return EndAttempt(
+          AttemptOutcome::kBroken,
+          "not an answer to this request, status " + std::to_string(status));
   }
 }
 
@@ -344,21 +344,20 @@
   const bool budget =
       allowed && (outcome == AttemptOutcome::kNotSent ||
                   gateway_.budget_.TryTake(accepted_.service, now));
-  gateway_.log_.Write(
-      LineKind::kFailure,
-      Line("attempt_ended")
-          .Field("upstream", upstream_.id)
-          .Field("attempt", state_.sends)
-          .Field("outcome", OutcomeName(outcome))
-          .Field("detail", detail)
-          .Field("after_ms", now - sent_at_)
-          .Field("head_sent", state_.head_sent)
-          .Field("events", events_.events())
-          .Field("may_have_run", state_.runs > 0)
-          .Field("repeat_allowed", allowed)
-          .Field("repeat_budget", budget)
-          .Field("time_left_ms", state_.end - now),
-      now);
+  gateway_.log_.Write(LineKind::kFailure,
+                      Line("attempt_ended")
+                          .Field("upstream", upstream_.id)
+                          .Field("attempt", state_.sends)
+                          .Field("outcome", OutcomeName(outcome))
+                          .Field("detail", detail)
+                          .Field("after_ms", now - sent_at_)
+                          .Field("head_sent", state_.head_sent)
+                          .Field("events", events_.events())
+                          .Field("may_have_run", state_.runs > 0)
+                          .Field("repeat_allowed", allowed)
+                          .Field("repeat_budget", budget)
+                          .Field("time_left_ms", state_.end - now),
+                      now);
   if (budget && Send())
     return;
   Follow(Decide(state_, outcome, /*can_repeat=*/false), outcome);
@@ -469,11 +468,11 @@
     next = std::min(next, progress_at_ + StallTime());
   const Duration delay = std::max<Duration>(next - now - kAnswerMargin,
                                             std::chrono::milliseconds(1));
-  timer_ = gateway_.loop_.timers().After(
-      delay, [weak = weak_from_this()](TimePoint) {
-        if (const auto self = weak.lock())
-          self->OnTimer(BootNow());
-      });
+  timer_ = gateway_.loop_.timers().After(delay,
+                                         [weak = weak_from_this()](TimePoint) {
+                                           if (const auto self = weak.lock())
+                                             self->OnTimer(BootNow());
+                                         });
 }
 
 Duration Exchange::GateDelay() const {
@@ -482,9 +481,9 @@
 
 Duration Exchange::StallTime() const {
   const Route& route = *accepted_.route;
-  const Duration usual =
-      begun_ && route.target_gap > Duration::zero() ? route.target_gap
-                                                    : route.target;
+  const Duration usual = begun_ && route.target_gap > Duration::zero()
+                             ? route.target_gap
+                             : route.target;
   const Duration typical =
       gateway_.health_.TypicalDelay(accepted_.service, BootNow());
   return std::max<Duration>({2 * usual, kStallFactor * typical, kLeastStall});
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -74,7 +74,7 @@
   std::shared_ptr<net::ResponseWriter> response_;
   ExchangeState state_;
   std::shared_ptr<Attempt> attempt_;
-  UpstreamEntry upstream_;   ///< of the current or last attempt
+  UpstreamEntry upstream_;    ///< of the current or last attempt
   Duration expected_work_{};  ///< of the current attempt, before it begins
   TimePoint sent_at_{};
   TimePoint progress_at_{};  ///< last byte of the current attempt
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -125,9 +125,9 @@
   // A plain service refuses by itself when it is full, within milliseconds.
   if (!accepted.placement.engine)
     return true;
-  const GateDecision decision = gate_.Admit(
-      accepted.service, accepted.level(), accepted.route->target,
-      rng_.Uniform(), rng_.Uniform(), accepted.arrival);
+  const GateDecision decision =
+      gate_.Admit(accepted.service, accepted.level(), accepted.route->target,
+                  rng_.Uniform(), rng_.Uniform(), accepted.arrival);
   if (decision.admitted)
     return true;
   const Error error{ResultCode::kQueueFull, "answers would begin too late"};
--- a/lib/gateway/overload_gate.cc
+++ b/lib/gateway/overload_gate.cc
@@ -97,12 +97,12 @@
   double refusable = options_.deadband;
   for (const auto& [other, seen] : state.levels)
     refusable += other.route != state.levels.begin()->first.route;
-  const bool urgent = !state.levels.empty() &&
-                      level.route <= state.levels.begin()->first.route;
+  const bool urgent =
+      !state.levels.empty() && level.route <= state.levels.begin()->first.route;
   if (urgent && error < 0)
     return;
-  state.pressure = std::clamp(
-      Decayed(state, now) + options_.gain * error, 0.0, refusable);
+  state.pressure =
+      std::clamp(Decayed(state, now) + options_.gain * error, 0.0, refusable);
   state.at = now;
 }
 
@@ -121,8 +121,7 @@
   services_[service].waits[level.route].OnLeft();
 }
 
-double OverloadGate::Pressure(const std::string& service,
-                              TimePoint now) const {
+double OverloadGate::Pressure(const std::string& service, TimePoint now) const {
   const auto found = services_.find(service);
   return found == services_.end() ? 0 : Decayed(found->second, now);
 }
--- a/lib/gateway/placement.cc
+++ b/lib/gateway/placement.cc
@@ -28,8 +28,7 @@
   return "unknown";
 }
 
-PartShares::Count PartShares::Decayed(const Count& count,
-                                      TimePoint now) const {
+PartShares::Count PartShares::Decayed(const Count& count, TimePoint now) const {
   const double factor =
       std::exp2(-ToSeconds(now - count.at) / ToSeconds(half_life_));
   return {count.tokens * factor, count.requests * factor, now};
@@ -85,18 +84,16 @@
     candidates = std::move(ejected);
   if (candidates.empty())
     return std::nullopt;
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.rank > b.rank;
-            });
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
   const uint64_t first_rank = candidates.front().rank;
   if (request.affinity != 0)
     candidates.resize(EnginesFor(request, candidates.size(), now));
   for (Candidate& candidate : candidates) {
-    candidate.holds =
-        request.affinity != 0 &&
-        (candidate.rank == first_rank ||
-         Holds(request.affinity, *candidate.upstream, now));
+    candidate.holds = request.affinity != 0 &&
+                      (candidate.rank == first_rank ||
+                       Holds(request.affinity, *candidate.upstream, now));
     candidate.cost = Cost(request, candidate, health, now);
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -155,9 +152,9 @@
   const std::string& id = candidate.upstream->id;
   const auto found = loads_.find(id);
   const Load load = found == loads_.end() ? Load{} : found->second;
-  double cost_ms = ToMilliseconds(health.ExpectedDelay(id, now)) +
-                   ToMilliseconds(options_.failure_cost) *
-                       health.FailureShare(id, now);
+  double cost_ms =
+      ToMilliseconds(health.ExpectedDelay(id, now)) +
+      ToMilliseconds(options_.failure_cost) * health.FailureShare(id, now);
   if (!request.engine) {
     cost_ms += ToMilliseconds(options_.service_slot_cost) * load.in_flight;
     if (candidate.upstream->domain != options_.own_domain)
@@ -195,8 +192,7 @@
 void Placement::OnBegun(const PlacementRequest& request,
                         const std::string& upstream) {
   Load& load = loads_[upstream];
-  load.waiting_tokens =
-      std::max(0.0, load.waiting_tokens - request.own_tokens);
+  load.waiting_tokens = std::max(0.0, load.waiting_tokens - request.own_tokens);
 }
 
 void Placement::OnEnded(const PlacementRequest& request,
@@ -231,8 +227,8 @@
   }
   for (auto entry = loads_.begin(); entry != loads_.end();) {
     const Load& load = entry->second;
-    const bool idle = load.in_flight == 0 &&
-                      now - load.used_at >= options_.part_retention;
+    const bool idle =
+        load.in_flight == 0 && now - load.used_at >= options_.part_retention;
     entry = idle ? loads_.erase(entry) : std::next(entry);
   }
 }
--- a/lib/gateway/repeat_budget.cc
+++ b/lib/gateway/repeat_budget.cc
@@ -15,10 +15,9 @@
   Counts& counts = services_[service];
   Trim(counts.requests, now);
   Trim(counts.repeats, now);
-  const double allowed =
-      options_.ratio * options_.used_part *
-          static_cast<double>(counts.requests.size()) +
-      options_.extra;
+  const double allowed = options_.ratio * options_.used_part *
+                             static_cast<double>(counts.requests.size()) +
+                         options_.extra;
   if (static_cast<double>(counts.repeats.size()) + 1 > allowed)
     return false;
   counts.repeats.push_back(now);
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -91,13 +91,12 @@
   else if (state.drained_incarnation &&
            *state.drained_incarnation >= next.incarnation)
     next.draining = true;
-  const bool same = state.entry && !state.gone_at &&
-                    state.entry->service == next.service &&
-                    state.entry->address == next.address &&
-                    state.entry->domain == next.domain &&
-                    state.entry->slots == next.slots &&
-                    state.entry->draining == next.draining &&
-                    state.entry->incarnation == next.incarnation;
+  const bool same =
+      state.entry && !state.gone_at && state.entry->service == next.service &&
+      state.entry->address == next.address &&
+      state.entry->domain == next.domain && state.entry->slots == next.slots &&
+      state.entry->draining == next.draining &&
+      state.entry->incarnation == next.incarnation;
   state.gone_at.reset();
   state.entry = std::move(next);
   changed_ |= !same;
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -111,9 +111,9 @@
 
 void UpstreamHealth::OnRefused(const std::string& id, TimePoint now) {
   Record& record = Touch(id, now);
-  record.delay_ms = std::max(
-      kRefusalDelayMs,
-      record.delay_ms * Decay(now - record.delay_at, kDelayHalfLife));
+  record.delay_ms =
+      std::max(kRefusalDelayMs,
+               record.delay_ms * Decay(now - record.delay_at, kDelayHalfLife));
   record.delay_at = now;
 }
 
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -310,12 +310,12 @@
   }
 
   bool HasUnsent() const {
-    return std::any_of(
-        responses_.begin(), responses_.end(), [](const auto& entry) {
-          const std::shared_ptr<RestinioResponse> response =
-              entry.second.lock();
-          return response && !response->sent();
-        });
+    return std::any_of(responses_.begin(), responses_.end(),
+                       [](const auto& entry) {
+                         const std::shared_ptr<RestinioResponse> response =
+                             entry.second.lock();
+                         return response && !response->sent();
+                       });
   }
 
   // Also called for a connection whose TLS handshake failed.
@@ -528,8 +528,8 @@
     if (HeaderBytes(request->header()) > options_.max_header_bytes)
       return Refuse(*request, {ResultCode::kHeaderTooLarge,
                                "all headers together exceed the size limit"});
-    auto response = std::make_shared<RestinioResponse>(
-        request, table_, close_after_response_);
+    auto response = std::make_shared<RestinioResponse>(request, table_,
+                                                       close_after_response_);
     table_->Add(request->connection_id(), response);
     handler_.Handle(ToRequest(*request), std::move(response));
     return restinio::request_accepted();
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -10,7 +10,6 @@
 #include "teaselhill/membership/member_table.h"
 #include "teaselhill/peer/messages.h"
 #include "teaselhill/peer/transport.h"
-#include "teaselhill/services/host_list_client.h"
 #include "teaselhill/router/admin_api.h"
 #include "teaselhill/router/claims_driver.h"
 #include "teaselhill/router/config_exchange.h"
@@ -23,6 +22,7 @@
 #include "teaselhill/router/state_gauges.h"
 #include "teaselhill/routing/byte_budget.h"
 #include "teaselhill/routing/report_sharing.h"
+#include "teaselhill/services/host_list_client.h"
 
 #include "control_options.h"
 
--- a/unittests/gateway/event_stream_test.cc
+++ b/unittests/gateway/event_stream_test.cc
@@ -4,8 +4,8 @@
 
 #include "teaselhill/gateway/event_stream.h"
 
-#include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
 
 namespace teaselhill::gateway {
 
@@ -19,8 +19,7 @@
     EventStream stream(std::nullopt);
     std::string passed;
     for (size_t begin = 0; begin < text.size();) {
-      const size_t size =
-          *rc::gen::inRange<size_t>(1, text.size() - begin + 1);
+      const size_t size = *rc::gen::inRange<size_t>(1, text.size() - begin + 1);
       const Result<std::string> whole = stream.Feed(text.substr(begin, size));
       RC_ASSERT(whole.ok());
       passed += *whole;
--- a/unittests/gateway/exchange_policy_test.cc
+++ b/unittests/gateway/exchange_policy_test.cc
@@ -74,10 +74,10 @@
 }
 
 TEST_CASE("a refusal is given only when nothing can have run") {
-  const AttemptOutcome outcome = GENERATE(
-      AttemptOutcome::kFailureAnswer, AttemptOutcome::kNotRun,
-      AttemptOutcome::kNotSent, AttemptOutcome::kBroken,
-      AttemptOutcome::kSilent);
+  const AttemptOutcome outcome =
+      GENERATE(AttemptOutcome::kFailureAnswer, AttemptOutcome::kNotRun,
+               AttemptOutcome::kNotSent, AttemptOutcome::kBroken,
+               AttemptOutcome::kSilent);
   const int runs = GENERATE(0, 1, 2);
   const bool head_sent = GENERATE(false, true);
   ExchangeState state = MakeState(RouteKind::kNonIdempotent, false, 1);
--- a/unittests/gateway/overload_gate_test.cc
+++ b/unittests/gateway/overload_gate_test.cc
@@ -45,7 +45,8 @@
       const Waiting begun = waiting.front();
       waiting.pop_front();
       gate.OnBegan("s", kDraftOfLargeTeam, begun.begins);
-      gate.OnWaited("s", kDraftOfLargeTeam, begun.begins - begun.arrived, kTarget, begun.begins);
+      gate.OnWaited("s", kDraftOfLargeTeam, begun.begins - begun.arrived,
+                    kTarget, begun.begins);
     }
   }
 
@@ -59,8 +60,8 @@
                .admitted)
         continue;
       ++admitted;
-      free_at = std::max(free_at, now) +
-                Duration(std::chrono::seconds(1)) / capacity;
+      free_at =
+          std::max(free_at, now) + Duration(std::chrono::seconds(1)) / capacity;
       in_time += free_at - now <= kTarget;
       gate.OnQueued("s", kDraftOfLargeTeam);
       waiting.push_back({now, free_at});
@@ -134,8 +135,10 @@
   for (int i = 0; i < late; ++i)
     gate.OnWaited("s", kDraftOfLargeTeam, 3 * kTarget, kTarget, now);
   const GateDecision urgent = gate.Admit("s", kUrgent, kTarget, 0, 0, now);
-  const GateDecision first = gate.Admit("s", kDraftOfUrgentTeam, kTarget, 0, 0, now);
-  const GateDecision last = gate.Admit("s", kDraftOfLargeTeam, kTarget, 0, 0, now);
+  const GateDecision first =
+      gate.Admit("s", kDraftOfUrgentTeam, kTarget, 0, 0, now);
+  const GateDecision last =
+      gate.Admit("s", kDraftOfLargeTeam, kTarget, 0, 0, now);
   CAPTURE(late, last.pressure);
   CHECK(urgent.admitted);
   CHECK(urgent.refused_part == 0);
--- a/unittests/gateway/placement_test.cc
+++ b/unittests/gateway/placement_test.cc
@@ -76,14 +76,14 @@
   }
 }
 
-TEST_CASE("a burst on one prompt spreads once waiting costs more than reading") {
+TEST_CASE(
+    "a burst on one prompt spreads once waiting costs more than reading") {
   const UpstreamList list = MakeList(18);
   const UpstreamHealth health;
   Placement placement({});
   std::map<std::string, int> sent;
   for (int i = 0; i < 24; ++i) {
-    const auto placed =
-        placement.Choose(Draft(7), list, health, TimePoint{});
+    const auto placed = placement.Choose(Draft(7), list, health, TimePoint{});
     placement.OnSent(Draft(7), placed->upstream, TimePoint{});
     ++sent[placed->upstream.id];
   }
@@ -145,8 +145,9 @@
   CHECK_FALSE(health.Ejected("e3", "d0", now));
   health.OnConnectFailed("e6", "d0", now);
   for (uint64_t subject = 1; subject <= 100; ++subject)
-    CHECK(placement.Choose(Draft(subject), list, health, now)
-              ->upstream.domain != "d0");
+    CHECK(
+        placement.Choose(Draft(subject), list, health, now)->upstream.domain !=
+        "d0");
   CHECK_FALSE(health.Ejected("e1", "d1", now));
   now += std::chrono::seconds(1);
   CHECK_FALSE(health.Ejected("e3", "d0", now));
--- a/unittests/net/server_drain_test.cc
+++ b/unittests/net/server_drain_test.cc
@@ -111,10 +111,8 @@
   RunUntil(fixture.loop, [&] { return true; });
   CHECK(fixture.server.HasUnsentResponses());
   caller.Read();
-  RunUntil(fixture.loop,
-           [&] { return fixture.Received(caller, kLastChunk); });
-  RunUntil(fixture.loop,
-           [&] { return !fixture.server.HasUnsentResponses(); });
+  RunUntil(fixture.loop, [&] { return fixture.Received(caller, kLastChunk); });
+  RunUntil(fixture.loop, [&] { return !fixture.server.HasUnsentResponses(); });
 }
 
 }  // namespace teaselhill::net
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -5,8 +5,8 @@
 
 #include "platform/decode.h"
 
-#include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
+#include <catch2/catch.hpp>
 
 #include "platform/boot_settings.h"
 #include "platform/http_protocol.h"
@@ -137,9 +137,10 @@
 }
 
 TEST_CASE("records of the store are numbered from the offset that was asked") {
-  const std::string body("\0\0\0\0\0\0\0\x0c\0\0\0\0\0\0\0\x04"
-                         "\0\0\0\x04\x01k12\0\0\0\x02\x01q\0\0\0\0",
-                         34);
+  const std::string body(
+      "\0\0\0\0\0\0\0\x0c\0\0\0\0\0\0\0\x04"
+      "\0\0\0\x04\x01k12\0\0\0\x02\x01q\0\0\0\0",
+      34);
   const auto page = DecodeReadPage(body, 9);
   REQUIRE(page.ok());
   CHECK(page->end == 12);
@@ -218,11 +219,15 @@
   using gateway::HeadKind;
   const Row row = GENERATE_COPY(values<Row>({
       {"good", 200, {id, checksum}, HeadKind::kAnswer},
-      {"of another request", 200, {{"X-Attempt-Id", "77"}, checksum},
+      {"of another request",
+       200,
+       {{"X-Attempt-Id", "77"}, checksum},
        HeadKind::kForeign},
       {"without a checksum", 200, {id}, HeadKind::kForeign},
       {"without an id", 200, {checksum}, HeadKind::kForeign},
-      {"encoded", 200, {id, checksum, {"Content-Encoding", "gzip"}},
+      {"encoded",
+       200,
+       {id, checksum, {"Content-Encoding", "gzip"}},
        HeadKind::kForeign},
       {"failed", 500, {id, checksum}, HeadKind::kAnswer},
       {"full", 503, {id, not_run}, HeadKind::kNotRun},
