--- a/include/teaselhill/gateway/daemon.h
+++ b/include/teaselhill/gateway/daemon.h
@@ -33,6 +33,7 @@
   /// Time from SIGTERM to the kill that follows it.
   Duration grace = std::chrono::seconds(8);
   RepeatBudgetOptions repeats;
+  std::string placement_policy = "affinity";  ///< name of a plug-in
   size_t max_descriptors = 1024;
   LogLevel log_level = LogLevel::kInfo;
 };
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -27,6 +27,7 @@
 namespace teaselhill::gateway {
 
 struct GatewayOptions {
+  std::string placement_policy = "affinity";  ///< name of a plug-in
   PlacementOptions placement;
   RepeatBudgetOptions repeats;
   OverloadGateOptions gate;
@@ -42,6 +43,7 @@
 /// Lives on the traffic thread.
 class Gateway : public net::HttpHandler {
  public:
+  /// `options.placement_policy` must name a registered policy.
   Gateway(net::EventLoop& loop,
           GatewayOptions options,
           const CallerProtocol& callers,
@@ -85,7 +87,7 @@
   Metrics& metrics_;
   net::HttpClient client_;
   Rng rng_;
-  Placement placement_;
+  std::unique_ptr<PlacementPolicy> placement_;
   UpstreamHealth health_;
   RepeatBudget budget_;
   OverloadGate gate_;
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -1,5 +1,5 @@
 /// \file
-/// Chooses an upstream for a request.
+/// Interface of the plug-ins that choose an upstream for a request.
 
 #ifndef TEASELHILL_GATEWAY_PLACEMENT_H_
 #define TEASELHILL_GATEWAY_PLACEMENT_H_
@@ -8,12 +8,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "teaselhill/gateway/upstream_directory.h"
 #include "teaselhill/gateway/upstream_health.h"
+#include "teaselhill/kernel/registry.h"
 
 namespace teaselhill::gateway {
 
@@ -39,33 +38,6 @@
   Duration share_half_life = std::chrono::seconds(4);
 };
 
-/// Share of each prompt part in the work of this host, as a sample of all
-/// hosts' work. Counts decay; times never decrease.
-class PartShares {
- public:
-  explicit PartShares(Duration half_life) : half_life_(half_life) {}
-
-  void Add(uint64_t part, double tokens, TimePoint now);
-
-  /// Share of the part in all tokens, with one average request left out: a
-  /// single one says nothing.
-  double ShareOf(uint64_t part, TimePoint now) const;
-
-  void Expire(TimePoint now);
-
- private:
-  struct Count {
-    double tokens = 0;
-    double requests = 0;
-    TimePoint at{};
-  };
-  Count Decayed(const Count& count, TimePoint now) const;
-
-  Duration half_life_;
-  Count all_;
-  std::unordered_map<uint64_t, Count> parts_;
-};
-
 /// What placement needs to know of a request.
 struct PlacementRequest {
   std::string service;
@@ -83,7 +55,8 @@
   kHolder,         ///< has read the prompt parts lately
   kLeastDelay,     ///< a queue elsewhere costs more than reading again
   kNearest,        ///< plain service
-  kProbe,          ///< first request after an ejection
+  kRoundRobin,     ///< baseline
+  kLeastLoad,      ///< baseline
   kAllEjected,     ///< ejections are ignored, since all are ejected
 };
 std::string_view ReasonName(PlacementReason reason);
@@ -97,78 +70,57 @@
   int ejected = 0;
 };
 
-/// All hosts rank the engines of a prompt part alike by rendezvous hashing, so
-/// that they find the cached part without asking each other. An engine with a
-/// queue loses the request to the next in rank once waiting there would cost
-/// more than reading the part again. Only a few in rank are asked, because each
-/// engine that reads the part anew takes time from all the others: under load
-/// that would feed on itself. A hot part gets as many engines as its work
-/// needs.
-class Placement {
+/// Chooses upstreams and keeps what it has to know of those chosen. A
+/// deterministic state machine: times are arguments and never decrease.
+class PlacementPolicy {
  public:
-  explicit Placement(PlacementOptions options)
-      : options_(std::move(options)), shares_(options_.share_half_life) {}
+  virtual ~PlacementPolicy() = default;
 
   /// Nothing: no upstream of the service is left.
-  std::optional<Placed> Choose(const PlacementRequest& request,
-                               const UpstreamList& upstreams,
-                               const UpstreamHealth& health,
-                               TimePoint now);
-
-  /// A request was sent to, and ended at, an upstream.
-  void OnSent(const PlacementRequest& request,
-              const UpstreamEntry& upstream,
-              TimePoint now);
-  void OnBegun(const PlacementRequest& request, const std::string& upstream);
-  void OnEnded(const PlacementRequest& request,
-               const std::string& upstream,
-               bool begun);
+  virtual std::optional<Placed> Choose(const PlacementRequest& request,
+                                       const UpstreamList& upstreams,
+                                       const UpstreamHealth& health,
+                                       TimePoint now) = 0;
+
+  /// A request was sent to an upstream, began to be answered, and ended.
+  virtual void OnSent(const PlacementRequest& request,
+                      const UpstreamEntry& upstream,
+                      TimePoint now) = 0;
+  virtual void OnBegun(const PlacementRequest& request,
+                       const std::string& upstream) = 0;
+  virtual void OnEnded(const PlacementRequest& request,
+                       const std::string& upstream,
+                       bool begun) = 0;
 
   /// Time that the upstream needs to read the prompt, given what it holds.
-  Duration ExpectedPrefill(const PlacementRequest& request,
-                           const UpstreamEntry& upstream,
-                           TimePoint now) const;
+  virtual Duration ExpectedPrefill(const PlacementRequest& request,
+                                   const UpstreamEntry& upstream,
+                                   TimePoint now) const = 0;
 
   /// Drops what was not used lately. Call about once a second.
-  void Expire(TimePoint now);
-
-  int in_flight(const std::string& upstream) const;
-
- private:
-  struct Load {
-    int in_flight = 0;
-    double waiting_tokens = 0;  ///< prompt tokens sent and not answered yet
-    TimePoint used_at{};
-  };
-  struct Holder {
-    std::string upstream;
-    uint64_t incarnation = 0;
-    TimePoint used_at{};
-  };
-  struct Candidate {
-    const UpstreamEntry* upstream = nullptr;
-    uint64_t rank = 0;
-    Duration cost{};
-    bool holds = false;
-  };
-
-  /// Engines that take the requests of the part now.
-  size_t EnginesFor(const PlacementRequest& request,
-                    size_t engines,
-                    TimePoint now) const;
-  bool Holds(uint64_t affinity,
-             const UpstreamEntry& upstream,
-             TimePoint now) const;
-  Duration Cost(const PlacementRequest& request,
-                const Candidate& candidate,
-                const UpstreamHealth& health,
-                TimePoint now) const;
-
-  PlacementOptions options_;
-  PartShares shares_;
-  std::unordered_map<std::string, Load> loads_;
-  std::unordered_map<uint64_t, std::vector<Holder>> holders_;
+  virtual void Expire(TimePoint now) = 0;
+};
+
+/// Plug-ins: `affinity` and the baselines `round-robin` and `least-load`.
+using PlacementRegistry =
+    kernel::Registry<PlacementPolicy, const PlacementOptions&>;
+using PlacementRegistration =
+    kernel::Registration<PlacementPolicy, const PlacementOptions&>;
+
+/// Upstreams of the service that were not tried, those that are ejected apart.
+struct Eligible {
+  std::vector<const UpstreamEntry*> usable;
+  std::vector<const UpstreamEntry*> ejected;
+
+  /// The usable ones, or the ejected ones when there is no other.
+  const std::vector<const UpstreamEntry*>& candidates() const {
+    return usable.empty() ? ejected : usable;
+  }
 };
+Eligible FindEligible(const PlacementRequest& request,
+                      const UpstreamList& upstreams,
+                      const UpstreamHealth& health,
+                      TimePoint now);
 
 }  // namespace teaselhill::gateway
 
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -162,6 +162,7 @@
  private:
   GatewayOptions Options() const {
     GatewayOptions options;
+    options.placement_policy = settings_.placement_policy;
     options.placement.own_domain = settings_.domain;
     options.repeats = settings_.repeats;
     return options;
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -1,13 +1,11 @@
 /// \file
-/// Relay of one request and its attempts.
+/// Sends of one request, and the relay of its answer.
 
 #include "exchange.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "teaselhill/net/error_response.h"
-
 namespace teaselhill::gateway {
 
 namespace {
@@ -18,21 +16,6 @@
 /// A longer answer that is not a stream is passed on while it arrives.
 constexpr size_t kMaxHeldBytes = 1 << 20;
 
-/// Part of the time before the end that is left for the answer to reach the
-/// caller.
-constexpr std::chrono::milliseconds kAnswerMargin{10};
-
-/// Silence longer than this many typical delays is taken for a fault: under
-/// load every upstream answers late, and sending again would add to the load.
-constexpr int kStallFactor = 4;
-
-/// An answer that has not begun after this many targets counts as late before
-/// it begins.
-constexpr int kLateTargets = 2;
-
-/// Shortest silence that is taken for a fault of the upstream.
-constexpr std::chrono::milliseconds kLeastStall{250};
-
 std::string_view KindName(RouteKind kind) {
   switch (kind) {
     case RouteKind::kIdempotent:
@@ -45,12 +28,6 @@
   return "unknown";
 }
 
-/// Label of bounded cardinality: configurations may hold hundreds of routes.
-std::string ClassLabel(const Accepted& accepted) {
-  return std::string(KindName(accepted.route->kind)) + "-" +
-         std::to_string(accepted.tier);
-}
-
 std::optional<uint64_t> FirstMissing(const Accepted& accepted) {
   return accepted.route->resumable ? accepted.caller.resume_after
                                    : std::nullopt;
@@ -58,6 +35,10 @@
 
 }  // namespace
 
+std::string Accepted::ClassLabel() const {
+  return std::string(KindName(route->kind)) + "-" + std::to_string(tier);
+}
+
 /// Passes the events of one transfer on while it is the current attempt.
 class Exchange::Attempt : public net::TransferHandler {
  public:
@@ -126,20 +107,20 @@
 bool Exchange::Send() {
   const TimePoint now = BootNow();
   const auto list = gateway_.shared_.upstreams();
-  const std::optional<Placed> placed = gateway_.placement_.Choose(
+  const std::optional<Placed> placed = gateway_.placement_->Choose(
       accepted_.placement, *list, gateway_.health_, now);
   if (!placed)
     return false;
   upstream_ = placed->upstream;
   expected_work_ =
-      gateway_.placement_.ExpectedPrefill(accepted_.placement, upstream_, now);
+      gateway_.placement_->ExpectedPrefill(accepted_.placement, upstream_, now);
   ++state_.sends;
   ++state_.runs;
   begun_ = false;
   head_.reset();
   body_.clear();
   sent_at_ = progress_at_ = now;
-  gateway_.placement_.OnSent(accepted_.placement, upstream_, now);
+  gateway_.placement_->OnSent(accepted_.placement, upstream_, now);
   gateway_.log_.Write(
       state_.sends > 1 ? LineKind::kFailure : LineKind::kRoutine,
       Line("placed")
@@ -190,7 +171,7 @@
   if (!stopped)
     return;
   gateway_.client_.Cancel(stopped->transfer);
-  gateway_.placement_.OnEnded(accepted_.placement, upstream_.id, begun_);
+  gateway_.placement_->OnEnded(accepted_.placement, upstream_.id, begun_);
 }
 
 void Exchange::OnHead(int status, const net::Headers& headers) {
@@ -227,7 +208,7 @@
   const TimePoint now = BootNow();
   if (!begun_) {
     begun_ = true;
-    gateway_.placement_.OnBegun(accepted_.placement, upstream_.id);
+    gateway_.placement_->OnBegun(accepted_.placement, upstream_.id);
     const Duration excess = now - sent_at_ - expected_work_;
     gateway_.health_.OnDelay(upstream_.id, excess, now);
     gateway_.health_.OnServiceDelay(accepted_.service, excess, now);
@@ -259,7 +240,7 @@
     TellGate(now);
     if (std::exchange(queued_, false))
       gateway_.gate_.OnBegan(accepted_.service, accepted_.level(), now);
-    gateway_.metrics_.ObserveFirstToken(ClassLabel(accepted_),
+    gateway_.metrics_.ObserveFirstToken(accepted_.ClassLabel(),
                                         now - accepted_.arrival);
   }
   BeginAnswer();
@@ -325,196 +306,8 @@
   const Duration gap = accepted_.route->target_gap;
   const bool in_time = judged <= accepted_.route->target &&
                        (gap == Duration::zero() || longest_gap_ <= gap);
-  gateway_.metrics_.ObserveAnswer(ClassLabel(accepted_), total, in_time);
+  gateway_.metrics_.ObserveAnswer(accepted_.ClassLabel(), total, in_time);
   Finish(ResultCode::kOk, in_time ? "in_time" : "late");
 }
 
-void Exchange::EndAttempt(AttemptOutcome outcome, std::string detail) {
-  const TimePoint now = BootNow();
-  Observe(outcome, now);
-  if (outcome == AttemptOutcome::kNotRun || outcome == AttemptOutcome::kNotSent)
-    --state_.runs;
-  StopAttempt();
-  events_.DropPartial();
-  paused_ = false;
-  accepted_.placement.excluded.push_back(upstream_.id);
-  const bool allowed =
-      MaySendAgain(state_, outcome, gateway_.options_.limits, now);
-  // A send that did not arrive repeats nothing at any upstream.
-  const bool budget =
-      allowed && (outcome == AttemptOutcome::kNotSent ||
-                  gateway_.budget_.TryTake(accepted_.service, now));
-  gateway_.log_.Write(LineKind::kFailure,
-                      Line("attempt_ended")
-                          .Field("upstream", upstream_.id)
-                          .Field("attempt", state_.sends)
-                          .Field("outcome", OutcomeName(outcome))
-                          .Field("detail", detail)
-                          .Field("after_ms", now - sent_at_)
-                          .Field("head_sent", state_.head_sent)
-                          .Field("events", events_.events())
-                          .Field("may_have_run", state_.runs > 0)
-                          .Field("repeat_allowed", allowed)
-                          .Field("repeat_budget", budget)
-                          .Field("time_left_ms", state_.end - now),
-                      now);
-  if (budget && Send())
-    return;
-  Follow(Decide(state_, outcome, /*can_repeat=*/false), outcome);
-}
-
-void Exchange::Observe(AttemptOutcome outcome, TimePoint now) {
-  UpstreamHealth& health = gateway_.health_;
-  const std::string& id = upstream_.id;
-  switch (outcome) {
-    case AttemptOutcome::kComplete:
-      return health.OnSucceeded(id, now);
-    case AttemptOutcome::kFailureAnswer:
-    case AttemptOutcome::kBroken:
-      return health.OnFailed(id, now);
-    case AttemptOutcome::kNotRun:
-      return health.OnRefused(id, now);
-    case AttemptOutcome::kNotSent:
-      return health.OnConnectFailed(id, upstream_.domain, now);
-    case AttemptOutcome::kSilent:
-      return health.OnSilent(id, now);
-  }
-}
-
-void Exchange::Follow(const NextStep& step, AttemptOutcome outcome) {
-  if (std::holds_alternative<gateway::PassFailure>(step))
-    return PassFailure();
-  if (const auto* refuse = std::get_if<gateway::Refuse>(&step))
-    return Fail({refuse->code, ""});
-  if (const auto* unknown = std::get_if<FailUnknown>(&step))
-    return Fail({unknown->code, ""});
-  if (const auto* cut = std::get_if<gateway::CutShort>(&step)) {
-    response_->Abort();
-    Finish(cut->code, "cut_short");
-  }
-}
-
-void Exchange::PassFailure() {
-  const int status = head_->status;
-  response_->Respond(status, head_->headers, std::move(body_));
-  Finish(ResultCode::kUpstreamLost, "status_" + std::to_string(status));
-}
-
-void Exchange::Fail(const Error& error) {
-  response_->Respond(
-      Describe(error.code).http_status,
-      gateway_.callers_.ErrorHeaders(error, RetryAfter(error.code)),
-      net::ErrorBody(error));
-  Finish(error.code, Describe(error.code).name);
-}
-
-Duration Exchange::RetryAfter(ResultCode code) const {
-  if (upstream_retry_after_ > Duration::zero())
-    return upstream_retry_after_;
-  // An upstream that is replaced is back or left out after about a second; a
-  // full one serves its queue in less.
-  return code == ResultCode::kNoUpstream ? std::chrono::milliseconds(700)
-                                         : std::chrono::milliseconds(300);
-}
-
-void Exchange::OnCallerGone() {
-  if (finished_)
-    return;
-  StopAttempt();
-  Finish(ResultCode::kCallerGone, "caller_gone");
-}
-
-void Exchange::Finish(ResultCode code, std::string_view reason) {
-  finished_ = true;
-  timer_.Cancel();
-  if (std::exchange(queued_, false))
-    gateway_.gate_.OnLeft(accepted_.service, accepted_.level());
-  const TimePoint now = BootNow();
-  const bool good = code == ResultCode::kOk;
-  LogLine line = Line(good ? "answered" : "failed");
-  line.Field("code", static_cast<int>(code))
-      .Field("reason", reason)
-      .Field("outcome", teaselhill::OutcomeName(Describe(code).outcome))
-      .Field("team", accepted_.team)
-      .Field("tier", accepted_.tier)
-      .Field("service", accepted_.service)
-      .Field("attempts", state_.sends)
-      .Field("upstream", upstream_.id)
-      .Field("total_ms", now - accepted_.arrival);
-  if (first_event_at_)
-    line.Field("first_event_ms", *first_event_at_ - accepted_.arrival)
-        .Field("longest_gap_ms", longest_gap_)
-        .Field("events", events_.events());
-  gateway_.log_.Write(good ? LineKind::kRoutine : LineKind::kFailure, line,
-                      now);
-  gateway_.metrics_.CountOutcome(accepted_.team, ClassLabel(accepted_), code);
-  // The last use of this object: the table holds the owning pointer.
-  gateway_.Forget(accepted_.id);
-}
-
-void Exchange::TellGate(TimePoint now) {
-  if (accepted_.placement.engine && !std::exchange(told_gate_, true))
-    gateway_.gate_.OnWaited(accepted_.service, accepted_.level(),
-                            now - accepted_.arrival, accepted_.route->target,
-                            now);
-}
-
-void Exchange::Watch() {
-  const TimePoint now = BootNow();
-  TimePoint next = state_.end;
-  if (accepted_.placement.engine && !told_gate_)
-    next = std::min(next, accepted_.arrival + GateDelay());
-  if (state_.repeatable)
-    next = std::min(next, progress_at_ + StallTime());
-  const Duration delay = std::max<Duration>(next - now - kAnswerMargin,
-                                            std::chrono::milliseconds(1));
-  timer_ = gateway_.loop_.timers().After(delay,
-                                         [weak = weak_from_this()](TimePoint) {
-                                           if (const auto self = weak.lock())
-                                             self->OnTimer(BootNow());
-                                         });
-}
-
-Duration Exchange::GateDelay() const {
-  return accepted_.route->target * kLateTargets;
-}
-
-Duration Exchange::StallTime() const {
-  const Route& route = *accepted_.route;
-  const Duration usual = begun_ && route.target_gap > Duration::zero()
-                             ? route.target_gap
-                             : route.target;
-  const Duration typical =
-      gateway_.health_.TypicalDelay(accepted_.service, BootNow());
-  return std::max<Duration>({2 * usual, kStallFactor * typical, kLeastStall});
-}
-
-void Exchange::OnTimer(TimePoint now) {
-  if (finished_)
-    return;
-  if (now + kAnswerMargin >= accepted_.arrival + GateDelay())
-    TellGate(now);
-  if (now + 2 * kAnswerMargin >= state_.end) {
-    StopAttempt();
-    return Follow(GiveUp(state_, ResultCode::kDeadlineUnreachable),
-                  AttemptOutcome::kSilent);
-  }
-  const bool stalled = state_.repeatable && !paused_ && attempt_ &&
-                       now + kAnswerMargin >= progress_at_ + StallTime();
-  // An attempt that cannot be replaced goes on: silence is no reason to end it.
-  if (stalled && MaySendAgain(state_, AttemptOutcome::kSilent,
-                              gateway_.options_.limits, now))
-    return EndAttempt(AttemptOutcome::kSilent, "no byte in the usual time");
-  Watch();
-  if (stalled)
-    progress_at_ = now;
-}
-
-LogLine Exchange::Line(std::string_view event) const {
-  LogLine line(LogLevel::kInfo, event);
-  line.Field("request", accepted_.caller.id)
-      .Field("route", accepted_.route->name);
-  return line;
-}
-
 }  // namespace teaselhill::gateway
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -27,6 +27,10 @@
   TimePoint arrival{};
 
   GateLevel level() const { return {route->tier, tier}; }
+
+  /// Label for metrics. Its cardinality is bounded, while configurations may
+  /// hold hundreds of routes.
+  std::string ClassLabel() const;
 };
 
 /// Holds at most one attempt at a time. The head of an event stream goes to the
--- /dev/null
+++ b/lib/gateway/exchange_end.cc
@@ -0,0 +1,141 @@
+/// \file
+/// How attempts and requests end.
+
+#include <utility>
+
+#include "exchange.h"
+#include "teaselhill/net/error_response.h"
+
+namespace teaselhill::gateway {
+
+void Exchange::EndAttempt(AttemptOutcome outcome, std::string detail) {
+  const TimePoint now = BootNow();
+  Observe(outcome, now);
+  if (outcome == AttemptOutcome::kNotRun || outcome == AttemptOutcome::kNotSent)
+    --state_.runs;
+  StopAttempt();
+  events_.DropPartial();
+  paused_ = false;
+  accepted_.placement.excluded.push_back(upstream_.id);
+  const bool allowed =
+      MaySendAgain(state_, outcome, gateway_.options_.limits, now);
+  // A send that did not arrive repeats nothing at any upstream.
+  const bool budget =
+      allowed && (outcome == AttemptOutcome::kNotSent ||
+                  gateway_.budget_.TryTake(accepted_.service, now));
+  gateway_.log_.Write(LineKind::kFailure,
+                      Line("attempt_ended")
+                          .Field("upstream", upstream_.id)
+                          .Field("attempt", state_.sends)
+                          .Field("outcome", OutcomeName(outcome))
+                          .Field("detail", detail)
+                          .Field("after_ms", now - sent_at_)
+                          .Field("head_sent", state_.head_sent)
+                          .Field("events", events_.events())
+                          .Field("may_have_run", state_.runs > 0)
+                          .Field("repeat_allowed", allowed)
+                          .Field("repeat_budget", budget)
+                          .Field("time_left_ms", state_.end - now),
+                      now);
+  if (budget && Send())
+    return;
+  Follow(Decide(state_, outcome, /*can_repeat=*/false), outcome);
+}
+
+void Exchange::Observe(AttemptOutcome outcome, TimePoint now) {
+  UpstreamHealth& health = gateway_.health_;
+  const std::string& id = upstream_.id;
+  switch (outcome) {
+    case AttemptOutcome::kComplete:
+      return health.OnSucceeded(id, now);
+    case AttemptOutcome::kFailureAnswer:
+    case AttemptOutcome::kBroken:
+      return health.OnFailed(id, now);
+    case AttemptOutcome::kNotRun:
+      return health.OnRefused(id, now);
+    case AttemptOutcome::kNotSent:
+      return health.OnConnectFailed(id, upstream_.domain, now);
+    case AttemptOutcome::kSilent:
+      return health.OnSilent(id, now);
+  }
+}
+
+void Exchange::Follow(const NextStep& step, AttemptOutcome outcome) {
+  if (std::holds_alternative<gateway::PassFailure>(step))
+    return PassFailure();
+  if (const auto* refuse = std::get_if<gateway::Refuse>(&step))
+    return Fail({refuse->code, ""});
+  if (const auto* unknown = std::get_if<FailUnknown>(&step))
+    return Fail({unknown->code, ""});
+  if (const auto* cut = std::get_if<gateway::CutShort>(&step)) {
+    response_->Abort();
+    Finish(cut->code, "cut_short");
+  }
+}
+
+void Exchange::PassFailure() {
+  const int status = head_->status;
+  response_->Respond(status, head_->headers, std::move(body_));
+  Finish(ResultCode::kUpstreamLost, "status_" + std::to_string(status));
+}
+
+void Exchange::Fail(const Error& error) {
+  response_->Respond(
+      Describe(error.code).http_status,
+      gateway_.callers_.ErrorHeaders(error, RetryAfter(error.code)),
+      net::ErrorBody(error));
+  Finish(error.code, Describe(error.code).name);
+}
+
+Duration Exchange::RetryAfter(ResultCode code) const {
+  if (upstream_retry_after_ > Duration::zero())
+    return upstream_retry_after_;
+  // An upstream that is replaced is back or left out after about a second; a
+  // full one serves its queue in less.
+  return code == ResultCode::kNoUpstream ? std::chrono::milliseconds(700)
+                                         : std::chrono::milliseconds(300);
+}
+
+void Exchange::OnCallerGone() {
+  if (finished_)
+    return;
+  StopAttempt();
+  Finish(ResultCode::kCallerGone, "caller_gone");
+}
+
+void Exchange::Finish(ResultCode code, std::string_view reason) {
+  finished_ = true;
+  timer_.Cancel();
+  if (std::exchange(queued_, false))
+    gateway_.gate_.OnLeft(accepted_.service, accepted_.level());
+  const TimePoint now = BootNow();
+  const bool good = code == ResultCode::kOk;
+  LogLine line = Line(good ? "answered" : "failed");
+  line.Field("code", static_cast<int>(code))
+      .Field("reason", reason)
+      .Field("outcome", teaselhill::OutcomeName(Describe(code).outcome))
+      .Field("team", accepted_.team)
+      .Field("tier", accepted_.tier)
+      .Field("service", accepted_.service)
+      .Field("attempts", state_.sends)
+      .Field("upstream", upstream_.id)
+      .Field("total_ms", now - accepted_.arrival);
+  if (first_event_at_)
+    line.Field("first_event_ms", *first_event_at_ - accepted_.arrival)
+        .Field("longest_gap_ms", longest_gap_)
+        .Field("events", events_.events());
+  gateway_.log_.Write(good ? LineKind::kRoutine : LineKind::kFailure, line,
+                      now);
+  gateway_.metrics_.CountOutcome(accepted_.team, accepted_.ClassLabel(), code);
+  // The last use of this object: the table holds the owning pointer.
+  gateway_.Forget(accepted_.id);
+}
+
+LogLine Exchange::Line(std::string_view event) const {
+  LogLine line(LogLevel::kInfo, event);
+  line.Field("request", accepted_.caller.id)
+      .Field("route", accepted_.route->name);
+  return line;
+}
+
+}  // namespace teaselhill::gateway
--- /dev/null
+++ b/lib/gateway/exchange_timeouts.cc
@@ -0,0 +1,88 @@
+/// \file
+/// Deadlines, silent attempts, and what the overload gate learns of a wait.
+
+#include <algorithm>
+#include <utility>
+
+#include "exchange.h"
+
+namespace teaselhill::gateway {
+
+namespace {
+
+/// Part of the time before the end that is left for the answer to reach the
+/// caller.
+constexpr std::chrono::milliseconds kAnswerMargin{10};
+
+/// Silence longer than this many typical delays is taken for a fault: under
+/// load every upstream answers late, and sending again would add to the load.
+constexpr int kStallFactor = 4;
+
+/// An answer that has not begun after this many targets counts as late before
+/// it begins.
+constexpr int kLateTargets = 2;
+
+/// Shortest silence that is taken for a fault of the upstream.
+constexpr std::chrono::milliseconds kLeastStall{250};
+
+}  // namespace
+
+void Exchange::TellGate(TimePoint now) {
+  if (accepted_.placement.engine && !std::exchange(told_gate_, true))
+    gateway_.gate_.OnWaited(accepted_.service, accepted_.level(),
+                            now - accepted_.arrival, accepted_.route->target,
+                            now);
+}
+
+void Exchange::Watch() {
+  const TimePoint now = BootNow();
+  TimePoint next = state_.end;
+  if (accepted_.placement.engine && !told_gate_)
+    next = std::min(next, accepted_.arrival + GateDelay());
+  if (state_.repeatable)
+    next = std::min(next, progress_at_ + StallTime());
+  const Duration delay = std::max<Duration>(next - now - kAnswerMargin,
+                                            std::chrono::milliseconds(1));
+  timer_ = gateway_.loop_.timers().After(delay,
+                                         [weak = weak_from_this()](TimePoint) {
+                                           if (const auto self = weak.lock())
+                                             self->OnTimer(BootNow());
+                                         });
+}
+
+Duration Exchange::GateDelay() const {
+  return accepted_.route->target * kLateTargets;
+}
+
+Duration Exchange::StallTime() const {
+  const Route& route = *accepted_.route;
+  const Duration usual = begun_ && route.target_gap > Duration::zero()
+                             ? route.target_gap
+                             : route.target;
+  const Duration typical =
+      gateway_.health_.TypicalDelay(accepted_.service, BootNow());
+  return std::max<Duration>({2 * usual, kStallFactor * typical, kLeastStall});
+}
+
+void Exchange::OnTimer(TimePoint now) {
+  if (finished_)
+    return;
+  if (now + kAnswerMargin >= accepted_.arrival + GateDelay())
+    TellGate(now);
+  if (now + 2 * kAnswerMargin >= state_.end) {
+    StopAttempt();
+    return Follow(GiveUp(state_, ResultCode::kDeadlineUnreachable),
+                  AttemptOutcome::kSilent);
+  }
+  const bool stalled = state_.repeatable && !paused_ && attempt_ &&
+                       now + kAnswerMargin >= progress_at_ + StallTime();
+  // An attempt that cannot be replaced goes on: silence is no reason to end it.
+  if (stalled && MaySendAgain(state_, AttemptOutcome::kSilent,
+                              gateway_.options_.limits, now))
+    return EndAttempt(AttemptOutcome::kSilent, "no byte in the usual time");
+  Watch();
+  if (stalled)
+    progress_at_ = now;
+}
+
+}  // namespace teaselhill::gateway
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -58,12 +58,14 @@
       metrics_(metrics),
       client_(loop, /*max_idle_connections=*/16),
       rng_(EntropySeed()),
-      placement_(options_.placement),
+      placement_(std::move(
+          *PlacementRegistry::Instance().Create(options_.placement_policy,
+                                                options_.placement))),
       budget_(options_.repeats),
       gate_(options_.gate) {
   cleanup_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
     const TimePoint now = BootNow();
-    placement_.Expire(now);
+    placement_->Expire(now);
     health_.Expire(now);
   });
 }
--- a/tools/teaselhill-gateway/main.cc
+++ b/tools/teaselhill-gateway/main.cc
@@ -17,6 +17,7 @@
   std::string settings_file;
   uint16_t metrics_port = 0;
   teaselhill::LogLevel log_level = teaselhill::LogLevel::kInfo;
+  std::string placement = "affinity";
   bool check_only = false;
 };
 
@@ -38,6 +39,10 @@
                  "debug, info, warning or error")
       ->envname("TEASELHILL_LOG_LEVEL")
       ->transform(CLI::CheckedTransformer(levels, CLI::ignore_case));
+  app.add_option("--placement", flags.placement, "How upstreams are chosen")
+      ->envname("TEASELHILL_PLACEMENT")
+      ->check(CLI::IsMember(
+          teaselhill::gateway::PlacementRegistry::Instance().Names()));
   app.add_flag("--check-settings", flags.check_only,
                "Name every fault of the settings and exit");
 }
@@ -65,6 +70,7 @@
     std::cout << "settings are valid\n";
     return 0;
   }
+  settings->gateway.placement_policy = flags.placement;
   settings->gateway.log_level = flags.log_level;
   settings->gateway.metrics = {settings->address, flags.metrics_port};
   const teaselhill::gateway::GatewaySettings gateway = settings->gateway;
--- a/unittests/gateway/placement_test.cc
+++ b/unittests/gateway/placement_test.cc
@@ -3,7 +3,7 @@
 /// disagree, a hot prompt that queues at one engine, failing upstreams that
 /// keep their share.
 
-#include "teaselhill/gateway/placement.h"
+#include "teaselhill/gateway/affinity_placement.h"
 
 #include <catch2/catch.hpp>
 #include <map>
@@ -50,8 +50,8 @@
   const UpstreamHealth health;
   std::set<std::string> used;
   for (uint64_t subject = 1; subject <= 200; ++subject) {
-    Placement first({"d0"});
-    Placement second({"d1"});
+    AffinityPlacement first({"d0"});
+    AffinityPlacement second({"d1"});
     const auto a = first.Choose(Draft(subject), list, health, TimePoint{});
     const auto b = second.Choose(Draft(subject), list, health, TimePoint{});
     REQUIRE(a->upstream.id == b->upstream.id);
@@ -65,7 +65,7 @@
   UpstreamList after = before;
   after.by_service["llm"].erase(after.by_service["llm"].begin() + 5);
   const UpstreamHealth health;
-  Placement placement({});
+  AffinityPlacement placement({});
   for (uint64_t subject = 1; subject <= 200; ++subject) {
     const auto old =
         placement.Choose(Draft(subject), before, health, TimePoint{});
@@ -80,7 +80,7 @@
     "a burst on one prompt spreads once waiting costs more than reading") {
   const UpstreamList list = MakeList(18);
   const UpstreamHealth health;
-  Placement placement({});
+  AffinityPlacement placement({});
   std::map<std::string, int> sent;
   for (int i = 0; i < 24; ++i) {
     const auto placed = placement.Choose(Draft(7), list, health, TimePoint{});
@@ -98,7 +98,7 @@
 TEST_CASE("delay seen at an engine moves its prompts and is forgotten") {
   const UpstreamList list = MakeList(18);
   UpstreamHealth health;
-  Placement placement({});
+  AffinityPlacement placement({});
   TimePoint now{};
   const std::string owner =
       placement.Choose(Draft(3), list, health, now)->upstream.id;
@@ -112,7 +112,7 @@
 TEST_CASE("an upstream that fails is left out and comes back") {
   const UpstreamList list = MakeList(3);
   UpstreamHealth health;
-  Placement placement({"d1"});
+  AffinityPlacement placement({"d1"});
   TimePoint now{};
   const int failures = GENERATE(1, 2, 5);
   CHECK(placement.Choose(Fetch(), list, health, now)->upstream.id == "e1");
@@ -128,7 +128,7 @@
   UpstreamHealth health;
   for (const char* id : {"e0", "e1", "e2"})
     health.OnConnectFailed(id, "d", TimePoint{});
-  Placement placement({});
+  AffinityPlacement placement({});
   const auto placed = placement.Choose(Fetch(), list, health, TimePoint{});
   REQUIRE(placed);
   CHECK(placed->reason == PlacementReason::kAllEjected);
@@ -139,7 +139,7 @@
 TEST_CASE("a domain whose upstreams cannot be connected to is left out") {
   const UpstreamList list = MakeList(18);
   UpstreamHealth health;
-  Placement placement({});
+  AffinityPlacement placement({});
   TimePoint now = TimePoint{} + std::chrono::hours(1);
   health.OnConnectFailed("e0", "d0", now);
   CHECK_FALSE(health.Ejected("e3", "d0", now));
@@ -168,10 +168,31 @@
   CHECK_FALSE(health.Ejected("e9", "d0", now));
 }
 
+// Guards the comparison with the baselines: one that cannot be selected, leaves
+// an upstream out or piles up.
+TEST_CASE("baselines spread requests evenly") {
+  const std::string name =
+      GENERATE(as<std::string>(), "round-robin", "least-load");
+  auto placement = PlacementRegistry::Instance().Create(name, {});
+  REQUIRE(placement.ok());
+  const UpstreamList list = MakeList(6);
+  const UpstreamHealth health;
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 60; ++i) {
+    const auto placed =
+        (*placement)->Choose(Draft(7), list, health, TimePoint{});
+    (*placement)->OnSent(Draft(7), placed->upstream, TimePoint{});
+    ++sent[placed->upstream.id];
+  }
+  REQUIRE(sent.size() == 6);
+  for (const auto& [upstream, count] : sent)
+    CHECK(count == 10);
+}
+
 TEST_CASE("an upstream that was tried is not chosen again") {
   const UpstreamList list = MakeList(2);
   const UpstreamHealth health;
-  Placement placement({});
+  AffinityPlacement placement({});
   PlacementRequest request = Fetch();
   request.excluded = {"e0"};
   CHECK(placement.Choose(request, list, health, TimePoint{})->upstream.id ==
@@ -183,7 +204,7 @@
 TEST_CASE("a plain service is called in the own domain until it is busy") {
   const UpstreamList list = MakeList(3);
   const UpstreamHealth health;
-  Placement placement({"d2"});
+  AffinityPlacement placement({"d2"});
   const auto near = placement.Choose(Fetch(), list, health, TimePoint{});
   CHECK(near->upstream.id == "e2");
   placement.OnSent(Fetch(), near->upstream, TimePoint{});
