--- a/include/teaselhill/gateway/affinity_placement.h
+++ b/include/teaselhill/gateway/affinity_placement.h
@@ -59,6 +59,10 @@
                                const UpstreamHealth& health,
                                TimePoint now) override;
 
+  std::vector<UpstreamEntry> Contenders(const PlacementRequest& request,
+                                        const UpstreamList& upstreams,
+                                        const UpstreamHealth& health,
+                                        TimePoint now) const override;
   void OnSent(const PlacementRequest& request,
               const UpstreamEntry& upstream,
               TimePoint now) override;
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "teaselhill/gateway/placement.h"
 #include "teaselhill/gateway/protocol.h"
 #include "teaselhill/gateway/repeat_budget.h"
+#include "teaselhill/gateway/report_fetcher.h"
 #include "teaselhill/gateway/shared_state.h"
 #include "teaselhill/gateway/upstream_health.h"
 #include "teaselhill/metrics/metrics.h"
@@ -86,9 +87,12 @@
   EventLog& log_;
   Metrics& metrics_;
   net::HttpClient client_;
+  /// Reports use kept connections; requests never do.
+  net::HttpClient report_client_;
   Rng rng_;
   std::unique_ptr<PlacementPolicy> placement_;
   UpstreamHealth health_;
+  ReportFetcher reports_;
   RepeatBudget budget_;
   OverloadGate gate_;
   RequestId last_id_ = 0;
--- a/include/teaselhill/gateway/overload_gate.h
+++ b/include/teaselhill/gateway/overload_gate.h
@@ -15,7 +15,7 @@
 struct OverloadGateOptions {
   /// Part of its target after which an answer may begin while no request is
   /// refused. Below it pressure falls, above it pressure rises.
-  double setpoint = 0.4;
+  double setpoint = 0.3;
   /// Pressure that one answer adds for each target of time over the setpoint.
   double gain = 0.06;
   /// Pressure below which nothing is refused: a few late answers in a calm hour
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -82,6 +82,15 @@
                                        const UpstreamHealth& health,
                                        TimePoint now) = 0;
 
+  /// Upstreams between which fresh reports of their load would decide; empty:
+  /// the policy makes no use of them.
+  virtual std::vector<UpstreamEntry> Contenders(const PlacementRequest& request,
+                                                const UpstreamList& upstreams,
+                                                const UpstreamHealth& health,
+                                                TimePoint now) const {
+    return {};
+  }
+
   /// A request was sent to an upstream, began to be answered, and ended.
   virtual void OnSent(const PlacementRequest& request,
                       const UpstreamEntry& upstream,
--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -80,6 +80,13 @@
   Duration retry_after{};
 };
 
+/// What an engine reports of its load. It describes a moment some hundred
+/// milliseconds ago.
+struct LoadReport {
+  int queued = 0;   ///< requests that wait
+  int running = 0;  ///< requests in the batch
+};
+
 /// The upstream's side.
 class UpstreamProtocol {
  public:
@@ -91,6 +98,12 @@
                               const net::Headers& headers,
                               const CallerRequest& caller,
                               const Route& route) const = 0;
+
+  /// Asks an engine for its load; kProtocolError: the answer is no report.
+  virtual net::ClientRequest BuildReport(
+      const UpstreamEntry& upstream) const = 0;
+  virtual Result<LoadReport> ReadReport(
+      const net::ClientResponse& response) const = 0;
 };
 
 /// Delivers configuration versions and the entries of upstreams. Works on one
--- a/include/teaselhill/gateway/upstream_health.h
+++ b/include/teaselhill/gateway/upstream_health.h
@@ -54,6 +54,11 @@
   void OnSucceeded(const std::string& id, TimePoint now);
   /// An answer began `excess` later than its own work explains.
   void OnDelay(const std::string& id, Duration excess, TimePoint now);
+  /// The upstream reported work that takes `queueing` before a new request.
+  void OnReport(const std::string& id, Duration queueing, TimePoint now);
+  /// Whether a report is recent enough to be used.
+  bool HasReport(const std::string& id, TimePoint now) const;
+
   /// Refused without running: the upstream is full.
   void OnRefused(const std::string& id, TimePoint now);
 
@@ -62,7 +67,8 @@
                const std::string& domain,
                TimePoint now) const;
 
-  /// Decaying estimate of the delay before an answer begins.
+  /// Delay before an answer begins: by the last report if it is recent, else a
+  /// decaying estimate from answers.
   Duration ExpectedDelay(const std::string& id, TimePoint now) const;
 
   /// Decaying share of failures, 0 while little is known.
@@ -85,6 +91,8 @@
     TimePoint counted_at{};
     double delay_ms = 0;
     TimePoint delay_at{};
+    Duration reported{};
+    TimePoint reported_at{};
     TimePoint ejected_until{};
     int ejections = 0;  ///< in a row
   };
--- a/lib/gateway/affinity_placement.cc
+++ b/lib/gateway/affinity_placement.cc
@@ -10,6 +10,9 @@
 
 namespace teaselhill::gateway {
 
+/// Reports are asked of so many engines for one request.
+static constexpr size_t kMaxContenders = 2;
+
 static const PlacementRegistration kAffinity(
     "affinity",
     [](const PlacementOptions& options) {
@@ -89,6 +92,24 @@
   return placed;
 }
 
+std::vector<UpstreamEntry> AffinityPlacement::Contenders(
+    const PlacementRequest& request,
+    const UpstreamList& upstreams,
+    const UpstreamHealth& health,
+    TimePoint now) const {
+  std::vector<UpstreamEntry> contenders;
+  if (!request.engine || request.affinity == 0)
+    return contenders;
+  const Eligible eligible = FindEligible(request, upstreams, health, now);
+  if (eligible.candidates().empty())
+    return contenders;
+  for (const Candidate& candidate : Rank(request, eligible.candidates(), now)) {
+    if (contenders.size() < kMaxContenders)
+      contenders.push_back(*candidate.upstream);
+  }
+  return contenders;
+}
+
 std::vector<AffinityPlacement::Candidate> AffinityPlacement::Rank(
     const PlacementRequest& request,
     const std::vector<const UpstreamEntry*>& upstreams,
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -96,6 +96,24 @@
     if (const auto self = weak.lock())
       self->OnCallerGone();
   });
+  const TimePoint now = BootNow();
+  const bool loaded = accepted_.placement.engine &&
+                      gateway_.health_.TypicalDelay(accepted_.service, now) >=
+                          gateway_.reports_.options().least_delay;
+  if (!loaded)
+    return Begin();
+  gateway_.reports_.Refresh(
+      gateway_.placement_->Contenders(accepted_.placement,
+                                      *gateway_.shared_.upstreams(),
+                                      gateway_.health_, now),
+      [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->finished_)
+          self->Begin();
+      });
+}
+
+void Exchange::Begin() {
   if (!Send())
     return Fail({ResultCode::kNoUpstream, ""});
   if (accepted_.placement.engine && !finished_ && !first_event_at_) {
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -49,6 +49,7 @@
  private:
   class Attempt;
 
+  void Begin();
   bool Send();
   SendOrder MakeOrder(const UpstreamEntry& upstream, TimePoint now) const;
   void StopAttempt();
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -13,6 +13,10 @@
 
 constexpr std::chrono::seconds kCleanupPeriod{1};
 
+/// Kept connections for load reports; one more idle connection for each engine
+/// and host is a small part of what an engine accepts.
+constexpr size_t kReportConnections = 96;
+
 /// A configuration or the upstreams are read again within this time.
 constexpr std::chrono::seconds kRetryWithoutConfig{1};
 
@@ -57,10 +61,12 @@
       log_(log),
       metrics_(metrics),
       client_(loop, /*max_idle_connections=*/16),
+      report_client_(loop, kReportConnections),
       rng_(EntropySeed()),
       placement_(std::move(
           *PlacementRegistry::Instance().Create(options_.placement_policy,
                                                 options_.placement))),
+      reports_(loop, report_client_, upstreams, health_),
       budget_(options_.repeats),
       gate_(options_.gate) {
   cleanup_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -19,6 +19,9 @@
 
 constexpr std::chrono::seconds kForgetAfter{60};
 
+/// Time for which a report says more than earlier answers.
+constexpr std::chrono::milliseconds kReportAge{250};
+
 /// Weight of one observed delay in the mean of a service, and the half-life of
 /// that mean without observations.
 constexpr double kServiceDelayWeight = 0.15;
@@ -109,6 +112,20 @@
   record.delay_at = now;
 }
 
+void UpstreamHealth::OnReport(const std::string& id,
+                              Duration queueing,
+                              TimePoint now) {
+  Record& record = Touch(id, now);
+  record.reported = queueing;
+  record.reported_at = now;
+}
+
+bool UpstreamHealth::HasReport(const std::string& id, TimePoint now) const {
+  const auto found = records_.find(id);
+  return found != records_.end() && found->second.reported_at != TimePoint{} &&
+         now - found->second.reported_at < kReportAge;
+}
+
 void UpstreamHealth::OnRefused(const std::string& id, TimePoint now) {
   Record& record = Touch(id, now);
   record.delay_ms =
@@ -133,6 +150,8 @@
   if (found == records_.end())
     return Duration::zero();
   const Record& record = found->second;
+  if (HasReport(id, now))
+    return record.reported;
   return FromSeconds(record.delay_ms / 1000 *
                      Decay(now - record.delay_at, kDelayHalfLife));
 }
--- /dev/null
+++ b/scripts/soak-mutations.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Shows that the soak finds faults: builds the gateway with one promise broken at a
+# time, in a copy of the sources, and plays seeds until the promise is reported.
+# Prints a row a mutation; exit 1 if one was not found within SEEDS seeds.
+set -eu
+cd "$(dirname "$0")/.."
+seeds=${SEEDS:-8}
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+cp -r CMakeLists.txt cmake include lib platform tools "$copy"
+cmake -S "$copy" -B "$copy/out" -G Ninja -DTEASELHILL_TESTS=OFF >/dev/null
+failed=0
+
+# mutate PROMISE FILE SED-EXPRESSION
+mutate() {
+  cp "$copy/$2" "$copy/kept"
+  sed -i "$3" "$copy/$2"
+  if cmp -s "$copy/kept" "$copy/$2"; then
+    echo "$1 | $2 | the mutation changes nothing"
+    failed=1
+    return
+  fi
+  ninja -C "$copy/out" teaselhill-gateway >"$copy/build.log" || { tail -5 "$copy/build.log"; exit 1; }
+  found=no
+  for seed in $(seq 1 "$seeds"); do
+    python3 scripts/soak/soak.py --binary "$copy/out/bin/teaselhill-gateway" \
+      --seed "$seed" --seconds 10 --logs "$copy/logs" >"$copy/run.out" 2>&1 || true
+    if tail -1 "$copy/run.out" | grep -qE "\"$1\": [1-9]"; then
+      found="seed $seed"
+      break
+    fi
+  done
+  echo "$1 | $2 | found: $found"
+  [ "$found" != no ] || failed=1
+  cp "$copy/kept" "$copy/$2"
+}
+
+mutate twice lib/gateway/exchange_policy.cc 's/state.runs >= state.max_attempts/false/; s/state.runs == 0 || state.repeatable/true/'
+mutate not_run platform/http_protocol.cc 's/return status == 408 || status == 421 ||.*/return status == 408;/'
+mutate mixed lib/gateway/exchange.cc 's/if (end.code != ResultCode::kOk)/if (false)/'
+mutate order lib/gateway/exchange_end.cc 's/events_.DropPartial();//'
+mutate unasked platform/http_protocol.cc 's/"X-Kv-Hold",//'
+mutate leaving lib/gateway/upstream_directory.cc 's/if (state.entry \&\& !state.entry->draining)/if (state.entry)/; s/may_return = .*/may_return = true;/'
+mutate cut lib/gateway/daemon.cc 's/if (gateway_.open_requests() == 0 \&\& !caller_server_.HasUnsentResponses())//'
+mutate denied lib/gateway/route_table.cc 's/return found == by_key_.end() ? nullptr : found->second;/return nullptr;/'
+exit $failed
--- a/unittests/gateway/placement_test.cc
+++ b/unittests/gateway/placement_test.cc
@@ -109,6 +109,34 @@
   CHECK(placement.Choose(Draft(3), list, health, now)->upstream.id == owner);
 }
 
+// Guards drafts in a burst: many hosts that each send little see no queue of
+// their own, and meet behind one long prompt.
+TEST_CASE("a report of queued requests decides between the part's engines") {
+  const UpstreamList list = MakeList(18);
+  UpstreamHealth health;
+  AffinityPlacement placement({});
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  const auto contenders = placement.Contenders(Draft(3), list, health, now);
+  REQUIRE(contenders.size() == 2);
+  const std::string owner = contenders[0].id;
+  CHECK(placement.Choose(Draft(3), list, health, now)->upstream.id == owner);
+  const int queued = GENERATE(0, 2, 8);
+  health.OnReport(owner, queued * milliseconds(60), now);
+  health.OnReport(contenders[1].id, milliseconds(0), now);
+  // Reading the shared part again would take 175 ms at the second engine.
+  const bool moves = queued == 8;
+  CHECK((placement.Choose(Draft(3), list, health, now)->upstream.id ==
+         contenders[1].id) == moves);
+  now += milliseconds(300);
+  CHECK_FALSE(health.HasReport(owner, now));
+  CHECK(placement.Choose(Draft(3), list, health, now)->upstream.id == owner);
+}
+
+TEST_CASE("a plain service has no contenders to ask") {
+  AffinityPlacement placement({});
+  CHECK(placement.Contenders(Fetch(), MakeList(3), {}, TimePoint{}).empty());
+}
+
 TEST_CASE("an upstream that fails is left out and comes back") {
   const UpstreamList list = MakeList(3);
   UpstreamHealth health;
--- /dev/null
+++ b/unittests/gateway/report_fetcher_test.cc
@@ -0,0 +1,92 @@
+/// \file
+/// Guards placements that wait for load reports: one that never goes on because
+/// an engine is silent, and engines asked once for each of many requests.
+
+#include "teaselhill/gateway/report_fetcher.h"
+
+#include <catch2/catch.hpp>
+
+#include "teaselhill/net/http_server.h"
+
+namespace teaselhill::gateway {
+
+namespace {
+
+/// Engines whose report is the number of requests that wait, as text.
+class TextReports : public UpstreamProtocol {
+ public:
+  net::ClientRequest Build(const net::HttpRequest&,
+                           const CallerRequest&,
+                           const SendOrder&) const override {
+    return {};
+  }
+  AnswerHead ReadHead(int,
+                      const net::Headers&,
+                      const CallerRequest&,
+                      const Route&) const override {
+    return {};
+  }
+  net::ClientRequest BuildReport(const UpstreamEntry& upstream) const override {
+    net::ClientRequest request;
+    request.url = "http://" + upstream.address;
+    return request;
+  }
+  Result<LoadReport> ReadReport(
+      const net::ClientResponse& response) const override {
+    return LoadReport{std::stoi(response.body), 0};
+  }
+};
+
+class Engine : public net::HttpHandler {
+ public:
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override {
+    ++asked;
+    if (silent)
+      held = response;
+    else
+      response->Respond(200, {}, "5");
+  }
+
+  int asked = 0;
+  bool silent = false;
+  std::shared_ptr<net::ResponseWriter> held;
+};
+
+}  // namespace
+
+TEST_CASE("requests go on with the reports that come in time") {
+  net::EventLoop loop;
+  Engine engine;
+  engine.silent = GENERATE(false, true);
+  net::HttpServer server(loop, {}, engine);
+  REQUIRE(server.Start().ok());
+  net::HttpClient client(loop);
+  TextReports protocol;
+  UpstreamHealth health;
+  ReportOptions options;
+  // Long enough for a busy machine where an answer is expected.
+  if (!engine.silent)
+    options.wait = std::chrono::seconds(10);
+  ReportFetcher reports(loop, client, protocol, health, options);
+  UpstreamEntry upstream;
+  upstream.id = "e";
+  upstream.address = "127.0.0.1:" + std::to_string(server.port());
+  int gone_on = 0;
+  const auto go_on = [&] {
+    if (++gone_on == 3)
+      loop.Stop();
+  };
+  for (int i = 0; i < 3; ++i)
+    reports.Refresh({upstream}, go_on);
+  CHECK(gone_on == 0);
+  loop.Run();
+  CHECK(gone_on == 3);
+  CHECK(engine.asked <= 1);
+  CHECK(health.HasReport("e", BootNow()) == !engine.silent);
+  if (!engine.silent)
+    CHECK(health.ExpectedDelay("e", BootNow()) ==
+          5 * reports.options().queued_cost);
+}
+
+}  // namespace teaselhill::gateway
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -243,6 +243,28 @@
   CHECK(head.kind == row.kind);
 }
 
+TEST_CASE("a load report needs its figures") {
+  struct Row {
+    int status;
+    const char* body;
+    bool good;
+  };
+  const Row row = GENERATE(values<Row>({
+      {200, R"({"queued":3,"active":12,"stage":"unified"})", true},
+      {200, R"({"queued":3})", false},
+      {200, R"({"queued":"3","active":12})", false},
+      {200, "[]", false},
+      {503, R"({"queued":3,"active":12})", false},
+  }));
+  net::ClientResponse response;
+  response.status = row.status;
+  response.body = row.body;
+  const auto report = UpstreamHeaders().ReadReport(response);
+  REQUIRE(report.ok() == row.good);
+  if (report)
+    CHECK(report->queued == 3);
+}
+
 TEST_CASE("settings name every fault at once") {
   const std::string good = R"({"node":"n","zone":"z","ip":"10.1.0.19",
     "listen":{"front":"10.1.0.19:8740","ready":"10.1.0.19:8749"},
