--- a/lib/gateway/exchange_policy.cc
+++ b/lib/gateway/exchange_policy.cc
@@ -53,7 +53,7 @@
     return PassFailure{};
   if (state.runs > 0)
     return FailUnknown{outcome == AttemptOutcome::kSilent
-                           ? ResultCode::kTimedOut
+                           ? ResultCode::kAnswerOverdue
                            : ResultCode::kUpstreamLost};
   return Refuse{RanNowhere(outcome) ? ResultCode::kUpstreamRefused
                                     : ResultCode::kNoUpstream};
@@ -63,7 +63,7 @@
   if (state.head_sent)
     return CutShort{};
   if (state.runs > 0)
-    return FailUnknown{ResultCode::kTimedOut};
+    return FailUnknown{ResultCode::kAnswerOverdue};
   return Refuse{not_run_code};
 }
 
--- a/unittests/gateway/exchange_policy_test.cc
+++ b/unittests/gateway/exchange_policy_test.cc
@@ -93,6 +93,7 @@
     if (const auto* failed = std::get_if<FailUnknown>(&step)) {
       const int status = Describe(failed->code).http_status;
       CHECK((status == 502 || status == 504));
+      CHECK(Describe(failed->code).outcome == Outcome::kUnknown);
     }
     CHECK(std::holds_alternative<CutShort>(step) == head_sent);
   }
