--- a/include/teaselhill/gateway/exchange_policy.h
+++ b/include/teaselhill/gateway/exchange_policy.h
@@ -29,7 +29,6 @@
 
 /// State of a request over its attempts.
 struct ExchangeState {
-  RouteKind kind = RouteKind::kNonIdempotent;
   bool repeatable = false;
   bool resumable = false;
   int max_attempts = 1;
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -44,9 +44,8 @@
   bool engine = false;
   /// Hash of the shared parts of the prompt; 0: none.
   uint64_t affinity = 0;
-  uint32_t shared_tokens = 0;  ///< that a cache may hold
-  uint32_t own_tokens = 0;     ///< that no cache holds
-  bool repeatable = false;
+  uint32_t shared_tokens = 0;         ///< that a cache may hold
+  uint32_t own_tokens = 0;            ///< that no cache holds
   std::vector<std::string> excluded;  ///< upstreams already tried
 };
 
--- a/include/teaselhill/gateway/route_table.h
+++ b/include/teaselhill/gateway/route_table.h
@@ -54,9 +54,7 @@
 
 struct Service {
   std::string name;
-  int max_connections = 0;  ///< per upstream, over all callers; 0: unknown
-  bool engine = false;      ///< model engines, which cache prompt parts
-  int slots = 0;            ///< requests that an engine runs at a time
+  bool engine = false;  ///< model engines, which cache prompt parts
 };
 
 struct Team {
@@ -72,13 +70,6 @@
 /// tier of their route. A team without a tier counts as the most urgent.
 Tier CombineTiers(std::optional<Tier> team, Tier route);
 
-/// Limits on what callers may send.
-struct CallerLimits {
-  size_t max_header_bytes = 16 << 10;
-  size_t max_body_bytes = 4 << 20;
-  Duration idle_timeout = std::chrono::seconds(15);
-};
-
 /// What a configuration version holds, before it is indexed.
 struct RouteConfig {
   uint64_t version = 0;
@@ -86,7 +77,6 @@
   std::vector<Service> services;
   std::vector<Team> teams;
   bool requires_key = false;
-  CallerLimits limits;
 };
 
 /// Never changes after it is built, so any thread may read it.
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -77,7 +77,6 @@
       response_(std::move(response)),
       events_(FirstMissing(accepted_)) {
   const Route& route = *accepted_.route;
-  state_.kind = route.kind;
   state_.repeatable = route.repeatable();
   state_.resumable = route.kind == RouteKind::kStream && route.resumable;
   state_.max_attempts = std::max(1, route.max_attempts);
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -30,7 +30,6 @@
   PlacementRequest placement;
   placement.service = service_name;
   placement.engine = service && service->engine;
-  placement.repeatable = route.repeatable();
   uint32_t prompt = 0;
   // The last part is the request's own and never found in a cache.
   for (size_t i = 0; i + 1 < caller.prompt.size(); ++i) {
--- a/unittests/gateway/exchange_policy_test.cc
+++ b/unittests/gateway/exchange_policy_test.cc
@@ -14,7 +14,6 @@
 
 ExchangeState MakeState(RouteKind kind, bool resumable, int attempts) {
   ExchangeState state;
-  state.kind = kind;
   state.resumable = resumable;
   state.repeatable = resumable || kind == RouteKind::kIdempotent;
   state.max_attempts = attempts;
--- a/unittests/gateway/route_table_test.cc
+++ b/unittests/gateway/route_table_test.cc
@@ -25,7 +25,7 @@
                    MakeRoute("a.example", "/x/y/"),
                    MakeRoute("b.example", "/x/")};
   config.teams = {{"crew", {"k1", "k2"}, 1}, {"office", {"k3"}, std::nullopt}};
-  config.services = {{"s", 10, true, 64}};
+  config.services = {{"s", true}};
   return RouteTable(std::move(config));
 }
 
