Use one decay, one error answer and no unused steps in the gateway

The half-life formula stood in five places of the gateway and two of routing: support/decay.h serves all. Own error answers stood three times: the gateway has one function. Removed: the step SendAgain and the arguments of Decide, MaySendAgain, Follow, ReadHead and BuildList that nothing read, and unused fields of the soak, whose ledger now checks the one list of forged headers (two more names than before).

--- a/include/teaselhill/gateway/exchange_policy.h
+++ b/include/teaselhill/gateway/exchange_policy.h
@@ -38,9 +38,6 @@
   TimePoint end{};         ///< deadline or timeout, whichever is earlier
 };
 
-/// Sends the request to another upstream, after the last whole event if the
-/// caller has some.
-struct SendAgain {};
 /// Passes the upstream's failure on.
 struct PassFailure {};
 /// Refuses; no upstream has run the request or will.
@@ -56,8 +53,8 @@
   ResultCode code = ResultCode::kAnswerCutShort;
 };
 
-using NextStep =
-    std::variant<SendAgain, PassFailure, Refuse, FailUnknown, CutShort>;
+/// The end of a request that is not sent again.
+using NextStep = std::variant<PassFailure, Refuse, FailUnknown, CutShort>;
 
 struct ExchangeLimits {
   /// Sends of one request at most, also of those that were refused.
@@ -69,16 +66,12 @@
 /// Whether another send is allowed by the request itself. The repeat budget is
 /// asked only then.
 bool MaySendAgain(const ExchangeState& state,
-                  AttemptOutcome outcome,
                   const ExchangeLimits& limits,
                   TimePoint now);
 
-/// The step after an attempt that did not end in a whole good answer.
-/// `can_repeat`: MaySendAgain() held, the budget allowed it and an upstream is
-/// left.
-NextStep Decide(const ExchangeState& state,
-                AttemptOutcome outcome,
-                bool can_repeat);
+/// The step after an attempt that did not end in a whole good answer, when the
+/// request is not sent again.
+NextStep Decide(const ExchangeState& state, AttemptOutcome outcome);
 
 /// The step for a request whose time is over, or that is given up.
 NextStep GiveUp(const ExchangeState& state, ResultCode not_run_code);
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -77,6 +77,10 @@
               net::ResponseWriter& response,
               const Error& error,
               Duration retry_after);
+  /// Answers a caller with an error of the gateway's own.
+  void RespondError(net::ResponseWriter& response,
+                    const Error& error,
+                    Duration retry_after) const;
   void Forget(RequestId id);
 
   net::EventLoop& loop_;
--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -96,8 +96,7 @@
                                    const SendOrder& order) const = 0;
   virtual AnswerHead ReadHead(int status,
                               const net::Headers& headers,
-                              const CallerRequest& caller,
-                              const Route& route) const = 0;
+                              const CallerRequest& caller) const = 0;
 
   /// Asks an engine for its load; kProtocolError: the answer is no report.
   virtual net::ClientRequest BuildReport(
--- a/include/teaselhill/gateway/state_keeper.h
+++ b/include/teaselhill/gateway/state_keeper.h
@@ -40,7 +40,7 @@
 
  private:
   void LogRecord(const UpstreamRecord& record, TimePoint now);
-  void Publish(TimePoint now);
+  void Publish();
 
   SharedState& shared_;
   EventLog& log_;
--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -46,7 +46,6 @@
 /// Upstreams that may be used, by service. Never changes after it is built.
 struct UpstreamList {
   uint64_t offset = 0;  ///< of the newest record that it reflects
-  TimePoint as_of{};    ///< when the source last answered
   std::map<std::string, std::vector<UpstreamEntry>> by_service;
 
   const std::vector<UpstreamEntry>& Of(const std::string& service) const;
@@ -74,7 +73,7 @@
   void Expire(TimePoint now);
 
   /// Builds the list of usable upstreams. Draining ones are left out.
-  std::shared_ptr<const UpstreamList> BuildList(TimePoint as_of) const;
+  std::shared_ptr<const UpstreamList> BuildList() const;
 
   /// Whether the list has changed since the last call.
   bool TakeChanged();
--- a/lib/gateway/affinity_placement.cc
+++ b/lib/gateway/affinity_placement.cc
@@ -4,8 +4,8 @@
 #include "teaselhill/gateway/affinity_placement.h"
 
 #include <algorithm>
-#include <cmath>
 
+#include "teaselhill/support/decay.h"
 #include "teaselhill/support/hash.h"
 
 namespace teaselhill::gateway {
@@ -20,8 +20,7 @@
     });
 
 PartShares::Count PartShares::Decayed(const Count& count, TimePoint now) const {
-  const double factor =
-      std::exp2(-ToSeconds(now - count.at) / ToSeconds(half_life_));
+  const double factor = DecayFactor(now - count.at, half_life_);
   return {count.tokens * factor, count.requests * factor, now};
 }
 
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -194,8 +194,8 @@
 void Exchange::OnHead(int status, const net::Headers& headers) {
   progress_at_ = BootNow();
   gateway_.health_.OnReached(upstream_.domain);
-  AnswerHead head = gateway_.upstreams_.ReadHead(
-      status, headers, accepted_.caller, *accepted_.route);
+  AnswerHead head =
+      gateway_.upstreams_.ReadHead(status, headers, accepted_.caller);
   upstream_retry_after_ = head.retry_after;
   switch (head.kind) {
     case HeadKind::kAnswer:
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "exchange.h"
-#include "teaselhill/net/error_response.h"
 
 namespace teaselhill::gateway {
 
@@ -17,8 +16,7 @@
   events_.DropPartial();
   paused_ = false;
   accepted_.placement.excluded.push_back(upstream_.id);
-  const bool allowed =
-      MaySendAgain(state_, outcome, gateway_.options_.limits, now);
+  const bool allowed = MaySendAgain(state_, gateway_.options_.limits, now);
   // A send that did not arrive repeats nothing at any upstream.
   const bool budget =
       allowed && (outcome == AttemptOutcome::kNotSent ||
@@ -39,7 +37,7 @@
                       now);
   if (budget && Send())
     return;
-  Follow(Decide(state_, outcome, /*can_repeat=*/false), outcome);
+  Follow(Decide(state_, outcome));
 }
 
 void Exchange::Observe(AttemptOutcome outcome, TimePoint now) {
@@ -60,7 +58,7 @@
   }
 }
 
-void Exchange::Follow(const NextStep& step, AttemptOutcome outcome) {
+void Exchange::Follow(const NextStep& step) {
   if (std::holds_alternative<gateway::PassFailure>(step))
     return PassFailure();
   if (const auto* refuse = std::get_if<gateway::Refuse>(&step))
@@ -80,10 +78,7 @@
 }
 
 void Exchange::Fail(const Error& error) {
-  response_->Respond(
-      Describe(error.code).http_status,
-      gateway_.callers_.ErrorHeaders(error, RetryAfter(error.code)),
-      net::ErrorBody(error));
+  gateway_.RespondError(*response_, error, RetryAfter(error.code));
   Finish(error.code, Describe(error.code).name);
 }
 
--- a/lib/gateway/exchange_policy.cc
+++ b/lib/gateway/exchange_policy.cc
@@ -29,7 +29,6 @@
 }
 
 bool MaySendAgain(const ExchangeState& state,
-                  AttemptOutcome outcome,
                   const ExchangeLimits& limits,
                   TimePoint now) {
   if (state.sends >= limits.max_sends || now + limits.least_time > state.end)
@@ -42,11 +41,7 @@
   return state.runs == 0 || state.repeatable;
 }
 
-NextStep Decide(const ExchangeState& state,
-                AttemptOutcome outcome,
-                bool can_repeat) {
-  if (can_repeat)
-    return SendAgain{};
+NextStep Decide(const ExchangeState& state, AttemptOutcome outcome) {
   if (state.head_sent)
     return CutShort{};
   if (outcome == AttemptOutcome::kFailureAnswer)
--- a/lib/gateway/exchange_timeouts.cc
+++ b/lib/gateway/exchange_timeouts.cc
@@ -71,14 +71,12 @@
     TellGate(now);
   if (now + 2 * kAnswerMargin >= state_.end) {
     StopAttempt();
-    return Follow(GiveUp(state_, ResultCode::kDeadlineUnreachable),
-                  AttemptOutcome::kSilent);
+    return Follow(GiveUp(state_, ResultCode::kDeadlineUnreachable));
   }
   const bool stalled = state_.repeatable && !paused_ && attempt_ &&
                        now + kAnswerMargin >= progress_at_ + StallTime();
   // An attempt that cannot be replaced goes on: silence is no reason to end it.
-  if (stalled && MaySendAgain(state_, AttemptOutcome::kSilent,
-                              gateway_.options_.limits, now))
+  if (stalled && MaySendAgain(state_, gateway_.options_.limits, now))
     return EndAttempt(AttemptOutcome::kSilent, "no byte in the usual time");
   Watch();
   if (stalled)
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -5,7 +5,6 @@
 
 #include "exchange.h"
 #include "teaselhill/net/error_response.h"
-#include "teaselhill/support/hash.h"
 
 namespace teaselhill::gateway {
 
@@ -24,7 +23,6 @@
 constexpr std::chrono::milliseconds kRetryElsewhere{50};
 
 PlacementRequest ToPlacement(const CallerRequest& caller,
-                             const Route& route,
                              const Service* service,
                              const std::string& service_name) {
   PlacementRequest placement;
@@ -112,8 +110,8 @@
   accepted.tier = CombineTiers(team_tier, accepted.route->tier);
   accepted.service = PickService(*accepted.route, rng_.Uniform());
   accepted.placement = ToPlacement(
-      accepted.caller, *accepted.route,
-      accepted.routes->FindService(accepted.service), accepted.service);
+      accepted.caller, accepted.routes->FindService(accepted.service),
+      accepted.service);
   if (!PassGate(accepted, *response))
     return;
   accepted.request = std::move(request);
@@ -153,9 +151,7 @@
                  .Field("config_version", accepted.routes->version()),
              accepted.arrival);
   metrics_.CountOutcome(accepted.team, "shed", error.code);
-  response.Respond(Describe(error.code).http_status,
-                   callers_.ErrorHeaders(error, decision.retry_after),
-                   net::ErrorBody(error));
+  RespondError(response, error, decision.retry_after);
   return false;
 }
 
@@ -176,6 +172,12 @@
                  .Field("upstreams_known", shared_.upstreams() != nullptr),
              BootNow());
   metrics_.CountOutcome("", "refused", error.code);
+  RespondError(response, error, retry_after);
+}
+
+void Gateway::RespondError(net::ResponseWriter& response,
+                           const Error& error,
+                           Duration retry_after) const {
   response.Respond(Describe(error.code).http_status,
                    callers_.ErrorHeaders(error, retry_after),
                    net::ErrorBody(error));
--- a/lib/gateway/overload_gate.cc
+++ b/lib/gateway/overload_gate.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "teaselhill/support/decay.h"
+
 namespace teaselhill::gateway {
 
 namespace {
@@ -22,9 +24,7 @@
 
 void WaitEstimate::OnBegan(TimePoint now) {
   OnLeft();
-  const double factor =
-      std::exp2(-ToSeconds(now - at_) / ToSeconds(kRateHalfLife));
-  begun_ = begun_ * factor + 1;
+  begun_ = begun_ * DecayFactor(now - at_, kRateHalfLife) + 1;
   at_ = now;
   if (since_ == TimePoint{})
     since_ = now;
@@ -32,7 +32,7 @@
 
 double WaitEstimate::Rate(TimePoint now) const {
   const double half_life = ToSeconds(kRateHalfLife);
-  const double count = begun_ * std::exp2(-ToSeconds(now - at_) / half_life);
+  const double count = begun_ * DecayFactor(now - at_, kRateHalfLife);
   // The decaying count of a constant rate is the rate times this time; it is
   // shorter while the count is young.
   const double full = half_life / std::log(2.0);
@@ -127,8 +127,7 @@
 }
 
 double OverloadGate::Decayed(const State& state, TimePoint now) const {
-  return state.pressure *
-         std::exp2(-ToSeconds(now - state.at) / ToSeconds(options_.half_life));
+  return state.pressure * DecayFactor(now - state.at, options_.half_life);
 }
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/state_keeper.cc
+++ b/lib/gateway/state_keeper.cc
@@ -26,7 +26,7 @@
     LogRecord(record, now);
   directory_.ApplyListing(listing, now);
   listed_ = true;
-  Publish(now);
+  Publish();
 }
 
 void StateKeeper::OnRecords(const std::vector<UpstreamRecord>& records) {
@@ -35,7 +35,7 @@
     LogRecord(record, now);
     directory_.Apply(record, now);
   }
-  Publish(now);
+  Publish();
 }
 
 void StateKeeper::OnAnswer() {
@@ -80,7 +80,7 @@
 void StateKeeper::Tick() {
   const TimePoint now = clock_();
   directory_.Expire(now);
-  Publish(now);
+  Publish();
 }
 
 void StateKeeper::LogRecord(const UpstreamRecord& record, TimePoint now) {
@@ -109,13 +109,12 @@
     logged_.erase(record.id);
 }
 
-void StateKeeper::Publish(TimePoint now) {
-  if (!listed_ || !directory_.TakeChanged()) {
-    if (listed_ && !shared_.upstreams())
-      shared_.SetUpstreams(directory_.BuildList(now));
+void StateKeeper::Publish() {
+  if (!listed_)
     return;
-  }
-  shared_.SetUpstreams(directory_.BuildList(now));
+  const bool changed = directory_.TakeChanged();
+  if (changed || !shared_.upstreams())
+    shared_.SetUpstreams(directory_.BuildList());
 }
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -61,10 +61,8 @@
   }
 }
 
-std::shared_ptr<const UpstreamList> UpstreamDirectory::BuildList(
-    TimePoint as_of) const {
+std::shared_ptr<const UpstreamList> UpstreamDirectory::BuildList() const {
   auto list = std::make_shared<UpstreamList>();
-  list->as_of = as_of;
   for (const auto& [id, state] : states_) {
     list->offset = std::max(list->offset, state.offset);
     if (state.entry && !state.entry->draining)
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -4,7 +4,8 @@
 #include "teaselhill/gateway/upstream_health.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "teaselhill/support/decay.h"
 
 namespace teaselhill::gateway {
 
@@ -30,16 +31,13 @@
 /// A refusal counts as such a delay, so that load moves elsewhere.
 constexpr double kRefusalDelayMs = 400;
 
-double Decay(Duration age, Duration half_life) {
-  return std::exp2(-ToSeconds(age) / ToSeconds(half_life));
-}
-
 }  // namespace
 
 UpstreamHealth::Record& UpstreamHealth::Touch(const std::string& id,
                                               TimePoint now) {
   Record& record = records_[id];
-  const double factor = Decay(now - record.counted_at, options_.half_life);
+  const double factor =
+      DecayFactor(now - record.counted_at, options_.half_life);
   record.failures *= factor;
   record.successes *= factor;
   record.counted_at = now;
@@ -49,9 +47,7 @@
 void UpstreamHealth::OnConnectFailed(const std::string& id,
                                      const std::string& domain,
                                      TimePoint now) {
-  Record& record = Touch(id, now);
-  record.failures += 1;
-  Eject(record, now);
+  OnMisdirected(id, now);
   Domain& state = domains_[domain];
   state.failed[id] = now;
   JudgeDomain(state, now);
@@ -106,7 +102,7 @@
                              TimePoint now) {
   Record& record = Touch(id, now);
   const double known =
-      record.delay_ms * Decay(now - record.delay_at, kDelayHalfLife);
+      record.delay_ms * DecayFactor(now - record.delay_at, kDelayHalfLife);
   const double seen = std::max(0.0, ToMilliseconds(excess));
   record.delay_ms = known + kDelayWeight * (seen - known);
   record.delay_at = now;
@@ -128,9 +124,9 @@
 
 void UpstreamHealth::OnRefused(const std::string& id, TimePoint now) {
   Record& record = Touch(id, now);
-  record.delay_ms =
-      std::max(kRefusalDelayMs,
-               record.delay_ms * Decay(now - record.delay_at, kDelayHalfLife));
+  record.delay_ms = std::max(
+      kRefusalDelayMs,
+      record.delay_ms * DecayFactor(now - record.delay_at, kDelayHalfLife));
   record.delay_at = now;
 }
 
@@ -153,7 +149,7 @@
   if (HasReport(id, now))
     return record.reported;
   return FromSeconds(record.delay_ms / 1000 *
-                     Decay(now - record.delay_at, kDelayHalfLife));
+                     DecayFactor(now - record.delay_at, kDelayHalfLife));
 }
 
 Duration UpstreamHealth::TypicalDelay(const std::string& service,
@@ -161,8 +157,9 @@
   const auto found = services_.find(service);
   if (found == services_.end())
     return Duration::zero();
-  return FromSeconds(found->second.ms / 1000 *
-                     Decay(now - found->second.at, kServiceDelayHalfLife));
+  return FromSeconds(
+      found->second.ms / 1000 *
+      DecayFactor(now - found->second.at, kServiceDelayHalfLife));
 }
 
 void UpstreamHealth::OnServiceDelay(const std::string& service,
@@ -181,7 +178,8 @@
   if (found == records_.end())
     return 0;
   const Record& record = found->second;
-  const double factor = Decay(now - record.counted_at, options_.half_life);
+  const double factor =
+      DecayFactor(now - record.counted_at, options_.half_life);
   // One assumed success keeps a single failure from looking like a rule.
   const double all = (record.failures + record.successes) * factor + 1;
   return record.failures * factor / all;
--- a/lib/routing/prefix_index.cc
+++ b/lib/routing/prefix_index.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "teaselhill/support/decay.h"
 #include "teaselhill/support/hash.h"
 
 namespace teaselhill::routing {
@@ -14,7 +15,7 @@
 
 /// Cache events are lost and engines evict without notice, so an unrenewed
 /// sign loses half its weight in this time.
-constexpr double kHalfLifeSeconds = 120;
+constexpr std::chrono::seconds kHalfLife{120};
 
 uint32_t ToWholeSeconds(TimePoint time) {
   return static_cast<uint32_t>(ToSeconds(time.time_since_epoch())) + 1;
@@ -86,10 +87,10 @@
       };
       if (std::any_of(matches.begin(), matches.end(), same))
         continue;
-      const double age =
-          static_cast<double>(ToWholeSeconds(now)) - entry->seconds;
+      const std::chrono::seconds age(static_cast<int64_t>(ToWholeSeconds(now)) -
+                                     entry->seconds);
       matches.push_back({entry->upstream, static_cast<uint32_t>(i + 1),
-                         std::exp2(-std::max(0.0, age) / kHalfLifeSeconds)});
+                         DecayFactor(age, kHalfLife)});
     }
   }
   return matches;
--- a/lib/routing/upstream_table.cc
+++ b/lib/routing/upstream_table.cc
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <tuple>
 
+#include "teaselhill/support/decay.h"
 #include "teaselhill/support/hash.h"
 
 namespace teaselhill::routing {
@@ -42,7 +43,7 @@
 constexpr uint32_t kHardFailure = 3;  ///< weight of a lost connection
 constexpr uint32_t kSoftFailure = 1;  ///< weight of a time-out
 
-constexpr double kPaceHalfLifeSeconds = 5;
+constexpr std::chrono::seconds kPaceHalfLife{5};
 constexpr double kMaxPaceSamples = 400;
 /// Tokens behind a pace before it is compared with others.
 constexpr double kMinPaceSamples = 16;
@@ -66,9 +67,8 @@
                                static_cast<uint8_t>(LeavingSign::kOperator);
 
 double DecayedSamples(const Upstream& upstream, TimePoint now) {
-  const double age = ToSeconds(now - upstream.pace_at);
   return upstream.pace_samples *
-         std::exp2(-std::max(0.0, age) / kPaceHalfLifeSeconds);
+         DecayFactor(now - upstream.pace_at, kPaceHalfLife);
 }
 
 const std::vector<uint32_t>& FindOrEmpty(
--- a/scripts/soak/ledger.py
+++ b/scripts/soak/ledger.py
@@ -1,7 +1,9 @@
 """What callers sent, what ran, and the promises that were broken."""
 
 import collections
-import time
+
+# Headers of callers that must not reach an upstream.
+FORGED = ("x-kv-hold", "x-pin-ms", "x-kv-backup", "kv-from", "authorization")
 
 
 class Ledger:
@@ -32,7 +34,7 @@
             self.violate("unasked", f"{request_id} was changed: {line}")
         if headers.get("x-tenant") != team:
             self.violate("unasked", f"{request_id} has a wrong team")
-        for name in ("x-kv-hold", "kv-from", "authorization"):
+        for name in FORGED:
             if name in headers:
                 self.violate("unasked", f"{request_id} carries {name}")
         if upstream.left_at and now > upstream.left_at + self.leaving_bound:
--- a/scripts/soak/proxy.py
+++ b/scripts/soak/proxy.py
@@ -3,14 +3,12 @@
 import asyncio
 import socket
 import struct
-import time
 
 
 class Proxy:
     def __init__(self, target):
         self.target = target
         self.mode = "good"  # or delay, reset, silent, one_way, refuse
-        self.disturbed_until = 0.0
         self.writers = set()
 
     async def start(self, address):
@@ -19,7 +17,6 @@
 
     async def disturb(self, mode, seconds):
         self.mode = mode
-        self.disturbed_until = time.monotonic() + seconds
         if mode == "reset":
             self.reset_all()
         await asyncio.sleep(seconds)
--- a/scripts/soak/store.py
+++ b/scripts/soak/store.py
@@ -35,7 +35,6 @@
         self.rng = rng
         self.topics = {"keyed.op": Topic(), "keyed.servers": Topic()}
         self.mode = "good"  # or down, silent, slow
-        self.disturbed_until = 0.0
 
     async def start(self, address):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -51,7 +50,6 @@
 
     async def disturb(self, mode, seconds):
         self.mode = mode
-        self.disturbed_until = time.monotonic() + seconds
         await asyncio.sleep(seconds)
         self.mode = "good"
 
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -7,7 +7,6 @@
 import http_io
 
 EVENTS = 12
-FORGED = ("x-kv-hold", "x-pin-ms", "x-kv-backup", "kv-from", "authorization")
 
 
 def checksum(request_id, body):
--- a/unittests/gateway/exchange_policy_test.cc
+++ b/unittests/gateway/exchange_policy_test.cc
@@ -61,15 +61,15 @@
   ExchangeState state = MakeState(row.kind, row.resumable, row.max_attempts);
   state.runs = row.runs;
   state.head_sent = row.head_sent;
-  CHECK(MaySendAgain(state, row.outcome, {}, kNow) == row.again);
+  CHECK(MaySendAgain(state, {}, kNow) == row.again);
 }
 
 TEST_CASE("no send begins without time or beyond the bound") {
   ExchangeState state = MakeState(RouteKind::kIdempotent, false, 9);
-  CHECK(MaySendAgain(state, AttemptOutcome::kBroken, {}, kNow));
-  CHECK_FALSE(MaySendAgain(state, AttemptOutcome::kBroken, {}, state.end));
+  CHECK(MaySendAgain(state, {}, kNow));
+  CHECK_FALSE(MaySendAgain(state, {}, state.end));
   state.sends = ExchangeLimits{}.max_sends;
-  CHECK_FALSE(MaySendAgain(state, AttemptOutcome::kBroken, {}, kNow));
+  CHECK_FALSE(MaySendAgain(state, {}, kNow));
 }
 
 TEST_CASE("a refusal is given only when nothing can have run") {
@@ -83,7 +83,7 @@
   state.runs = runs;
   state.head_sent = head_sent;
   for (const NextStep& step :
-       {Decide(state, outcome, false), GiveUp(state, ResultCode::kQueueFull)}) {
+       {Decide(state, outcome), GiveUp(state, ResultCode::kQueueFull)}) {
     if (const auto* refuse = std::get_if<Refuse>(&step)) {
       CHECK(runs == 0);
       CHECK_FALSE(head_sent);
--- a/unittests/gateway/report_fetcher_test.cc
+++ b/unittests/gateway/report_fetcher_test.cc
@@ -22,8 +22,7 @@
   }
   AnswerHead ReadHead(int,
                       const net::Headers&,
-                      const CallerRequest&,
-                      const Route&) const override {
+                      const CallerRequest&) const override {
     return {};
   }
   net::ClientRequest BuildReport(const UpstreamEntry& upstream) const override {
--- a/unittests/gateway/upstream_directory_test.cc
+++ b/unittests/gateway/upstream_directory_test.cc
@@ -37,7 +37,7 @@
 
 std::string Usable(const UpstreamDirectory& directory) {
   std::string ids;
-  const auto list = directory.BuildList({});
+  const auto list = directory.BuildList();
   for (const UpstreamEntry& entry : list->Of("s"))
     ids += entry.id;
   return ids;
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -238,8 +238,7 @@
   CAPTURE(row.what);
   gateway::CallerRequest caller;
   caller.id = "9c41";
-  const auto head =
-      UpstreamHeaders().ReadHead(row.status, row.headers, caller, {});
+  const auto head = UpstreamHeaders().ReadHead(row.status, row.headers, caller);
   CHECK(head.kind == row.kind);
 }
 
