--- a/lib/routing/prefix_index.cc
+++ b/lib/routing/prefix_index.cc
@@ -4,7 +4,6 @@
 #include "teaselhill/routing/prefix_index.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "teaselhill/support/decay.h"
 #include "teaselhill/support/hash.h"
--- a/lib/routing/upstream_table.cc
+++ b/lib/routing/upstream_table.cc
@@ -4,7 +4,6 @@
 #include "teaselhill/routing/upstream_table.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
 #include <tuple>
 
