Check a refusal against the engine that would take the request

Change: a refused request asks its engines for reports, 20 ms at most, and is admitted when the chosen one runs at most 10 requests and has a backlog below a quarter of the target.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -71,7 +71,6 @@
  private:
   friend class Exchange;
 
-  bool PassGate(const Accepted& accepted, net::ResponseWriter& response);
   void Refuse(const net::HttpRequest& request,
               const CallerRequest& caller,
               net::ResponseWriter& response,
--- a/include/teaselhill/gateway/overload_gate.h
+++ b/include/teaselhill/gateway/overload_gate.h
@@ -5,6 +5,7 @@
 #define TEASELHILL_GATEWAY_OVERLOAD_GATE_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "teaselhill/gateway/route_table.h"
@@ -29,6 +30,12 @@
   /// Part of a level that is let in at any pressure, so that it is never
   /// starved and the gate learns when the load is over.
   double least_admitted = 0.1;
+  /// Part of its target for which a request may wait at the engine that would
+  /// take it, to be let in whatever the pressure.
+  double most_backlog = 0.25;
+  /// Requests that may run at that engine. Each prompt that is read there stops
+  /// all of them for its time.
+  int most_running = 10;
   Duration shortest_return = std::chrono::milliseconds(600);
   Duration longest_return = std::chrono::milliseconds(1600);
 };
@@ -44,12 +51,19 @@
   }
 };
 
+/// Load of the engine that would take a request.
+struct EngineLoad {
+  Duration backlog{};  ///< before it reads the request's prompt
+  int running = 0;     ///< requests whose answers it produces
+};
+
 struct GateDecision {
   bool admitted = true;
   double pressure = 0;
   Duration expected_wait{};
-  double refused_part = 0;  ///< of the requests of this level
-  Duration retry_after{};   ///< set when refused
+  double refused_part = 0;         ///< of the requests of this level
+  std::optional<EngineLoad> load;  ///< of the engine, if it was asked
+  Duration retry_after{};          ///< set when refused
 };
 
 /// Expected wait of a request that arrives now, by Little's law: requests that
@@ -90,6 +104,13 @@
                      double spread,
                      TimePoint now);
 
+  /// Lets a refused request in after all if the engine that would take it is
+  /// nearly idle. A host sees few answers, so its pressure may come from one
+  /// long prompt.
+  GateDecision Recheck(GateDecision refused,
+                       const EngineLoad& load,
+                       Duration target) const;
+
   /// An answer began after `waited`, or did not begin for so long. Urgent
   /// answers in time say nothing of the levels that can be refused.
   void OnWaited(const std::string& service,
--- a/include/teaselhill/gateway/upstream_health.h
+++ b/include/teaselhill/gateway/upstream_health.h
@@ -5,6 +5,7 @@
 #define TEASELHILL_GATEWAY_UPSTREAM_HEALTH_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -54,10 +55,18 @@
   void OnSucceeded(const std::string& id, TimePoint now);
   /// An answer began `excess` later than its own work explains.
   void OnDelay(const std::string& id, Duration excess, TimePoint now);
-  /// The upstream reported work that takes `queueing` before a new request.
-  void OnReport(const std::string& id, Duration queueing, TimePoint now);
+  /// The upstream reported work that takes `queueing` before a new request, and
+  /// `running` requests that it answers.
+  void OnReport(const std::string& id,
+                Duration queueing,
+                int running,
+                TimePoint now);
   /// Whether a report is recent enough to be used.
   bool HasReport(const std::string& id, TimePoint now) const;
+  /// Requests that the upstream answered at its last report, if that is recent
+  /// enough to be used.
+  std::optional<int> ReportedRunning(const std::string& id,
+                                     TimePoint now) const;
 
   /// Refused without running: the upstream is full.
   void OnRefused(const std::string& id, TimePoint now);
@@ -92,6 +101,7 @@
     double delay_ms = 0;
     TimePoint delay_at{};
     Duration reported{};
+    int running = 0;  ///< by the same report
     TimePoint reported_at{};
     TimePoint ejected_until{};
     int ejections = 0;  ///< in a row
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -96,10 +96,12 @@
       self->OnCallerGone();
   });
   const TimePoint now = BootNow();
-  const bool loaded = accepted_.placement.engine &&
-                      gateway_.health_.TypicalDelay(accepted_.service, now) >=
-                          gateway_.reports_.options().least_delay;
-  if (!loaded)
+  const bool wants_reports =
+      accepted_.placement.engine &&
+      (!accepted_.gate.admitted ||
+       gateway_.health_.TypicalDelay(accepted_.service, now) >=
+           gateway_.reports_.options().least_delay);
+  if (!wants_reports)
     return Begin();
   gateway_.reports_.Refresh(
       gateway_.placement_->Contenders(accepted_.placement,
@@ -112,7 +114,28 @@
       });
 }
 
+bool Exchange::PassGate() {
+  if (accepted_.gate.admitted)
+    return true;
+  const TimePoint now = BootNow();
+  const std::optional<Placed> placed = gateway_.placement_->Choose(
+      accepted_.placement, *gateway_.shared_.upstreams(), gateway_.health_,
+      now);
+  if (!placed)
+    return false;
+  const std::optional<int> running =
+      gateway_.health_.ReportedRunning(placed->upstream.id, now);
+  if (!running)
+    return false;
+  accepted_.gate =
+      gateway_.gate_.Recheck(accepted_.gate, {placed->expected_delay, *running},
+                             accepted_.route->target);
+  return accepted_.gate.admitted;
+}
+
 void Exchange::Begin() {
+  if (!PassGate())
+    return Shed();
   if (!Send())
     return Fail({ResultCode::kNoUpstream, ""});
   if (accepted_.placement.engine && !finished_ && !first_event_at_) {
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -24,6 +24,9 @@
   Tier tier = 0;
   std::string service;
   PlacementRequest placement;
+  /// Always admitted for a plain service, which refuses by itself within
+  /// milliseconds when it is full.
+  GateDecision gate;
   TimePoint arrival{};
 
   GateLevel level() const { return {route->tier, tier}; }
@@ -50,6 +53,9 @@
   class Attempt;
 
   void Begin();
+  /// Whether the gate admits the request, given the reports of its engines.
+  bool PassGate();
+  void Shed();
   bool Send();
   SendOrder MakeOrder(const UpstreamEntry& upstream, TimePoint now) const;
   void StopAttempt();
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -82,6 +82,30 @@
   Finish(error.code, Describe(error.code).name);
 }
 
+void Exchange::Shed() {
+  const GateDecision& gate = accepted_.gate;
+  const Error error{ResultCode::kQueueFull, "answers would begin too late"};
+  LogLine line = Line("shed");
+  line.Field("code", static_cast<int>(error.code))
+      .Field("team", accepted_.team)
+      .Field("tier", accepted_.tier)
+      .Field("service", accepted_.service)
+      .Field("pressure", gate.pressure)
+      .Field("expected_wait_ms", gate.expected_wait)
+      .Field("refused_part", gate.refused_part)
+      .Field("retry_after_ms", gate.retry_after)
+      .Field("config_version", accepted_.routes->version());
+  if (gate.load)
+    line.Field("backlog_ms", gate.load->backlog)
+        .Field("running", gate.load->running);
+  gateway_.log_.Write(LineKind::kFailure, line, BootNow());
+  gateway_.metrics_.CountOutcome(accepted_.team, "shed", error.code);
+  gateway_.RespondError(*response_, error, gate.retry_after);
+  finished_ = true;
+  // The last use of this object: the table holds the owning pointer.
+  gateway_.Forget(accepted_.id);
+}
+
 Duration Exchange::RetryAfter(ResultCode code) const {
   if (upstream_retry_after_ > Duration::zero())
     return upstream_retry_after_;
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -112,8 +112,10 @@
   accepted.placement = ToPlacement(
       accepted.caller, accepted.routes->FindService(accepted.service),
       accepted.service);
-  if (!PassGate(accepted, *response))
-    return;
+  if (accepted.placement.engine)
+    accepted.gate =
+        gate_.Admit(accepted.service, accepted.level(), accepted.route->target,
+                    rng_.Uniform(), rng_.Uniform(), accepted.arrival);
   accepted.request = std::move(request);
   accepted.id = ++last_id_;
   budget_.OnRequest(accepted.service, accepted.arrival);
@@ -125,36 +127,6 @@
   exchange->Start();
 }
 
-bool Gateway::PassGate(const Accepted& accepted,
-                       net::ResponseWriter& response) {
-  // A plain service refuses by itself when it is full, within milliseconds.
-  if (!accepted.placement.engine)
-    return true;
-  const GateDecision decision =
-      gate_.Admit(accepted.service, accepted.level(), accepted.route->target,
-                  rng_.Uniform(), rng_.Uniform(), accepted.arrival);
-  if (decision.admitted)
-    return true;
-  const Error error{ResultCode::kQueueFull, "answers would begin too late"};
-  log_.Write(LineKind::kFailure,
-             LogLine(LogLevel::kInfo, "shed")
-                 .Field("request", accepted.caller.id)
-                 .Field("route", accepted.route->name)
-                 .Field("code", static_cast<int>(error.code))
-                 .Field("team", accepted.team)
-                 .Field("tier", accepted.tier)
-                 .Field("service", accepted.service)
-                 .Field("pressure", decision.pressure)
-                 .Field("expected_wait_ms", decision.expected_wait)
-                 .Field("refused_part", decision.refused_part)
-                 .Field("retry_after_ms", decision.retry_after)
-                 .Field("config_version", accepted.routes->version()),
-             accepted.arrival);
-  metrics_.CountOutcome(accepted.team, "shed", error.code);
-  RespondError(response, error, decision.retry_after);
-  return false;
-}
-
 void Gateway::Refuse(const net::HttpRequest& request,
                      const CallerRequest& caller,
                      net::ResponseWriter& response,
--- a/lib/gateway/overload_gate.cc
+++ b/lib/gateway/overload_gate.cc
@@ -82,6 +82,17 @@
   return decision;
 }
 
+GateDecision OverloadGate::Recheck(GateDecision refused,
+                                   const EngineLoad& load,
+                                   Duration target) const {
+  GateDecision decision = refused;
+  decision.load = load;
+  decision.admitted =
+      load.running <= options_.most_running &&
+      ToSeconds(load.backlog) <= ToSeconds(target) * options_.most_backlog;
+  return decision;
+}
+
 void OverloadGate::OnWaited(const std::string& service,
                             const GateLevel& level,
                             Duration waited,
--- a/lib/gateway/report_fetcher.cc
+++ b/lib/gateway/report_fetcher.cc
@@ -72,7 +72,8 @@
   if (fetched) {
     const Result<LoadReport> report = protocol_.ReadReport(*fetched);
     if (report)
-      health_.OnReport(id, report->queued * options_.queued_cost, BootNow());
+      health_.OnReport(id, report->queued * options_.queued_cost,
+                       report->running, BootNow());
   }
   // A failed report decides nothing: the request itself will tell.
   const auto waiters = std::move(pending_[id]);
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -110,9 +110,11 @@
 
 void UpstreamHealth::OnReport(const std::string& id,
                               Duration queueing,
+                              int running,
                               TimePoint now) {
   Record& record = Touch(id, now);
   record.reported = queueing;
+  record.running = running;
   record.reported_at = now;
 }
 
@@ -122,6 +124,13 @@
          now - found->second.reported_at < kReportAge;
 }
 
+std::optional<int> UpstreamHealth::ReportedRunning(const std::string& id,
+                                                   TimePoint now) const {
+  if (!HasReport(id, now))
+    return std::nullopt;
+  return records_.at(id).running;
+}
+
 void UpstreamHealth::OnRefused(const std::string& id, TimePoint now) {
   Record& record = Touch(id, now);
   record.delay_ms = std::max(
--- a/unittests/gateway/overload_gate_test.cc
+++ b/unittests/gateway/overload_gate_test.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <string>
 
 namespace teaselhill::gateway {
 
@@ -148,6 +149,40 @@
     CHECK(last.refused_part == Approx(0.9));
 }
 
+struct RecheckRow {
+  std::string name;
+  milliseconds backlog;
+  int running;
+  bool admitted;
+};
+
+// Guards calm hours on a host that sees few answers: one long prompt raises its
+// pressure, and it refuses callers although their engines have nothing to do.
+TEST_CASE("a refusal does not stand against an engine that is nearly idle") {
+  const RecheckRow row =
+      GENERATE(values<RecheckRow>({{"idle", milliseconds(0), 0, true},
+                                   {"one queued", milliseconds(60), 3, true},
+                                   {"a queue", milliseconds(400), 3, false},
+                                   {"many answers", milliseconds(0), 30, false},
+                                   {"both", milliseconds(400), 30, false}}));
+  CAPTURE(row.name);
+  OverloadGate gate;
+  const TimePoint now{};
+  gate.Admit("s", kUrgent, kTarget, 0, 0, now);
+  gate.Admit("s", kDraftOfLargeTeam, kTarget, 0, 0, now);
+  for (int i = 0; i < 10; ++i)
+    gate.OnWaited("s", kDraftOfLargeTeam, 3 * kTarget, kTarget, now);
+  const GateDecision refused =
+      gate.Admit("s", kDraftOfLargeTeam, kTarget, 0, 0, now);
+  REQUIRE_FALSE(refused.admitted);
+  const GateDecision decision =
+      gate.Recheck(refused, {row.backlog, row.running}, kTarget);
+  CHECK(decision.admitted == row.admitted);
+  CHECK(decision.retry_after == refused.retry_after);
+  REQUIRE(decision.load);
+  CHECK(decision.load->running == row.running);
+}
+
 TEST_CASE("a refusal says when to come back, spread over time") {
   OverloadGate gate;
   const TimePoint now{};
--- a/unittests/gateway/placement_test.cc
+++ b/unittests/gateway/placement_test.cc
@@ -121,8 +121,8 @@
   const std::string owner = contenders[0].id;
   CHECK(placement.Choose(Draft(3), list, health, now)->upstream.id == owner);
   const int queued = GENERATE(0, 2, 8);
-  health.OnReport(owner, queued * milliseconds(60), now);
-  health.OnReport(contenders[1].id, milliseconds(0), now);
+  health.OnReport(owner, queued * milliseconds(60), 0, now);
+  health.OnReport(contenders[1].id, milliseconds(0), 0, now);
   // Reading the shared part again would take 175 ms at the second engine.
   const bool moves = queued == 8;
   CHECK((placement.Choose(Draft(3), list, health, now)->upstream.id ==
