--- /dev/null
+++ b/lib/routing/upstream_table_impl.h
@@ -0,0 +1,28 @@
+/// \file
+/// What the files of the upstream table share.
+
+#ifndef TEASELHILL_LIB_ROUTING_UPSTREAM_TABLE_IMPL_H_
+#define TEASELHILL_LIB_ROUTING_UPSTREAM_TABLE_IMPL_H_
+
+#include "teaselhill/routing/upstream_table.h"
+#include "teaselhill/support/decay.h"
+
+namespace teaselhill::routing {
+
+inline constexpr Duration kPeerLoadUsable = std::chrono::seconds(5);
+inline constexpr std::chrono::seconds kPaceHalfLife{5};
+/// Tokens behind a pace before it is compared with others.
+inline constexpr double kMinPaceSamples = 16;
+
+inline uint8_t Bit(LeavingSign sign) {
+  return static_cast<uint8_t>(sign);
+}
+
+inline double DecayedSamples(const Upstream& upstream, TimePoint now) {
+  return upstream.pace_samples *
+         DecayFactor(now - upstream.pace_at, kPaceHalfLife);
+}
+
+}  // namespace teaselhill::routing
+
+#endif  // TEASELHILL_LIB_ROUTING_UPSTREAM_TABLE_IMPL_H_
