Refuse ambiguous framing and what follows it; log ejections

Cause: the HTTP parser takes a blank before the colon of a header and any transfer-encoding that ends in chunked, so that a request could be smuggled past a server that reads it otherwise. A request that was read behind a refused one was handled although its connection was about to end. Change: such requests end with 400, and a connection that was refused handles nothing more.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -81,6 +81,8 @@
                     const Error& error,
                     Duration retry_after) const;
   void Forget(RequestId id);
+  /// Writes what the health of the upstreams has changed.
+  void LogHealth(TimePoint now);
 
   net::EventLoop& loop_;
   GatewayOptions options_;
--- a/include/teaselhill/gateway/upstream_health.h
+++ b/include/teaselhill/gateway/upstream_health.h
@@ -8,6 +8,8 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "teaselhill/support/time.h"
 
@@ -32,6 +34,17 @@
   Duration longest_domain_ejection = std::chrono::seconds(3);
 };
 
+/// An upstream or a whole failure domain was left out, or is in use again.
+struct HealthEvent {
+  std::string upstream;  ///< empty: the whole domain
+  std::string domain;    ///< empty: one upstream
+  bool ejected = false;
+  Duration time{};      ///< of the ejection
+  double failures = 0;  ///< decaying counts that decided
+  double successes = 0;
+  int ejections = 0;  ///< in a row, with this one
+};
+
 /// Passive health of the upstreams. Needs no probes. A partition is learnt from
 /// a few of a domain's upstreams: finding each of them out by a connection that
 /// times out would cost as many callers their answer.
@@ -90,6 +103,9 @@
                       Duration excess,
                       TimePoint now);
 
+  /// What has changed since the last call, for the log.
+  std::vector<HealthEvent> TakeEvents() { return std::exchange(events_, {}); }
+
   /// Drops upstreams not seen for long. Call about once a second.
   void Expire(TimePoint now);
 
@@ -108,8 +124,8 @@
   };
 
   Record& Touch(const std::string& id, TimePoint now);
-  void Eject(Record& record, TimePoint now);
-  void Judge(Record& record, TimePoint now);
+  void Eject(const std::string& id, Record& record, TimePoint now);
+  void Judge(const std::string& id, Record& record, TimePoint now);
 
   HealthOptions options_;
   struct Delay {
@@ -121,11 +137,12 @@
     TimePoint ejected_until{};
     int ejections = 0;  ///< in a row
   };
-  void JudgeDomain(Domain& domain, TimePoint now);
+  void JudgeDomain(const std::string& name, Domain& domain, TimePoint now);
 
   std::unordered_map<std::string, Record> records_;
   std::unordered_map<std::string, Domain> domains_;
   std::unordered_map<std::string, Delay> services_;
+  std::vector<HealthEvent> events_;
 };
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -217,6 +217,7 @@
 void Exchange::OnHead(int status, const net::Headers& headers) {
   progress_at_ = BootNow();
   gateway_.health_.OnReached(upstream_.domain);
+  gateway_.LogHealth(progress_at_);
   AnswerHead head =
       gateway_.upstreams_.ReadHead(status, headers, accepted_.caller);
   upstream_retry_after_ = head.retry_after;
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -45,17 +45,23 @@
   const std::string& id = upstream_.id;
   switch (outcome) {
     case AttemptOutcome::kComplete:
-      return health.OnSucceeded(id, now);
+      health.OnSucceeded(id, now);
+      break;
     case AttemptOutcome::kFailureAnswer:
     case AttemptOutcome::kBroken:
-      return health.OnFailed(id, now);
+      health.OnFailed(id, now);
+      break;
     case AttemptOutcome::kNotRun:
-      return health.OnRefused(id, now);
+      health.OnRefused(id, now);
+      break;
     case AttemptOutcome::kNotSent:
-      return health.OnConnectFailed(id, upstream_.domain, now);
+      health.OnConnectFailed(id, upstream_.domain, now);
+      break;
     case AttemptOutcome::kSilent:
-      return health.OnSilent(id, now);
+      health.OnSilent(id, now);
+      break;
   }
+  gateway_.LogHealth(now);
 }
 
 void Exchange::Follow(const NextStep& step) {
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -155,6 +155,23 @@
                    net::ErrorBody(error));
 }
 
+void Gateway::LogHealth(TimePoint now) {
+  for (const HealthEvent& event : health_.TakeEvents()) {
+    const bool domain = !event.domain.empty();
+    std::string name = domain ? "domain" : "upstream";
+    name += event.ejected ? "_ejected" : "_returned";
+    LogLine line(event.ejected ? LogLevel::kWarning : LogLevel::kInfo, name);
+    line.Field(domain ? "domain" : "upstream",
+               domain ? event.domain : event.upstream)
+        .Field("ejections", event.ejections)
+        .Field("failures", event.failures)
+        .Field("successes", event.successes);
+    if (event.ejected)
+      line.Field("for_ms", event.time);
+    log_.Write(LineKind::kFailure, line, now);
+  }
+}
+
 void Gateway::Forget(RequestId id) {
   exchanges_.erase(id);
   open_requests_ = exchanges_.size();
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -50,20 +50,31 @@
   OnMisdirected(id, now);
   Domain& state = domains_[domain];
   state.failed[id] = now;
-  JudgeDomain(state, now);
+  JudgeDomain(domain, state, now);
 }
 
 void UpstreamHealth::OnReached(const std::string& domain) {
-  domains_.erase(domain);
+  const auto found = domains_.find(domain);
+  if (found == domains_.end())
+    return;
+  if (found->second.ejections > 0) {
+    HealthEvent event;
+    event.domain = domain;
+    event.ejections = found->second.ejections;
+    events_.push_back(std::move(event));
+  }
+  domains_.erase(found);
 }
 
 void UpstreamHealth::OnMisdirected(const std::string& id, TimePoint now) {
   Record& record = Touch(id, now);
   record.failures += 1;
-  Eject(record, now);
+  Eject(id, record, now);
 }
 
-void UpstreamHealth::JudgeDomain(Domain& domain, TimePoint now) {
+void UpstreamHealth::JudgeDomain(const std::string& name,
+                                 Domain& domain,
+                                 TimePoint now) {
   if (now < domain.ejected_until)
     return;
   for (auto entry = domain.failed.begin(); entry != domain.failed.end();)
@@ -78,12 +89,19 @@
     time = std::min(2 * time, options_.longest_domain_ejection);
   domain.ejected_until = now + time;
   ++domain.ejections;
+  HealthEvent event;
+  event.domain = name;
+  event.ejected = true;
+  event.time = time;
+  event.failures = static_cast<double>(domain.failed.size());
+  event.ejections = domain.ejections;
+  events_.push_back(std::move(event));
 }
 
 void UpstreamHealth::OnFailed(const std::string& id, TimePoint now) {
   Record& record = Touch(id, now);
   record.failures += 1;
-  Judge(record, now);
+  Judge(id, record, now);
 }
 
 void UpstreamHealth::OnSilent(const std::string& id, TimePoint now) {
@@ -93,8 +111,14 @@
 void UpstreamHealth::OnSucceeded(const std::string& id, TimePoint now) {
   Record& record = Touch(id, now);
   record.successes += 1;
-  if (now >= record.ejected_until)
-    record.ejections = 0;
+  if (now < record.ejected_until || record.ejections == 0)
+    return;
+  HealthEvent event;
+  event.upstream = id;
+  event.failures = record.failures;
+  event.successes = record.successes;
+  event.ejections = std::exchange(record.ejections, 0);
+  events_.push_back(std::move(event));
 }
 
 void UpstreamHealth::OnDelay(const std::string& id,
@@ -203,21 +227,34 @@
   }
 }
 
-void UpstreamHealth::Eject(Record& record, TimePoint now) {
+void UpstreamHealth::Eject(const std::string& id,
+                           Record& record,
+                           TimePoint now) {
   if (now < record.ejected_until)
     return;
   Duration time = options_.first_ejection;
   for (int i = 0; i < record.ejections && time < options_.longest_ejection; ++i)
     time *= 2;
-  record.ejected_until = now + std::min(time, options_.longest_ejection);
+  time = std::min(time, options_.longest_ejection);
+  record.ejected_until = now + time;
   ++record.ejections;
+  HealthEvent event;
+  event.upstream = id;
+  event.ejected = true;
+  event.time = time;
+  event.failures = record.failures;
+  event.successes = record.successes;
+  event.ejections = record.ejections;
+  events_.push_back(std::move(event));
 }
 
-void UpstreamHealth::Judge(Record& record, TimePoint now) {
+void UpstreamHealth::Judge(const std::string& id,
+                           Record& record,
+                           TimePoint now) {
   const double all = record.failures + record.successes;
   if (record.failures >= options_.min_failures &&
       record.failures >= options_.max_failure_share * all)
-    Eject(record, now);
+    Eject(id, record, now);
 }
 
 }  // namespace teaselhill::gateway
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 #include <restinio/all.hpp>
 #include <set>
@@ -309,6 +310,14 @@
     });
   }
 
+  /// The connection ends with a refusal; what follows on it is not handled.
+  void OnRefused(restinio::connection_id_t connection) {
+    refused_.insert(connection);
+  }
+  bool IsRefused(restinio::connection_id_t connection) const {
+    return refused_.count(connection) > 0;
+  }
+
   bool HasUnsent() const {
     return std::any_of(responses_.begin(), responses_.end(),
                        [](const auto& entry) {
@@ -321,6 +330,7 @@
   // Also called for a connection whose TLS handshake failed.
   void OnClosed(restinio::connection_id_t connection) {
     open_.erase(connection);
+    refused_.erase(connection);
     std::vector<std::shared_ptr<RestinioResponse>> affected;
     const auto [first, last] = responses_.equal_range(connection);
     for (auto entry = first; entry != last; ++entry) {
@@ -339,6 +349,7 @@
                           std::weak_ptr<RestinioResponse>>
       responses_;
   std::unordered_map<restinio::connection_id_t, restinio::endpoint_t> open_;
+  std::set<restinio::connection_id_t> refused_;
 };
 
 ResultCode CodeOfParserError(std::string_view name) {
@@ -393,6 +404,32 @@
   return bytes;
 }
 
+bool IsToken(std::string_view name) {
+  constexpr std::string_view kSeparators = "()<>@,;:\\\"/[]?={}";
+  return std::all_of(name.begin(), name.end(), [&](char c) {
+    return c > ' ' && c < 0x7f && kSeparators.find(c) == std::string_view::npos;
+  });
+}
+
+/// The parser takes a blank before the colon, and any list that ends in
+/// `chunked`. A server behind the gateway may read the same bytes otherwise and
+/// see another request in the body.
+std::optional<Error> FindAmbiguity(
+    const restinio::http_request_header_t& header) {
+  std::optional<Error> fault;
+  int encodings = 0;
+  header.for_each_field([&](const restinio::http_header_field_t& field) {
+    if (!IsToken(field.name()))
+      fault = Error{ResultCode::kMalformedRequest,
+                    "a header name holds a character that is not allowed"};
+    if (SameHeaderName(field.name(), "Transfer-Encoding") &&
+        (++encodings > 1 || !SameHeaderName(field.value(), "chunked")))
+      fault = Error{ResultCode::kMalformedRequest,
+                    "transfer-encoding: only 'chunked' is supported"};
+  });
+  return fault;
+}
+
 RestinioResponse::~RestinioResponse() {
   if (const auto table = table_.lock())
     table->Remove(connection_, this);
@@ -519,12 +556,19 @@
 
   restinio::request_handling_status_t Handle(
       restinio::request_handle_t request) {
+    // A request behind a refused one may have been read before the refusal was
+    // written. Its caller would get no answer.
+    if (table_->IsRefused(request->connection_id()))
+      return Refuse(*request, {ResultCode::kMalformedRequest,
+                               "the request before it was refused"});
     // RESTinio stops all of its timers for a connection that asks for an
     // upgrade.
     if (request->header().connection() ==
         restinio::http_connection_header_t::upgrade)
       return Refuse(*request, {ResultCode::kBadHeader,
                                "upgrade: other protocols are not supported"});
+    if (const auto fault = FindAmbiguity(request->header()))
+      return Refuse(*request, *fault);
     if (HeaderBytes(request->header()) > options_.max_header_bytes)
       return Refuse(*request, {ResultCode::kHeaderTooLarge,
                                "all headers together exceed the size limit"});
@@ -535,9 +579,9 @@
     return restinio::request_accepted();
   }
 
-  static restinio::request_handling_status_t Refuse(
-      restinio::request_t& request,
-      const Error& error) {
+  restinio::request_handling_status_t Refuse(restinio::request_t& request,
+                                             const Error& error) {
+    table_->OnRefused(request.connection_id());
     auto response =
         request.create_response(StatusLine(Describe(error.code).http_status));
     for (const Header& header : ErrorHeaders(error, Duration::zero()))
