--- a/scripts/soak-mutations.sh
+++ b/scripts/soak-mutations.sh
@@ -2,9 +2,11 @@
 # Shows that the soak finds faults: builds the gateway with one promise broken at a
 # time, in a copy of the sources, and plays seeds until the promise is reported.
 # Prints a row a mutation; exit 1 if one was not found within SEEDS seeds.
+#   scripts/soak-mutations.sh [PROMISE...]   all mutations, or those of the promises
 set -eu
 cd "$(dirname "$0")/.."
 seeds=${SEEDS:-8}
+only=$*
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
 cp -r CMakeLists.txt cmake include lib platform tools "$copy"
@@ -13,6 +15,7 @@
 
 # mutate PROMISE FILE SED-EXPRESSION
 mutate() {
+  [ -z "$only" ] || [[ " $only " == *" $1 "* ]] || return 0
   cp "$copy/$2" "$copy/kept"
   sed -i "$3" "$copy/$2"
   if cmp -s "$copy/kept" "$copy/$2"; then
@@ -43,4 +46,7 @@
 mutate leaving lib/gateway/upstream_directory.cc 's/if (state.entry \&\& !state.entry->draining)/if (state.entry)/; s/may_return = .*/may_return = true;/'
 mutate cut lib/gateway/daemon.cc 's/if (gateway_.open_requests() == 0 \&\& !caller_server_.HasUnsentResponses())//'
 mutate denied lib/gateway/route_table.cc 's/return found == by_key_.end() ? nullptr : found->second;/return nullptr;/'
+mutate config_late platform/store_source.cc 's/{kConfigTopic, kConfigWait, Duration::zero()}/{kConfigTopic, Duration::zero(), 2 * kConfigWait}/'
+mutate config_backwards lib/gateway/state_keeper.cc 's/if (current \&\& routes->version() <= current->version())/if (false)/'
+mutate urgent lib/gateway/overload_gate.cc 's/if (level.route == state.levels.begin()->first.route)/if (false)/; s/state.levels.upper_bound(level)/state.levels.end()/'
 exit $failed
--- a/scripts/soak/caller.py
+++ b/scripts/soak/caller.py
@@ -7,7 +7,10 @@
 import http_io
 import upstream
 
-PATHS = {"safe": "/safe/x", "once": "/once/x", "stream": "/stream/x"}
+PATHS = {"safe": "/safe/x", "once": "/once/x", "stream": "/stream/x",
+         "draft": "/draft/x"}
+STREAMS = ("stream", "draft")
+QUEUE_FULL = b'"code":2001'  # refused because answers would begin too late
 
 
 class Caller:
@@ -39,6 +42,8 @@
         while time.monotonic() < end:
             await asyncio.sleep(self.rng.uniform(0.01, 0.08))
             kind = self.rng.choice(list(PATHS))
+            if time.monotonic() < self.fleet.drafts_until:
+                kind = self.rng.choice(["draft", "draft", "draft", "stream"])
             request_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
             body = b"" if kind == "safe" else self.rng.randbytes(
                 self.rng.choice([0, 20, 3000]))
@@ -84,6 +89,9 @@
             return False
         if status == 200:
             self.check_whole(request_id, kind, headers, pieces)
+        elif kind == "stream" and QUEUE_FULL in pieces:
+            self.ledger.violate("urgent", f"{request_id} was refused for less "
+                                "urgent requests")
         elif status in (401, 404):
             self.ledger.violate("denied", f"{request_id} got {status}")
         return headers.get("connection", "").lower() != "close"
@@ -91,7 +99,7 @@
     def check_whole(self, request_id, kind, headers, body):
         if headers.get("x-attempt-id") != request_id:
             self.ledger.violate("mixed", f"{request_id} got another's answer")
-        if kind == "stream":
+        if kind in STREAMS:
             expected = b"".join(map(upstream.event,
                                     range(1, upstream.EVENTS + 1)))
             if body != expected:
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -118,8 +118,9 @@
         self.leaving_checked = False
         self.hosts, self.upstreams = [], []
         self.keys = [("crew", "key-crew"), ("office", "key-office")]
-        self.version = 0
+        self.version, self.versions, self.config_at = 0, [], 0.0
         self.upstream_fault = 0.0
+        self.drafts_until = 0.0
 
     async def start(self, host_count):
         self.store = Store(self.rng)
@@ -139,9 +140,17 @@
         self.version += self.rng.randint(1, 4)
         route = {"host": "h.example", "timeoutMs": 4000, "priority": 0,
                  "allowAnon": False}
-        self.store.put("keyed.op", "config", {
+        self.versions.append(self.version)
+        self.config_at = self.store.put("keyed.op", "config", {
             "version": self.version,
             "routes": [
+                {**route, "name": "marker", "kind": "safe", "service": "app",
+                 "pathPrefix": f"/marker-{self.version}/", "attempts": 2,
+                 "goalMs": 150, "allowAnon": True},
+                {**route, "name": "draft", "pathPrefix": "/draft/",
+                 "kind": "streaming", "service": "llm", "attempts": 3,
+                 "resumable": True, "goalMs": 400, "gapGoalMs": 400,
+                 "priority": 1},
                 {**route, "name": "safe", "pathPrefix": "/safe/",
                  "kind": "safe", "service": "app", "attempts": 2, "goalMs": 150},
                 {**route, "name": "once", "pathPrefix": "/once/",
@@ -232,7 +241,7 @@
     seconds = fleet.rng.uniform(0.5, 3)
     for each in fleet.hosts:
         each.last_fault = time.monotonic() + seconds
-    await fleet.store.disturb(fleet.rng.choice(["down", "silent", "slow"]),
+    await fleet.store.disturb(fleet.rng.choice(["down", "silent", "slow", "stale"]),
                               seconds)
 
 
@@ -279,6 +288,11 @@
         fleet.store.put("keyed.servers", upstream.name, None)
 
 
+async def burst_of_drafts(fleet, host):
+    """Less urgent work above the capacity of the engines."""
+    fleet.drafts_until = time.monotonic() + fleet.rng.uniform(1, 3)
+
+
 async def replace_upstream(fleet, host):
     """An upstream leaves, with or without saying so; another takes its place."""
     staying = [u for u in fleet.upstreams if u.left_at is None and not u.dead]
@@ -296,4 +310,4 @@
 
 FAULTS = [terminate, kill, freeze, reload, cut_from_store, change_config,
           disturb_store, compact_store, foreign_entry, disturb_upstream,
-          cut_upstream, crash_upstream, replace_upstream]
+          cut_upstream, crash_upstream, replace_upstream, burst_of_drafts]
--- a/scripts/soak/ledger.py
+++ b/scripts/soak/ledger.py
@@ -15,6 +15,7 @@
         self.examples = []
         self.requests = collections.Counter()
         self.leaving_bound = 2.0
+        self.priorities = {}  # kind of request: priority at the engines
 
     def violate(self, promise, text):
         self.broken[promise] += 1
@@ -40,6 +41,9 @@
         if upstream.left_at and now > upstream.left_at + self.leaving_bound:
             self.violate("leaving", f"{request_id} reached {upstream.name} "
                          f"{now - upstream.left_at:.2f} s after it left")
+        self.priorities[kind] = int(headers.get("x-request-priority", 5))
+        if self.priorities.get("stream", 0) > self.priorities.get("draft", 9):
+            self.violate("urgent", f"{request_id}: {self.priorities}")
         if kind == "once" and len(self.runs[request_id]) > 1:
             self.violate("twice", f"{request_id} ran again")
         if request_id in self.refused:
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -12,6 +12,7 @@
 from caller import Caller
 from fleet import FAULTS, Fleet, disturb_store, cut_from_store, freeze, kill
 from ledger import Ledger
+from probes import ConfigProbe
 
 CALLERS_PER_HOST = 4
 
@@ -66,13 +67,16 @@
     end = time.monotonic() + options.seconds
     callers = [Caller(fleet, ledger, random.Random(rng.random())).run(end + 2)
                for _ in range(CALLERS_PER_HOST * options.processes)]
+    probes = [ConfigProbe(fleet, ledger, host, random.Random(rng.random()))
+              .run(end) for host in fleet.hosts]
     await asyncio.gather(inject(fleet, random.Random(rng.random()), end, counts),
-                         *callers)
+                         *callers, *probes)
     await fleet.stop()
     for example in ledger.examples:
         print(example)
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
-                "cut", "denied", "answer"]
+                "cut", "denied", "answer", "config_late", "config_backwards",
+                "urgent"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
--- a/scripts/soak/store.py
+++ b/scripts/soak/store.py
@@ -9,6 +9,10 @@
 import http_io
 
 
+# How far answers lag behind in the mode `stale`.
+STALE_RECORDS = 2
+
+
 class Topic:
     def __init__(self):
         self.records = []  # (key, value or None) by offset
@@ -20,9 +24,9 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def newest(self):
+    def newest(self, end):
         newest = {}
-        for offset, (key, value) in enumerate(self.records):
+        for offset, (key, value) in enumerate(self.records[:end]):
             newest[key] = (offset, value)
         return {k: v for k, v in newest.items() if v[1] is not None}
 
@@ -34,7 +38,7 @@
     def __init__(self, rng):
         self.rng = rng
         self.topics = {"keyed.op": Topic(), "keyed.servers": Topic()}
-        self.mode = "good"  # or down, silent, slow
+        self.mode = "good"  # or down, silent, slow, stale
 
     async def start(self, address):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -77,23 +81,27 @@
         path, _, text = target.partition("?")
         query = dict(item.split("=", 1) for item in text.split("&"))
         topic = self.topics[query["topic"]]
+        end = len(topic.records)
+        if self.mode == "stale":
+            end = max(1, end - STALE_RECORDS)
         if path == "/v1/log-newest":
             items = [{"key": key, "value": base64.b64encode(value).decode(),
                       "offset": offset}
-                     for key, (offset, value) in topic.newest().items()]
-            body = {"items": items, "hasMore": False, "end": len(topic.records)}
+                     for key, (offset, value) in topic.newest(end).items()]
+            body = {"items": items, "hasMore": False, "end": end}
             return http_io.response(200, {}, json.dumps(body).encode())
         start = int(query["from"])
         if start < topic.first:
             return http_io.response(410, {})
         wait = int(query.get("waitMs", 0)) / 1000
-        if wait and start >= len(topic.records):
+        if wait and start >= end and self.mode == "good":
             try:
                 await asyncio.wait_for(topic.changed.wait(), wait)
             except asyncio.TimeoutError:
                 pass
-        body = struct.pack(">QQ", len(topic.records), topic.first)
-        for key, value in topic.records[start:]:
+            end = len(topic.records)
+        body = struct.pack(">QQ", end, topic.first)
+        for key, value in topic.records[start:end]:
             content = bytes([len(key)]) + key.encode() + (value or b"")
             body += struct.pack(">I", len(content)) + content
         return http_io.response(200, {}, body)
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -7,6 +7,7 @@
 import http_io
 
 EVENTS = 12
+SLOTS = 2  # streams that an engine runs at once; callers overload three engines
 
 
 def checksum(request_id, body):
@@ -26,6 +27,7 @@
         self.faults = {}  # fault: probability
         self.left_at = None  # when the store accepted that it leaves
         self.writers = set()
+        self.slots = asyncio.Semaphore(SLOTS)
 
     async def start(self, address):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -81,8 +83,9 @@
         if self.strikes("garble"):
             writer.write(b"\x00\x01 not an answer\r\n\r\n")
             return False
-        if "/stream" in line:
-            return await self.stream(headers, common, writer)
+        if "/stream" in line or "/draft" in line:
+            async with self.slots:
+                return await self.stream(headers, common, writer)
         await asyncio.sleep(self.rng.uniform(0.002, 0.03))
         answer = f"{self.service} ran {request_id}".encode()
         common["X-Server-Seal"] = checksum(request_id, answer)
