Tell refused callers to come back within their target

Cause: a refused caller was told to come back after 0.6 to 1.6 s. With a target of 0.8 s it was late even when it was let in then. Change: Retry-After is 0.15 to 0.45 of the target, spread at random, 100 ms at least.

--- a/include/teaselhill/gateway/overload_gate.h
+++ b/include/teaselhill/gateway/overload_gate.h
@@ -36,8 +36,12 @@
   /// Requests that may run at that engine. Each prompt that is read there stops
   /// all of them for its time.
   int most_running = 10;
-  Duration shortest_return = std::chrono::milliseconds(600);
-  Duration longest_return = std::chrono::milliseconds(1600);
+  /// Parts of the target after which a refused caller is told to come back. A
+  /// second attempt that is let in then still begins within the target.
+  double shortest_return = 0.15;
+  double longest_return = 0.45;
+  /// Keeps callers of routes with very short targets from asking at once.
+  Duration least_return = std::chrono::milliseconds(100);
 };
 
 /// Urgency of a request at the gate. Routes go first: a long draft of one team
--- a/lib/gateway/overload_gate.cc
+++ b/lib/gateway/overload_gate.cc
@@ -75,10 +75,11 @@
                  1 - options_.least_admitted);
   decision.admitted = dice >= decision.refused_part;
   if (!decision.admitted)
-    decision.retry_after =
-        options_.shortest_return +
-        FromSeconds(spread * ToSeconds(options_.longest_return -
-                                       options_.shortest_return));
+    decision.retry_after = std::max<Duration>(
+        FromSeconds(ToSeconds(target) * (options_.shortest_return +
+                                         spread * (options_.longest_return -
+                                                   options_.shortest_return))),
+        options_.least_return);
   return decision;
 }
 
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -57,12 +57,9 @@
   const auto found = domains_.find(domain);
   if (found == domains_.end())
     return;
-  if (found->second.ejections > 0) {
-    HealthEvent event;
-    event.domain = domain;
-    event.ejections = found->second.ejections;
-    events_.push_back(std::move(event));
-  }
+  if (found->second.ejections > 0)
+    events_.push_back({"", domain, /*ejected=*/false, Duration::zero(), 0, 0,
+                       found->second.ejections});
   domains_.erase(found);
 }
 
@@ -89,13 +86,9 @@
     time = std::min(2 * time, options_.longest_domain_ejection);
   domain.ejected_until = now + time;
   ++domain.ejections;
-  HealthEvent event;
-  event.domain = name;
-  event.ejected = true;
-  event.time = time;
-  event.failures = static_cast<double>(domain.failed.size());
-  event.ejections = domain.ejections;
-  events_.push_back(std::move(event));
+  events_.push_back({"", name, /*ejected=*/true, time,
+                     static_cast<double>(domain.failed.size()), 0,
+                     domain.ejections});
 }
 
 void UpstreamHealth::OnFailed(const std::string& id, TimePoint now) {
@@ -113,12 +106,9 @@
   record.successes += 1;
   if (now < record.ejected_until || record.ejections == 0)
     return;
-  HealthEvent event;
-  event.upstream = id;
-  event.failures = record.failures;
-  event.successes = record.successes;
-  event.ejections = std::exchange(record.ejections, 0);
-  events_.push_back(std::move(event));
+  events_.push_back({id, "", /*ejected=*/false, Duration::zero(),
+                     record.failures, record.successes,
+                     std::exchange(record.ejections, 0)});
 }
 
 void UpstreamHealth::OnDelay(const std::string& id,
@@ -238,14 +228,8 @@
   time = std::min(time, options_.longest_ejection);
   record.ejected_until = now + time;
   ++record.ejections;
-  HealthEvent event;
-  event.upstream = id;
-  event.ejected = true;
-  event.time = time;
-  event.failures = record.failures;
-  event.successes = record.successes;
-  event.ejections = record.ejections;
-  events_.push_back(std::move(event));
+  events_.push_back({id, "", /*ejected=*/true, time, record.failures,
+                     record.successes, record.ejections});
 }
 
 void UpstreamHealth::Judge(const std::string& id,
