Drop waiting requests of callers that left in the soak's engines

Cause: a soak with 120 hosts ran out of 20,000 descriptors. The stand-in engine kept requests whose caller had left in its queue, so that it worked for nobody (3,640 of the streams of a run with 60 hosts ended with 504).

--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -16,6 +16,10 @@
 
 CALLERS_PER_HOST = 4
 
+# Each caller's request takes about five descriptors of the soak: caller, proxy
+# and upstream. With 480 callers it ran out of them.
+MOST_CALLERS = 160
+
 # A host that was disturbed learns late that an upstream leaves, so a run either
 # disturbs hosts or checks the bound on leaving upstreams.
 HOST_FAULTS = (disturb_store, cut_from_store, freeze, kill)
@@ -50,14 +54,8 @@
         loop.default_exception_handler(context)
 
 
-async def run(options):
-    asyncio.get_running_loop().set_exception_handler(ignore_cancelled)
-    rng = random.Random(options.seed)
-    ledger = Ledger()
-    folder = options.logs or tempfile.mkdtemp(prefix="teaselhill-soak-")
-    os.makedirs(folder, exist_ok=True)
-    fleet = Fleet(ledger, rng, options.binary, folder, network(options.seed))
-    counts = collections.Counter()
+async def play(options, fleet, ledger, rng, counts):
+    """Starts the hosts and lets callers, probes and faults run beside each other."""
     await fleet.start(options.processes)
     start = time.monotonic()
     while not all(host.ready for host in fleet.hosts):
@@ -66,12 +64,26 @@
             raise SystemExit("the hosts did not become ready")
     end = time.monotonic() + options.seconds
     callers = [Caller(fleet, ledger, random.Random(rng.random())).run(end + 2)
-               for _ in range(CALLERS_PER_HOST * options.processes)]
+               for _ in range(min(CALLERS_PER_HOST * options.processes,
+                                  MOST_CALLERS))]
     probes = [ConfigProbe(fleet, ledger, host, random.Random(rng.random()))
               .run(end) for host in fleet.hosts]
     await asyncio.gather(inject(fleet, random.Random(rng.random()), end, counts),
                          *callers, *probes)
-    await fleet.stop()
+
+
+async def run(options):
+    asyncio.get_running_loop().set_exception_handler(ignore_cancelled)
+    rng = random.Random(options.seed)
+    ledger = Ledger()
+    folder = options.logs or tempfile.mkdtemp(prefix="teaselhill-soak-")
+    os.makedirs(folder, exist_ok=True)
+    fleet = Fleet(ledger, rng, options.binary, folder, network(options.seed))
+    counts = collections.Counter()
+    try:
+        await play(options, fleet, ledger, rng, counts)
+    finally:
+        await fleet.stop()
     for example in ledger.examples:
         print(example)
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -7,6 +7,7 @@
 import http_io
 
 EVENTS = 12
+LOOK_S = 0.1  # time after which a waiting request looks whether its caller left
 SLOTS = 2  # streams that an engine runs at once; callers overload three engines
 
 
@@ -52,7 +53,7 @@
                 if request is None:
                     return
                 body = await http_io.whole_body(reader, request[1])
-                if not await self.answer(request, body, writer):
+                if not await self.answer(request, body, reader, writer):
                     return
         except (ConnectionError, http_io.TornMessage, asyncio.CancelledError):
             pass
@@ -60,7 +61,17 @@
             self.writers.discard(writer)
             writer.close()
 
-    async def answer(self, request, body, writer):
+    async def wait_for_slot(self, reader):
+        """Returns False once the caller has left: its place is given up."""
+        while not reader.at_eof():
+            try:
+                await asyncio.wait_for(self.slots.acquire(), LOOK_S)
+                return True
+            except asyncio.TimeoutError:
+                pass
+        return False
+
+    async def answer(self, request, body, reader, writer):
         line, headers = request
         request_id = headers.get("x-attempt-id", "")
         if headers.get("x-expect-instance") != self.name:
@@ -84,8 +95,12 @@
             writer.write(b"\x00\x01 not an answer\r\n\r\n")
             return False
         if "/stream" in line or "/draft" in line:
-            async with self.slots:
-                return await self.stream(headers, common, writer)
+            if not await self.wait_for_slot(reader):
+                return False
+            try:
+                return await self.stream(headers, common, reader, writer)
+            finally:
+                self.slots.release()
         await asyncio.sleep(self.rng.uniform(0.002, 0.03))
         answer = f"{self.service} ran {request_id}".encode()
         common["X-Server-Seal"] = checksum(request_id, answer)
@@ -99,7 +114,7 @@
         await writer.drain()
         return True
 
-    async def stream(self, headers, common, writer):
+    async def stream(self, headers, common, reader, writer):
         first = int(headers.get("last-event-id", 0)) + 1
         common["X-Server-Seal"] = "stream"
         common["Content-Type"] = "text/event-stream"
@@ -107,6 +122,8 @@
         writer.write(http_io.head("HTTP/1.1 200 OK", common))
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(self.rng.uniform(0.005, 0.04))
+            if reader.at_eof():
+                return False
             data = event(number)
             if self.strikes("cut_stream"):
                 writer.write(http_io.chunk(data[:len(data) // 2]))
