--- a/include/teaselhill/gateway/upstream_health.h
+++ b/include/teaselhill/gateway/upstream_health.h
@@ -60,10 +60,9 @@
   void OnReached(const std::string& domain);
   /// Another upstream has the address.
   void OnMisdirected(const std::string& id, TimePoint now);
-  /// An answer failed, broke off or was spoiled.
+  /// An answer failed, broke off, was spoiled, or no byte of it came within the
+  /// time in which answers usually begin.
   void OnFailed(const std::string& id, TimePoint now);
-  /// No byte came within the time in which answers usually begin.
-  void OnSilent(const std::string& id, TimePoint now);
   /// An answer was complete.
   void OnSucceeded(const std::string& id, TimePoint now);
   /// An answer began `excess` later than its own work explains.
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -114,17 +114,20 @@
       });
 }
 
-bool Exchange::PassGate() {
+std::optional<Placed> Exchange::Place() {
+  const auto list = gateway_.shared_.upstreams();
+  directory_offset_ = list->offset;
+  return gateway_.placement_->Choose(accepted_.placement, *list,
+                                     gateway_.health_, BootNow());
+}
+
+bool Exchange::PassGate(const std::optional<Placed>& placed) {
   if (accepted_.gate.admitted)
     return true;
-  const TimePoint now = BootNow();
-  const std::optional<Placed> placed = gateway_.placement_->Choose(
-      accepted_.placement, *gateway_.shared_.upstreams(), gateway_.health_,
-      now);
   if (!placed)
     return false;
   const std::optional<int> running =
-      gateway_.health_.ReportedRunning(placed->upstream.id, now);
+      gateway_.health_.ReportedRunning(placed->upstream.id, BootNow());
   if (!running)
     return false;
   accepted_.gate =
@@ -134,24 +137,21 @@
 }
 
 void Exchange::Begin() {
-  if (!PassGate())
+  const std::optional<Placed> placed = Place();
+  if (!PassGate(placed))
     return Shed();
-  if (!Send())
+  if (!placed)
     return Fail({ResultCode::kNoUpstream, ""});
+  Send(*placed);
   if (accepted_.placement.engine && !finished_ && !first_event_at_) {
     queued_ = true;
     gateway_.gate_.OnQueued(accepted_.service, accepted_.level());
   }
 }
 
-bool Exchange::Send() {
+void Exchange::Send(const Placed& placed) {
   const TimePoint now = BootNow();
-  const auto list = gateway_.shared_.upstreams();
-  const std::optional<Placed> placed = gateway_.placement_->Choose(
-      accepted_.placement, *list, gateway_.health_, now);
-  if (!placed)
-    return false;
-  upstream_ = placed->upstream;
+  upstream_ = placed.upstream;
   expected_work_ =
       gateway_.placement_->ExpectedPrefill(accepted_.placement, upstream_, now);
   ++state_.sends;
@@ -168,12 +168,12 @@
           .Field("address", upstream_.address)
           .Field("domain", upstream_.domain)
           .Field("attempt", state_.sends)
-          .Field("reason", ReasonName(placed->reason))
-          .Field("expected_ms", placed->expected_delay)
-          .Field("second_best_ms", placed->second_best)
-          .Field("candidates", placed->candidates)
-          .Field("ejected", placed->ejected)
-          .Field("directory_offset", list->offset)
+          .Field("reason", ReasonName(placed.reason))
+          .Field("expected_ms", placed.expected_delay)
+          .Field("second_best_ms", placed.second_best)
+          .Field("candidates", placed.candidates)
+          .Field("ejected", placed.ejected)
+          .Field("directory_offset", directory_offset_)
           .Field("directory_age_ms", now - gateway_.shared_.upstreams_read_at())
           .Field("config_version", accepted_.routes->version()),
       now);
@@ -189,7 +189,6 @@
   attempt_->transfer = gateway_.client_.Start(std::move(request), attempt_);
   gateway_.metrics_.CountAttempt(state_.sends > 1 ? "again" : "first");
   Watch();
-  return true;
 }
 
 SendOrder Exchange::MakeOrder(const UpstreamEntry& upstream,
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -53,10 +53,12 @@
   class Attempt;
 
   void Begin();
-  /// Whether the gate admits the request, given the reports of its engines.
-  bool PassGate();
+  /// Chooses an upstream; nothing: none is left.
+  std::optional<Placed> Place();
+  /// Whether the gate admits the request, given the report of the upstream.
+  bool PassGate(const std::optional<Placed>& placed);
   void Shed();
-  bool Send();
+  void Send(const Placed& placed);
   SendOrder MakeOrder(const UpstreamEntry& upstream, TimePoint now) const;
   void StopAttempt();
   void OnHead(int status, const net::Headers& headers);
@@ -85,8 +87,9 @@
   std::shared_ptr<net::ResponseWriter> response_;
   ExchangeState state_;
   std::shared_ptr<Attempt> attempt_;
-  UpstreamEntry upstream_;    ///< of the current or last attempt
-  Duration expected_work_{};  ///< of the current attempt, before it begins
+  uint64_t directory_offset_ = 0;  ///< of the list that was chosen from last
+  UpstreamEntry upstream_;         ///< of the current or last attempt
+  Duration expected_work_{};       ///< of the current attempt, before it begins
   TimePoint sent_at_{};
   TimePoint progress_at_{};  ///< last byte of the current attempt
   std::optional<AnswerHead> head_;
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -35,8 +35,9 @@
                           .Field("repeat_budget", budget)
                           .Field("time_left_ms", state_.end - now),
                       now);
-  if (budget && Send())
-    return;
+  const std::optional<Placed> placed = budget ? Place() : std::nullopt;
+  if (placed)
+    return Send(*placed);
   Follow(Decide(state_, outcome));
 }
 
@@ -49,6 +50,7 @@
       break;
     case AttemptOutcome::kFailureAnswer:
     case AttemptOutcome::kBroken:
+    case AttemptOutcome::kSilent:
       health.OnFailed(id, now);
       break;
     case AttemptOutcome::kNotRun:
@@ -57,9 +59,6 @@
     case AttemptOutcome::kNotSent:
       health.OnConnectFailed(id, upstream_.domain, now);
       break;
-    case AttemptOutcome::kSilent:
-      health.OnSilent(id, now);
-      break;
   }
   gateway_.LogHealth(now);
 }
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -97,10 +97,6 @@
   Judge(id, record, now);
 }
 
-void UpstreamHealth::OnSilent(const std::string& id, TimePoint now) {
-  OnFailed(id, now);
-}
-
 void UpstreamHealth::OnSucceeded(const std::string& id, TimePoint now) {
   Record& record = Touch(id, now);
   record.successes += 1;
--- a/unittests/net/caller_fuzz_test.cc
+++ b/unittests/net/caller_fuzz_test.cc
@@ -100,6 +100,16 @@
   return request;
 }
 
+/// Draws `count` requests and appends their bytes to `bytes`.
+std::vector<Sent> RandomRequests(size_t count, Rng& rng, std::string* bytes) {
+  std::vector<Sent> requests;
+  for (size_t i = 0; i < count; ++i) {
+    requests.push_back(RandomRequest("r" + std::to_string(i), rng));
+    *bytes += requests.back().bytes;
+  }
+  return requests;
+}
+
 /// Sends the bytes in random pieces, some of them apart.
 void SendTorn(RawConnection& caller,
               EventLoop& loop,
@@ -145,12 +155,9 @@
     Fixture fixture;
     RawConnection caller(fixture.loop, fixture.server.port());
     caller.Read();
-    std::vector<Sent> sent;
     std::string bytes;
-    for (size_t i = 0, count = 1 + rng.Below(6); i < count; ++i) {
-      sent.push_back(RandomRequest("r" + std::to_string(i), rng));
-      bytes += sent.back().bytes;
-    }
+    const std::vector<Sent> sent =
+        RandomRequests(1 + rng.Below(6), rng, &bytes);
     SendTorn(caller, fixture.loop, bytes, rng);
     RunUntil(fixture.loop, [&] {
       return caller.closed() || caller.Count("<" + sent.back().id + ">") == 1;
@@ -206,12 +213,8 @@
     Fixture fixture;
     RawConnection caller(fixture.loop, fixture.server.port());
     caller.Read();
-    std::vector<Sent> before;
     std::string bytes;
-    for (size_t i = 0, count = rng.Below(3); i < count; ++i) {
-      before.push_back(RandomRequest("r" + std::to_string(i), rng));
-      bytes += before.back().bytes;
-    }
+    const std::vector<Sent> before = RandomRequests(rng.Below(3), rng, &bytes);
     Sent ambiguous{"ambiguous", "/p/1", "", ""};
     bytes += Frame(ambiguous, framing, std::string("0\r\n\r\n") + kSmuggled);
     SendTorn(caller, fixture.loop, bytes, rng);
