Name the fingerprint of a request in the line of each attempt that failed

A repeated request has a new attempt id each time, so the log could not tell a request that crashes its upstreams from many requests that each failed once. attempt_ended now has the fingerprint (method, path, team, body), which is the same for each repeat on every host, and the incarnation of the upstream.

--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "teaselhill/retry/crash_tracker.h"
+
 namespace teaselhill::gateway {
 
 namespace {
@@ -36,6 +38,12 @@
 
 }  // namespace
 
+Hash128 RequestFingerprint(const net::HttpRequest& request,
+                           const std::string& team) {
+  return retry::Fingerprint(request.method + ' ' + request.target + ' ' + team,
+                            request.body);
+}
+
 std::string AcceptedRequest::ClassLabel() const {
   return std::string(RouteKindName(route->kind)) + "-" + std::to_string(tier);
 }
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -10,9 +10,15 @@
 
 #include "teaselhill/gateway/event_stream.h"
 #include "teaselhill/gateway/gateway.h"
+#include "teaselhill/support/hash.h"
 
 namespace teaselhill::gateway {
 
+/// Hash of what a repeated request has in common with its first send: method,
+/// path, team and body. The same on every host.
+Hash128 RequestFingerprint(const net::HttpRequest& request,
+                           const std::string& team);
+
 /// A request that was resolved to a route and a service.
 struct AcceptedRequest {
   RequestId id = 0;
@@ -31,6 +37,8 @@
 
   GateLevel gate_level() const { return {route->tier, tier}; }
 
+  Hash128 Fingerprint() const { return RequestFingerprint(http_request, team); }
+
   /// Label for metrics. Has a bounded number of values, while a configuration
   /// may have hundreds of routes.
   std::string ClassLabel() const;
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -27,6 +27,7 @@
   gateway_.log_.Write(LineKind::kFailure,
                       RequestLogLine("attempt_ended")
                           .Field("upstream", upstream_.id)
+                          .Field("incarnation", upstream_.incarnation)
                           .Field("attempt", state_.sends)
                           .Field("outcome", AttemptOutcomeName(outcome))
                           .Field("detail", detail)
@@ -36,7 +37,8 @@
                           .Field("may_have_run", state_.possible_runs > 0)
                           .Field("repeat_allowed", retry_allowed)
                           .Field("repeat_budget", within_budget)
-                          .Field("time_left_ms", state_.deadline - now),
+                          .Field("time_left_ms", state_.deadline - now)
+                          .Field("fingerprint", ToHex(request_.Fingerprint())),
                       now);
   const std::optional<Placement> placement =
       within_budget ? PlaceRequest() : std::nullopt;
