Add a failing test of a request that crashes each upstream that runs it

The soak plays a caller that repeats one request with the same path, key and body and a new id each time, at any host; the upstream that begins to run it ends and is back after 0.8 to 2.5 s with the same id. Promise crashing: at most three arrivals later than 3 s after the third crash. Promise innocent: no other request is refused as quarantined.

--- a/scripts/soak/caller.py
+++ b/scripts/soak/caller.py
@@ -11,6 +11,7 @@
          "draft": "/draft/x"}
 STREAMS = ("stream", "draft")
 QUEUE_FULL = b'"code":2001'  # refused because answers would begin too late
+QUARANTINED = b'"code":2006'  # refused because the request crashes upstreams
 
 
 class Caller:
@@ -92,6 +93,9 @@
         elif kind == "stream" and QUEUE_FULL in pieces:
             self.ledger.violate("urgent", f"{request_id} was refused for less "
                                 "urgent requests")
+        elif QUARANTINED in pieces:
+            self.ledger.violate("innocent", f"{request_id} was refused, but "
+                                "crashes no upstream")
         elif status in (401, 404):
             self.ledger.violate("denied", f"{request_id} got {status}")
         return headers.get("connection", "").lower() != "close"
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -176,13 +176,14 @@
     def register(self, upstream, state="ready"):
         return self.store.put("keyed.servers", upstream.name, {
             "service": upstream.service, "zone": "z1", "slots": 8, "seq": 0,
-            "addr": f"{self.network}.220:{upstream.port}", "state": state})
+            "addr": f"{self.network}.220:{upstream.port}", "state": state,
+            "born": upstream.born})
 
     async def renew(self):
         while True:
             await asyncio.sleep(1.2)
             for upstream in self.upstreams:
-                if not upstream.dead and upstream.left_at is None:
+                if not (upstream.dead or upstream.down) and upstream.left_at is None:
                     self.register(upstream)
 
     def pick(self, rng):
--- a/scripts/soak/ledger.py
+++ b/scripts/soak/ledger.py
@@ -16,6 +16,7 @@
         self.requests = collections.Counter()
         self.leaving_bound = 2.0
         self.priorities = {}  # kind of request: priority at the engines
+        self.crashing = {}  # request id: watch of the crashing request
 
     def violate(self, promise, text):
         self.broken[promise] += 1
@@ -49,9 +50,10 @@
         if request_id in self.refused:
             self.violate("not_run", f"{request_id} ran after its refusal")
 
-    def on_status(self, request_id, status):
+    def on_status(self, request_id, status, name=None):
+        """Counts the status under `name`, or else under the kind of request."""
         kind = self.sent[request_id][0]
-        self.requests[f"{kind}_{status}"] += 1
+        self.requests[f"{name or kind}_{status}"] += 1
         if status in (408, 421, 429, 503) and kind == "once":
             self.refused.add(request_id)
             if self.runs[request_id]:
--- a/scripts/soak/proxy.py
+++ b/scripts/soak/proxy.py
@@ -13,7 +13,14 @@
 
     async def start(self, address):
         self.server = await asyncio.start_server(self.serve, address, 0)
-        return self.server.sockets[0].getsockname()[1]
+        self.address = self.server.sockets[0].getsockname()[:2]
+        return self.address[1]
+
+    def stop_listening(self):
+        self.server.close()
+
+    async def listen_again(self):
+        self.server = await asyncio.start_server(self.serve, *self.address)
 
     async def disturb(self, mode, seconds):
         self.mode = mode
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -10,6 +10,7 @@
 import time
 
 from caller import Caller
+from crashing import CrashingCaller
 from fleet import FAULTS, Fleet, disturb_store, cut_from_store, freeze, kill
 from ledger import Ledger
 from probes import ConfigProbe
@@ -30,13 +31,15 @@
     return f"127.{10 + seed // 200 % 200}.{20 + seed % 200}"
 
 
-async def inject(fleet, rng, end, counts):
-    """Starts faults one after the other; their effects overlap."""
+async def inject(fleet, rng, end, counts, only):
+    """Starts faults one after the other; their effects overlap. `only`: names of
+    the faults to choose from; empty: all."""
     calm = rng.random() < 0.4
     fleet.leaving_checked = calm
-    faults = [f for f in FAULTS if not (calm and f in HOST_FAULTS)]
+    faults = [f for f in FAULTS if not (calm and f in HOST_FAULTS)
+              and (not only or f.__name__ in only)]
     running = set()
-    while time.monotonic() < end:
+    while faults and time.monotonic() < end:
         fault = rng.choice(faults)
         for _ in range(rng.choice([1, 1, 1, 2, 3])):
             counts[fault.__name__] += 1
@@ -68,8 +71,11 @@
                                   MOST_CALLERS))]
     probes = [ConfigProbe(fleet, ledger, host, random.Random(rng.random()))
               .run(end) for host in fleet.hosts]
-    await asyncio.gather(inject(fleet, random.Random(rng.random()), end, counts),
-                         *callers, *probes)
+    crashing = [CrashingCaller(fleet, ledger, random.Random(rng.random()))
+                .run(end) for _ in range(options.crashing)]
+    await asyncio.gather(inject(fleet, random.Random(rng.random()), end, counts,
+                                options.faults),
+                         *callers, *probes, *crashing)
 
 
 async def run(options):
@@ -88,7 +94,7 @@
         print(example)
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
                 "cut", "denied", "answer", "config_late", "config_backwards",
-                "urgent"]
+                "urgent", "crashing", "innocent"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
@@ -107,6 +113,10 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--processes", type=int, default=4)
+    parser.add_argument("--crashing", type=int, default=0,
+                        help="callers whose request crashes its upstreams")
+    parser.add_argument("--faults", nargs="*", default=[],
+                        help="names of the faults to choose from; default: all")
     parser.add_argument("--binary", default="build/bin/teaselhill-gateway")
     parser.add_argument("--logs", help="folder for the hosts' logs")
     raise SystemExit(asyncio.run(run(parser.parse_args())))
--- a/scripts/soak/store.py
+++ b/scripts/soak/store.py
@@ -1,7 +1,8 @@
-"""Stand-in for the platform's store: two topics that keep the newest of each key."""
+"""Stand-in for the platform's store: topics that keep the newest of each key."""
 
 import asyncio
 import base64
+import collections
 import json
 import struct
 import time
@@ -13,6 +14,11 @@
 STALE_RECORDS = 2
 
 
+def parse_query(target):
+    return dict(item.split("=", 1)
+                for item in target.partition("?")[2].split("&"))
+
+
 class Topic:
     def __init__(self):
         self.records = []  # (key, value or None) by offset
@@ -37,7 +43,7 @@
 class Store:
     def __init__(self, rng):
         self.rng = rng
-        self.topics = {"keyed.op": Topic(), "keyed.servers": Topic()}
+        self.topics = collections.defaultdict(Topic)
         self.mode = "good"  # or down, silent, slow, stale
 
     async def start(self, address):
@@ -69,6 +75,9 @@
                     await asyncio.sleep(0.3)
                 if self.mode == "down":
                     writer.write(http_io.response(503, {}))
+                elif request[0].startswith("POST"):
+                    body = await http_io.whole_body(reader, request[1])
+                    writer.write(self.append(request[0].split()[1], body))
                 else:
                     writer.write(await self.answer(request[0].split()[1]))
                 await writer.drain()
@@ -77,9 +86,22 @@
         finally:
             writer.close()
 
+    def append(self, target, body):
+        query = parse_query(target)
+        if query["topic"] in ("keyed.op", "keyed.servers"):
+            return http_io.response(403, {})
+        topic = self.topics[query["topic"]]
+        while body:
+            length, = struct.unpack(">I", body[:4])
+            record, body = body[4:4 + length], body[4 + length:]
+            key = record[1:1 + record[0]].decode()
+            topic.put(key, record[1 + record[0]:] or None)
+        return http_io.response(200, {}, json.dumps(
+            {"end": len(topic.records)}).encode())
+
     async def answer(self, target):
-        path, _, text = target.partition("?")
-        query = dict(item.split("=", 1) for item in text.split("&"))
+        path = target.partition("?")[0]
+        query = parse_query(target)
         topic = self.topics[query["topic"]]
         end = len(topic.records)
         if self.mode == "stale":
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -10,6 +10,9 @@
 LOOK_S = 0.1  # time after which a waiting request looks whether its caller left
 SLOTS = 2  # streams that an engine runs at once; callers overload three engines
 
+# Time after which an upstream that a request has crashed is back.
+RESTART_S = (0.8, 2.5)
+
 
 def checksum(request_id, body):
     return hashlib.sha256(request_id.encode() + body).hexdigest()[:16]
@@ -28,6 +31,8 @@
         self.faults = {}  # fault: probability
         self.left_at = None  # when the store accepted that it leaves
         self.writers = set()
+        self.born = int(time.time() * 1000)
+        self.down = False  # crashed by a request
         self.slots = asyncio.Semaphore(SLOTS)
 
     async def start(self, address):
@@ -41,6 +46,18 @@
 
     async def restart(self):
         self.server = await asyncio.start_server(self.serve, *self.target)
+        self.born = int(time.time() * 1000)
+
+    async def crash_for(self, seconds):
+        """Crashes; a new process with the same id and address starts later. The
+        proxy stops listening meanwhile, as the port of a dead process does."""
+        self.crash()
+        self.down = True
+        self.proxy.stop_listening()
+        await asyncio.sleep(seconds)
+        await self.restart()
+        await self.proxy.listen_again()
+        self.down = False
 
     def strikes(self, fault):
         return self.rng.random() < self.faults.get(fault, 0)
@@ -82,6 +99,13 @@
             return True
         self.ledger.on_run(request_id, line, headers, body, self,
                            time.monotonic())
+        watch = self.ledger.crashing.get(request_id)
+        if watch:
+            watch.on_run(request_id, time.monotonic())
+            if not self.down:
+                asyncio.create_task(
+                    self.crash_for(self.rng.uniform(*RESTART_S)))
+            return False
         if self.strikes("lose"):
             return False
         if self.strikes("hang"):
