Refuse a request that has crashed three upstreams, at every gateway

Callers saw: a caller repeats one request that crashes each upstream that runs it, with a new attempt id each time and at any host. Each arrival ended an upstream, and with it the answers of all requests beside it; on a small fleet most innocent requests failed.

Cause: the gateway counted attempts of one attempt id only. It had no memory of a request beyond that, and hosts told each other nothing. lib/router has retry::CrashTracker for this; the gateway was written later as a second data path without it.

Change: a lost connection is a crash if the address refuses connections 30 ms later. gateway::CrashHistory counts crashes by method, path, team and body, finds the request that caused a crash among those that it ended, and refuses it after three. Crashes are shared through a topic of the store that keeps the newest of each key, so that all hosts refuse the request, also after a restart. Suspects are placed apart from each other, so that an innocent request does not collect the crashes of another. A request that was answered a short time ago is no suspect. Answered with 429, Retry-After is the rest of the quarantine.

Store reader and dependency lines moved to files of their own, since they now have a second user.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -6,10 +6,15 @@
 #define TEASELHILL_GATEWAY_GATEWAY_H_
 
 #include <atomic>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
+#include "teaselhill/gateway/crash_guard.h"
 #include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/exchange_policy.h"
 #include "teaselhill/gateway/overload_gate.h"
@@ -33,6 +38,7 @@
   PlacementOptions placement;
   RetryBudgetOptions retry_budget;
   OverloadGateOptions overload_gate;
+  CrashGuardOptions crash_guard;
   ExchangeLimits exchange_limits;
   /// Timeout for connecting to an upstream. A round trip takes a few
   /// milliseconds. Without the timeout, a lost first packet would delay the
@@ -45,8 +51,11 @@
 
 /// Routes requests to upstreams. Used on the traffic thread only, except where
 /// noted.
-class Gateway : public net::HttpHandler {
+class Gateway : public net::HttpHandler, private CrashGuard::Handler {
  public:
+  /// Shares crash records with the other hosts.
+  using CrashPublisher = std::function<void(std::vector<CrashRecord>)>;
+
   /// `options.placement_policy` must name a registered policy.
   Gateway(net::EventLoop& loop,
           GatewayOptions options,
@@ -68,12 +77,41 @@
     retry_budget_.SetOptions(options);
   }
 
+  /// Call before the loop runs.
+  void SetCrashPublisher(CrashPublisher publisher) {
+    crash_publisher_ = std::move(publisher);
+  }
+
+  /// Applies crash records of the other hosts. Call on the loop's thread.
+  void OnCrashRecords(const std::vector<CrashRecord>& records) {
+    crash_guard_.OnRecords(records, BootNow());
+  }
+
+  /// Requests with crashes, as of the last second. Callable from any thread.
+  CrashCounts crash_counts() const { return {suspects_, quarantined_}; }
+
   /// Requests in progress. Callable from any thread.
   size_t open_requests() const { return open_requests_; }
 
  private:
   friend class Exchange;
 
+  /// Reason for which a request is rejected on arrival.
+  struct Rejection {
+    Error error;
+    Duration retry_after{};
+  };
+
+  void OnQuarantined(const Hash128& fingerprint) override;
+  void OnRecordsToShare(std::vector<CrashRecord> records) override;
+
+  /// Resolves the request to a route, a team and a service.
+  std::optional<Rejection> ResolveRequest(const net::HttpRequest& request,
+                                          AcceptedRequest& accepted_request);
+  /// Rejects a request that has crashed too many upstreams.
+  std::optional<Rejection> CheckCrashes(
+      const net::HttpRequest& request,
+      const AcceptedRequest& accepted_request);
   void RejectRequest(const net::HttpRequest& request,
                      const CallerRequest& caller,
                      net::ResponseWriter& response,
@@ -102,6 +140,10 @@
   std::unique_ptr<PlacementPolicy> placement_;
   UpstreamHealth upstream_health_;
   ReportFetcher report_fetcher_;
+  CrashGuard crash_guard_;
+  CrashPublisher crash_publisher_;
+  std::atomic<size_t> suspects_{0};
+  std::atomic<size_t> quarantined_{0};
   RetryBudget retry_budget_;
   OverloadGate overload_gate_;
   RequestId last_id_ = 0;
--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -48,6 +48,11 @@
   virtual Result<CallerRequest> ReadRequest(
       const net::HttpRequest& request) const = 0;
 
+  /// HTTP status of a response that the gateway generates itself.
+  virtual int ErrorStatus(const Error& error) const {
+    return Describe(error.code).http_status;
+  }
+
   /// Headers of a response that the gateway generates itself. They include
   /// `retry_after` if the error means that the request was not run for a reason
   /// other than a fault of the caller.
--- a/include/teaselhill/gateway/state_keeper.h
+++ b/include/teaselhill/gateway/state_keeper.h
@@ -7,11 +7,11 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "teaselhill/gateway/dependency_monitor.h"
 #include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/protocol.h"
 #include "teaselhill/gateway/shared_state.h"
@@ -27,7 +27,10 @@
   using Clock = std::function<TimePoint()>;
 
   StateKeeper(SharedState& shared, EventLog& log, Clock clock)
-      : shared_state_(shared), log_(log), clock_(std::move(clock)) {}
+      : shared_state_(shared),
+        log_(log),
+        clock_(std::move(clock)),
+        source_monitor_(log, "store") {}
 
   void OnConfig(std::shared_ptr<const RouteTable> routes) override;
   void OnListing(const UpstreamListing& listing) override;
@@ -48,7 +51,7 @@
   Clock clock_;
   UpstreamDirectory directory_;
   bool listing_received_ = false;
-  std::optional<TimePoint> source_unreachable_since_;
+  DependencyMonitor source_monitor_;
   /// Last logged state of each upstream.
   std::unordered_map<std::string, std::string> last_logged_states_;
 };
--- /dev/null
+++ b/lib/gateway/crash_guard.cc
@@ -0,0 +1,169 @@
+/// \file
+/// Verification of crashes, and isolation of the requests under which upstreams
+/// crashed.
+
+#include "teaselhill/gateway/crash_guard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "teaselhill/net/connect_probe.h"
+#include "teaselhill/support/rng.h"
+
+namespace teaselhill::gateway {
+
+CrashGuard::SuspectRun::SuspectRun(CrashGuard& guard,
+                                   std::string upstream_id,
+                                   bool repeat)
+    : guard_(guard), upstream_id_(std::move(upstream_id)), repeat_(repeat) {
+  guard_.ChangeRuns(upstream_id_, repeat_, 1);
+}
+
+CrashGuard::SuspectRun::~SuspectRun() {
+  guard_.ChangeRuns(upstream_id_, repeat_, -1);
+}
+
+void CrashGuard::ChangeRuns(const std::string& upstream_id,
+                            bool repeat,
+                            int difference) {
+  RunCounts& counts = runs_by_upstream_[upstream_id];
+  counts.suspects += difference;
+  counts.repeat_suspects += repeat ? difference : 0;
+  if (counts.suspects == 0)
+    runs_by_upstream_.erase(upstream_id);
+}
+
+CrashGuard::CrashGuard(net::EventLoop& loop,
+                       EventLog& log,
+                       Handler& handler,
+                       CrashGuardOptions options)
+    : loop_(loop),
+      log_(log),
+      handler_(handler),
+      options_(options),
+      history_(EntropySeed(), options.history) {}
+
+CrashGuard::~CrashGuard() = default;
+
+std::vector<std::string> CrashGuard::UpstreamsToAvoid(
+    const CrashAssessment& assessment) const {
+  std::vector<std::string> upstreams;
+  for (const auto& [id, counts] : runs_by_upstream_) {
+    if (assessment.isolate || counts.repeat_suspects > 0)
+      upstreams.push_back(id);
+  }
+  return upstreams;
+}
+
+std::unique_ptr<CrashGuard::SuspectRun> CrashGuard::StartRun(
+    const std::string& upstream_id,
+    const CrashAssessment& assessment) {
+  if (!assessment.isolate)
+    return nullptr;
+  return std::make_unique<SuspectRun>(*this, upstream_id,
+                                      assessment.suspected_crashes > 1);
+}
+
+void CrashGuard::OnConnectionLost(const Hash128& fingerprint,
+                                  const UpstreamEntry& upstream,
+                                  Duration answering_for,
+                                  TimePoint sent_at,
+                                  TimePoint now) {
+  const UpstreamProcess process{upstream.id, upstream.incarnation};
+  history_.OnConnectionLost(fingerprint, process, answering_for, sent_at, now);
+  Probe(process, upstream.address);
+}
+
+void CrashGuard::Probe(const UpstreamProcess& upstream,
+                       const std::string& address) {
+  const auto [probe, added] = probes_.try_emplace(upstream.id);
+  if (!added)
+    return;
+  probe->second = loop_.timers().After(
+      options_.probe_delay, [this, upstream, address](TimePoint) {
+        net::ProbeConnect(loop_, address, options_.probe_timeout,
+                          [this, upstream](net::ProbeResult result) {
+                            OnProbed(upstream,
+                                     result == net::ProbeResult::kNotListening);
+                          });
+      });
+}
+
+void CrashGuard::OnProbed(const UpstreamProcess& upstream, bool is_down) {
+  probes_.erase(upstream.id);
+  if (!is_down)
+    return history_.OnUpstreamNotDown(upstream);
+  const TimePoint now = BootNow();
+  const std::vector<Hash128> quarantined =
+      history_.OnUpstreamDown(upstream, now);
+  log_.Write(
+      LineKind::kFailure,
+      LogLine(LogLevel::kWarning, "upstream_crashed")
+          .Field("upstream", upstream.id)
+          .Field("incarnation", upstream.incarnation)
+          .Field("requests", static_cast<uint64_t>(history_.CountAt(upstream))),
+      now);
+  ReportQuarantined(quarantined, "own crash", now);
+  ShareRecords();
+}
+
+void CrashGuard::OnAnswerCompleted(const Hash128& fingerprint) {
+  const TimePoint now = BootNow();
+  ReportQuarantined(history_.OnAnswerCompleted(fingerprint, now),
+                    "answer of another request", now);
+  ShareRecords();
+}
+
+void CrashGuard::OnRequestFailed(const Hash128& fingerprint) {
+  history_.OnRequestFailed(fingerprint);
+  ShareRecords();
+}
+
+void CrashGuard::OnRecords(const std::vector<CrashRecord>& records,
+                           TimePoint now) {
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kInfo, "crash_records_received")
+                 .Field("records", static_cast<uint64_t>(records.size())),
+             now);
+  ReportQuarantined(history_.OnRecords(records, now), "other host", now);
+  ShareRecords();
+}
+
+void CrashGuard::Expire(TimePoint now) {
+  history_.Expire(now);
+  ShareRecords();
+}
+
+void CrashGuard::ReportQuarantined(const std::vector<Hash128>& fingerprints,
+                                   std::string_view learned_from,
+                                   TimePoint now) {
+  for (const Hash128& fingerprint : fingerprints) {
+    const CrashAssessment assessment = history_.Assess(fingerprint, now);
+    log_.Write(LineKind::kState,
+               LogLine(LogLevel::kWarning, "quarantined")
+                   .Field("fingerprint", ToHex(fingerprint))
+                   .Field("crashes", assessment.crashes)
+                   .Field("for_ms", assessment.refused_for)
+                   .Field("learned_from", learned_from),
+               now);
+    handler_.OnQuarantined(fingerprint);
+  }
+}
+
+void CrashGuard::ShareRecords() {
+  const TimePoint now = BootNow();
+  std::vector<CrashRecord> records = history_.TakeRecords(now);
+  if (records.empty())
+    return;
+  const auto withdrawn =
+      std::count_if(records.begin(), records.end(),
+                    [](const CrashRecord& record) { return record.withdrawn; });
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kInfo, "crash_records_shared")
+                 .Field("records", static_cast<uint64_t>(records.size()))
+                 .Field("withdrawn", static_cast<uint64_t>(withdrawn)),
+             now);
+  handler_.OnRecordsToShare(std::move(records));
+}
+
+}  // namespace teaselhill::gateway
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -103,7 +103,7 @@
 
 /// The running gateway. Members are used on the control thread unless noted
 /// otherwise.
-class Daemon {
+class Daemon : private CrashLog::Handler {
  public:
   Daemon(const GatewaySettings& settings, Adapter& adapter)
       : settings_(settings),
@@ -130,7 +130,9 @@
                         MakeListenerOptions(settings.metrics_endpoint, 16),
                         metrics_handler_),
         state_keeper_(shared_state_, log_, BootNow),
-        source_(adapter.MakeStateSource(control_loop_)) {}
+        crash_log_monitor_(log_, "crash_log"),
+        source_(adapter.MakeStateSource(control_loop_)),
+        crash_log_(adapter.MakeCrashLog(control_loop_)) {}
 
   int Run() {
     for (net::HttpServer* server : EnabledServers()) {
@@ -159,6 +161,12 @@
     const auto metrics_report = control_loop_.timers().Subscribe(
         kMetricsPeriod, [this](TimePoint) { ReportMetrics(); });
     source_->Subscribe(state_keeper_);
+    crash_log_->Subscribe(*this);
+    gateway_.SetCrashPublisher([this](std::vector<CrashRecord> records) {
+      control_loop_.Post([this, records = std::move(records)] {
+        crash_log_->Append(records);
+      });
+    });
     const LoopThread traffic(traffic_loop_, "traffic");
     control_loop_.Run();
     logger_.Write(LogLine(LogLevel::kInfo, "stopped")
@@ -168,6 +176,31 @@
   }
 
  private:
+  void OnCrashRecords(std::vector<CrashRecord> records) override {
+    traffic_loop_.Post([this, records = std::move(records)] {
+      gateway_.OnCrashRecords(records);
+    });
+  }
+
+  void OnCrashRecordUnreadable(const std::string& key) override {
+    log_.Write(LineKind::kFailure,
+               LogLine(LogLevel::kWarning, "record_unreadable")
+                   .Field("name", key)
+                   .Field("code", static_cast<int>(ResultCode::kProtocolError))
+                   .Field("fault", "not a crash record"),
+               BootNow());
+  }
+
+  void OnCrashLogAnswered() override {
+    crash_log_monitor_.OnAnswered(BootNow());
+  }
+
+  void OnCrashLogUnreachable(const Error& error) override {
+    const auto routes = shared_state_.routes();
+    crash_log_monitor_.OnUnreachable(error, routes ? routes->version() : 0,
+                                     BootNow());
+  }
+
   GatewayOptions MakeGatewayOptions() const {
     GatewayOptions options;
     options.placement_policy = settings_.placement_policy;
@@ -208,6 +241,13 @@
     metrics_.SetGauge("teaselhill_open_requests",
                       "Requests whose answer has not ended",
                       static_cast<double>(gateway_.open_requests()));
+    const CrashCounts crash_counts = gateway_.crash_counts();
+    metrics_.SetGauge("teaselhill_suspect_fingerprints",
+                      "Requests under which an upstream crashed",
+                      static_cast<double>(crash_counts.suspects));
+    metrics_.SetGauge("teaselhill_quarantined_fingerprints",
+                      "Requests that are refused because of crashes",
+                      static_cast<double>(crash_counts.quarantined));
   }
 
   void ReloadSettings(std::string_view cause) {
@@ -285,7 +325,9 @@
   net::HttpServer readiness_server_;
   net::HttpServer metrics_server_;
   StateKeeper state_keeper_;
+  DependencyMonitor crash_log_monitor_;
   std::unique_ptr<StateSource> source_;
+  std::unique_ptr<CrashLog> crash_log_;
   bool accepting_connections_ = true;
   TimerSubscription close_idle_timer_;
   TimerSubscription stop_accepting_timer_;
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -2,12 +2,11 @@
 /// Sends a request to upstreams and relays the answer to the caller.
 
 #include "exchange.h"
+#include "teaselhill/retry/crash_tracker.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "teaselhill/retry/crash_tracker.h"
-
 namespace teaselhill::gateway {
 
 namespace {
@@ -127,6 +126,13 @@
 std::optional<Placement> Exchange::PlaceRequest() {
   const auto upstream_list = gateway_.shared_state_.upstreams();
   directory_offset_ = upstream_list->end_offset;
+  const CrashGuard& crash_guard = gateway_.crash_guard_;
+  crash_assessment_ =
+      crash_guard.empty()
+          ? CrashAssessment{}
+          : crash_guard.Assess(request_.Fingerprint(), BootNow());
+  request_.placement_request.avoided_upstreams =
+      crash_guard.UpstreamsToAvoid(crash_assessment_);
   return gateway_.placement_->ChooseUpstream(
       request_.placement_request, *upstream_list, gateway_.upstream_health_,
       BootNow());
@@ -168,10 +174,12 @@
       request_.placement_request, upstream_, now);
   ++state_.sends;
   ++state_.possible_runs;
-  answer_started_ = false;
+  answer_started_at_.reset();
   response_head_.reset();
   buffered_body_.clear();
   sent_at_ = progress_at_ = now;
+  suspect_run_ =
+      gateway_.crash_guard_.StartRun(upstream_.id, crash_assessment_);
   gateway_.placement_->OnRequestSent(request_.placement_request, upstream_,
                                      now);
   gateway_.log_.Write(
@@ -189,6 +197,7 @@
           .Field("directory_offset", directory_offset_)
           .Field("directory_age_ms",
                  now - gateway_.shared_state_.upstreams_read_at())
+          .Field("crashes", crash_assessment_.suspected_crashes)
           .Field("config_version", request_.routes->version()),
       now);
   net::ClientRequest request =
@@ -222,11 +231,12 @@
 void Exchange::StopAttempt() {
   const std::shared_ptr<Attempt> stopped_attempt = std::move(attempt_);
   attempt_.reset();
+  suspect_run_.reset();
   if (!stopped_attempt)
     return;
   gateway_.client_.Cancel(stopped_attempt->transfer);
   gateway_.placement_->OnAttemptEnded(request_.placement_request, upstream_.id,
-                                      answer_started_);
+                                      answer_started_at_.has_value());
 }
 
 void Exchange::OnHead(int status, const net::Headers& headers) {
@@ -262,8 +272,8 @@
   if (!response_head_)
     return;
   const TimePoint now = BootNow();
-  if (!answer_started_) {
-    answer_started_ = true;
+  if (!answer_started_at_) {
+    answer_started_at_ = now;
     gateway_.placement_->OnAnswerStarted(request_.placement_request,
                                          upstream_.id);
     const Duration excess = now - sent_at_ - expected_prefill_;
@@ -334,13 +344,17 @@
   if (!response_head_) {
     const bool not_sent = end.code == ResultCode::kConnectFailed ||
                           (!end.may_have_been_sent && end.status == 0);
+    if (!not_sent)
+      ReportConnectionLost();
     return EndAttempt(
         not_sent ? AttemptOutcome::kNotSent : AttemptOutcome::kBroken,
         end.code == ResultCode::kOk ? "connection ended without a response"
                                     : end.detail);
   }
-  if (end.code != ResultCode::kOk)
+  if (end.code != ResultCode::kOk) {
+    ReportConnectionLost();
     return EndAttempt(AttemptOutcome::kBroken, end.detail);
+  }
   if (!response_head_->is_success)
     return EndAttempt(AttemptOutcome::kErrorResponse,
                       "status " + std::to_string(response_head_->status));
@@ -352,6 +366,7 @@
 void Exchange::OnAnswerComplete() {
   const TimePoint now = BootNow();
   RecordOutcome(AttemptOutcome::kComplete, now);
+  gateway_.crash_guard_.OnAnswerCompleted(request_.Fingerprint());
   StopAttempt();
   if (state_.head_sent) {
     response_->Finish();
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -57,6 +57,11 @@
   void Start();
   void OnCallerDisconnected();
 
+  bool HasFingerprint(const Hash128& fingerprint) const;
+  /// The request has crashed too many upstreams: it is not sent again, and an
+  /// attempt that may not have begun to run is cancelled.
+  void OnQuarantined();
+
  private:
   class Attempt;
 
@@ -79,6 +84,7 @@
   void OnAnswerComplete();
   void StartAnswer();
   void WriteAnswer(std::string data);
+  void ReportConnectionLost();
   void EndAttempt(AttemptOutcome outcome, std::string detail);
   void RecordOutcome(AttemptOutcome outcome, TimePoint now);
   void ApplyFinalStep(const FinalStep& step);
@@ -98,6 +104,9 @@
   std::shared_ptr<net::ResponseWriter> response_;
   ExchangeState state_;
   std::shared_ptr<Attempt> attempt_;
+  CrashAssessment crash_assessment_;  ///< as of the last placement
+  /// Marks the current attempt for the placement of other requests.
+  std::unique_ptr<CrashGuard::SuspectRun> suspect_run_;
   uint64_t directory_offset_ = 0;  ///< of the last upstream list that was used
   UpstreamEntry upstream_;         ///< of the current or last attempt
   Duration expected_prefill_{};    ///< of the current attempt
@@ -106,7 +115,8 @@
   std::optional<ResponseHead> response_head_;
   EventStream event_stream_;
   std::string buffered_body_;
-  bool answer_started_ = false;  ///< in the current attempt
+  /// First data of the answer in the current attempt.
+  std::optional<TimePoint> answer_started_at_;
   bool transfer_paused_ = false;
   bool finished_ = false;
   bool wait_reported_ = false;
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -1,12 +1,45 @@
 /// \file
 /// Ends of attempts and requests.
 
+#include <algorithm>
 #include <utility>
 
 #include "exchange.h"
 
 namespace teaselhill::gateway {
 
+void Exchange::ReportConnectionLost() {
+  // An upstream that leaves ends its connections when it stops.
+  const auto upstream_list = gateway_.shared_state_.upstreams();
+  const std::vector<UpstreamEntry>& listed =
+      upstream_list->OfService(upstream_.service);
+  const bool in_service = std::any_of(
+      listed.begin(), listed.end(), [this](const UpstreamEntry& entry) {
+        return entry.id == upstream_.id &&
+               entry.incarnation == upstream_.incarnation;
+      });
+  if (!in_service)
+    return;
+  const TimePoint now = BootNow();
+  gateway_.crash_guard_.OnConnectionLost(
+      request_.Fingerprint(), upstream_,
+      answer_started_at_ ? now - *answer_started_at_ : Duration::zero(),
+      sent_at_, now);
+}
+
+bool Exchange::HasFingerprint(const Hash128& fingerprint) const {
+  return request_.Fingerprint() == fingerprint;
+}
+
+void Exchange::OnQuarantined() {
+  if (finished_ || answer_started_at_)
+    return;
+  StopAttempt();
+  if (state_.possible_runs == 0 && !state_.head_sent)
+    return FailRequest({ResultCode::kQuarantined, ""});
+  ApplyFinalStep(DecideFinalStep(state_, AttemptOutcome::kBroken));
+}
+
 void Exchange::EndAttempt(AttemptOutcome outcome, std::string detail) {
   const TimePoint now = BootNow();
   RecordOutcome(outcome, now);
@@ -16,8 +49,12 @@
   event_stream_.DiscardPartial();
   transfer_paused_ = false;
   request_.placement_request.excluded_upstreams.push_back(upstream_.id);
+  const bool quarantined =
+      !gateway_.crash_guard_.empty() &&
+      gateway_.crash_guard_.Assess(request_.Fingerprint(), now).refused_for >
+          Duration::zero();
   const bool retry_allowed =
-      MayRetry(state_, gateway_.options_.exchange_limits, now);
+      !quarantined && MayRetry(state_, gateway_.options_.exchange_limits, now);
   // A send that did not reach an upstream does not count against the retry
   // budget.
   const bool within_budget =
@@ -35,6 +72,7 @@
                           .Field("head_sent", state_.head_sent)
                           .Field("events", event_stream_.event_count())
                           .Field("may_have_run", state_.possible_runs > 0)
+                          .Field("quarantined", quarantined)
                           .Field("repeat_allowed", retry_allowed)
                           .Field("repeat_budget", within_budget)
                           .Field("time_left_ms", state_.deadline - now)
@@ -119,6 +157,9 @@
 }
 
 Duration Exchange::RetryAfter(ResultCode code) const {
+  if (code == ResultCode::kQuarantined)
+    return gateway_.crash_guard_.Assess(request_.Fingerprint(), BootNow())
+        .refused_for;
   if (upstream_retry_after_ > Duration::zero())
     return upstream_retry_after_;
   // A restarting upstream is ready again or ejected after about a second; a
@@ -137,6 +178,8 @@
 void Exchange::FinishRequest(ResultCode code, std::string_view reason) {
   finished_ = true;
   timeout_timer_.Cancel();
+  if (code != ResultCode::kOk && !gateway_.crash_guard_.empty())
+    gateway_.crash_guard_.OnRequestFailed(request_.Fingerprint());
   if (std::exchange(queued_at_gate_, false))
     gateway_.overload_gate_.OnEndedUnanswered(request_.service,
                                               request_.gate_level());
--- a/lib/gateway/exchange_timeouts.cc
+++ b/lib/gateway/exchange_timeouts.cc
@@ -60,7 +60,7 @@
 Duration Exchange::StallTimeout() const {
   const Route& route = *request_.route;
   const Duration target =
-      answer_started_ && route.event_gap_target > Duration::zero()
+      answer_started_at_ && route.event_gap_target > Duration::zero()
           ? route.event_gap_target
           : route.answer_target;
   const Duration mean_delay =
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -66,12 +66,17 @@
           *PlacementRegistry::Instance().Create(options_.placement_policy,
                                                 options_.placement))),
       report_fetcher_(loop, report_client_, upstreams, upstream_health_),
+      crash_guard_(loop, log, *this, options_.crash_guard),
       retry_budget_(options_.retry_budget),
       overload_gate_(options_.overload_gate) {
   cleanup_timer_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
     const TimePoint now = BootNow();
     placement_->ExpireUnused(now);
     upstream_health_.ExpireUpstreams(now);
+    crash_guard_.Expire(now);
+    const CrashCounts counts = crash_guard_.Count(now);
+    suspects_ = counts.suspects;
+    quarantined_ = counts.quarantined;
   });
 }
 
@@ -81,26 +86,48 @@
                      std::shared_ptr<net::ResponseWriter> response) {
   AcceptedRequest accepted_request;
   accepted_request.arrived_at = BootNow();
+  std::optional<Rejection> rejection =
+      ResolveRequest(request, accepted_request);
+  if (!rejection)
+    rejection = CheckCrashes(request, accepted_request);
+  if (rejection)
+    return RejectRequest(request, accepted_request.caller, *response,
+                         rejection->error, rejection->retry_after);
+  if (accepted_request.placement_request.is_engine)
+    accepted_request.gate_decision = overload_gate_.Admit(
+        accepted_request.service, accepted_request.gate_level(),
+        accepted_request.route->answer_target, rng_.Uniform(), rng_.Uniform(),
+        accepted_request.arrived_at);
+  accepted_request.http_request = std::move(request);
+  accepted_request.id = ++last_id_;
+  retry_budget_.OnRequest(accepted_request.service,
+                          accepted_request.arrived_at);
+  const RequestId id = accepted_request.id;
+  const auto exchange = std::make_shared<Exchange>(
+      *this, std::move(accepted_request), std::move(response));
+  exchanges_.emplace(id, exchange);
+  open_requests_ = exchanges_.size();
+  exchange->Start();
+}
+
+std::optional<Gateway::Rejection> Gateway::ResolveRequest(
+    const net::HttpRequest& request,
+    AcceptedRequest& accepted_request) {
   Result<CallerRequest> caller = callers_.ReadRequest(request);
   if (!caller)
-    return RejectRequest(request, {}, *response, caller.error(),
-                         Duration::zero());
+    return Rejection{caller.error()};
   accepted_request.caller = std::move(*caller);
   if (rejecting_)
-    return RejectRequest(request, accepted_request.caller, *response,
-                         {ResultCode::kDraining, ""}, kDrainingRetryAfter);
+    return Rejection{{ResultCode::kDraining, ""}, kDrainingRetryAfter};
   accepted_request.routes = shared_state_.routes();
   if (!accepted_request.routes || !shared_state_.upstreams())
-    return RejectRequest(request, accepted_request.caller, *response,
-                         {ResultCode::kNoConfiguration, ""},
-                         kNoConfigurationRetryAfter);
+    return Rejection{{ResultCode::kNoConfiguration, ""},
+                     kNoConfigurationRetryAfter};
   accepted_request.route = accepted_request.routes->FindRoute(
       accepted_request.caller.host, request.path);
   if (!accepted_request.route)
-    return RejectRequest(
-        request, accepted_request.caller, *response,
-        {ResultCode::kUnknownPath, "no route for this host and path"},
-        Duration::zero());
+    return Rejection{
+        {ResultCode::kUnknownPath, "no route for this host and path"}};
   std::optional<Tier> team_tier;
   const Team* team =
       accepted_request.caller.api_key.empty()
@@ -111,8 +138,7 @@
     team_tier = team->tier;
   } else if (accepted_request.routes->config().requires_key &&
              !accepted_request.route->anonymous) {
-    return RejectRequest(request, accepted_request.caller, *response,
-                         {ResultCode::kBadKey, ""}, Duration::zero());
+    return Rejection{{ResultCode::kBadKey, ""}};
   }
   accepted_request.tier = CombineTiers(team_tier, accepted_request.route->tier);
   accepted_request.service =
@@ -121,21 +147,43 @@
       accepted_request.caller,
       accepted_request.routes->FindService(accepted_request.service),
       accepted_request.service);
-  if (accepted_request.placement_request.is_engine)
-    accepted_request.gate_decision = overload_gate_.Admit(
-        accepted_request.service, accepted_request.gate_level(),
-        accepted_request.route->answer_target, rng_.Uniform(), rng_.Uniform(),
-        accepted_request.arrived_at);
-  accepted_request.http_request = std::move(request);
-  accepted_request.id = ++last_id_;
-  retry_budget_.OnRequest(accepted_request.service,
-                          accepted_request.arrived_at);
-  const RequestId id = accepted_request.id;
-  const auto exchange = std::make_shared<Exchange>(
-      *this, std::move(accepted_request), std::move(response));
-  exchanges_.emplace(id, exchange);
-  open_requests_ = exchanges_.size();
-  exchange->Start();
+  return std::nullopt;
+}
+
+std::optional<Gateway::Rejection> Gateway::CheckCrashes(
+    const net::HttpRequest& request,
+    const AcceptedRequest& accepted_request) {
+  if (crash_guard_.empty())
+    return std::nullopt;
+  const Hash128 fingerprint =
+      RequestFingerprint(request, accepted_request.team);
+  const CrashAssessment assessment =
+      crash_guard_.Assess(fingerprint, accepted_request.arrived_at);
+  if (assessment.refused_for <= Duration::zero())
+    return std::nullopt;
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kInfo, "quarantine_refusal")
+                 .Field("request", accepted_request.caller.attempt_id)
+                 .Field("fingerprint", ToHex(fingerprint))
+                 .Field("crashes", assessment.crashes)
+                 .Field("retry_after_ms", assessment.refused_for),
+             accepted_request.arrived_at);
+  return Rejection{{ResultCode::kQuarantined, ""}, assessment.refused_for};
+}
+
+void Gateway::OnQuarantined(const Hash128& fingerprint) {
+  std::vector<std::shared_ptr<Exchange>> copies;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange->HasFingerprint(fingerprint))
+      copies.push_back(exchange);
+  }
+  for (const std::shared_ptr<Exchange>& exchange : copies)
+    exchange->OnQuarantined();
+}
+
+void Gateway::OnRecordsToShare(std::vector<CrashRecord> records) {
+  if (crash_publisher_)
+    crash_publisher_(std::move(records));
 }
 
 void Gateway::RejectRequest(const net::HttpRequest& request,
@@ -162,7 +210,7 @@
 void Gateway::RespondError(net::ResponseWriter& response,
                            const Error& error,
                            Duration retry_after) const {
-  response.Respond(Describe(error.code).http_status,
+  response.Respond(callers_.ErrorStatus(error),
                    callers_.ErrorHeaders(error, retry_after),
                    net::ErrorBody(error));
 }
--- a/lib/gateway/placement.cc
+++ b/lib/gateway/placement.cc
@@ -4,6 +4,7 @@
 #include "teaselhill/gateway/placement.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselhill::gateway {
 
@@ -27,21 +28,29 @@
   return "unknown";
 }
 
+static bool Contains(const std::vector<std::string>& ids,
+                     const std::string& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 EligibleUpstreams FindEligibleUpstreams(const PlacementRequest& request,
                                         const UpstreamList& upstreams,
                                         const UpstreamHealth& health,
                                         TimePoint now) {
   EligibleUpstreams eligible;
+  std::vector<const UpstreamEntry*> avoided;
   for (const UpstreamEntry& upstream : upstreams.OfService(request.service)) {
-    const bool tried =
-        std::find(request.excluded_upstreams.begin(),
-                  request.excluded_upstreams.end(),
-                  upstream.id) != request.excluded_upstreams.end();
-    if (tried)
+    if (Contains(request.excluded_upstreams, upstream.id))
       continue;
-    const bool ejected = health.IsEjected(upstream.id, upstream.domain, now);
-    (ejected ? eligible.ejected : eligible.usable).push_back(&upstream);
+    if (health.IsEjected(upstream.id, upstream.domain, now))
+      eligible.ejected.push_back(&upstream);
+    else if (Contains(request.avoided_upstreams, upstream.id))
+      avoided.push_back(&upstream);
+    else
+      eligible.usable.push_back(&upstream);
   }
+  if (eligible.usable.empty())
+    eligible.usable = std::move(avoided);
   return eligible;
 }
 
--- a/lib/gateway/state_keeper.cc
+++ b/lib/gateway/state_keeper.cc
@@ -41,31 +41,15 @@
 void StateKeeper::OnSourceAnswered() {
   const TimePoint now = clock_();
   shared_state_.SetUpstreamsReadAt(now);
-  if (!source_unreachable_since_)
-    return;
-  log_.Write(LineKind::kState,
-             LogLine(LogLevel::kInfo, "dependency_regained")
-                 .Field("dependency", "store")
-                 .Field("lost_for_ms", now - *source_unreachable_since_),
-             now);
-  source_unreachable_since_.reset();
-  directory_.OnSourceReachable(now);
+  if (source_monitor_.OnAnswered(now))
+    directory_.OnSourceReachable(now);
 }
 
 void StateKeeper::OnSourceUnreachable(const Error& error) {
-  if (source_unreachable_since_)
-    return;
   const TimePoint now = clock_();
-  source_unreachable_since_ = now;
-  directory_.OnSourceUnreachable(now);
   const auto routes = shared_state_.routes();
-  log_.Write(LineKind::kState,
-             LogLine(LogLevel::kWarning, "dependency_lost")
-                 .Field("dependency", "store")
-                 .Field("code", static_cast<int>(error.code))
-                 .Field("fault", error.message)
-                 .Field("config_version", routes ? routes->version() : 0),
-             now);
+  if (source_monitor_.OnUnreachable(error, routes ? routes->version() : 0, now))
+    directory_.OnSourceUnreachable(now);
 }
 
 void StateKeeper::OnRecordUnreadable(const std::string& name,
--- a/unittests/gateway/placement_test.cc
+++ b/unittests/gateway/placement_test.cc
@@ -169,6 +169,24 @@
             ->upstream.id == "e1");
 }
 
+TEST_CASE("an avoided upstream is used only if no other one is left") {
+  const std::string policy = GENERATE("affinity", "round-robin", "least-load");
+  const std::unique_ptr<PlacementPolicy> placement = std::move(
+      *PlacementRegistry::Instance().Create(policy, PlacementOptions{}));
+  PlacementRequest request = ServiceRequest();
+  request.avoided_upstreams = {"e0", "e2"};
+  const UpstreamHealth health;
+  const UpstreamList list = MakeList(3);
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    const auto chosen =
+        placement->ChooseUpstream(request, list, health, TimePoint{});
+    REQUIRE(chosen);
+    CHECK((chosen->upstream.id == "e1") == (attempt == 0));
+    request.excluded_upstreams.push_back(chosen->upstream.id);
+  }
+  CHECK_FALSE(placement->ChooseUpstream(request, list, health, TimePoint{}));
+}
+
 TEST_CASE("a request is still placed if every upstream is ejected") {
   const UpstreamList list = MakeList(3);
   UpstreamHealth health;
