Match crashes by event, and let other hosts name the cause first

Cause: crashes were matched by the process of the upstream as the directory knew it. While the directory was behind, several crashes of one address counted as one, so that the crashes of the first request explained those of the second. And a host decided on its own crash alone, before the records of a host that had run the cause arrived.

Change: requests belong to the same crash if one process lost them within 500 ms. For 1.2 s after the last crash a refusal is provisional: 503 with the rest of that time as Retry-After, which holds the request off until the records are there; then 429 with the rest of the quarantine, or nothing.

In the stand-ins, two crashes of one upstream no longer overlap, and one whose address was taken meanwhile is lost instead of staying half alive.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -38,6 +39,12 @@
   Duration early_crash = std::chrono::milliseconds(500);
   /// Error of the times of crashes, which hosts compare by their wall clocks.
   Duration time_tolerance = std::chrono::milliseconds(25);
+  /// Requests that one process of an upstream lost within this time were lost
+  /// in the same crash. A process takes longer to start and crash again.
+  Duration same_crash = std::chrono::milliseconds(500);
+  /// Time after a crash in which records of the same crash arrive from other
+  /// hosts. They may name another request as the cause.
+  Duration report_delay = std::chrono::milliseconds(1200);
   size_t max_fingerprints = 4096;
   /// Answered requests that are remembered for `completion_retention`.
   size_t max_completions = 4096;
@@ -52,11 +59,8 @@
   friend bool operator==(const UpstreamProcess& a, const UpstreamProcess& b) {
     return a.id == b.id && a.incarnation == b.incarnation;
   }
-};
-
-struct UpstreamProcessHasher {
-  size_t operator()(const UpstreamProcess& process) const {
-    return Hash64(process.id, process.incarnation);
+  friend bool operator<(const UpstreamProcess& a, const UpstreamProcess& b) {
+    return std::tie(a.id, a.incarnation) < std::tie(b.id, b.incarnation);
   }
 };
 
@@ -85,6 +89,9 @@
   bool isolate = false;
   /// Time for which the request is refused; zero: it is not refused.
   Duration refused_for{};
+  /// Part of `refused_for` after which records of other hosts may have cleared
+  /// the request.
+  Duration provisional_for{};
 };
 
 struct CrashCounts {
@@ -168,6 +175,7 @@
     bool verified = false;
     bool shared = false;     ///< other hosts have the record or will get it
     bool explained = false;  ///< another request is the cause
+    size_t event = 0;        ///< index of the crash among all crashes
   };
   struct Entry {
     std::vector<Crash> crashes;
@@ -193,8 +201,11 @@
   /// from now on.
   std::vector<Hash128> Classify(TimePoint now);
   void CountCrashes();
-  void FindCauses();
-  void ExplainCrashes();
+  /// Gives the crashes of different requests that are one crash of an upstream
+  /// the same event. Returns the number of events.
+  size_t AssignEvents();
+  void FindCauses(size_t event_count);
+  void ExplainCrashes(size_t event_count);
   Duration RefusedFor(const Entry& entry, TimePoint now) const;
 
   Duration RetentionOf(const Entry& entry) const;
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -73,6 +73,9 @@
                                      return !crash.explained && crash.early;
                                    });
   assessment.refused_for = RefusedFor(entry, now);
+  if (assessment.refused_for > Duration::zero())
+    assessment.provisional_for = std::max(
+        Duration::zero(), LastCrashAt(entry) + options_.report_delay - now);
   return assessment;
 }
 
@@ -89,8 +92,9 @@
 
 std::vector<Hash128> CrashHistory::Classify(TimePoint now) {
   CountCrashes();
-  FindCauses();
-  ExplainCrashes();
+  const size_t event_count = AssignEvents();
+  FindCauses(event_count);
+  ExplainCrashes(event_count);
   std::vector<Hash128> newly_refused;
   for (auto& [fingerprint, entry] : entries_) {
     const bool refused = RefusedFor(entry, now) > Duration::zero();
@@ -109,14 +113,38 @@
   }
 }
 
-void CrashHistory::FindCauses() {
-  std::unordered_map<UpstreamProcess, MostSuspected, UpstreamProcessHasher>
-      most_suspected;
+size_t CrashHistory::AssignEvents() {
+  std::vector<Crash*> crashes;
+  for (auto& [fingerprint, entry] : entries_) {
+    for (Crash& crash : entry.crashes)
+      crashes.push_back(&crash);
+  }
+  std::sort(crashes.begin(), crashes.end(), [](const Crash* a, const Crash* b) {
+    return std::tie(a->upstream, a->crashed_at) <
+           std::tie(b->upstream, b->crashed_at);
+  });
+  size_t event_count = 0;
+  const Crash* first_of_event = nullptr;
+  for (Crash* crash : crashes) {
+    const bool same_event =
+        first_of_event && first_of_event->upstream == crash->upstream &&
+        crash->crashed_at - first_of_event->crashed_at < options_.same_crash;
+    if (!same_event) {
+      first_of_event = crash;
+      ++event_count;
+    }
+    crash->event = event_count - 1;
+  }
+  return event_count;
+}
+
+void CrashHistory::FindCauses(size_t event_count) {
+  std::vector<MostSuspected> most_suspected(event_count);
   for (const auto& [fingerprint, entry] : entries_) {
     for (const Crash& crash : entry.crashes) {
       if (!crash.verified)
         continue;
-      MostSuspected& most = most_suspected[crash.upstream];
+      MostSuspected& most = most_suspected[crash.event];
       if (!most.entry || entry.crash_count > most.entry->crash_count)
         most = {&entry, false};
       else if (most.entry != &entry &&
@@ -126,10 +154,8 @@
   }
   for (auto& [fingerprint, entry] : entries_) {
     const auto is_cause_of = [&, &entry = entry](const Crash& crash) {
-      if (!crash.verified)
-        return false;
-      const MostSuspected& most = most_suspected[crash.upstream];
-      return most.entry == &entry && !most.is_tied;
+      const MostSuspected& most = most_suspected[crash.event];
+      return crash.verified && most.entry == &entry && !most.is_tied;
     };
     entry.is_cause =
         entry.crash_count >= options_.crashes_to_quarantine &&
@@ -137,21 +163,19 @@
   }
 }
 
-void CrashHistory::ExplainCrashes() {
-  std::unordered_set<UpstreamProcess, UpstreamProcessHasher> explained;
+void CrashHistory::ExplainCrashes(size_t event_count) {
+  std::vector<bool> explained(event_count, false);
   for (const auto& [fingerprint, entry] : entries_) {
-    if (!entry.is_cause)
-      continue;
-    for (const Crash& crash : entry.crashes)
-      explained.insert(crash.upstream);
+    for (const Crash& crash : entry.crashes) {
+      if (entry.is_cause)
+        explained[crash.event] = true;
+    }
   }
-  if (explained.empty())
-    return;
   for (auto& [fingerprint, entry] : entries_) {
     if (entry.is_cause)
       continue;
     for (Crash& crash : entry.crashes)
-      crash.explained = explained.count(crash.upstream) != 0;
+      crash.explained = explained[crash.event];
     entry.crash_count = CountSequential(entry, /*verified_only=*/true);
   }
 }
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -161,14 +161,22 @@
       crash_guard_.Assess(fingerprint, accepted_request.arrived_at);
   if (assessment.refused_for <= Duration::zero())
     return std::nullopt;
+  const bool is_provisional = assessment.provisional_for > Duration::zero();
+  const Duration retry_after =
+      is_provisional ? assessment.provisional_for : assessment.refused_for;
   log_.Write(LineKind::kFailure,
              LogLine(LogLevel::kInfo, "quarantine_refusal")
                  .Field("request", accepted_request.caller.attempt_id)
                  .Field("fingerprint", ToHex(fingerprint))
                  .Field("crashes", assessment.crashes)
-                 .Field("retry_after_ms", assessment.refused_for),
+                 .Field("provisional", is_provisional)
+                 .Field("retry_after_ms", retry_after),
              accepted_request.arrived_at);
-  return Rejection{{ResultCode::kQuarantined, ""}, assessment.refused_for};
+  if (is_provisional)
+    return Rejection{{ResultCode::kNoUpstream,
+                      "upstreams crashed; their other requests are not known"},
+                     retry_after};
+  return Rejection{{ResultCode::kQuarantined, ""}, retry_after};
 }
 
 void Gateway::OnQuarantined(const Hash128& fingerprint) {
--- a/scripts/soak/crashing.py
+++ b/scripts/soak/crashing.py
@@ -21,7 +21,8 @@
 class CrashWatch:
     """Arrivals and crashes of one crashing request, over all its attempts."""
 
-    def __init__(self):
+    def __init__(self, fleet):
+        self.fleet = fleet
         self.hosts = {}  # request id: host that it was sent to
         self.crashes = []
         self.arrivals = 0
@@ -29,6 +30,7 @@
 
     def on_run(self, request_id, now):
         self.arrivals += 1
+        self.fleet.hold_upstream_fault(CONTACT_S)
         host = self.hosts[request_id]
         if (len(self.crashes) >= MOST_CRASHES
                 and now > self.crashes[MOST_CRASHES - 1] + CONTACT_S
@@ -42,7 +44,7 @@
 
     def __init__(self, fleet, ledger, rng):
         self.fleet, self.ledger, self.rng = fleet, ledger, rng
-        self.watch = CrashWatch()
+        self.watch = CrashWatch(fleet)
         self.kind = rng.choice(["stream", "draft", "safe", "once"])
         self.key = rng.choice(fleet.keys)
         self.body = BODY_MARK + rng.randbytes(rng.choice([0, 200]))
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -169,7 +169,6 @@
         await upstream.start(self.network + ".210")
         upstream.proxy = Proxy(upstream.target)
         upstream.port = await upstream.proxy.start(self.network + ".220")
-        upstream.dead = False
         self.upstreams.append(upstream)
         self.register(upstream)
 
@@ -182,8 +181,11 @@
     async def renew(self):
         while True:
             await asyncio.sleep(1.2)
-            for upstream in self.upstreams:
-                if not (upstream.dead or upstream.down) and upstream.left_at is None:
+            for upstream in list(self.upstreams):
+                if upstream.dead:
+                    self.store.put("keyed.servers", upstream.name, None)
+                    self.upstreams.remove(upstream)
+                elif not upstream.down and upstream.left_at is None:
                     self.register(upstream)
 
     def pick(self, rng):
@@ -280,13 +282,7 @@
     upstream = fleet.rng.choice(fleet.upstreams)
     seconds = fleet.rng.uniform(0.5, 2)
     fleet.hold_upstream_fault(seconds)
-    upstream.crash()
-    await asyncio.sleep(seconds)
-    try:
-        await upstream.restart()
-    except OSError:
-        upstream.dead = True
-        fleet.store.put("keyed.servers", upstream.name, None)
+    await upstream.crash_for(seconds)
 
 
 async def burst_of_drafts(fleet, host):
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -32,7 +32,8 @@
         self.left_at = None  # when the store accepted that it leaves
         self.writers = set()
         self.born = int(time.time() * 1000)
-        self.down = False  # crashed by a request
+        self.down = False
+        self.dead = False
         self.slots = asyncio.Semaphore(SLOTS)
 
     async def start(self, address):
@@ -50,13 +51,19 @@
 
     async def crash_for(self, seconds):
         """Crashes; a new process with the same id and address starts later. The
-        proxy stops listening meanwhile, as the port of a dead process does."""
-        self.crash()
+        proxy stops listening meanwhile, as the port of a dead process does. The
+        process is lost for good if its address has been taken."""
+        if self.down:
+            return
         self.down = True
+        self.crash()
         self.proxy.stop_listening()
         await asyncio.sleep(seconds)
-        await self.restart()
-        await self.proxy.listen_again()
+        try:
+            await self.restart()
+            await self.proxy.listen_again()
+        except OSError:
+            self.dead = True
         self.down = False
 
     def strikes(self, fault):
@@ -102,9 +109,7 @@
         watch = self.ledger.crashing.get(request_id)
         if watch:
             watch.on_run(request_id, time.monotonic())
-            if not self.down:
-                asyncio.create_task(
-                    self.crash_for(self.rng.uniform(*RESTART_S)))
+            asyncio.create_task(self.crash_for(self.rng.uniform(*RESTART_S)))
             return False
         if self.strikes("lose"):
             return False
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -123,6 +123,44 @@
   CHECK(host.history.Assess(kInnocent, host.now).crashes == 1);
 }
 
+TEST_CASE("each of two crashing requests is refused for its own crashes") {
+  Host host;
+  const Hash128 other{3, 3};
+  for (int crash = 1; crash <= 6; ++crash) {
+    host.Crash(Engine(1), {crash % 2 == 0 ? kCrashing : other});
+    // Beside each other once: that crash says nothing on the second one.
+    if (crash == 3)
+      host.Crash(Engine(2), {kCrashing, other});
+  }
+  CHECK(host.Refuses(kCrashing));
+  CHECK(host.Refuses(other));
+}
+
+TEST_CASE("a refusal is provisional until other hosts have reported") {
+  Host host;
+  for (int crash = 1; crash <= 3; ++crash)
+    host.Crash(Engine(crash), {kInnocent});
+  const CrashAssessment first = host.history.Assess(kInnocent, host.now);
+  CHECK(first.provisional_for == CrashHistoryOptions().report_delay);
+  // Another host saw a request at these crashes that had one before.
+  host.now += milliseconds(200);
+  std::vector<CrashRecord> records;
+  for (int crash = 0; crash <= 3; ++crash) {
+    CrashRecord record;
+    record.fingerprint = kCrashing;
+    record.id = static_cast<uint64_t>(crash);
+    record.upstream = Engine(crash);
+    record.age = seconds(3 - crash) + milliseconds(200);
+    records.push_back(record);
+  }
+  host.history.OnRecords(records, host.now);
+  CHECK_FALSE(host.Refuses(kInnocent));
+  CHECK(host.Refuses(kCrashing));
+  host.now += CrashHistoryOptions().report_delay;
+  CHECK(host.history.Assess(kCrashing, host.now).provisional_for ==
+        Duration::zero());
+}
+
 TEST_CASE(
     "a restarted upstream counts again before the directory knows of its "
     "restart") {
