Divide the additional retries of the fleet by the number of its hosts

Retries then are load on servers that fail already.

Cause: of the same class as the crashing request: a limit of the fleet that each host applied by itself. Each host took a 27th of the additional retries, however many hosts there are, and had them again after each restart.

Change: each host announces itself in the topic of the fleet and divides by the number of hosts announced in the last three hours, 400 until it knows. It uses half of its share, which accrues over the first window of the process.

--- a/include/teaselhill/gateway/daemon.h
+++ b/include/teaselhill/gateway/daemon.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-#include "teaselhill/gateway/crash_log.h"
+#include "teaselhill/gateway/fleet_log.h"
 #include "teaselhill/gateway/gateway.h"
 #include "teaselhill/gateway/protocol.h"
 #include "teaselhill/support/logger.h"
@@ -48,7 +48,7 @@
   virtual const UpstreamProtocol& upstreams() const = 0;
   virtual std::unique_ptr<StateSource> MakeStateSource(
       net::EventLoop& loop) = 0;
-  virtual std::unique_ptr<CrashLog> MakeCrashLog(net::EventLoop& loop) = 0;
+  virtual std::unique_ptr<FleetLog> MakeFleetLog(net::EventLoop& loop) = 0;
 
   /// Reads the settings again. After an error, the previous settings stay in
   /// force.
--- a/include/teaselhill/gateway/crash_log.h
+++ b/include/teaselhill/gateway/fleet_log.h
@@ -1,21 +1,22 @@
 /// \file
-/// Interface by which hosts share crash records.
+/// Interface by which hosts share what all of them have to know.
 
-#ifndef TEASELHILL_GATEWAY_CRASH_LOG_H_
-#define TEASELHILL_GATEWAY_CRASH_LOG_H_
+#ifndef TEASELHILL_GATEWAY_FLEET_LOG_H_
+#define TEASELHILL_GATEWAY_FLEET_LOG_H_
 
 #include <string>
 #include <vector>
 
 #include "teaselhill/gateway/crash_history.h"
+#include "teaselhill/gateway/fleet_size.h"
 #include "teaselhill/support/result.h"
 
 namespace teaselhill::gateway {
 
-/// Crash records of all hosts, kept outside of the hosts so that they outlast a
+/// Records of all hosts, kept outside of the hosts so that they outlast a
 /// restart. Runs on one event loop; its functions are called and its handler is
 /// called on the loop's thread.
-class CrashLog {
+class FleetLog {
  public:
   class Handler {
    public:
@@ -23,15 +24,19 @@
     /// Records that were added or withdrawn, in the order in which all hosts
     /// see them; first all records that are kept.
     virtual void OnCrashRecords(std::vector<CrashRecord> records) = 0;
-    virtual void OnCrashRecordUnreadable(const std::string& key) = 0;
+    virtual void OnHostRecords(std::vector<HostRecord> records) = 0;
+    virtual void OnFleetRecordUnreadable(const std::string& key) = 0;
     /// A read or an append succeeded or failed.
-    virtual void OnCrashLogAnswered() = 0;
-    virtual void OnCrashLogUnreachable(const Error& error) = 0;
+    virtual void OnFleetLogAnswered() = 0;
+    virtual void OnFleetLogUnreachable(const Error& error) = 0;
   };
 
-  virtual ~CrashLog() = default;
+  virtual ~FleetLog() = default;
   virtual void Subscribe(Handler& handler) = 0;
 
+  /// Announces that this host runs.
+  virtual void AnnounceHost() = 0;
+
   /// Adds or withdraws records. Retries until the records are kept; while that
   /// fails, the oldest waiting records are dropped above a maximum.
   virtual void Append(std::vector<CrashRecord> records) = 0;
@@ -39,4 +44,4 @@
 
 }  // namespace teaselhill::gateway
 
-#endif  // TEASELHILL_GATEWAY_CRASH_LOG_H_
+#endif  // TEASELHILL_GATEWAY_FLEET_LOG_H_
--- /dev/null
+++ b/include/teaselhill/gateway/fleet_size.h
@@ -0,0 +1,50 @@
+/// \file
+/// Counts the hosts of the fleet.
+
+#ifndef TEASELHILL_GATEWAY_FLEET_SIZE_H_
+#define TEASELHILL_GATEWAY_FLEET_SIZE_H_
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::gateway {
+
+/// Announcement of a host that runs.
+struct HostRecord {
+  std::string host;
+  Duration age{};  ///< since the announcement
+};
+
+/// The number of hosts that share a limit of the fleet. A host counts until its
+/// last announcement is old, so that the number is rather too large than too
+/// small: the limit must hold while hosts are restarted. Deterministic: time is
+/// an argument.
+class FleetSize {
+ public:
+  /// A host repeats its announcement after this time.
+  static constexpr std::chrono::hours kAnnouncementPeriod{1};
+  static constexpr std::chrono::hours kHostRetention{3};
+
+  /// Assumed while no host is known, as before the first read of the records.
+  /// The largest fleet that the system is designed for.
+  static constexpr size_t kMaxHosts = 400;
+
+  void OnRecords(const std::vector<HostRecord>& records, TimePoint now);
+
+  /// Removes hosts whose last announcement is old.
+  void Expire(TimePoint now);
+
+  size_t hosts() const {
+    return announced_at_.empty() ? kMaxHosts : announced_at_.size();
+  }
+
+ private:
+  std::unordered_map<std::string, TimePoint> announced_at_;
+};
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_FLEET_SIZE_H_
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -77,6 +77,9 @@
     retry_budget_.SetOptions(options);
   }
 
+  /// Number of hosts of the fleet. Call on the loop's thread.
+  void SetHostCount(size_t hosts) { retry_budget_.SetHostCount(hosts); }
+
   /// Call before the loop runs.
   void SetCrashPublisher(CrashPublisher publisher) {
     crash_publisher_ = std::move(publisher);
--- a/include/teaselhill/gateway/retry_budget.h
+++ b/include/teaselhill/gateway/retry_budget.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "teaselhill/gateway/fleet_size.h"
 #include "teaselhill/support/time.h"
 
 namespace teaselhill::gateway {
@@ -18,21 +19,28 @@
   /// within the same ratio of all its requests.
   double ratio = 0.2;
   Duration window = std::chrono::seconds(10);
-  /// Additional retries of this host in each window.
-  double additional_retries = 2;
+  /// Additional retries of the whole fleet in each window.
+  double fleet_additional_retries = 54;
   /// Fraction of `ratio` that this host uses. The rest is a margin, since the
   /// hosts do not count requests in the same windows.
   double used_ratio_fraction = 0.8;
+  /// Fraction of its share of the additional retries that this host uses. The
+  /// rest is a margin for hosts that have joined and are not known yet.
+  double used_additional_fraction = 0.5;
 };
 
 /// Retry budget for each service, over a sliding window. Deterministic: time is
 /// an argument.
 class RetryBudget {
  public:
-  explicit RetryBudget(RetryBudgetOptions options = {}) : options_(options) {}
+  explicit RetryBudget(RetryBudgetOptions options, TimePoint started_at)
+      : options_(options), started_at_(started_at) {}
 
   void SetOptions(RetryBudgetOptions options) { options_ = options; }
 
+  /// Number of hosts that share the additional retries.
+  void SetHostCount(size_t hosts) { hosts_ = hosts; }
+
   /// A caller's request for the service was accepted.
   void OnRequest(const std::string& service, TimePoint now);
 
@@ -46,7 +54,13 @@
   };
   void RemoveExpired(std::deque<TimePoint>& times, TimePoint now) const;
 
+  /// Additional retries of this host. They accrue during the first window of
+  /// the process, so that a restart does not grant them again.
+  double AdditionalRetries(TimePoint now) const;
+
   RetryBudgetOptions options_;
+  TimePoint started_at_;
+  size_t hosts_ = FleetSize::kMaxHosts;
   std::unordered_map<std::string, ServiceWindow> windows_by_service_;
 };
 
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -103,7 +103,7 @@
 
 /// The running gateway. Members are used on the control thread unless noted
 /// otherwise.
-class Daemon : private CrashLog::Handler {
+class Daemon : private FleetLog::Handler {
  public:
   Daemon(const GatewaySettings& settings, Adapter& adapter)
       : settings_(settings),
@@ -130,9 +130,9 @@
                         MakeListenerOptions(settings.metrics_endpoint, 16),
                         metrics_handler_),
         state_keeper_(shared_state_, log_, BootNow),
-        crash_log_monitor_(log_, "crash_log"),
+        fleet_log_monitor_(log_, "fleet_log"),
         source_(adapter.MakeStateSource(control_loop_)),
-        crash_log_(adapter.MakeCrashLog(control_loop_)) {}
+        fleet_log_(adapter.MakeFleetLog(control_loop_)) {}
 
   int Run() {
     for (net::HttpServer* server : EnabledServers()) {
@@ -161,10 +161,17 @@
     const auto metrics_report = control_loop_.timers().Subscribe(
         kMetricsPeriod, [this](TimePoint) { ReportMetrics(); });
     source_->Subscribe(state_keeper_);
-    crash_log_->Subscribe(*this);
+    fleet_log_->Subscribe(*this);
+    fleet_log_->AnnounceHost();
+    const auto announcement = control_loop_.timers().Subscribe(
+        FleetSize::kAnnouncementPeriod, [this](TimePoint) {
+          fleet_log_->AnnounceHost();
+          fleet_size_.Expire(BootNow());
+          PublishHostCount();
+        });
     gateway_.SetCrashPublisher([this](std::vector<CrashRecord> records) {
       control_loop_.Post([this, records = std::move(records)] {
-        crash_log_->Append(records);
+        fleet_log_->Append(records);
       });
     });
     const LoopThread traffic(traffic_loop_, "traffic");
@@ -182,22 +189,41 @@
     });
   }
 
-  void OnCrashRecordUnreadable(const std::string& key) override {
+  void OnHostRecords(std::vector<HostRecord> records) override {
+    fleet_size_.OnRecords(records, BootNow());
+    PublishHostCount();
+  }
+
+  void PublishHostCount() {
+    const size_t hosts = fleet_size_.hosts();
+    if (hosts == published_host_count_)
+      return;
+    log_.Write(
+        LineKind::kState,
+        LogLine(LogLevel::kInfo, "fleet_size_changed")
+            .Field("hosts", static_cast<uint64_t>(hosts))
+            .Field("previous", static_cast<uint64_t>(published_host_count_)),
+        BootNow());
+    published_host_count_ = hosts;
+    traffic_loop_.Post([this, hosts] { gateway_.SetHostCount(hosts); });
+  }
+
+  void OnFleetRecordUnreadable(const std::string& key) override {
     log_.Write(LineKind::kFailure,
                LogLine(LogLevel::kWarning, "record_unreadable")
                    .Field("name", key)
                    .Field("code", static_cast<int>(ResultCode::kProtocolError))
-                   .Field("fault", "not a crash record"),
+                   .Field("fault", "neither a crash record nor a host record"),
                BootNow());
   }
 
-  void OnCrashLogAnswered() override {
-    crash_log_monitor_.OnAnswered(BootNow());
+  void OnFleetLogAnswered() override {
+    fleet_log_monitor_.OnAnswered(BootNow());
   }
 
-  void OnCrashLogUnreachable(const Error& error) override {
+  void OnFleetLogUnreachable(const Error& error) override {
     const auto routes = shared_state_.routes();
-    crash_log_monitor_.OnUnreachable(error, routes ? routes->version() : 0,
+    fleet_log_monitor_.OnUnreachable(error, routes ? routes->version() : 0,
                                      BootNow());
   }
 
@@ -325,9 +351,11 @@
   net::HttpServer readiness_server_;
   net::HttpServer metrics_server_;
   StateKeeper state_keeper_;
-  DependencyMonitor crash_log_monitor_;
+  DependencyMonitor fleet_log_monitor_;
   std::unique_ptr<StateSource> source_;
-  std::unique_ptr<CrashLog> crash_log_;
+  std::unique_ptr<FleetLog> fleet_log_;
+  FleetSize fleet_size_;
+  size_t published_host_count_ = FleetSize::kMaxHosts;
   bool accepting_connections_ = true;
   TimerSubscription close_idle_timer_;
   TimerSubscription stop_accepting_timer_;
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -67,7 +67,7 @@
                                                 options_.placement))),
       report_fetcher_(loop, report_client_, upstreams, upstream_health_),
       crash_guard_(loop, log, *this, options_.crash_guard),
-      retry_budget_(options_.retry_budget),
+      retry_budget_(options_.retry_budget, BootNow()),
       overload_gate_(options_.overload_gate) {
   cleanup_timer_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
     const TimePoint now = BootNow();
--- a/lib/gateway/retry_budget.cc
+++ b/lib/gateway/retry_budget.cc
@@ -3,6 +3,8 @@
 
 #include "teaselhill/gateway/retry_budget.h"
 
+#include <algorithm>
+
 namespace teaselhill::gateway {
 
 void RetryBudget::OnRequest(const std::string& service, TimePoint now) {
@@ -18,13 +20,20 @@
   const double allowed =
       options_.ratio * options_.used_ratio_fraction *
           static_cast<double>(service_window.requests.size()) +
-      options_.additional_retries;
+      AdditionalRetries(now);
   if (static_cast<double>(service_window.retries.size()) + 1 > allowed)
     return false;
   service_window.retries.push_back(now);
   return true;
 }
 
+double RetryBudget::AdditionalRetries(TimePoint now) const {
+  const double accrued_fraction =
+      std::min(1.0, ToSeconds(now - started_at_) / ToSeconds(options_.window));
+  return options_.fleet_additional_retries * options_.used_additional_fraction *
+         accrued_fraction / static_cast<double>(std::max<size_t>(hosts_, 1));
+}
+
 void RetryBudget::RemoveExpired(std::deque<TimePoint>& times,
                                 TimePoint now) const {
   while (!times.empty() && times.front() <= now - options_.window)
--- /dev/null
+++ b/unittests/gateway/fleet_size_test.cc
@@ -0,0 +1,35 @@
+/// \file
+/// Guards against hosts that share a limit among too few hosts.
+
+#include "teaselhill/gateway/fleet_size.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::gateway {
+
+using std::chrono::hours;
+
+TEST_CASE("the largest fleet is assumed until a host is known") {
+  FleetSize fleet_size;
+  CHECK(fleet_size.hosts() == FleetSize::kMaxHosts);
+  fleet_size.OnRecords({{"a"}, {"b"}, {"a"}}, TimePoint{});
+  CHECK(fleet_size.hosts() == 2);
+}
+
+TEST_CASE("a host counts until its last announcement is old") {
+  FleetSize fleet_size;
+  TimePoint now = TimePoint(hours(10));
+  fleet_size.OnRecords({{"gone"}, {"restarted"}, {"old", hours(5)}}, now);
+  CHECK(fleet_size.hosts() == 2);
+  now += hours(2);
+  fleet_size.OnRecords({{"restarted"}}, now);
+  fleet_size.Expire(now);
+  CHECK(fleet_size.hosts() == 2);
+  // An announcement that is read again does not make the host younger.
+  fleet_size.OnRecords({{"gone", hours(2)}}, now);
+  now += hours(1);
+  fleet_size.Expire(now);
+  CHECK(fleet_size.hosts() == 1);
+}
+
+}  // namespace teaselhill::gateway
--- a/unittests/platform/crash_topic_test.cc
+++ b/unittests/platform/fleet_topic_test.cc
@@ -2,7 +2,7 @@
 /// Guards against crash records that another host reads differently, and
 /// against records of other writers.
 
-#include "platform/crash_topic.h"
+#include "platform/fleet_topic.h"
 
 #include <catch2/catch.hpp>
 
@@ -57,24 +57,37 @@
   const std::string digits(32, 'a');
   const std::string value =
       R"({"upstream":"e","incarnation":1,"crashed_at_ms":5,"run_time_ms":1})";
-  REQUIRE(DecodeCrash({0, digits + "/1", value}, kNow));
+  REQUIRE(DecodeCrash({0, "crash/" + digits + "/1", value}, kNow));
   const KeyedRecord record = GENERATE_COPY(values<KeyedRecord>({
       {0, "", value},
-      {0, digits, value},
-      {0, digits + "/", value},
-      {0, digits + "/x", value},
-      {0, digits + "/1/e", value},
-      {0, "z" + digits.substr(1) + "/1", value},
-      {0, digits + "/1", "\xff\x00"},
-      {0, digits + "/1", "[]"},
-      {0, digits + "/1", R"({"upstream":"e","incarnation":1})"},
-      {0, digits + "/1",
+      {0, digits + "/1", value},
+      {0, "crash/" + digits, value},
+      {0, "crash/" + digits + "/", value},
+      {0, "crash/" + digits + "/x", value},
+      {0, "crash/" + digits + "/1/e", value},
+      {0, "crash/z" + digits.substr(1) + "/1", value},
+      {0, "crash/" + digits + "/1", "\xff\x00"},
+      {0, "crash/" + digits + "/1", "[]"},
+      {0, "crash/" + digits + "/1", R"({"upstream":"e","incarnation":1})"},
+      {0, "crash/" + digits + "/1",
        R"({"upstream":1,"incarnation":1,"crashed_at_ms":5,"run_time_ms":1})"},
   }));
   INFO(record.key << " " << record.value.value_or("none"));
   CHECK_FALSE(DecodeCrash(record, kNow));
 }
 
+TEST_CASE("a host record reads as it was written") {
+  const KeyedRecord record = EncodeHost("front-1", kNow);
+  const auto read = DecodeHost(record, kNow + milliseconds(250));
+  REQUIRE(read);
+  CHECK(read->host == "front-1");
+  CHECK(read->age == milliseconds(250));
+  CHECK_FALSE(DecodeCrash(record, kNow));
+  CHECK_FALSE(DecodeHost({0, record.key, std::nullopt}, kNow));
+  CHECK_FALSE(DecodeHost({0, record.key, "[]"}, kNow));
+  CHECK_FALSE(DecodeHost({0, "front-1", record.value}, kNow));
+}
+
 TEST_CASE("an append is encoded in the form in which it is read") {
   const std::vector<KeyedRecord> records = {{0, "key", "value"},
                                             {0, "deleted", std::nullopt}};
