Look for the cause of a crash among the newest requests, and probe each loss

Cause: the number of crashes alone does not tell a request that is in flight everywhere from one that crashes its upstream. Besides, a probe that was in progress when an upstream crashed found it listening and cleared the new losses as well.

Change: only a request that was among the newest (within 10 ms of run time) in more than half of its crashes can be the cause with three. Run times are used because they need no common clock. A loss during a probe gets a probe of its own.

Ruled out: removing the crashes of known causes first and counting again, because the order in which two causes are found then decides; and more weight on completions, because there were none.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -102,8 +102,10 @@
   };
 
   void ChangeRuns(const std::string& upstream_id, bool repeat, int difference);
-  void Probe(const UpstreamProcess& upstream, const std::string& address);
-  void OnProbed(const UpstreamProcess& upstream, bool is_down);
+  void ScheduleProbe(const UpstreamProcess& upstream,
+                     const std::string& address);
+  void SendProbe(const UpstreamProcess& upstream, const std::string& address);
+  void OnUpstreamDown(const UpstreamProcess& upstream);
   void ReportQuarantined(const std::vector<Hash128>& fingerprints,
                          std::string_view learned_from,
                          TimePoint now);
@@ -115,9 +117,8 @@
   CrashGuardOptions options_;
   CrashHistory history_;
   std::unordered_map<std::string, RunCounts> runs_by_upstream_;
-  /// Upstreams that are being probed, with the delay before the probe. The key
-  /// is the id of the upstream.
-  std::map<std::string, TimerSubscription> probes_;
+  /// Upstreams that are to be probed, with the delay before the probe.
+  std::map<UpstreamProcess, TimerSubscription> scheduled_probes_;
 };
 
 }  // namespace teaselhill::gateway
--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -42,6 +42,9 @@
   /// Requests that one process of an upstream lost within this time were lost
   /// in the same crash. A process takes longer to start and crash again.
   Duration same_crash = std::chrono::milliseconds(500);
+  /// Requests of one crash whose run times differ by at most this are equally
+  /// new.
+  Duration same_run_time = std::chrono::milliseconds(10);
   /// Time after a crash in which records of the same crash arrive from other
   /// hosts. They may name another request as the cause.
   Duration report_delay = std::chrono::milliseconds(1200);
@@ -104,11 +107,14 @@
 /// request is answered completely on any host. Hosts exchange records, so that
 /// each of them counts the crashes of the whole fleet.
 ///
-/// A crash ends all requests of the upstream. A request is refused if it has
-/// enough crashes, and at one of them more than any other request: it is the
-/// cause then. Its crashes do not count against the requests beside it. A
-/// request that was answered completely a short time ago is not suspected:
-/// many callers may send it, so that a copy of it is in flight at each crash.
+/// A crash ends all requests of the upstream. Its cause is most likely among
+/// the newest of them, since a request that crashes its upstream does so when
+/// it begins to run. A request is refused as the cause if it has enough
+/// crashes, was among the newest in most of them, and has more of them than the
+/// other requests of which that is true. Its crashes do not count against the
+/// requests beside it. A that was answered completely a short time ago is not
+/// suspected: many callers may send it, so that a copy of it is in flight at
+/// each crash.
 ///
 /// Deterministic: time is an argument.
 class CrashHistory {
@@ -137,8 +143,9 @@
   /// the fingerprints that are refused from now on.
   std::vector<Hash128> OnUpstreamDown(const UpstreamProcess& upstream,
                                       TimePoint now);
-  /// The connections were lost for another reason.
-  void OnUpstreamNotDown(const UpstreamProcess& upstream);
+  /// The upstream still listened at `at`: the connections that it lost until
+  /// then were lost for another reason.
+  void OnUpstreamListening(const UpstreamProcess& upstream, TimePoint at);
 
   /// The request was answered completely, so it crashes no upstream. Call for
   /// each answer, also while there are no crashes.
@@ -176,20 +183,26 @@
     bool shared = false;     ///< other hosts have the record or will get it
     bool explained = false;  ///< another request is the cause
     size_t event = 0;        ///< index of the crash among all crashes
+
+    Duration run_time() const { return crashed_at - sent_at; }
   };
   struct Entry {
     std::vector<Crash> crashes;
     /// This host shares the crashes as soon as they are verified.
     bool request_failed = false;
-    int crash_count = 0;    ///< CrashAssessment::crashes
-    bool is_cause = false;  ///< of at least one crash
-    bool refused = false;   ///< as of the last classification
+    int crash_count = 0;            ///< CrashAssessment::crashes
+    bool is_mostly_newest = false;  ///< in more than half of its crashes
+    bool is_cause = false;          ///< of at least one crash
+    bool refused = false;           ///< as of the last classification
   };
   using Entries = std::unordered_map<Hash128, Entry, Hash128Hasher>;
-  /// The request with the most crashes among those that one crash ended.
-  struct MostSuspected {
-    const Entry* entry = nullptr;
-    bool is_tied = false;  ///< another request has as many crashes
+  /// One crash of an upstream, which ends the attempts of several requests.
+  struct Event {
+    Duration min_run_time = Duration::max();
+    /// The request with the most crashes among those that are mostly newest.
+    const Entry* most_suspected = nullptr;
+    bool is_tied = false;  ///< another such request has as many crashes
+    bool explained = false;
   };
 
   /// Counts the crashes of which none ran at the same time as another.
@@ -204,8 +217,9 @@
   /// Gives the crashes of different requests that are one crash of an upstream
   /// the same event. Returns the number of events.
   size_t AssignEvents();
-  void FindCauses(size_t event_count);
-  void ExplainCrashes(size_t event_count);
+  void FindNewest(std::vector<Event>& events);
+  void FindCauses(std::vector<Event>& events);
+  void ExplainCrashes(std::vector<Event>& events);
   Duration RefusedFor(const Entry& entry, TimePoint now) const;
 
   Duration RetentionOf(const Entry& entry) const;
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -71,28 +71,39 @@
                                   TimePoint now) {
   const UpstreamProcess process{upstream.id, upstream.incarnation};
   history_.OnConnectionLost(fingerprint, process, answering_for, sent_at, now);
-  Probe(process, upstream.address);
+  ScheduleProbe(process, upstream.address);
 }
 
-void CrashGuard::Probe(const UpstreamProcess& upstream,
-                       const std::string& address) {
-  const auto [probe, added] = probes_.try_emplace(upstream.id);
+void CrashGuard::ScheduleProbe(const UpstreamProcess& upstream,
+                               const std::string& address) {
+  const auto [probe, added] = scheduled_probes_.try_emplace(upstream);
   if (!added)
     return;
   probe->second = loop_.timers().After(
       options_.probe_delay, [this, upstream, address](TimePoint) {
-        net::ProbeConnect(loop_, address, options_.probe_timeout,
-                          [this, upstream](net::ProbeResult result) {
-                            OnProbed(upstream,
-                                     result == net::ProbeResult::kNotListening);
-                          });
+        // The timer owns this function, so it is kept until the end.
+        const TimerSubscription timer =
+            std::move(scheduled_probes_.at(upstream));
+        scheduled_probes_.erase(upstream);
+        SendProbe(upstream, address);
       });
 }
 
-void CrashGuard::OnProbed(const UpstreamProcess& upstream, bool is_down) {
-  probes_.erase(upstream.id);
-  if (!is_down)
-    return history_.OnUpstreamNotDown(upstream);
+void CrashGuard::SendProbe(const UpstreamProcess& upstream,
+                           const std::string& address) {
+  // A connection that is lost while the probe is in progress has a probe of its
+  // own: the upstream may crash after it has accepted this one.
+  const TimePoint sent_at = BootNow();
+  net::ProbeConnect(loop_, address, options_.probe_timeout,
+                    [this, upstream, sent_at](net::ProbeResult result) {
+                      if (result == net::ProbeResult::kNotListening)
+                        OnUpstreamDown(upstream);
+                      else
+                        history_.OnUpstreamListening(upstream, sent_at);
+                    });
+}
+
+void CrashGuard::OnUpstreamDown(const UpstreamProcess& upstream) {
   const TimePoint now = BootNow();
   const std::vector<Hash128> quarantined =
       history_.OnUpstreamDown(upstream, now);
