--- a/scripts/soak/crashing.py
+++ b/scripts/soak/crashing.py
@@ -55,6 +55,7 @@
             if host is not None:
                 await self.send(host)
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+        self.ledger.requests["crashing_runs"] += self.watch.arrivals
         if self.watch.late > MOST_LATE_ARRIVALS:
             self.ledger.violate("crashing", f"{self.kind}: {self.watch.late} "
                                 f"arrivals over {CONTACT_S} s after the third "
