--- a/lib/admission/tiered_policy.cc
+++ b/lib/admission/tiered_policy.cc
@@ -52,9 +52,14 @@
   return std::clamp(retry_after, kMinRetryAfter, kMaxRetryAfter);
 }
 
-/// Returns the time to serve `work_tokens` at `tokens_per_second`, or zero
-/// while the rate is unknown. The time is limited to one day, so that sums of
-/// times cannot overflow.
+const AdmissionRegistration kRegistration(
+    "tiered",
+    [](const AdmissionOptions& options) {
+      return std::make_unique<TieredPolicy>(options);
+    });
+
+}  // namespace
+
 Duration ServiceTime(double work_tokens, double tokens_per_second) {
   constexpr double kMaxSeconds = 86400;
   return tokens_per_second > 0
@@ -72,14 +77,6 @@
   return {class_node.last_started_at, tier, class_node.creation_index};
 }
 
-const AdmissionRegistration kRegistration(
-    "tiered",
-    [](const AdmissionOptions& options) {
-      return std::make_unique<TieredPolicy>(options);
-    });
-
-}  // namespace
-
 TieredPolicy::TieredPolicy(const AdmissionOptions& options)
     : options_(options), predictor_(kMaxSketches) {}
 
@@ -237,64 +234,6 @@
   return admitted;
 }
 
-bool TieredPolicy::ExceedsMemoryBound(size_t added_bytes) const {
-  return queued_count_ + 1 > options_.max_queued_requests ||
-         queued_bytes_ + added_bytes > options_.max_queued_bytes;
-}
-
-bool TieredPolicy::ExceedsUnmeasuredWorkBound(const QueueEntry& entry,
-                                              TimePoint now) const {
-  return queued_count_ > 0 &&
-         entry.model_queue->service_rate.TokensPerSecond(now) == 0 &&
-         queued_work_tokens_ + entry.predicted_work_tokens >
-             options_.max_unmeasured_work_tokens;
-}
-
-QueueEntry* TieredPolicy::FindRequestToShed(const QueueEntry& entry) {
-  const auto least_urgent = backlog_by_tier_.rbegin();
-  if (least_urgent == backlog_by_tier_.rend() ||
-      least_urgent->first < entry.request.tier)
-    return nullptr;
-  const bool same_tier = least_urgent->first == entry.request.tier;
-  CustomerBacklog* largest_backlog = nullptr;
-  double max_work_per_weight = 0;
-  if (same_tier) {
-    const auto own_backlog = least_urgent->second.find(entry.request.customer);
-    const double own_work = own_backlog == least_urgent->second.end()
-                                ? 0
-                                : own_backlog->second.queued_work_tokens;
-    max_work_per_weight = (own_work + entry.predicted_work_tokens) /
-                          entry.request.customer_weight;
-  }
-  for (auto& [customer, backlog] : least_urgent->second) {
-    if (same_tier && customer == entry.request.customer)
-      continue;
-    if (backlog.queued_work_tokens / backlog.weight > max_work_per_weight) {
-      max_work_per_weight = backlog.queued_work_tokens / backlog.weight;
-      largest_backlog = &backlog;
-    }
-  }
-  return largest_backlog == nullptr ? nullptr
-                                    : largest_backlog->entries.rbegin()->second;
-}
-
-bool TieredPolicy::MakeRoom(const QueueEntry& entry,
-                            DecisionReason reason,
-                            TimePoint now,
-                            std::vector<RemovedRequest>* shed) {
-  if (entry.memory_bytes > options_.max_queued_bytes)
-    return false;
-  while (ExceedsMemoryBound(entry.memory_bytes) ||
-         ExceedsUnmeasuredWorkBound(entry, now)) {
-    QueueEntry* request_to_shed = FindRequestToShed(entry);
-    if (request_to_shed == nullptr)
-      return false;
-    shed->push_back(
-        RemoveFromQueue(request_to_shed, ResultCode::kQueueFull, reason, now));
-  }
-  return true;
-}
-
 void TieredPolicy::Enqueue(QueueEntry* entry, TimePoint now) {
   const QueuedRequest& request = entry->request;
   ModelQueue& model = *entry->model_queue;
@@ -395,113 +334,6 @@
   return next;
 }
 
-bool TieredPolicy::UrgentTierHasSlack(const ModelQueue& model,
-                                      TimePoint now) const {
-  const auto urgent_tier = model.tiers.find(config::kUrgentTier);
-  if (urgent_tier == model.tiers.end() ||
-      urgent_tier->second.by_latest_start.empty())
-    return true;
-  const QueueEntry& earliest =
-      *urgent_tier->second.by_latest_start.begin()->second;
-  const Duration wait =
-      ServiceTime(urgent_tier->second.fair_queue.root().queued_work_tokens,
-                  model.service_rate.TokensPerSecond(now));
-  const Duration extra_service =
-      FromSeconds(earliest.predicted_work_tokens * model.seconds_per_token);
-  return now + wait + extra_service <= earliest.latest_start;
-}
-
-TieredPolicy::Candidate TieredPolicy::FindGuaranteedStart(
-    const ModelQueue& model,
-    TimePoint now) const {
-  // A guaranteed start is always followed by a start in tier order, so that
-  // even a very slow model spends half of its starts on its most urgent
-  // requests.
-  if (model.classes_by_last_start.empty() || model.last_pick_guaranteed)
-    return {};
-  const FairNode& longest_waiting =
-      *model.classes_by_last_start.begin()->second;
-  const Duration waited = now - longest_waiting.last_started_at;
-  const bool due = waited >= options_.forced_start_after ||
-                   (waited >= options_.guaranteed_start_after &&
-                    UrgentTierHasSlack(model, now));
-  if (!due)
-    return {};
-  return {FairQueue::NextEntry(longest_waiting),
-          DecisionReason::kGuaranteedStart};
-}
-
-TieredPolicy::Candidate TieredPolicy::FindStartInTierOrder(
-    const ModelQueue& model) {
-  for (const auto& [tier, queue] : model.tiers) {
-    if (queue.fair_queue.root().queued_count > 0)
-      return {FairQueue::NextEntry(queue.fair_queue.root()),
-              DecisionReason::kTierOrder};
-  }
-  return {};
-}
-
-std::optional<PickedRequest> TieredPolicy::PickNext(const PlacementProbe& probe,
-                                                    TimePoint now) {
-  CollectExpired(now);
-  pick_order_.clear();
-  for (auto& [name, model] : models_) {
-    if (model.queued_count > 0)
-      pick_order_.push_back(&model);
-  }
-  // Models usually do not compete for upstreams. Among models whose next
-  // requests are equally urgent, the model that was picked least recently is
-  // tried first.
-  const auto pick_key = [](const ModelQueue* model) {
-    return std::make_pair(FindStartInTierOrder(*model).entry->request.tier,
-                          model->last_pick_number);
-  };
-  std::sort(pick_order_.begin(), pick_order_.end(),
-            [&](const ModelQueue* a, const ModelQueue* b) {
-              return pick_key(a) < pick_key(b);
-            });
-  for (ModelQueue* model : pick_order_) {
-    const Candidate guaranteed = FindGuaranteedStart(*model, now);
-    if (guaranteed.entry != nullptr &&
-        probe.CanPlace(guaranteed.entry->request))
-      return StartRequest(guaranteed, now);
-    const Candidate ordered = FindStartInTierOrder(*model);
-    if (ordered.entry != guaranteed.entry &&
-        probe.CanPlace(ordered.entry->request))
-      return StartRequest(ordered, now);
-  }
-  return std::nullopt;
-}
-
-PickedRequest TieredPolicy::StartRequest(const Candidate& candidate,
-                                         TimePoint now) {
-  QueueEntry* entry = candidate.entry;
-  ModelQueue& model = *entry->model_queue;
-  PickedRequest picked{
-      entry->request,
-      {candidate.reason, MakeDecisionDetails(model, *entry, now)}};
-  FairNode* class_node = ClassNodeOf(*entry);
-  const config::Tier tier = entry->request.tier;
-  RemoveFromIndexes(entry);
-  model.classes_by_last_start.erase(LastStartKey(*class_node, tier));
-  model.tiers[tier].fair_queue.StartEntry(entry->team_node, entry);
-  class_node->last_started_at = now;
-  if (class_node->queued_count > 0)
-    model.classes_by_last_start.emplace(LastStartKey(*class_node, tier),
-                                        class_node);
-  entry->is_running = true;
-  entry->charged_work_tokens = entry->predicted_work_tokens;
-  entry->started_at = now;
-  ++model.running_count;
-  model.last_pick_number = next_pick_number_++;
-  model.last_pick_guaranteed =
-      candidate.reason == DecisionReason::kGuaranteedStart;
-  model.last_used_at = now;
-  model.service_rate.OnRequestStarted(entry->predicted_work_tokens);
-  model.service_rate.Update(model.queued_count > 0, now);
-  return picked;
-}
-
 void TieredPolicy::EndRunning(QueueEntry* entry) {
   entry->is_running = false;
   --entry->model_queue->running_count;
--- a/lib/admission/tiered_policy.h
+++ b/lib/admission/tiered_policy.h
@@ -47,6 +47,18 @@
   TimePoint last_used_at{};
 };
 
+/// Returns the time to serve `work_tokens` at `tokens_per_second`, or zero
+/// while the rate is unknown. The time is limited to one day, so that sums of
+/// times cannot overflow.
+Duration ServiceTime(double work_tokens, double tokens_per_second);
+
+/// Returns the node of the entry's class in its fair queue.
+FairNode* ClassNodeOf(const QueueEntry& entry);
+
+/// Returns the key of a class of `tier` in ClassesByLastStart.
+ClassesByLastStart::key_type LastStartKey(const FairNode& class_node,
+                                          config::Tier tier);
+
 /// The plug-in `tiered`. Each model has its own queues. To decide which
 /// requests to shed, the queued work of each customer is also summed over all
 /// models.
