Send no further retry of a request that may have crashed three upstreams

A host sent a request on within one caller attempt until its crashes were verified, 30 ms after each. A request that cannot be told apart from another yet could so crash three more upstreams in one attempt, all later than the third. Unverified crashes now count for the host's own retries; refusals on arrival still need verified ones.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -90,6 +90,9 @@
   /// Whether the request should run apart from other suspects, so that a second
   /// crash tells them apart: it has several crashes, or an early one.
   bool isolate = false;
+  /// Whether a host may send the request again without its caller. False as
+  /// soon as it may have crashed as many upstreams as a refusal takes.
+  bool may_retry = true;
   /// Time for which the request is refused; zero: it is not refused.
   Duration refused_for{};
   /// Part of `refused_for` after which records of other hosts may have cleared
@@ -112,9 +115,9 @@
 /// it begins to run. A request is refused as the cause if it has enough
 /// crashes, was among the newest in most of them, and has more of them than the
 /// other requests of which that is true. Its crashes do not count against the
-/// requests beside it. A that was answered completely a short time ago is not
-/// suspected: many callers may send it, so that a copy of it is in flight at
-/// each crash.
+/// requests beside it. A request that was answered completely a short time ago
+/// is not suspected: many callers may send it, so that a copy of it is in
+/// flight at each crash.
 ///
 /// Deterministic: time is an argument.
 class CrashHistory {
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -73,6 +73,9 @@
                                      return !crash.explained && crash.early;
                                    });
   assessment.refused_for = RefusedFor(entry, now);
+  assessment.may_retry =
+      assessment.refused_for == Duration::zero() &&
+      assessment.suspected_crashes < options_.crashes_to_quarantine;
   if (assessment.refused_for > Duration::zero())
     assessment.provisional_for = std::max(
         Duration::zero(), LastCrashAt(entry) + options_.report_delay - now);
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -49,12 +49,12 @@
   event_stream_.DiscardPartial();
   transfer_paused_ = false;
   request_.placement_request.excluded_upstreams.push_back(upstream_.id);
-  const bool quarantined =
+  const bool may_crash_upstreams =
       !gateway_.crash_guard_.empty() &&
-      gateway_.crash_guard_.Assess(request_.Fingerprint(), now).refused_for >
-          Duration::zero();
+      !gateway_.crash_guard_.Assess(request_.Fingerprint(), now).may_retry;
   const bool retry_allowed =
-      !quarantined && MayRetry(state_, gateway_.options_.exchange_limits, now);
+      !may_crash_upstreams &&
+      MayRetry(state_, gateway_.options_.exchange_limits, now);
   // A send that did not reach an upstream does not count against the retry
   // budget.
   const bool within_budget =
@@ -72,7 +72,7 @@
                           .Field("head_sent", state_.head_sent)
                           .Field("events", event_stream_.event_count())
                           .Field("may_have_run", state_.possible_runs > 0)
-                          .Field("quarantined", quarantined)
+                          .Field("may_crash_upstreams", may_crash_upstreams)
                           .Field("repeat_allowed", retry_allowed)
                           .Field("repeat_budget", within_budget)
                           .Field("time_left_ms", state_.deadline - now)
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -55,6 +55,7 @@
     const auto refused = host.Crash(Engine(crash), {kCrashing});
     CHECK(refused.size() == (crash == 3 ? 1 : 0));
     CHECK(host.history.Assess(kCrashing, host.now).crashes == crash);
+    CHECK(host.history.Assess(kCrashing, host.now).may_retry == (crash < 3));
   }
   CHECK(host.Refuses(kCrashing));
   CHECK(host.history.Count(host.now).quarantined == 1);
