Leave attempts in flight alone when their request is quarantined

An attempt that had not begun to answer was cancelled as soon as its request was refused. At that moment the refusal is provisional: records of other hosts may still clear the request, and its caller would have got 502 for another's crash. Copies in flight are few, since the caller repeats a request after its failure.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -33,8 +33,6 @@
   class Handler {
    public:
     virtual ~Handler() = default;
-    /// Requests with this fingerprint are refused from now on.
-    virtual void OnQuarantined(const Hash128& fingerprint) = 0;
     /// Records for the other hosts.
     virtual void OnRecordsToShare(std::vector<CrashRecord> records) = 0;
   };
@@ -106,9 +104,9 @@
                      const std::string& address);
   void SendProbe(const UpstreamProcess& upstream, const std::string& address);
   void OnUpstreamDown(const UpstreamProcess& upstream);
-  void ReportQuarantined(const std::vector<Hash128>& fingerprints,
-                         std::string_view learned_from,
-                         TimePoint now);
+  void LogQuarantined(const std::vector<Hash128>& fingerprints,
+                      std::string_view learned_from,
+                      TimePoint now);
   void ShareRecords();
 
   net::EventLoop& loop_;
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -105,7 +105,6 @@
     Duration retry_after{};
   };
 
-  void OnQuarantined(const Hash128& fingerprint) override;
   void OnRecordsToShare(std::vector<CrashRecord> records) override;
 
   /// Resolves the request to a route, a team and a service.
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -98,7 +98,7 @@
                     [this, upstream, sent_at](net::ProbeResult result) {
                       if (result == net::ProbeResult::kNotListening)
                         OnUpstreamDown(upstream);
-                      else
+                      else  // or there is no answer, as in a partition
                         history_.OnUpstreamListening(upstream, sent_at);
                     });
 }
@@ -114,14 +114,14 @@
           .Field("incarnation", upstream.incarnation)
           .Field("requests", static_cast<uint64_t>(history_.CountAt(upstream))),
       now);
-  ReportQuarantined(quarantined, "own crash", now);
+  LogQuarantined(quarantined, "own crash", now);
   ShareRecords();
 }
 
 void CrashGuard::OnAnswerCompleted(const Hash128& fingerprint) {
   const TimePoint now = BootNow();
-  ReportQuarantined(history_.OnAnswerCompleted(fingerprint, now),
-                    "answer of another request", now);
+  LogQuarantined(history_.OnAnswerCompleted(fingerprint, now),
+                 "answer of another request", now);
   ShareRecords();
 }
 
@@ -136,7 +136,7 @@
              LogLine(LogLevel::kInfo, "crash_records_received")
                  .Field("records", static_cast<uint64_t>(records.size())),
              now);
-  ReportQuarantined(history_.OnRecords(records, now), "other host", now);
+  LogQuarantined(history_.OnRecords(records, now), "other host", now);
   ShareRecords();
 }
 
@@ -145,9 +145,9 @@
   ShareRecords();
 }
 
-void CrashGuard::ReportQuarantined(const std::vector<Hash128>& fingerprints,
-                                   std::string_view learned_from,
-                                   TimePoint now) {
+void CrashGuard::LogQuarantined(const std::vector<Hash128>& fingerprints,
+                                std::string_view learned_from,
+                                TimePoint now) {
   for (const Hash128& fingerprint : fingerprints) {
     const CrashAssessment assessment = history_.Assess(fingerprint, now);
     log_.Write(LineKind::kState,
@@ -157,7 +157,6 @@
                    .Field("for_ms", assessment.refused_for)
                    .Field("learned_from", learned_from),
                now);
-    handler_.OnQuarantined(fingerprint);
   }
 }
 
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -57,11 +57,6 @@
   void Start();
   void OnCallerDisconnected();
 
-  bool HasFingerprint(const Hash128& fingerprint) const;
-  /// The request has crashed too many upstreams: it is not sent again, and an
-  /// attempt that may not have begun to run is cancelled.
-  void OnQuarantined();
-
  private:
   class Attempt;
 
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -27,19 +27,6 @@
       sent_at_, now);
 }
 
-bool Exchange::HasFingerprint(const Hash128& fingerprint) const {
-  return request_.Fingerprint() == fingerprint;
-}
-
-void Exchange::OnQuarantined() {
-  if (finished_ || answer_started_at_)
-    return;
-  StopAttempt();
-  if (state_.possible_runs == 0 && !state_.head_sent)
-    return FailRequest({ResultCode::kQuarantined, ""});
-  ApplyFinalStep(DecideFinalStep(state_, AttemptOutcome::kBroken));
-}
-
 void Exchange::EndAttempt(AttemptOutcome outcome, std::string detail) {
   const TimePoint now = BootNow();
   RecordOutcome(outcome, now);
@@ -157,9 +144,6 @@
 }
 
 Duration Exchange::RetryAfter(ResultCode code) const {
-  if (code == ResultCode::kQuarantined)
-    return gateway_.crash_guard_.Assess(request_.Fingerprint(), BootNow())
-        .refused_for;
   if (upstream_retry_after_ > Duration::zero())
     return upstream_retry_after_;
   // A restarting upstream is ready again or ejected after about a second; a
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -173,22 +173,14 @@
                  .Field("retry_after_ms", retry_after),
              accepted_request.arrived_at);
   if (is_provisional)
-    return Rejection{{ResultCode::kNoUpstream,
-                      "upstreams crashed; their other requests are not known"},
-                     retry_after};
+    return Rejection{
+        {ResultCode::kNoUpstream,
+         "the request may have crashed upstreams; other hosts have not "
+         "reported yet"},
+        retry_after};
   return Rejection{{ResultCode::kQuarantined, ""}, retry_after};
 }
 
-void Gateway::OnQuarantined(const Hash128& fingerprint) {
-  std::vector<std::shared_ptr<Exchange>> copies;
-  for (const auto& [id, exchange] : exchanges_) {
-    if (exchange->HasFingerprint(fingerprint))
-      copies.push_back(exchange);
-  }
-  for (const std::shared_ptr<Exchange>& exchange : copies)
-    exchange->OnQuarantined();
-}
-
 void Gateway::OnRecordsToShare(std::vector<CrashRecord> records) {
   if (crash_publisher_)
     crash_publisher_(std::move(records));
