Log what becomes of each lost connection, and how much of the retry budget is used

The log could not tell the hypotheses apart: a lost connection that is taken for no crash left no line, a caller that left had no fingerprint, and the retry budget and the deadline of an attempt were not stated.

New: upstream_probed with its result; fingerprint in failed with caller_gone; repeats and repeats_limit in attempt_ended; time_left_ms in placed.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -103,6 +103,7 @@
   void ScheduleProbe(const UpstreamProcess& upstream,
                      const std::string& address);
   void SendProbe(const UpstreamProcess& upstream, const std::string& address);
+  void LogProbe(const UpstreamProcess& upstream, std::string_view result);
   void OnUpstreamDown(const UpstreamProcess& upstream);
   void LogQuarantined(const std::vector<Hash128>& fingerprints,
                       std::string_view learned_from,
--- a/include/teaselhill/gateway/retry_budget.h
+++ b/include/teaselhill/gateway/retry_budget.h
@@ -44,6 +44,13 @@
   /// A caller's request for the service was accepted.
   void OnRequest(const std::string& service, TimePoint now);
 
+  /// Retries in the current window, and the limit on them.
+  struct Usage {
+    size_t retries = 0;
+    double limit = 0;
+  };
+  Usage UsageOf(const std::string& service, TimePoint now);
+
   /// Acquires one retry, or returns false if the budget is spent.
   bool TryAcquire(const std::string& service, TimePoint now);
 
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -12,6 +12,18 @@
 
 namespace teaselhill::gateway {
 
+static std::string_view ProbeResultName(net::ProbeResult result) {
+  switch (result) {
+    case net::ProbeResult::kListening:
+      return "listening";
+    case net::ProbeResult::kNotListening:
+      return "not_listening";
+    case net::ProbeResult::kUnknown:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
 CrashGuard::SuspectRun::SuspectRun(CrashGuard& guard,
                                    std::string upstream_id,
                                    bool repeat)
@@ -96,6 +108,7 @@
   const TimePoint sent_at = BootNow();
   net::ProbeConnect(loop_, address, options_.probe_timeout,
                     [this, upstream, sent_at](net::ProbeResult result) {
+                      LogProbe(upstream, ProbeResultName(result));
                       if (result == net::ProbeResult::kNotListening)
                         OnUpstreamDown(upstream);
                       else  // or there is no answer, as in a partition
@@ -103,6 +116,18 @@
                     });
 }
 
+void CrashGuard::LogProbe(const UpstreamProcess& upstream,
+                          std::string_view result) {
+  log_.Write(
+      LineKind::kFailure,
+      LogLine(LogLevel::kInfo, "upstream_probed")
+          .Field("upstream", upstream.id)
+          .Field("incarnation", upstream.incarnation)
+          .Field("result", result)
+          .Field("requests", static_cast<uint64_t>(history_.CountAt(upstream))),
+      BootNow());
+}
+
 void CrashGuard::OnUpstreamDown(const UpstreamProcess& upstream) {
   const TimePoint now = BootNow();
   const std::vector<Hash128> quarantined =
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -198,6 +198,7 @@
           .Field("directory_age_ms",
                  now - gateway_.shared_state_.upstreams_read_at())
           .Field("crashes", crash_assessment_.suspected_crashes)
+          .Field("time_left_ms", state_.deadline - now)
           .Field("config_version", request_.routes->version()),
       now);
   net::ClientRequest request =
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -48,23 +48,28 @@
       retry_allowed &&
       (outcome == AttemptOutcome::kNotSent ||
        gateway_.retry_budget_.TryAcquire(request_.service, now));
-  gateway_.log_.Write(LineKind::kFailure,
-                      RequestLogLine("attempt_ended")
-                          .Field("upstream", upstream_.id)
-                          .Field("incarnation", upstream_.incarnation)
-                          .Field("attempt", state_.sends)
-                          .Field("outcome", AttemptOutcomeName(outcome))
-                          .Field("detail", detail)
-                          .Field("after_ms", now - sent_at_)
-                          .Field("head_sent", state_.head_sent)
-                          .Field("events", event_stream_.event_count())
-                          .Field("may_have_run", state_.possible_runs > 0)
-                          .Field("may_crash_upstreams", may_crash_upstreams)
-                          .Field("repeat_allowed", retry_allowed)
-                          .Field("repeat_budget", within_budget)
-                          .Field("time_left_ms", state_.deadline - now)
-                          .Field("fingerprint", ToHex(request_.Fingerprint())),
-                      now);
+  const RetryBudget::Usage usage =
+      gateway_.retry_budget_.UsageOf(request_.service, now);
+  gateway_.log_.Write(
+      LineKind::kFailure,
+      RequestLogLine("attempt_ended")
+          .Field("upstream", upstream_.id)
+          .Field("incarnation", upstream_.incarnation)
+          .Field("attempt", state_.sends)
+          .Field("outcome", AttemptOutcomeName(outcome))
+          .Field("detail", detail)
+          .Field("after_ms", now - sent_at_)
+          .Field("head_sent", state_.head_sent)
+          .Field("events", event_stream_.event_count())
+          .Field("may_have_run", state_.possible_runs > 0)
+          .Field("may_crash_upstreams", may_crash_upstreams)
+          .Field("repeat_allowed", retry_allowed)
+          .Field("repeat_budget", within_budget)
+          .Field("repeats", static_cast<uint64_t>(usage.retries))
+          .Field("repeats_limit", usage.limit)
+          .Field("time_left_ms", state_.deadline - now)
+          .Field("fingerprint", ToHex(request_.Fingerprint())),
+      now);
   const std::optional<Placement> placement =
       within_budget ? PlaceRequest() : std::nullopt;
   if (placement)
@@ -179,6 +184,8 @@
       .Field("attempts", state_.sends)
       .Field("upstream", upstream_.id)
       .Field("total_ms", now - request_.arrived_at);
+  if (code == ResultCode::kCallerGone)
+    line.Field("fingerprint", ToHex(request_.Fingerprint()));
   if (first_event_at_)
     line.Field("first_event_ms", *first_event_at_ - request_.arrived_at)
         .Field("longest_gap_ms", max_event_gap_)
--- a/lib/gateway/retry_budget.cc
+++ b/lib/gateway/retry_budget.cc
@@ -13,17 +13,24 @@
   service_window.requests.push_back(now);
 }
 
-bool RetryBudget::TryAcquire(const std::string& service, TimePoint now) {
+RetryBudget::Usage RetryBudget::UsageOf(const std::string& service,
+                                        TimePoint now) {
   ServiceWindow& service_window = windows_by_service_[service];
   RemoveExpired(service_window.requests, now);
   RemoveExpired(service_window.retries, now);
-  const double allowed =
-      options_.ratio * options_.used_ratio_fraction *
-          static_cast<double>(service_window.requests.size()) +
-      AdditionalRetries(now);
-  if (static_cast<double>(service_window.retries.size()) + 1 > allowed)
+  Usage usage;
+  usage.retries = service_window.retries.size();
+  usage.limit = options_.ratio * options_.used_ratio_fraction *
+                    static_cast<double>(service_window.requests.size()) +
+                AdditionalRetries(now);
+  return usage;
+}
+
+bool RetryBudget::TryAcquire(const std::string& service, TimePoint now) {
+  const Usage usage = UsageOf(service, now);
+  if (static_cast<double>(usage.retries) + 1 > usage.limit)
     return false;
-  service_window.retries.push_back(now);
+  windows_by_service_[service].retries.push_back(now);
   return true;
 }
 
