Add a failing test of crashes that leave no refusing port

The soak's crashed upstreams refused connections 30 ms later, just what CrashGuard looks for. They now have styles: refuse, accept and reset, back at once, silent and then reset, each with the old or a new id, and a delay before the crash.

--- a/scripts/soak/caller.py
+++ b/scripts/soak/caller.py
@@ -49,7 +49,7 @@
             body = b"" if kind == "safe" else self.rng.randbytes(
                 self.rng.choice([0, 20, 3000]))
             team, key = self.rng.choice(self.fleet.keys)
-            self.ledger.on_sent(request_id, kind, PATHS[kind], team, body)
+            self.ledger.on_sent(request_id, kind, PATHS[kind], team, body, host)
             writer.write(http_io.head(
                 f"{'GET' if kind == 'safe' else 'POST'} {PATHS[kind]} HTTP/1.1",
                 {"Host": "h.example", "X-Attempt-Id": request_id,
--- a/scripts/soak/crashing.py
+++ b/scripts/soak/crashing.py
@@ -36,6 +36,8 @@
                 and now > self.crashes[MOST_CRASHES - 1] + CONTACT_S
                 and not host.disturbed_within(CONTACT_S)):
             self.late += 1
+
+    def on_crash(self, now):
         self.crashes.append(now)
 
 
@@ -56,6 +58,7 @@
                 await self.send(host)
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
         self.ledger.requests["crashing_runs"] += self.watch.arrivals
+        self.ledger.requests["crashing_late"] += self.watch.late
         if self.watch.late > MOST_LATE_ARRIVALS:
             self.ledger.violate("crashing", f"{self.kind}: {self.watch.late} "
                                 f"arrivals over {CONTACT_S} s after the third "
@@ -65,7 +68,7 @@
         team, key = self.key
         request_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
         target = f"/{self.kind}/x"
-        self.ledger.on_sent(request_id, self.kind, target, team, self.body)
+        self.ledger.on_sent(request_id, self.kind, target, team, self.body, host)
         self.ledger.crashing[request_id] = self.watch
         self.watch.hosts[request_id] = host
         writer = None
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -14,6 +14,11 @@
 
 GRACE_S = 6
 
+# Period in which an upstream renews its entry, and the silence after which the
+# entry lapses.
+RENEWAL_S = 1.2
+LAPSE_S = 3 * RENEWAL_S
+
 
 def free_port(address):
     with socket.socket() as probe:
@@ -112,9 +117,9 @@
 
 
 class Fleet:
-    def __init__(self, ledger, rng, binary, folder, network):
-        self.ledger, self.rng = ledger, rng
-        self.binary, self.folder, self.network = binary, folder, network
+    def __init__(self, ledger, rng, options, folder, network):
+        self.ledger, self.rng, self.options = ledger, rng, options
+        self.folder, self.network = folder, network
         self.leaving_checked = False
         self.hosts, self.upstreams = [], []
         self.keys = [("crew", "key-crew"), ("office", "key-office")]
@@ -130,7 +135,7 @@
             service = "llm" if number < 3 else "app"
             await self.add_upstream(f"i-{number}", service)
         for number in range(host_count):
-            host = Host(number, self.binary, self.folder, self.network,
+            host = Host(number, self.options.binary, self.folder, self.network,
                         (self.network + ".200", port))
             self.hosts.append(host)
             await host.start()
@@ -159,20 +164,37 @@
                 {**route, "name": "stream", "pathPrefix": "/stream/",
                  "kind": "streaming", "service": "llm", "attempts": 3,
                  "resumable": True, "goalMs": 400, "gapGoalMs": 400}],
-            "services": [{"name": "app"},
-                         {"name": "llm", "engine": {"slots": 8}}],
+            "services": [{"name": "app", "healthPath": "/healthz"},
+                         {"name": "llm", "healthPath": "/healthz",
+                          "engine": {"slots": 8}}],
             "tenants": [{"name": team, "apiKeys": [key]}
                         for team, key in self.keys]})
 
     async def add_upstream(self, name, service):
-        upstream = Upstream(name, service, self.ledger, self.rng)
+        upstream = Upstream(name, service, self.ledger, self.rng, self.options)
+        upstream.on_restart = self.on_restart
         await upstream.start(self.network + ".210")
         upstream.proxy = Proxy(upstream.target)
         upstream.port = await upstream.proxy.start(self.network + ".220")
         self.upstreams.append(upstream)
         self.register(upstream)
 
+    def on_restart(self, upstream):
+        """The new process registers; the entry of an old id lapses."""
+        if upstream.left_at is not None:
+            return
+        old_name = upstream.registered_name
+        if old_name != upstream.name:
+            asyncio.create_task(self.lapse(old_name, upstream.registered_at))
+        self.register(upstream)
+
+    async def lapse(self, name, registered_at):
+        await asyncio.sleep(max(0, registered_at + LAPSE_S - time.monotonic()))
+        self.store.put("keyed.servers", name, None)
+
     def register(self, upstream, state="ready"):
+        upstream.registered_name = upstream.name
+        upstream.registered_at = time.monotonic()
         return self.store.put("keyed.servers", upstream.name, {
             "service": upstream.service, "zone": "z1", "slots": 8, "seq": 0,
             "addr": f"{self.network}.220:{upstream.port}", "state": state,
@@ -180,7 +202,7 @@
 
     async def renew(self):
         while True:
-            await asyncio.sleep(1.2)
+            await asyncio.sleep(RENEWAL_S)
             for upstream in list(self.upstreams):
                 if upstream.dead:
                     self.store.put("keyed.servers", upstream.name, None)
@@ -273,6 +295,7 @@
     upstream = fleet.rng.choice(fleet.upstreams)
     seconds = fleet.rng.uniform(0.3, 2)
     fleet.hold_upstream_fault(seconds)
+    upstream.cut_at = time.monotonic() + seconds
     await upstream.proxy.disturb(
         fleet.rng.choice(["delay", "reset", "silent", "one_way", "refuse"]),
         seconds)
--- a/scripts/soak/ledger.py
+++ b/scripts/soak/ledger.py
@@ -1,6 +1,9 @@
 """What callers sent, what ran, and the promises that were broken."""
 
 import collections
+import time
+
+from budget import BudgetWatch
 
 # Headers of callers that must not reach an upstream.
 FORGED = ("x-kv-hold", "x-pin-ms", "x-kv-backup", "kv-from", "authorization")
@@ -17,17 +20,20 @@
         self.leaving_bound = 2.0
         self.priorities = {}  # kind of request: priority at the engines
         self.crashing = {}  # request id: watch of the crashing request
+        self.budget = BudgetWatch()
 
     def violate(self, promise, text):
         self.broken[promise] += 1
         if len(self.examples) < 20:
             self.examples.append(f"{promise}: {text}")
 
-    def on_sent(self, request_id, kind, target, team, body):
+    def on_sent(self, request_id, kind, target, team, body, host):
         self.sent[request_id] = (kind, target, team, body)
+        self.budget.on_sent(request_id, kind, host, time.monotonic())
 
     def on_run(self, request_id, line, headers, body, upstream, now):
         self.runs[request_id].append(now)
+        self.budget.on_arrival(request_id, headers, upstream, now)
         sent = self.sent.get(request_id)
         if sent is None:
             return self.violate("unasked", f"{request_id} was never sent")
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -10,6 +10,7 @@
 import time
 
 from caller import Caller
+from crash_styles import STYLES
 from crashing import CrashingCaller
 from fleet import FAULTS, Fleet, disturb_store, cut_from_store, freeze, kill
 from ledger import Ledger
@@ -84,17 +85,19 @@
     ledger = Ledger()
     folder = options.logs or tempfile.mkdtemp(prefix="teaselhill-soak-")
     os.makedirs(folder, exist_ok=True)
-    fleet = Fleet(ledger, rng, options.binary, folder, network(options.seed))
+    fleet = Fleet(ledger, rng, options, folder, network(options.seed))
     counts = collections.Counter()
     try:
         await play(options, fleet, ledger, rng, counts)
     finally:
         await fleet.stop()
+    ledger.budget.check(ledger)
     for example in ledger.examples:
         print(example)
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
                 "cut", "denied", "answer", "config_late", "config_backwards",
-                "urgent", "crashing", "innocent"]
+                "urgent", "crashing", "innocent", "attempts", "deadline",
+                "repeats"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
@@ -115,6 +118,14 @@
     parser.add_argument("--processes", type=int, default=4)
     parser.add_argument("--crashing", type=int, default=0,
                         help="callers whose request crashes its upstreams")
+    parser.add_argument("--crash-styles", nargs="+", default=["refuse"],
+                        choices=STYLES, help="what crashed upstreams look like; "
+                        "each crash has one of them")
+    parser.add_argument("--crash-after", type=float, default=0,
+                        help="seconds from the start of a crashing request's run "
+                        "to the crash")
+    parser.add_argument("--new-ids", action="store_true",
+                        help="a restarted upstream has a new id")
     parser.add_argument("--faults", nargs="*", default=[],
                         help="names of the faults to choose from; default: all")
     parser.add_argument("--known-red", nargs="*", default=[],
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -5,6 +5,7 @@
 import time
 
 import http_io
+from crash_styles import STYLES
 
 EVENTS = 12
 LOOK_S = 0.1  # time after which a waiting request looks whether its caller left
@@ -23,18 +24,23 @@
 
 
 class Upstream:
-    def __init__(self, name, service, ledger, rng):
+    def __init__(self, name, service, ledger, rng, options):
         self.name = name
+        self.first_name = name
+        self.starts = 1
+        self.options = options
         self.service = service
         self.ledger = ledger
         self.rng = rng
         self.faults = {}  # fault: probability
         self.left_at = None  # when the store accepted that it leaves
+        self.cut_at = 0.0  # end of the last cut
         self.writers = set()
         self.born = int(time.time() * 1000)
         self.down = False
         self.dead = False
         self.slots = asyncio.Semaphore(SLOTS)
+        self.on_restart = lambda upstream: None
 
     async def start(self, address):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -46,25 +52,39 @@
             writer.transport.abort()
 
     async def restart(self):
+        """A new process, under a new id unless the options say otherwise."""
         self.server = await asyncio.start_server(self.serve, *self.target)
         self.born = int(time.time() * 1000)
+        self.starts += 1
+        if self.options.new_ids:
+            self.name = f"{self.first_name}-{self.starts}"
 
     async def crash_for(self, seconds):
-        """Crashes; a new process with the same id and address starts later. The
-        proxy stops listening meanwhile, as the port of a dead process does. The
-        process is lost for good if its address has been taken."""
+        """Crashes; a new process with the same address starts later. The process
+        is lost for good if its address has been taken."""
         if self.down:
             return
         self.down = True
-        self.crash()
-        self.proxy.stop_listening()
-        await asyncio.sleep(seconds)
+        style = self.options.crash_styles[0]
+        if len(self.options.crash_styles) > 1:
+            style = self.rng.choice(self.options.crash_styles)
         try:
-            await self.restart()
-            await self.proxy.listen_again()
+            await STYLES[style](self, seconds)
         except OSError:
             self.dead = True
         self.down = False
+        if not self.dead:
+            self.on_restart(self)
+
+    async def crash_under(self, watch):
+        """Ends the process that runs a crashing request, if nothing else does."""
+        process = self.starts
+        if self.options.crash_after:
+            await asyncio.sleep(self.options.crash_after)
+        if self.down or self.starts != process:
+            return
+        watch.on_crash(time.monotonic())
+        await self.crash_for(self.rng.uniform(*RESTART_S))
 
     def strikes(self, fault):
         return self.rng.random() < self.faults.get(fault, 0)
@@ -97,6 +117,9 @@
 
     async def answer(self, request, body, reader, writer):
         line, headers = request
+        if line.split()[1] == "/healthz":
+            writer.write(http_io.response(200, {"X-Instance-Id": self.name}))
+            return True
         request_id = headers.get("x-attempt-id", "")
         if headers.get("x-expect-instance") != self.name:
             writer.write(http_io.response(421, {"X-Instance-Id": self.name}))
@@ -109,7 +132,7 @@
         watch = self.ledger.crashing.get(request_id)
         if watch:
             watch.on_run(request_id, time.monotonic())
-            asyncio.create_task(self.crash_for(self.rng.uniform(*RESTART_S)))
+            await self.crash_under(watch)
             return False
         if self.strikes("lose"):
             return False
