Take a lost connection for a crash until its process is seen alive

Cause: CrashGuard looked for one sign of a crash, a refused connection 30 ms after the loss, and took everything else for proof that the server lives. That sign depends on the machine. It is missing where something in front accepts and resets, where the server is back at once, and where the machine is silent.

The burden of proof is now the other way round. LossReviewer takes a loss for a suspected crash until the same process is seen alive: by data on a connection that was open before the loss, or by a health check answered under its id and start. Refused, closed or silent health checks, another id at the address, a later start of the same id, and an entry that lapses count as a crash; each such verdict is revised, on all hosts, when better evidence comes. A process that is lost cannot crash again, so requests that a forwarder resets meanwhile count for nothing.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -7,22 +7,25 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "teaselhill/gateway/crash_history.h"
 #include "teaselhill/gateway/event_log.h"
-#include "teaselhill/gateway/upstream_directory.h"
+#include "teaselhill/gateway/loss_reviewer.h"
+#include "teaselhill/gateway/protocol.h"
+#include "teaselhill/gateway/shared_state.h"
+#include "teaselhill/gateway/upstream_prober.h"
 #include "teaselhill/net/event_loop.h"
+#include "teaselhill/net/http_client.h"
 
 namespace teaselhill::gateway {
 
 struct CrashGuardOptions {
   CrashHistoryOptions history;
-  /// Time from a lost connection to the check whether the upstream is down. A
-  /// crashed upstream takes seconds to start again.
-  Duration probe_delay = std::chrono::milliseconds(30);
+  LossReviewOptions review;
   Duration probe_timeout = std::chrono::milliseconds(300);
 };
 
@@ -54,6 +57,9 @@
   };
 
   CrashGuard(net::EventLoop& loop,
+             net::HttpClient& client,
+             const UpstreamProtocol& protocol,
+             const SharedState& shared_state,
              EventLog& log,
              Handler& handler,
              CrashGuardOptions options = {});
@@ -82,6 +88,10 @@
                         Duration answering_for,
                         TimePoint sent_at,
                         TimePoint now);
+  /// The upstream sent data for an attempt that was sent at `sent_at`.
+  void OnDataReceived(const std::string& upstream_id,
+                      TimePoint sent_at,
+                      TimePoint now);
   /// Call for each complete answer.
   void OnAnswerCompleted(const Hash128& fingerprint);
   /// The caller got no complete answer.
@@ -100,24 +110,27 @@
   };
 
   void ChangeRuns(const std::string& upstream_id, bool repeat, int difference);
-  void ScheduleProbe(const UpstreamProcess& upstream,
-                     const std::string& address);
-  void SendProbe(const UpstreamProcess& upstream, const std::string& address);
-  void LogProbe(const UpstreamProcess& upstream, std::string_view result);
-  void OnUpstreamDown(const UpstreamProcess& upstream);
+  void ScheduleReview();
+  void Review();
+  void SendProbe(const LossReviewer::DueProbe& probe);
+  void OnProbed(const UpstreamProcess& process, const ProbeReport& report);
+  void ApplyVerdicts(const std::vector<LossVerdict>& verdicts, TimePoint now);
   void LogQuarantined(const std::vector<Hash128>& fingerprints,
                       std::string_view learned_from,
                       TimePoint now);
   void ShareRecords();
 
   net::EventLoop& loop_;
+  const SharedState& shared_state_;
   EventLog& log_;
   Handler& handler_;
-  CrashGuardOptions options_;
+  UpstreamProber prober_;
+  LossReviewer reviewer_;
   CrashHistory history_;
   std::unordered_map<std::string, RunCounts> runs_by_upstream_;
-  /// Upstreams that are to be probed, with the delay before the probe.
-  std::map<UpstreamProcess, TimerSubscription> scheduled_probes_;
+  /// Runs Review().
+  TimerSubscription review_timer_;
+  std::optional<TimePoint> review_due_at_;
 };
 
 }  // namespace teaselhill::gateway
--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -7,12 +7,13 @@
 
 #include <cstdint>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
 #include <vector>
 
+#include "teaselhill/gateway/loss_reviewer.h"
+#include "teaselhill/gateway/upstream_directory.h"
 #include "teaselhill/support/hash.h"
 #include "teaselhill/support/time.h"
 
@@ -54,19 +55,6 @@
   Duration completion_retention = std::chrono::minutes(2);
 };
 
-/// One process of an upstream.
-struct UpstreamProcess {
-  std::string id;
-  uint64_t incarnation = 0;
-
-  friend bool operator==(const UpstreamProcess& a, const UpstreamProcess& b) {
-    return a.id == b.id && a.incarnation == b.incarnation;
-  }
-  friend bool operator<(const UpstreamProcess& a, const UpstreamProcess& b) {
-    return std::tie(a.id, a.incarnation) < std::tie(b.id, b.incarnation);
-  }
-};
-
 /// A crash as hosts tell it each other. `fingerprint` and `id` identify the
 /// record.
 struct CrashRecord {
@@ -106,7 +94,7 @@
 };
 
 /// Crashes of upstreams by the fingerprint of the request that they ran. A lost
-/// connection counts once the upstream was found to be down, and until the
+/// connection counts once LossReviewer takes it for a crash, and until the
 /// request is answered completely on any host. Hosts exchange records, so that
 /// each of them counts the crashes of the whole fleet.
 ///
@@ -132,8 +120,8 @@
 
   CrashAssessment Assess(const Hash128& fingerprint, TimePoint now) const;
 
-  /// An attempt that was sent at `sent_at` lost its connection. Counts as a
-  /// crash after OnUpstreamDown(). `answering_for`: time since the upstream
+  /// An attempt that was sent at `sent_at` lost its connection. Suspected until
+  /// OnVerdict(). `answering_for`: time since the upstream
   /// began to answer; zero if it had not.
   void OnConnectionLost(const Hash128& fingerprint,
                         const UpstreamProcess& upstream,
@@ -141,14 +129,9 @@
                         TimePoint sent_at,
                         TimePoint now);
 
-  /// The upstream accepts no connections: the connections that it lost since
-  /// the last check were lost in a crash. Returns, like the functions below,
-  /// the fingerprints that are refused from now on.
-  std::vector<Hash128> OnUpstreamDown(const UpstreamProcess& upstream,
-                                      TimePoint now);
-  /// The upstream still listened at `at`: the connections that it lost until
-  /// then were lost for another reason.
-  void OnUpstreamListening(const UpstreamProcess& upstream, TimePoint at);
+  /// Applies a verdict to the losses of this host. Returns, like the functions
+  /// below, the fingerprints that are refused from now on.
+  std::vector<Hash128> OnVerdict(const LossVerdict& verdict, TimePoint now);
 
   /// The request was answered completely, so it crashes no upstream. Call for
   /// each answer, also while there are no crashes.
@@ -182,7 +165,11 @@
     TimePoint sent_at;
     TimePoint crashed_at;
     bool early = false;
+    /// Lost by an attempt of this host, whose verdicts apply to it.
+    bool own = false;
     bool verified = false;
+    /// The upstream has outlived the loss, as far as is known.
+    bool refuted = false;
     bool shared = false;     ///< other hosts have the record or will get it
     bool explained = false;  ///< another request is the cause
     size_t event = 0;        ///< index of the crash among all crashes
--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -95,6 +95,13 @@
   int running_requests = 0;  ///< in the batch
 };
 
+/// What a response says of the upstream that gave it.
+struct UpstreamIdentity {
+  std::optional<std::string> id;
+  /// Start time of its process; see UpstreamEntry::incarnation.
+  std::optional<uint64_t> incarnation;
+};
+
 /// Protocol between the gateway and upstreams.
 class UpstreamProtocol {
  public:
@@ -113,6 +120,14 @@
       const UpstreamEntry& upstream) const = 0;
   virtual Result<LoadReport> ReadReport(
       const net::ClientResponse& response) const = 0;
+
+  /// Builds a health check; ReadIdentity() decodes any response to it.
+  /// `health_path`: of the upstream's service; empty: unknown.
+  virtual net::ClientRequest BuildHealthRequest(
+      const UpstreamEntry& upstream,
+      const std::string& health_path) const = 0;
+  virtual UpstreamIdentity ReadIdentity(
+      const net::ClientResponse& response) const = 0;
 };
 
 /// Delivers configuration versions and upstream records. Runs on one event loop
--- a/include/teaselhill/gateway/route_table.h
+++ b/include/teaselhill/gateway/route_table.h
@@ -56,7 +56,8 @@
 
 struct Service {
   std::string name;
-  bool is_engine = false;  ///< model engines, which cache prompt prefixes
+  bool is_engine = false;   ///< model engines, which cache prompt prefixes
+  std::string health_path;  ///< of a health check; empty: unknown
 };
 
 struct Team {
--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -9,7 +9,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "teaselhill/support/time.h"
@@ -30,6 +32,19 @@
   uint64_t incarnation = 0;
 };
 
+/// One process of an upstream.
+struct UpstreamProcess {
+  std::string id;
+  uint64_t incarnation = 0;
+
+  friend bool operator==(const UpstreamProcess& a, const UpstreamProcess& b) {
+    return a.id == b.id && a.incarnation == b.incarnation;
+  }
+  friend bool operator<(const UpstreamProcess& a, const UpstreamProcess& b) {
+    return std::tie(a.id, a.incarnation) < std::tie(b.id, b.incarnation);
+  }
+};
+
 /// One record of the directory's source.
 struct UpstreamRecord {
   std::string id;
@@ -48,6 +63,8 @@
 struct UpstreamList {
   uint64_t end_offset = 0;  ///< after the newest record that is included
   std::map<std::string, std::vector<UpstreamEntry>> by_service;
+  /// Upstreams that are leaving; not in `by_service`.
+  std::unordered_set<std::string> draining_ids;
 
   const std::vector<UpstreamEntry>& OfService(const std::string& service) const;
 };
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -7,19 +7,20 @@
 #include <algorithm>
 #include <utility>
 
-#include "teaselhill/net/connect_probe.h"
 #include "teaselhill/support/rng.h"
 
 namespace teaselhill::gateway {
 
-static std::string_view ProbeResultName(net::ProbeResult result) {
-  switch (result) {
-    case net::ProbeResult::kListening:
-      return "listening";
-    case net::ProbeResult::kNotListening:
-      return "not_listening";
-    case net::ProbeResult::kUnknown:
-      return "no_answer";
+static std::string_view ProbeOutcomeName(ProbeReport::Outcome outcome) {
+  switch (outcome) {
+    case ProbeReport::Outcome::kAnswered:
+      return "answered";
+    case ProbeReport::Outcome::kRefused:
+      return "refused";
+    case ProbeReport::Outcome::kClosed:
+      return "closed";
+    case ProbeReport::Outcome::kSilent:
+      return "silent";
   }
   return "unknown";
 }
@@ -46,13 +47,18 @@
 }
 
 CrashGuard::CrashGuard(net::EventLoop& loop,
+                       net::HttpClient& client,
+                       const UpstreamProtocol& protocol,
+                       const SharedState& shared_state,
                        EventLog& log,
                        Handler& handler,
                        CrashGuardOptions options)
     : loop_(loop),
+      shared_state_(shared_state),
       log_(log),
       handler_(handler),
-      options_(options),
+      prober_(client, protocol, options.probe_timeout),
+      reviewer_(options.review),
       history_(EntropySeed(), options.history) {}
 
 CrashGuard::~CrashGuard() = default;
@@ -81,66 +87,87 @@
                                   Duration answering_for,
                                   TimePoint sent_at,
                                   TimePoint now) {
-  const UpstreamProcess process{upstream.id, upstream.incarnation};
-  history_.OnConnectionLost(fingerprint, process, answering_for, sent_at, now);
-  ScheduleProbe(process, upstream.address);
+  if (!reviewer_.OnConnectionLost(upstream, sent_at, now))
+    return;
+  history_.OnConnectionLost(fingerprint, {upstream.id, upstream.incarnation},
+                            answering_for, sent_at, now);
+  ScheduleReview();
+}
+
+void CrashGuard::OnDataReceived(const std::string& upstream_id,
+                                TimePoint sent_at,
+                                TimePoint now) {
+  if (!reviewer_.empty())
+    ApplyVerdicts(reviewer_.OnData(upstream_id, sent_at, now), now);
 }
 
-void CrashGuard::ScheduleProbe(const UpstreamProcess& upstream,
-                               const std::string& address) {
-  const auto [probe, added] = scheduled_probes_.try_emplace(upstream);
-  if (!added)
+void CrashGuard::ScheduleReview() {
+  const std::optional<TimePoint> due = reviewer_.NextDue();
+  if (!due || (review_due_at_ && *review_due_at_ <= *due))
     return;
-  probe->second = loop_.timers().After(
-      options_.probe_delay, [this, upstream, address](TimePoint) {
-        // The timer owns this function, so it is kept until the end.
-        const TimerSubscription timer =
-            std::move(scheduled_probes_.at(upstream));
-        scheduled_probes_.erase(upstream);
-        SendProbe(upstream, address);
-      });
-}
-
-void CrashGuard::SendProbe(const UpstreamProcess& upstream,
-                           const std::string& address) {
-  // A connection that is lost while the probe is in progress has a probe of its
-  // own: the upstream may crash after it has accepted this one.
-  const TimePoint sent_at = BootNow();
-  net::ProbeConnect(loop_, address, options_.probe_timeout,
-                    [this, upstream, sent_at](net::ProbeResult result) {
-                      LogProbe(upstream, ProbeResultName(result));
-                      if (result == net::ProbeResult::kNotListening)
-                        OnUpstreamDown(upstream);
-                      else  // or there is no answer, as in a partition
-                        history_.OnUpstreamListening(upstream, sent_at);
-                    });
-}
-
-void CrashGuard::LogProbe(const UpstreamProcess& upstream,
-                          std::string_view result) {
-  log_.Write(
-      LineKind::kFailure,
-      LogLine(LogLevel::kInfo, "upstream_probed")
-          .Field("upstream", upstream.id)
-          .Field("incarnation", upstream.incarnation)
-          .Field("result", result)
-          .Field("requests", static_cast<uint64_t>(history_.CountAt(upstream))),
-      BootNow());
-}
-
-void CrashGuard::OnUpstreamDown(const UpstreamProcess& upstream) {
+  review_due_at_ = due;
+  review_timer_ =
+      loop_.timers().After(std::max(Duration::zero(), *due - BootNow()),
+                           [this](TimePoint) { Review(); });
+}
+
+void CrashGuard::Review() {
+  review_due_at_.reset();
   const TimePoint now = BootNow();
-  const std::vector<Hash128> quarantined =
-      history_.OnUpstreamDown(upstream, now);
-  log_.Write(
-      LineKind::kFailure,
-      LogLine(LogLevel::kWarning, "upstream_crashed")
-          .Field("upstream", upstream.id)
-          .Field("incarnation", upstream.incarnation)
-          .Field("requests", static_cast<uint64_t>(history_.CountAt(upstream))),
-      now);
-  LogQuarantined(quarantined, "own crash", now);
-  ShareRecords();
+  if (const auto upstreams = shared_state_.upstreams())
+    ApplyVerdicts(reviewer_.OnDirectory(*upstreams,
+                                        shared_state_.upstreams_read_at(), now),
+                  now);
+  for (const LossReviewer::DueProbe& probe : reviewer_.TakeDueProbes(now))
+    SendProbe(probe);
+  ScheduleReview();
+}
+
+void CrashGuard::SendProbe(const LossReviewer::DueProbe& probe) {
+  const auto routes = shared_state_.routes();
+  const Service* service =
+      routes ? routes->FindService(probe.upstream.service) : nullptr;
+  prober_.Probe(probe.upstream, service ? service->health_path : "",
+                [this, process = probe.process](const ProbeReport& report) {
+                  OnProbed(process, report);
+                });
+}
+
+void CrashGuard::OnProbed(const UpstreamProcess& process,
+                          const ProbeReport& report) {
+  const TimePoint now = BootNow();
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kInfo, "upstream_probed")
+                 .Field("upstream", process.id)
+                 .Field("incarnation", process.incarnation)
+                 .Field("result", ProbeOutcomeName(report.outcome))
+                 .Field("answered_by", report.identity.id.value_or(""))
+                 .Field("answered_by_incarnation",
+                        report.identity.incarnation.value_or(0))
+                 .Field("after_ms", now - report.sent_at),
+             now);
+  ApplyVerdicts(reviewer_.OnProbe(process, report, now, WallNow()), now);
+  ScheduleReview();
+}
+
+void CrashGuard::ApplyVerdicts(const std::vector<LossVerdict>& verdicts,
+                               TimePoint now) {
+  for (const LossVerdict& verdict : verdicts) {
+    const std::vector<Hash128> quarantined = history_.OnVerdict(verdict, now);
+    log_.Write(
+        LineKind::kFailure,
+        LogLine(verdict.crashed ? LogLevel::kWarning : LogLevel::kInfo,
+                verdict.crashed ? "upstream_crashed" : "upstream_outlived_loss")
+            .Field("upstream", verdict.process.id)
+            .Field("incarnation", verdict.process.incarnation)
+            .Field("evidence", verdict.evidence)
+            .Field("requests",
+                   static_cast<uint64_t>(history_.CountAt(verdict.process))),
+        now);
+    LogQuarantined(quarantined, "own crash", now);
+  }
+  if (!verdicts.empty())
+    ShareRecords();
 }
 
 void CrashGuard::OnAnswerCompleted(const Hash128& fingerprint) {
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -24,7 +24,8 @@
                                   bool verified_only) const {
   std::vector<const Crash*> by_end;
   for (const Crash& crash : entry.crashes) {
-    if (!crash.explained && (crash.verified || !verified_only))
+    if (!crash.explained && !crash.refuted &&
+        (crash.verified || !verified_only))
       by_end.push_back(&crash);
   }
   std::sort(by_end.begin(), by_end.end(), [](const Crash* a, const Crash* b) {
@@ -67,11 +68,12 @@
   assessment.crashes = entry.crash_count;
   assessment.suspected_crashes =
       CountSequential(entry, /*verified_only=*/false);
-  assessment.isolate = assessment.suspected_crashes > 1 ||
-                       std::any_of(entry.crashes.begin(), entry.crashes.end(),
-                                   [](const Crash& crash) {
-                                     return !crash.explained && crash.early;
-                                   });
+  assessment.isolate =
+      assessment.suspected_crashes > 1 ||
+      std::any_of(entry.crashes.begin(), entry.crashes.end(),
+                  [](const Crash& crash) {
+                    return !crash.explained && !crash.refuted && crash.early;
+                  });
   assessment.refused_for = RefusedFor(entry, now);
   assessment.may_retry =
       assessment.refused_for == Duration::zero() &&
@@ -120,8 +122,10 @@
 size_t CrashHistory::AssignEvents() {
   std::vector<Crash*> crashes;
   for (auto& [fingerprint, entry] : entries_) {
-    for (Crash& crash : entry.crashes)
-      crashes.push_back(&crash);
+    for (Crash& crash : entry.crashes) {
+      if (!crash.refuted)
+        crashes.push_back(&crash);
+    }
   }
   std::sort(crashes.begin(), crashes.end(), [](const Crash* a, const Crash* b) {
     return std::tie(a->upstream, a->crashed_at) <
@@ -145,6 +149,8 @@
 void CrashHistory::FindNewest(std::vector<Event>& events) {
   for (const auto& [fingerprint, entry] : entries_) {
     for (const Crash& crash : entry.crashes) {
+      if (crash.refuted)
+        continue;
       Duration& min_run_time = events[crash.event].min_run_time;
       min_run_time = std::min(min_run_time, crash.run_time());
     }
@@ -152,11 +158,14 @@
   for (auto& [fingerprint, entry] : entries_) {
     const auto newest_count = std::count_if(
         entry.crashes.begin(), entry.crashes.end(), [&](const Crash& crash) {
-          return crash.run_time() <=
-                 events[crash.event].min_run_time + options_.same_run_time;
+          return !crash.refuted &&
+                 crash.run_time() <=
+                     events[crash.event].min_run_time + options_.same_run_time;
         });
-    entry.is_mostly_newest =
-        2 * static_cast<size_t>(newest_count) > entry.crashes.size();
+    const auto crash_count =
+        std::count_if(entry.crashes.begin(), entry.crashes.end(),
+                      [](const Crash& crash) { return !crash.refuted; });
+    entry.is_mostly_newest = 2 * newest_count > crash_count;
   }
 }
 
@@ -178,8 +187,8 @@
   }
   for (auto& [fingerprint, entry] : entries_) {
     const auto is_cause_of = [&, &entry = entry](const Crash& crash) {
-      const Event& event = events[crash.event];
-      return event.most_suspected == &entry && !event.is_tied;
+      return !crash.refuted && events[crash.event].most_suspected == &entry &&
+             !events[crash.event].is_tied;
     };
     entry.is_cause =
         entry.crash_count >= options_.crashes_to_quarantine &&
@@ -189,14 +198,16 @@
 
 void CrashHistory::ExplainCrashes(std::vector<Event>& events) {
   for (const auto& [fingerprint, entry] : entries_) {
-    for (const Crash& crash : entry.crashes)
-      events[crash.event].explained |= entry.is_cause;
+    for (const Crash& crash : entry.crashes) {
+      if (!crash.refuted)
+        events[crash.event].explained |= entry.is_cause;
+    }
   }
   for (auto& [fingerprint, entry] : entries_) {
     if (entry.is_cause)
       continue;
     for (Crash& crash : entry.crashes)
-      crash.explained = events[crash.event].explained;
+      crash.explained = !crash.refuted && events[crash.event].explained;
     entry.crash_count = CountSequential(entry, /*verified_only=*/true);
   }
 }
@@ -223,35 +234,27 @@
   crash.sent_at = sent_at;
   crash.crashed_at = now;
   crash.early = answering_for <= options_.early_crash;
+  crash.own = true;
   entry.crashes.push_back(std::move(crash));
 }
 
-std::vector<Hash128> CrashHistory::OnUpstreamDown(
-    const UpstreamProcess& upstream,
-    TimePoint now) {
+std::vector<Hash128> CrashHistory::OnVerdict(const LossVerdict& verdict,
+                                             TimePoint now) {
   for (auto& [fingerprint, entry] : entries_) {
-    for (Crash& crash : entry.crashes)
-      crash.verified |= crash.upstream == upstream;
+    for (Crash& crash : entry.crashes) {
+      if (!crash.own || !(crash.upstream == verdict.process) ||
+          crash.crashed_at <= verdict.after || crash.crashed_at > verdict.until)
+        continue;
+      crash.verified = verdict.crashed;
+      crash.refuted = !verdict.crashed;
+      if (crash.refuted && std::exchange(crash.shared, false))
+        withdrawals_.push_back(MakeWithdrawal(fingerprint, crash.record_id));
+    }
   }
   has_unshared_ = true;
   return Classify(now);
 }
 
-void CrashHistory::OnUpstreamListening(const UpstreamProcess& upstream,
-                                       TimePoint at) {
-  for (auto it = entries_.begin(); it != entries_.end();) {
-    std::vector<Crash>& crashes = it->second.crashes;
-    crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
-                                 [&](const Crash& crash) {
-                                   return !crash.verified &&
-                                          crash.crashed_at <= at &&
-                                          crash.upstream == upstream;
-                                 }),
-                  crashes.end());
-    it = crashes.empty() ? entries_.erase(it) : std::next(it);
-  }
-}
-
 std::vector<Hash128> CrashHistory::OnAnswerCompleted(const Hash128& fingerprint,
                                                      TimePoint now) {
   RememberCompletion(fingerprint);
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -273,6 +273,7 @@
   if (!response_head_)
     return;
   const TimePoint now = BootNow();
+  gateway_.crash_guard_.OnDataReceived(upstream_.id, sent_at_, now);
   if (!answer_started_at_) {
     answer_started_at_ = now;
     gateway_.placement_->OnAnswerStarted(request_.placement_request,
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -66,7 +66,11 @@
   auto list = std::make_shared<UpstreamList>();
   for (const auto& [id, state] : states_by_id_) {
     list->end_offset = std::max(list->end_offset, state.next_offset);
-    if (state.entry && !state.entry->draining)
+    if (!state.entry)
+      continue;
+    if (state.entry->draining)
+      list->draining_ids.insert(id);
+    else
       list->by_service[state.entry->service].push_back(*state.entry);
   }
   for (auto& [service, upstreams] : list->by_service) {
--- a/unittests/gateway/crash_history_fleet_test.cc
+++ b/unittests/gateway/crash_history_fleet_test.cc
@@ -202,7 +202,9 @@
         ++it;
         continue;
       }
-      hosts_[it->host].OnUpstreamDown(it->upstream, now_);
+      hosts_[it->host].OnVerdict(
+          {it->upstream, /*crashed=*/true, TimePoint::min(), now_, "test"},
+          now_);
       it = probes_.erase(it);
     }
   }
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -24,6 +24,12 @@
   return {"e" + std::to_string(number), incarnation};
 }
 
+LossVerdict Verdict(const UpstreamProcess& process,
+                    bool crashed,
+                    TimePoint until) {
+  return {process, crashed, TimePoint::min(), until, "test"};
+}
+
 /// A host with its history. Times start at a fixed point.
 struct Host {
   CrashHistory history{EntropySeed()};
@@ -38,7 +44,7 @@
     for (const Hash128& request : requests)
       history.OnConnectionLost(request, engine, answering_for,
                                now - milliseconds(5), now);
-    return history.OnUpstreamDown(engine, now);
+    return history.OnVerdict(Verdict(engine, true, now), now);
   }
 
   bool Refuses(const Hash128& request) const {
@@ -62,19 +68,20 @@
   CHECK_FALSE(host.Refuses(kInnocent));
 }
 
-TEST_CASE("a connection lost at an upstream that listens on is no crash") {
+TEST_CASE("a connection lost at an upstream that lives on is no crash") {
   Host host;
   for (int engine = 1; engine <= 4; ++engine) {
     host.history.OnConnectionLost(kInnocent, Engine(engine), {}, host.now,
                                   host.now);
     CHECK(host.history.Assess(kInnocent, host.now).crashes == 0);
     CHECK(host.history.Assess(kInnocent, host.now).isolate);
-    // The upstream may have accepted a connection and then have crashed.
-    host.history.OnUpstreamListening(Engine(engine),
-                                     host.now - milliseconds(1));
-    CHECK_FALSE(host.history.empty());
-    host.history.OnUpstreamListening(Engine(engine), host.now);
-    CHECK(host.history.empty());
+    // The upstream may have given a sign of life and then have crashed.
+    host.history.OnVerdict(
+        Verdict(Engine(engine), false, host.now - milliseconds(1)), host.now);
+    CHECK(host.history.Assess(kInnocent, host.now).isolate);
+    host.history.OnVerdict(Verdict(Engine(engine), false, host.now), host.now);
+    CHECK_FALSE(host.history.Assess(kInnocent, host.now).isolate);
+    CHECK(host.history.Assess(kInnocent, host.now).suspected_crashes == 0);
     host.now += seconds(1);
   }
 }
@@ -131,7 +138,7 @@
     host.history.OnConnectionLost(kInnocent, Engine(engine), {},
                                   host.now - milliseconds(200), host.now);
   for (int engine = 1; engine <= 5; ++engine)
-    host.history.OnUpstreamDown(Engine(engine), host.now);
+    host.history.OnVerdict(Verdict(Engine(engine), true, host.now), host.now);
   CHECK(host.history.Assess(kInnocent, host.now).crashes == 1);
 }
 
@@ -220,6 +227,23 @@
   CHECK(host.history.empty());
 }
 
+TEST_CASE("a verdict that is revised is revised on all hosts") {
+  Host host;
+  Host other;
+  host.Crash(Engine(1), {kInnocent});
+  host.history.OnRequestFailed(kInnocent);
+  other.history.OnRecords(host.history.TakeRecords(host.now), other.now);
+  CHECK(other.history.Assess(kInnocent, other.now).crashes == 1);
+  host.history.OnVerdict(Verdict(Engine(1), false, host.now), host.now);
+  CHECK(host.history.Assess(kInnocent, host.now).crashes == 0);
+  other.history.OnRecords(host.history.TakeRecords(host.now), other.now);
+  CHECK(other.history.Assess(kInnocent, other.now).crashes == 0);
+  // It crashed after all.
+  host.history.OnVerdict(Verdict(Engine(1), true, host.now), host.now);
+  other.history.OnRecords(host.history.TakeRecords(host.now), other.now);
+  CHECK(other.history.Assess(kInnocent, other.now).crashes == 1);
+}
+
 TEST_CASE("hosts that see one crash each refuse the request together") {
   std::vector<Host> hosts(3);
   std::vector<CrashRecord> log;
@@ -233,7 +257,8 @@
     CHECK_FALSE(hosts[i].Refuses(kCrashing));
     hosts[i].history.OnConnectionLost(kCrashing, Engine(i), {}, hosts[i].now,
                                       hosts[i].now);
-    hosts[i].history.OnUpstreamDown(Engine(i), hosts[i].now);
+    hosts[i].history.OnVerdict(Verdict(Engine(i), true, hosts[i].now),
+                               hosts[i].now);
     hosts[i].history.OnRequestFailed(kCrashing);
     for (const CrashRecord& record : hosts[i].history.TakeRecords(hosts[i].now))
       log.push_back(record);
--- /dev/null
+++ b/unittests/gateway/loss_reviewer_test.cc
@@ -0,0 +1,254 @@
+/// \file
+/// Guards against crashes that go uncounted because the crashed upstream's
+/// address does not refuse connections, and against plain resets, cuts and slow
+/// upstreams that are taken for crashes.
+
+#include "teaselhill/gateway/loss_reviewer.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Outcome = ProbeReport::Outcome;
+
+constexpr const char* kId = "e";
+constexpr const char* kOtherId = "f";
+constexpr uint64_t kWallStartMs = 1'700'000'000'000;
+
+/// One event after a loss at time 0.
+struct Step {
+  enum class Kind {
+    kProbe,       ///< with `outcome` and the identity
+    kData,        ///< on a connection that is older than the loss
+    kNewData,     ///< on a connection that is younger
+    kRestart,     ///< the entry names a process that started at `at`
+    kReplace,     ///< another id registers at the address
+    kDrain,       ///< the entry says that the upstream leaves
+    kLapse,       ///< the entry is removed
+    kReviewOver,  ///< the entry is still there at the end of the review
+  };
+  milliseconds at;
+  Kind kind;
+  Outcome outcome = Outcome::kSilent;
+  UpstreamIdentity identity = {};
+};
+
+enum class Expected { kUndecided, kCrashed, kAlive };
+
+struct Bench {
+  explicit Bench(uint64_t incarnation) {
+    entry.id = kId;
+    entry.service = "s";
+    entry.address = "10.0.0.1:80";
+    entry.incarnation = incarnation;
+    list.by_service["s"].push_back(entry);
+  }
+
+  TimePoint At(milliseconds at) const { return start + at; }
+  static WallTime WallAt(milliseconds at) {
+    return WallTime(milliseconds(kWallStartMs) + at);
+  }
+
+  void Apply(const Step& step) {
+    const TimePoint now = At(step.at);
+    switch (step.kind) {
+      case Step::Kind::kProbe: {
+        reviewer.TakeDueProbes(now);
+        const UpstreamProcess process{kId, entry.incarnation};
+        Keep(reviewer.OnProbe(process, {step.outcome, step.identity, now}, now,
+                              WallAt(step.at)));
+        return;
+      }
+      case Step::Kind::kData:
+        return Keep(reviewer.OnData(kId, start - seconds(1), now));
+      case Step::Kind::kNewData:
+        return Keep(reviewer.OnData(kId, now - milliseconds(1), now));
+      case Step::Kind::kRestart:
+        list.by_service["s"][0].incarnation =
+            kWallStartMs + static_cast<uint64_t>(step.at.count());
+        break;
+      case Step::Kind::kReplace:
+        list.by_service["s"].push_back(entry);
+        list.by_service["s"].back().id = kOtherId;
+        break;
+      case Step::Kind::kDrain:
+        list.by_service["s"].clear();
+        list.draining_ids.insert(kId);
+        break;
+      case Step::Kind::kLapse:
+        list.by_service["s"].clear();
+        break;
+      case Step::Kind::kReviewOver:
+        break;
+    }
+    Keep(reviewer.OnDirectory(list, now, now));
+  }
+
+  void Keep(const std::vector<LossVerdict>& verdicts) {
+    for (const LossVerdict& verdict : verdicts) {
+      if (verdict.after < start && verdict.until >= start)
+        result = verdict.crashed ? Expected::kCrashed : Expected::kAlive;
+    }
+  }
+
+  TimePoint start = TimePoint(std::chrono::hours(5));
+  UpstreamEntry entry;
+  UpstreamList list;
+  LossReviewer reviewer;
+  Expected result = Expected::kUndecided;
+};
+
+}  // namespace
+
+TEST_CASE("a loss is a crash until its process is seen alive") {
+  using Kind = Step::Kind;
+  const UpstreamIdentity own{kId, {}};
+  const UpstreamIdentity other{kOtherId, {}};
+  const UpstreamIdentity unknown;
+  const UpstreamIdentity older{kId, 1};
+  const UpstreamIdentity newer{kId, kWallStartMs + 15};
+  const milliseconds probe_at(30);
+  struct Row {
+    const char* name;
+    /// 0: each start of the upstream has a new id.
+    uint64_t incarnation;
+    std::vector<Step> steps;
+    Expected expected;
+  };
+  const Row row = GENERATE_COPY(values<Row>({
+      {"nothing is known", 0, {}, Expected::kUndecided},
+      {"the port refuses",
+       0,
+       {{probe_at, Kind::kProbe, Outcome::kRefused}},
+       Expected::kCrashed},
+      {"a forwarder accepts and resets",
+       0,
+       {{probe_at, Kind::kProbe, Outcome::kClosed}},
+       Expected::kCrashed},
+      {"another id answers at once",
+       0,
+       {{probe_at, Kind::kProbe, Outcome::kAnswered, other}},
+       Expected::kCrashed},
+      {"a later start of the same id answers at once",
+       1,
+       {{probe_at, Kind::kProbe, Outcome::kAnswered, newer}},
+       Expected::kCrashed},
+      {"the same id answers at once, and its entry names a new start",
+       1,
+       {{probe_at, Kind::kProbe, Outcome::kAnswered, own},
+        {milliseconds(20), Kind::kRestart}},
+       Expected::kCrashed},
+      {"the same id answers, and restarts long after that",
+       1,
+       {{probe_at, Kind::kProbe, Outcome::kAnswered, own},
+        {milliseconds(2000), Kind::kRestart}},
+       Expected::kAlive},
+      {"another id registers at the address",
+       0,
+       {{milliseconds(400), Kind::kReplace}},
+       Expected::kCrashed},
+      {"silent once", 0, {{probe_at, Kind::kProbe}}, Expected::kUndecided},
+      {"silent twice",
+       0,
+       {{probe_at, Kind::kProbe}, {milliseconds(450), Kind::kProbe}},
+       Expected::kCrashed},
+      {"the entry lapses",
+       0,
+       {{milliseconds(3000), Kind::kLapse}},
+       Expected::kCrashed},
+      {"a plain reset: the same id answers",
+       0,
+       {{probe_at, Kind::kProbe, Outcome::kAnswered, own}},
+       Expected::kAlive},
+      {"a plain reset: the same start answers",
+       1,
+       {{probe_at, Kind::kProbe, Outcome::kAnswered, older}},
+       Expected::kAlive},
+      {"a plain reset: another stream goes on",
+       1,
+       {{milliseconds(120), Kind::kData}},
+       Expected::kAlive},
+      {"data that may have been sent before the crash",
+       0,
+       {{milliseconds(10), Kind::kData}},
+       Expected::kUndecided},
+      {"data on a connection that is younger than the loss",
+       0,
+       {{milliseconds(200), Kind::kNewData}},
+       Expected::kUndecided},
+      {"something that gives no id answers",
+       0,
+       {{probe_at, Kind::kProbe, Outcome::kAnswered, unknown}},
+       Expected::kUndecided},
+      {"a cut that refuses and heals",
+       0,
+       {{probe_at, Kind::kProbe, Outcome::kRefused},
+        {milliseconds(900), Kind::kProbe, Outcome::kAnswered, own}},
+       Expected::kAlive},
+      {"refuses, and then the same id answers under a new start",
+       1,
+       {{probe_at, Kind::kProbe, Outcome::kRefused},
+        {milliseconds(900), Kind::kProbe, Outcome::kAnswered, own},
+        {milliseconds(880), Kind::kRestart}},
+       Expected::kCrashed},
+      {"a long cut: the entry is renewed all the while",
+       0,
+       {{probe_at, Kind::kProbe, Outcome::kClosed},
+        {milliseconds(6001), Kind::kReviewOver}},
+       Expected::kAlive},
+      {"the upstream says that it leaves",
+       0,
+       {{milliseconds(300), Kind::kDrain}},
+       Expected::kAlive},
+  }));
+  INFO(row.name);
+  Bench bench(row.incarnation);
+  REQUIRE(bench.reviewer.OnConnectionLost(
+      bench.entry, bench.start - milliseconds(5), bench.start));
+  for (const Step& step : row.steps)
+    bench.Apply(step);
+  CHECK(bench.result == row.expected);
+}
+
+TEST_CASE("a process that is lost cannot crash again until it is seen alive") {
+  Bench bench(0);
+  const auto lose = [&](milliseconds sent_at, milliseconds lost_at) {
+    return bench.reviewer.OnConnectionLost(bench.entry, bench.At(sent_at),
+                                           bench.At(lost_at));
+  };
+  CHECK(lose(milliseconds(-5), milliseconds(0)));
+  // In flight at the same crash.
+  CHECK(lose(milliseconds(-100), milliseconds(2)));
+  // A forwarder accepts the next request and resets it.
+  CHECK_FALSE(lose(milliseconds(40), milliseconds(41)));
+  bench.Apply({milliseconds(50), Step::Kind::kProbe, Outcome::kClosed});
+  CHECK_FALSE(lose(milliseconds(60), milliseconds(61)));
+  bench.Apply({milliseconds(900),
+               Step::Kind::kProbe,
+               Outcome::kAnswered,
+               {kId, std::nullopt}});
+  CHECK(lose(milliseconds(950), milliseconds(951)));
+}
+
+TEST_CASE("probes go on until the process is seen alive, and then end") {
+  Bench bench(0);
+  CHECK_FALSE(bench.reviewer.NextDue());
+  bench.reviewer.OnConnectionLost(bench.entry, bench.start, bench.start);
+  CHECK(bench.reviewer.NextDue() == bench.At(milliseconds(30)));
+  CHECK(bench.reviewer.TakeDueProbes(bench.At(milliseconds(29))).empty());
+  CHECK(bench.reviewer.TakeDueProbes(bench.At(milliseconds(30))).size() == 1);
+  CHECK(bench.reviewer.TakeDueProbes(bench.At(milliseconds(31))).empty());
+  bench.Apply({milliseconds(40), Step::Kind::kProbe, Outcome::kRefused});
+  CHECK(bench.reviewer.TakeDueProbes(bench.At(milliseconds(2000))).size() == 1);
+  bench.Apply({milliseconds(2001),
+               Step::Kind::kProbe,
+               Outcome::kAnswered,
+               {kId, std::nullopt}});
+  CHECK(bench.reviewer.empty());
+}
+
+}  // namespace teaselhill::gateway
--- a/unittests/gateway/report_fetcher_test.cc
+++ b/unittests/gateway/report_fetcher_test.cc
@@ -37,6 +37,13 @@
       const net::ClientResponse& response) const override {
     return LoadReport{std::stoi(response.body), 0};
   }
+  net::ClientRequest BuildHealthRequest(const UpstreamEntry&,
+                                        const std::string&) const override {
+    return {};
+  }
+  UpstreamIdentity ReadIdentity(const net::ClientResponse&) const override {
+    return {};
+  }
 };
 
 class Engine : public net::HttpHandler {
