Examine upstreams whose attempts are given up in silence

Cause: a crash was looked for only when a connection was lost. An attempt that ends by the stall timeout, by the deadline or because its caller leaves lost nothing.

Such an attempt now starts the same review, unless the server sent anything to this host within 200 ms. Copies of a request that time out one after the other in an outage count once.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -100,6 +100,13 @@
                         Duration answering_for,
                         TimePoint sent_at,
                         TimePoint now);
+  /// An attempt was given up that had no data for a while. The upstream may
+  /// have crashed, unless others get data from it.
+  void OnAttemptSilent(const Hash128& fingerprint,
+                       const UpstreamEntry& upstream,
+                       Duration answering_for,
+                       TimePoint sent_at,
+                       TimePoint now);
   /// The upstream sent data for an attempt that was sent at `sent_at`.
   void OnDataReceived(const UpstreamEntry& upstream,
                       TimePoint sent_at,
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -15,6 +15,9 @@
 /// ended.
 static constexpr Duration kTrialCheckPeriod = std::chrono::milliseconds(50);
 
+/// Time without data from an upstream after which it may have crashed.
+static constexpr std::chrono::milliseconds kMinSilence{200};
+
 /// Time for which it is remembered when an upstream was last seen alive.
 static constexpr std::chrono::minutes kSeenAliveRetention{1};
 
@@ -115,6 +118,17 @@
              LossKind::kConnectionLost);
 }
 
+void CrashGuard::OnAttemptSilent(const Hash128& fingerprint,
+                                 const UpstreamEntry& upstream,
+                                 Duration answering_for,
+                                 TimePoint sent_at,
+                                 TimePoint now) {
+  if (SeenAliveAt({upstream.id, upstream.incarnation}) + kMinSilence > now)
+    return;
+  RecordLoss(fingerprint, upstream, answering_for, sent_at, now,
+             LossKind::kGivenUp);
+}
+
 void CrashGuard::RecordLoss(const Hash128& fingerprint,
                             const UpstreamEntry& upstream,
                             Duration answering_for,
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -180,7 +180,7 @@
   answer_started_at_.reset();
   response_head_.reset();
   buffered_body_.clear();
-  sent_at_ = progress_at_ = now;
+  sent_at_ = progress_at_ = data_at_ = now;
   suspect_run_ =
       gateway_.crash_guard_.StartRun(upstream_.id, crash_assessment_);
   gateway_.placement_->OnRequestSent(request_.placement_request, upstream_,
@@ -245,7 +245,7 @@
 }
 
 void Exchange::OnHead(int status, const net::Headers& headers) {
-  progress_at_ = BootNow();
+  progress_at_ = data_at_ = BootNow();
   gateway_.upstream_health_.OnDomainReached(upstream_.domain);
   gateway_.LogHealthEvents(progress_at_);
   ResponseHead head =
@@ -276,7 +276,7 @@
 void Exchange::OnData(std::string_view data) {
   if (!response_head_)
     return;
-  const TimePoint now = BootNow();
+  const TimePoint now = data_at_ = BootNow();
   gateway_.crash_guard_.OnDataReceived(upstream_, sent_at_, now);
   if (!answer_started_at_) {
     answer_started_at_ = now;
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -94,6 +94,8 @@
   /// Time from the start of the answer in this attempt; zero if there is none.
   Duration AnsweringFor(TimePoint now) const;
   void ReportConnectionLost();
+  /// Call before an attempt is given up.
+  void ReportSilence();
   void EndAttempt(AttemptOutcome outcome, std::string detail);
   /// Sends the request again if the retry budget permits, or finishes it.
   void RetryOrFinish(AttemptOutcome outcome);
@@ -122,7 +124,10 @@
   UpstreamEntry upstream_;         ///< of the current or last attempt
   Duration expected_prefill_{};    ///< of the current attempt
   TimePoint sent_at_{};
-  TimePoint progress_at_{};  ///< last data of the current attempt
+  /// Last progress of the current attempt; a stall that has no consequence
+  /// counts as progress.
+  TimePoint progress_at_{};
+  TimePoint data_at_{};  ///< last data of the current attempt, or its start
   std::optional<ResponseHead> response_head_;
   EventStream event_stream_;
   std::string buffered_body_;
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -8,6 +8,10 @@
 
 namespace teaselhill::gateway {
 
+/// Time without data after which an attempt that is given up may have lost its
+/// upstream.
+static constexpr std::chrono::milliseconds kMinSilence{200};
+
 bool Exchange::IsUpstreamInService() const {
   const auto upstream_list = gateway_.shared_state_.upstreams();
   const std::vector<UpstreamEntry>& listed =
@@ -32,6 +36,15 @@
                                          AnsweringFor(now), sent_at_, now);
 }
 
+void Exchange::ReportSilence() {
+  const TimePoint now = BootNow();
+  if (!attempt_ || transfer_paused_ || now < data_at_ + kMinSilence ||
+      !IsUpstreamInService())
+    return;
+  gateway_.crash_guard_.OnAttemptSilent(request_.Fingerprint(), upstream_,
+                                        AnsweringFor(data_at_), sent_at_, now);
+}
+
 void Exchange::EndAttempt(AttemptOutcome outcome, std::string detail) {
   const TimePoint now = BootNow();
   RecordOutcome(outcome, now);
@@ -170,6 +183,7 @@
 void Exchange::OnCallerDisconnected() {
   if (finished_)
     return;
+  ReportSilence();
   StopAttempt();
   FinishRequest(ResultCode::kCallerGone, "caller_gone");
 }
--- a/lib/gateway/exchange_timeouts.cc
+++ b/lib/gateway/exchange_timeouts.cc
@@ -75,6 +75,7 @@
   if (now + kAnswerMargin >= request_.arrived_at + GateReportDelay())
     ReportWaitToGate(now);
   if (now + 2 * kAnswerMargin >= state_.deadline) {
+    ReportSilence();
     StopAttempt();
     return ApplyFinalStep(
         FinalStepAfterTimeout(state_, ResultCode::kDeadlineUnreachable));
@@ -83,9 +84,11 @@
                           now + kAnswerMargin >= progress_at_ + StallTimeout();
   // An attempt that cannot be retried continues: a stall alone is no reason to
   // end it.
-  if (is_stalled && MayRetry(state_, gateway_.options_.exchange_limits, now))
+  if (is_stalled && MayRetry(state_, gateway_.options_.exchange_limits, now)) {
+    ReportSilence();
     return EndAttempt(AttemptOutcome::kTimedOut,
                       "no data within the stall timeout");
+  }
   ArmTimer();
   if (is_stalled)
     progress_at_ = now;
