--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -57,6 +57,10 @@
 struct UpstreamListing {
   uint64_t end_offset = 0;  ///< offset after the newest record that is included
   std::vector<UpstreamRecord> records;
+  /// The source came back from an older copy since the last listing: offsets
+  /// start again from an earlier one, and what it has lost is written again
+  /// soon.
+  bool records_lost = false;
 };
 
 /// Usable upstreams by service. Immutable once published.
@@ -87,6 +91,8 @@
 
   /// Applies a complete listing: adds its records and removes each known entry
   /// that is not listed, unless the entry has a record newer than the listing.
+  /// After a loss of records, an upstream that is known to be gone stays so
+  /// until it renews its entry, and one that is not listed has time to do so.
   void ApplyListing(const UpstreamListing& listing, TimePoint now);
 
   /// Removes entries whose grace period is over.
@@ -109,6 +115,7 @@
     std::optional<uint64_t> drained_incarnation;
   };
 
+  void ForgetOffsets(TimePoint now);
   void SetEntry(EntryState& state, const std::optional<UpstreamEntry>& entry);
   void RemoveEntry(EntryState& state, TimePoint now);
 
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -41,10 +41,16 @@
 
 void UpstreamDirectory::ApplyListing(const UpstreamListing& listing,
                                      TimePoint now) {
+  if (listing.records_lost)
+    ForgetOffsets(now);
   std::unordered_set<std::string> listed_ids;
   for (const UpstreamRecord& record : listing.records) {
     listed_ids.insert(record.id);
-    ApplyRecord(record, now);
+    const auto known = states_by_id_.find(record.id);
+    const bool gone = listing.records_lost && known != states_by_id_.end() &&
+                      !known->second.entry;
+    if (!gone)
+      ApplyRecord(record, now);
   }
   for (auto& [id, state] : states_by_id_) {
     if (listed_ids.count(id) == 0 && state.next_offset <= listing.end_offset)
@@ -52,6 +58,12 @@
   }
 }
 
+void UpstreamDirectory::ForgetOffsets(TimePoint now) {
+  for (auto& [id, state] : states_by_id_)
+    state.next_offset = 0;
+  source_reachable_at_ = now;
+}
+
 void UpstreamDirectory::ExpireRemoved(TimePoint now) {
   for (auto& [id, state] : states_by_id_) {
     if (!state.remove_at || *state.remove_at > now)
--- a/scripts/soak/budget.py
+++ b/scripts/soak/budget.py
@@ -49,6 +49,10 @@
         self.sent[request_id] = (now, kind, host)
         self.requests[SERVICE_OF_KIND[kind]].append(now)
 
+    def host_disturbed(self, request_id):
+        sent = self.sent.get(request_id)
+        return sent is not None and sent[2].disturbed_within(CONTACT_S)
+
     def on_arrival(self, request_id, headers, upstream, now):
         if request_id not in self.sent:
             return
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -19,6 +19,12 @@
 RENEWAL_S = 1.2
 LAPSE_S = 3 * RENEWAL_S
 
+# Time in which what a restored store has lost is written again.
+REWRITE_S = 1.0
+
+# The bounds hold again some seconds after a restore, so the next one comes later.
+RESTORE_PERIOD_S = 8.0
+
 
 def free_port(address):
     with socket.socket() as probe:
@@ -126,6 +132,7 @@
         self.version, self.versions, self.config_at = 0, [], 0.0
         self.upstream_fault = 0.0
         self.drafts_until = 0.0
+        self.next_restore_at = 0.0
 
     async def start(self, host_count):
         self.store = Store(self.rng)
@@ -328,6 +335,26 @@
     upstream.left_at = at if fleet.leaving_checked else at + 1e9
 
 
+async def restore_store(fleet, host):
+    """The store is away for a moment and comes back from a copy; the operator and
+    the upstreams write again what it has lost."""
+    if time.monotonic() < fleet.next_restore_at:
+        return
+    fleet.next_restore_at = time.monotonic() + RESTORE_PERIOD_S
+    seconds = fleet.rng.uniform(0.3, 1)
+    for each in fleet.hosts:
+        each.last_fault = time.monotonic() + seconds + REWRITE_S
+    await fleet.store.disturb("down", seconds)
+    lost = fleet.store.restore(fleet.rng.uniform(1, 5))
+    await asyncio.sleep(fleet.rng.uniform(0, REWRITE_S))
+    for topic, records in lost.items():
+        for key, value in records:
+            fleet.store.put_bytes(topic, key, value)
+
+
+# Played only if they are named, so that older seeds keep their faults.
+FURTHER_FAULTS = [restore_store]
+
 FAULTS = [terminate, kill, freeze, reload, cut_from_store, change_config,
           disturb_store, compact_store, foreign_entry, disturb_upstream,
           cut_upstream, crash_upstream, replace_upstream, burst_of_drafts]
--- a/scripts/soak/ledger.py
+++ b/scripts/soak/ledger.py
@@ -45,7 +45,8 @@
         for name in FORGED:
             if name in headers:
                 self.violate("unasked", f"{request_id} carries {name}")
-        if upstream.left_at and now > upstream.left_at + self.leaving_bound:
+        if (upstream.left_at and now > upstream.left_at + self.leaving_bound
+                and not self.budget.host_disturbed(request_id)):
             self.violate("leaving", f"{request_id} reached {upstream.name} "
                          f"{now - upstream.left_at:.2f} s after it left")
         self.priorities[kind] = int(headers.get("x-request-priority", 5))
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -12,7 +12,7 @@
 from caller import Caller
 from crash_styles import STYLES
 from crashing import CrashingCaller
-from fleet import FAULTS, Fleet, disturb_store, cut_from_store, freeze, kill
+from fleet import FAULTS, FURTHER_FAULTS, Fleet, disturb_store, cut_from_store, freeze, kill
 from ledger import Ledger
 from probes import ConfigProbe
 
@@ -39,6 +39,7 @@
     fleet.leaving_checked = calm
     faults = [f for f in FAULTS if not (calm and f in HOST_FAULTS)
               and (not only or f.__name__ in only)]
+    faults += [f for f in FURTHER_FAULTS if f.__name__ in only]
     running = set()
     while faults and time.monotonic() < end:
         fault = rng.choice(faults)
--- a/scripts/soak/store.py
+++ b/scripts/soak/store.py
@@ -22,14 +22,24 @@
 class Topic:
     def __init__(self):
         self.records = []  # (key, value or None) by offset
+        self.times = []  # when they were written
         self.first = 0
         self.changed = asyncio.Event()
 
     def put(self, key, value):
         self.records.append((key, value))
+        self.times.append(time.monotonic())
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def restore(self, copied_at):
+        """Goes back to a copy; returns the records that are lost."""
+        kept = sum(written_at <= copied_at for written_at in self.times)
+        lost = self.records[kept:]
+        self.records, self.times = self.records[:kept], self.times[:kept]
+        self.first = min(self.first, kept)
+        return lost
+
     def newest(self, end):
         newest = {}
         for offset, (key, value) in enumerate(self.records[:end]):
@@ -45,6 +55,7 @@
         self.rng = rng
         self.topics = collections.defaultdict(Topic)
         self.mode = "good"  # or down, silent, slow, stale
+        self.era = 1
 
     async def start(self, address):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -63,6 +74,19 @@
         await asyncio.sleep(seconds)
         self.mode = "good"
 
+    def restore(self, seconds):
+        """Comes back from a copy that is so old. Returns what was lost of the
+        topics that are not the hosts' own."""
+        self.era += 1
+        copied_at = time.monotonic() - seconds
+        lost = {name: topic.restore(copied_at)
+                for name, topic in self.topics.items()}
+        return {name: lost[name] for name in ("keyed.op", "keyed.servers")
+                if name in lost}
+
+    def response(self, status, body=b""):
+        return http_io.response(status, {"Store-Era": self.era}, body)
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -74,7 +98,7 @@
                 if self.mode == "slow":
                     await asyncio.sleep(0.3)
                 if self.mode == "down":
-                    writer.write(http_io.response(503, {}))
+                    writer.write(self.response(503))
                 elif request[0].startswith("POST"):
                     body = await http_io.whole_body(reader, request[1])
                     writer.write(self.append(request[0].split()[1], body))
@@ -89,14 +113,14 @@
     def append(self, target, body):
         query = parse_query(target)
         if query["topic"] in ("keyed.op", "keyed.servers"):
-            return http_io.response(403, {})
+            return self.response(403)
         topic = self.topics[query["topic"]]
         while body:
             length, = struct.unpack(">I", body[:4])
             record, body = body[4:4 + length], body[4 + length:]
             key = record[1:1 + record[0]].decode()
             topic.put(key, record[1 + record[0]:] or None)
-        return http_io.response(200, {}, json.dumps(
+        return self.response(200, json.dumps(
             {"end": len(topic.records)}).encode())
 
     async def answer(self, target):
@@ -111,10 +135,10 @@
                       "offset": offset}
                      for key, (offset, value) in topic.newest(end).items()]
             body = {"items": items, "hasMore": False, "end": end}
-            return http_io.response(200, {}, json.dumps(body).encode())
+            return self.response(200, json.dumps(body).encode())
         start = int(query["from"])
-        if start < topic.first:
-            return http_io.response(410, {})
+        if start < topic.first or start > len(topic.records):
+            return self.response(410)
         wait = int(query.get("waitMs", 0)) / 1000
         if wait and start >= end and self.mode == "good":
             try:
@@ -122,8 +146,10 @@
             except asyncio.TimeoutError:
                 pass
             end = len(topic.records)
+        if start > end:
+            return self.response(410)
         body = struct.pack(">QQ", end, topic.first)
         for key, value in topic.records[start:end]:
             content = bytes([len(key)]) + key.encode() + (value or b"")
             body += struct.pack(">I", len(content)) + content
-        return http_io.response(200, {}, body)
+        return self.response(200, body)
--- a/unittests/gateway/upstream_directory_test.cc
+++ b/unittests/gateway/upstream_directory_test.cc
@@ -102,6 +102,27 @@
   CHECK(UsableIds(directory) == (reregisters ? "a" : ""));
 }
 
+TEST_CASE("after a loss of records, older offsets and missing entries count") {
+  TimePoint now{};
+  UpstreamDirectory directory;
+  for (const UpstreamRecord& record :
+       {Ready("a", 10), Ready("b", 11), Ready("c", 12), Ready("d", 13),
+        Removed("c", 14), Draining("d", 15)})
+    directory.ApplyRecord(record, now);
+  // The copy knows nothing of b, and not that c is gone and that d leaves.
+  directory.ApplyListing(
+      {9, {Ready("a", 6), Ready("c", 7), Ready("d", 8)}, true}, now);
+  CHECK(UsableIds(directory) == "ab");
+  // What was lost is written again, at offsets that were used before.
+  directory.ApplyRecord(Draining("a", 9), now);
+  CHECK(UsableIds(directory) == "b");
+  directory.ApplyRecord(Ready("c", 10), now);
+  CHECK(UsableIds(directory) == "bc");
+  now += UpstreamDirectory::kReregistrationGrace;
+  directory.ExpireRemoved(now);
+  CHECK(UsableIds(directory) == "c");
+}
+
 TEST_CASE("a draining upstream has no grace period after an outage") {
   UpstreamDirectory directory;
   directory.ApplyRecord(Draining("a", 0), TimePoint{});
--- a/unittests/platform/topic_cursor_test.cc
+++ b/unittests/platform/topic_cursor_test.cc
@@ -65,6 +65,34 @@
   CHECK(cursor.last_listed_key().empty());
 }
 
+TEST_CASE(
+    "a store that has lost records is listed again, whatever its offsets") {
+  TopicCursor cursor;
+  REQUIRE(cursor.AddListPage({30, false, {RecordOf("a", 29)}, 4}));
+  // The offsets from 28 on were given out again.
+  ReadPage page = PageOf(32, {30, 31});
+  page.era = GENERATE(StoreEra{4}, StoreEra{5}, StoreEra{0});
+  const bool records_lost = page.era == 5;
+  CHECK(cursor.AddReadPage(page) == records_lost);
+  CHECK(cursor.listing() == records_lost);
+  if (!records_lost)
+    return;
+  const auto listing = cursor.AddListPage({33, false, {RecordOf("a", 28)}, 5});
+  REQUIRE(listing);
+  CHECK(listing->records_lost);
+  cursor.RestartListing();
+  CHECK_FALSE(
+      cursor.AddListPage({33, false, {RecordOf("a", 28)}, 5})->records_lost);
+}
+
+TEST_CASE("a listing starts over if records are lost between its pages") {
+  TopicCursor cursor;
+  CHECK_FALSE(cursor.AddListPage({40, true, {RecordOf("a", 3)}, 1}));
+  CHECK_FALSE(cursor.AddListPage({41, false, {RecordOf("b", 5)}, 2}));
+  CHECK(cursor.last_listed_key().empty());
+  CHECK(cursor.AddListPage({41, false, {RecordOf("a", 3)}, 2})->records_lost);
+}
+
 struct ReadRow {
   std::string name;
   ReadPage page;
