--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -13,6 +13,7 @@
 #include <unordered_map>
 
 #include "caller_socket.h"
+#include "restinio_request.h"
 #include "teaselhill/net/error_response.h"
 
 namespace teaselhill::net {
@@ -396,40 +397,6 @@
   return text + "\r\n" + body;
 }
 
-size_t HeaderBytes(const restinio::http_request_header_t& header) {
-  size_t bytes = 0;
-  header.for_each_field([&bytes](const restinio::http_header_field_t& field) {
-    bytes += field.name().size() + field.value().size();
-  });
-  return bytes;
-}
-
-bool IsToken(std::string_view name) {
-  constexpr std::string_view kSeparators = "()<>@,;:\\\"/[]?={}";
-  return std::all_of(name.begin(), name.end(), [&](char c) {
-    return c > ' ' && c < 0x7f && kSeparators.find(c) == std::string_view::npos;
-  });
-}
-
-/// The parser takes a blank before the colon, and any list that ends in
-/// `chunked`. A server behind the gateway may read the same bytes otherwise and
-/// see another request in the body.
-std::optional<Error> FindAmbiguity(
-    const restinio::http_request_header_t& header) {
-  std::optional<Error> fault;
-  int encodings = 0;
-  header.for_each_field([&](const restinio::http_header_field_t& field) {
-    if (!IsToken(field.name()))
-      fault = Error{ResultCode::kMalformedRequest,
-                    "a header name holds a character that is not allowed"};
-    if (SameHeaderName(field.name(), "Transfer-Encoding") &&
-        (++encodings > 1 || !SameHeaderName(field.value(), "chunked")))
-      fault = Error{ResultCode::kMalformedRequest,
-                    "transfer-encoding: only 'chunked' is supported"};
-  });
-  return fault;
-}
-
 RestinioResponse::~RestinioResponse() {
   if (const auto table = table_.lock())
     table->Remove(connection_, this);
@@ -445,21 +412,6 @@
     table_->OnClosed(notice.connection_id());
 }
 
-HttpRequest ToRequest(restinio::request_t& request) {
-  HttpRequest converted;
-  converted.method = request.header().method().c_str();
-  converted.target = request.header().request_target();
-  converted.path = std::string(request.header().path());
-  converted.query = std::string(request.header().query());
-  converted.body = std::move(request.body());
-  converted.remote_address = request.remote_endpoint().address().to_string();
-  request.header().for_each_field(
-      [&converted](const restinio::http_header_field_t& field) {
-        converted.headers.push_back({field.name(), field.value()});
-      });
-  return converted;
-}
-
 }  // namespace
 
 class HttpServer::Impl {
