--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -226,6 +226,8 @@
   void EvictLeastSuspected();
   void AddRecord(const CrashRecord& record, TimePoint now);
   void RemoveRecord(const CrashRecord& record);
+  /// Queues the withdrawal of a record.
+  void Withdraw(const Hash128& fingerprint, uint64_t record_id);
   /// Queues the withdrawal of the entry's shared records.
   void WithdrawShared(const Hash128& fingerprint, const Entry& entry);
 
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -1,10 +1,9 @@
 /// \file
-/// Counting, sharing and expiry of crashes.
+/// Sharing, judging and expiry of crashes.
 
 #include "teaselhill/gateway/crash_history.h"
 
 #include <algorithm>
-#include <map>
 #include <string>
 #include <utility>
 
@@ -13,87 +12,17 @@
 /// Maximum number of crashes that are kept for one request.
 static constexpr size_t kMaxCrashesPerRequest = 16;
 
-/// Error of the times of crashes, which hosts compare by their wall clocks.
-static constexpr std::chrono::milliseconds kTimeTolerance{25};
-
-/// Time in which an outage ends the connections to all upstreams that it hits.
-static constexpr std::chrono::milliseconds kOutageSpan{50};
-
-/// Requests whose runs at one process are at most this far apart may have been
-/// lost in the same crash.
-static constexpr std::chrono::milliseconds kCompanionTolerance{500};
-
 /// Time for which a loss that was no crash is kept. Its verdict may be revised
 /// while LossReviewer reviews the process.
 static constexpr std::chrono::seconds kRefutedRetention{10};
 
-static CrashRecord MakeWithdrawal(const Hash128& fingerprint, uint64_t id) {
+void CrashHistory::Withdraw(const Hash128& fingerprint, uint64_t record_id) {
   CrashRecord record;
   record.fingerprint = fingerprint;
-  record.id = id;
+  record.id = record_id;
   record.withdrawn = true;
-  return record;
-}
-
-/// Counts the crashes, given in the order of their times. An outage of several
-/// upstreams ends copies of one request at the same time, or makes them time
-/// out one after the other; these count once.
-template <typename Crashes>
-static int CountEvents(const Crashes& by_end) {
-  int count = 0;
-  TimePoint last_counted_at{};
-  for (const auto* crash : by_end) {
-    const bool ran_at_once = crash->sent_at + kTimeTolerance < last_counted_at;
-    const bool lost_at_once = crash->crashed_at < last_counted_at + kOutageSpan;
-    if (count > 0 && ran_at_once &&
-        (lost_at_once || crash->kind == LossKind::kGivenUp))
-      continue;
-    ++count;
-    last_counted_at = crash->crashed_at;
-  }
-  return count;
-}
-
-/// Removes losses at a process that has not been seen alive since an earlier
-/// one: it crashes only once.
-template <typename Crashes>
-static void RemoveRepeated(Crashes* by_end) {
-  Crashes kept;
-  for (const auto* crash : *by_end) {
-    const bool repeated =
-        std::any_of(kept.begin(), kept.end(), [crash](const auto* earlier) {
-          return earlier->upstream == crash->upstream &&
-                 crash->seen_alive_at <= earlier->crashed_at;
-        });
-    if (!repeated)
-      kept.push_back(crash);
-  }
-  *by_end = std::move(kept);
-}
-
-int CrashHistory::CountCrashes(const Entry& entry, bool verified_only) const {
-  std::vector<const Crash*> by_end;
-  for (const Crash& crash : entry.crashes) {
-    if (crash.counts() && (crash.verified || !verified_only))
-      by_end.push_back(&crash);
-  }
-  if (by_end.size() < 2)
-    return static_cast<int>(by_end.size());
-  std::sort(by_end.begin(), by_end.end(), [](const Crash* a, const Crash* b) {
-    return a->crashed_at < b->crashed_at;
-  });
-  RemoveRepeated(&by_end);
-  int most = 0;
-  for (const Crash* first : by_end) {
-    std::vector<const Crash*> alike;
-    for (const Crash* crash : by_end) {
-      const Duration later = crash->answering_for - first->answering_for;
-      if (later >= Duration::zero() && later <= options_.early_crash)
-        alike.push_back(crash);
-    }
-    most = std::max(most, CountEvents(alike));
-  }
-  return most;
+  withdrawals_.push_back(std::move(record));
+  has_unshared_ = true;
 }
 
 TimePoint CrashHistory::LastCrashAt(const Entry& entry) {
@@ -114,22 +43,6 @@
   return nullptr;
 }
 
-int CrashHistory::MostCrashesBeside(const Entry& entry,
-                                    const Crash& crash) const {
-  const auto ran_beside = [&](const Crash& other) {
-    return other.counts() && other.upstream == crash.upstream &&
-           other.sent_at < crash.crashed_at + kCompanionTolerance &&
-           other.crashed_at > crash.sent_at - kCompanionTolerance;
-  };
-  int most = 0;
-  for (const auto& [fingerprint, other] : entries_) {
-    if (&other != &entry &&
-        std::any_of(other.crashes.begin(), other.crashes.end(), ran_beside))
-      most = std::max(most, std::max(1, other.crash_count));
-  }
-  return most;
-}
-
 CrashAssessment CrashHistory::Assess(const Hash128& fingerprint,
                                      TimePoint now) const {
   const auto found = entries_.find(fingerprint);
@@ -176,54 +89,6 @@
   return std::max(Duration::zero(), LastCrashAt(entry) + duration - now);
 }
 
-void CrashHistory::FindSuperseded() {
-  std::map<UpstreamProcess, std::vector<TimePoint>> crash_times;
-  for (const auto& [fingerprint, entry] : entries_) {
-    for (const Crash& crash : entry.crashes) {
-      if (crash.verified)
-        crash_times[crash.upstream].push_back(crash.crashed_at);
-    }
-  }
-  for (auto& [fingerprint, entry] : entries_) {
-    for (Crash& crash : entry.crashes) {
-      const std::vector<TimePoint>& times = crash_times[crash.upstream];
-      const auto precedes = [&crash = crash](TimePoint crashed_at) {
-        return crashed_at + kTimeTolerance < crash.sent_at &&
-               crash.seen_alive_at < crashed_at + kTimeTolerance;
-      };
-      crash.superseded = std::any_of(times.begin(), times.end(), precedes);
-      if (!crash.superseded || !crash.own ||
-          !std::exchange(crash.shared, false))
-        continue;
-      withdrawals_.push_back(MakeWithdrawal(fingerprint, crash.record_id));
-      has_unshared_ = true;
-    }
-  }
-}
-
-void CrashHistory::UpdateCounts() {
-  FindSuperseded();
-  for (auto& [fingerprint, entry] : entries_)
-    entry.crash_count = CountCrashes(entry, /*verified_only=*/true);
-  for (auto& [fingerprint, entry] : entries_) {
-    entry.lone_crashes = 0;
-    entry.crashed_in_trial = false;
-    if (entry.crash_count >= options_.crashes_to_hold)
-      CompareWithOthers(entry);
-  }
-}
-
-void CrashHistory::CompareWithOthers(Entry& entry) const {
-  for (const Crash& crash : entry.crashes) {
-    if (!crash.verified || !crash.counts())
-      continue;
-    const int most_beside = MostCrashesBeside(entry, crash);
-    entry.lone_crashes += most_beside == 0 ? 1 : 0;
-    const bool is_last = crash.crashed_at == LastCrashAt(entry);
-    entry.crashed_in_trial |= is_last && most_beside <= 1;
-  }
-}
-
 std::vector<Hash128> CrashHistory::TakeNewlyRefused(TimePoint now) {
   std::vector<Hash128> newly_refused;
   for (auto& [fingerprint, entry] : entries_) {
@@ -274,7 +139,7 @@
       crash.verified = verdict.crashed;
       crash.refuted = !verdict.crashed;
       if (crash.refuted && std::exchange(crash.shared, false))
-        withdrawals_.push_back(MakeWithdrawal(fingerprint, crash.record_id));
+        Withdraw(fingerprint, crash.record_id);
     }
   }
   has_unshared_ = true;
@@ -332,8 +197,7 @@
   // The host that shared the record has ended without withdrawing it, or does
   // not know that the request was answered here.
   if (record.age >= options_.retention || HasCompleted(record.fingerprint)) {
-    withdrawals_.push_back(MakeWithdrawal(record.fingerprint, record.id));
-    has_unshared_ = true;
+    Withdraw(record.fingerprint, record.id);
     return;
   }
   Entry& entry = FindOrAdd(record.fingerprint);
@@ -471,8 +335,7 @@
   for (const Crash& crash : entry.crashes) {
     if (!crash.shared)
       continue;
-    withdrawals_.push_back(MakeWithdrawal(fingerprint, crash.record_id));
-    has_unshared_ = true;
+    Withdraw(fingerprint, crash.record_id);
   }
 }
 
