Refuse a request only when its crashes can no longer turn out to be cuts

An upstream that is cut off with resets counts as crashed until the cut heals and it is seen alive; a refusal began 1.2 s after the last crash, before that.

A request that is to be refused is now held until 6.5 s after its last crash: the reviews of the losses have ended by then. It does not run meanwhile either way.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -49,6 +49,10 @@
   /// arrive from other hosts in this time, and answers clear those who are
   /// innocent.
   Duration report_delay = std::chrono::milliseconds(1200);
+  /// Time from the last crash to a refusal; the request is held meanwhile. By
+  /// then LossReviewer has revised the verdicts on processes that were only cut
+  /// off.
+  Duration confirmation_delay = std::chrono::milliseconds(6500);
   size_t max_fingerprints = 4096;
   /// Answered requests that are remembered for `completion_retention`.
   size_t max_completions = 4096;
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -68,7 +68,9 @@
 }
 
 TimePoint CrashHistory::HeldUntil(const Entry& entry) const {
-  return LastCrashAt(entry) + options_.report_delay;
+  const bool to_be_refused = entry.crash_count >= CrashesNeeded(entry);
+  return LastCrashAt(entry) +
+         (to_be_refused ? options_.confirmation_delay : options_.report_delay);
 }
 
 int CrashHistory::CrashesNeeded(const Entry& entry) const {
