--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -27,8 +27,8 @@
   /// that ran beside the cause have one run after a hold to show that they are
   /// innocent.
   int crashes_to_quarantine = 4;
-  /// The same if another request that was held as well ran beside it at the
-  /// last crash.
+  /// The same if another request with several crashes ran beside it at the last
+  /// one. The platform tolerates three retries after the third crash.
   int crashes_to_quarantine_beside_suspects = 6;
   /// A request is refused already after `crashes_to_hold` crashes if it ran
   /// alone at this many of them, as far as all hosts know.
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -11,10 +11,6 @@
 
 namespace teaselhill::gateway {
 
-/// Period in which a held request looks whether the trial of its copy has
-/// ended.
-static constexpr Duration kTrialCheckPeriod = std::chrono::milliseconds(50);
-
 /// Time without data from an upstream after which it may have crashed.
 static constexpr std::chrono::milliseconds kMinSilence{200};
 
