Know the host of each probe in the soak's bound on leaving upstreams

Both were the configuration's probes, whose host the check did not know, so that a host within 3 s of a disturbance of the store counted as calm; for other requests the check already knew. Their hosts had read the removal within the 2 s of grace after the store's return.

--- a/scripts/soak/budget.py
+++ b/scripts/soak/budget.py
@@ -37,21 +37,23 @@
 
 class BudgetWatch:
     def __init__(self):
-        self.sent = {}  # request id: (time, kind, host)
+        self.hosts = {}  # request id: host that it was sent to
+        self.sent = {}  # request id: (time, kind, host), without probes
         self.requests = collections.defaultdict(list)  # service: times
         self.arrivals = collections.defaultdict(list)  # request id: arrivals
         self.retries = collections.defaultdict(list)  # service: times
         self.long_deadlines = 0
 
     def on_sent(self, request_id, kind, host, now):
+        self.hosts[request_id] = host
         if kind not in SERVICE_OF_KIND:
             return
         self.sent[request_id] = (now, kind, host)
         self.requests[SERVICE_OF_KIND[kind]].append(now)
 
     def host_disturbed(self, request_id):
-        sent = self.sent.get(request_id)
-        return sent is not None and sent[2].disturbed_within(CONTACT_S)
+        host = self.hosts.get(request_id)
+        return host is not None and host.disturbed_within(CONTACT_S)
 
     def on_arrival(self, request_id, headers, upstream, now):
         if request_id not in self.sent:
