--- a/unittests/gateway/crash_history_fleet_test.cc
+++ b/unittests/gateway/crash_history_fleet_test.cc
@@ -465,6 +465,18 @@
        2,
        milliseconds(300),
        1.0},
+      {"all requests are popular, from the first moment",
+       4,
+       3,
+       60,
+       milliseconds(1000),
+       milliseconds(20),
+       {},
+       2,
+       milliseconds(300),
+       1.0,
+       false,
+       milliseconds(0)},
   }));
   const uint64_t seed = GENERATE(range(1, 21));
   INFO(options.name << ", seed " << seed);
