Ask for two crashes in trials before a request is refused

Cause: what was taken for a crash in a trial was the last crash without another suspect. Four crashes within a second, before other hosts had reported, have one as well, and no trial; and one crash in a true trial can have another cause, such as an upstream that is cut off or ends just then.

A trial is now a run that begins after a hold, and two crashes in trials refuse a request, or six in all: three, and the three retries that the rule tolerates.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -23,15 +23,15 @@
   /// Crashes, also such as are not verified yet, after which a request is held
   /// before it runs again.
   int crashes_to_hold = 3;
-  /// Crashes after which a request is refused once its hold is over. Requests
-  /// that ran beside the cause have one run after a hold to show that they are
-  /// innocent.
-  int crashes_to_quarantine = 4;
-  /// The same if another request with several crashes ran beside it at the last
-  /// one. The platform tolerates three retries after the third crash.
-  int crashes_to_quarantine_beside_suspects = 6;
-  /// A request is refused already after `crashes_to_hold` crashes if it ran
-  /// alone at this many of them, as far as all hosts know.
+  /// Crashes in a trial, with no other suspect beside it that has several
+  /// crashes, after which a request is refused. One may be due to a crash that
+  /// has nothing to do with any request.
+  int trial_crashes_to_quarantine = 2;
+  /// Crashes after which a request is refused in any case. The platform
+  /// tolerates three retries after the third crash.
+  int max_crashes = 6;
+  /// A request is refused without a trial if it ran alone at this many of its
+  /// crashes, as far as all hosts know.
   int lone_crashes_to_quarantine = 2;
   /// Time for which a request is refused after its last crash. Doubles with
   /// each crash after the first refusal, up to `max_quarantine_doublings`.
@@ -200,8 +200,8 @@
     bool request_failed = false;
     int crash_count = 0;   ///< CrashAssessment::crashes
     int lone_crashes = 0;  ///< without any other suspect beside the request
-    /// The last crash was without another held request beside this one.
-    bool crashed_in_trial = false;
+    /// In a trial, without another suspect beside it that has several crashes.
+    int trial_crashes = 0;
     bool refused = false;  ///< as of the last TakeNewlyRefused()
   };
   using Entries = std::unordered_map<Hash128, Entry, Hash128Hasher>;
@@ -219,6 +219,8 @@
   void FindSuperseded();
   void UpdateCounts();
   void CompareWithOthers(Entry& entry) const;
+  /// Whether the run that ended with the crash began after a hold.
+  bool IsTrial(const Entry& entry, const Crash& crash) const;
   TimePoint HeldUntil(const Entry& entry) const;
   int CrashesNeeded(const Entry& entry) const;
   Duration RefusedFor(const Entry& entry, TimePoint now) const;
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -76,9 +76,9 @@
 int CrashHistory::CrashesNeeded(const Entry& entry) const {
   if (entry.lone_crashes >= options_.lone_crashes_to_quarantine)
     return options_.crashes_to_hold;
-  return entry.crashed_in_trial
-             ? options_.crashes_to_quarantine
-             : options_.crashes_to_quarantine_beside_suspects;
+  if (entry.trial_crashes >= options_.trial_crashes_to_quarantine)
+    return options_.crashes_to_hold + options_.trial_crashes_to_quarantine;
+  return options_.max_crashes;
 }
 
 Duration CrashHistory::RefusedFor(const Entry& entry, TimePoint now) const {
--- a/lib/gateway/crash_history_counts.cc
+++ b/lib/gateway/crash_history_counts.cc
@@ -127,20 +127,33 @@
     entry.crash_count = CountCrashes(entry, /*verified_only=*/true);
   for (auto& [fingerprint, entry] : entries_) {
     entry.lone_crashes = 0;
-    entry.crashed_in_trial = false;
+    entry.trial_crashes = 0;
     if (entry.crash_count >= options_.crashes_to_hold)
       CompareWithOthers(entry);
   }
 }
 
+bool CrashHistory::IsTrial(const Entry& entry, const Crash& crash) const {
+  int crashes_before = 0;
+  for (const Crash& other : entry.crashes) {
+    if (!other.counts() || other.crashed_at >= crash.crashed_at ||
+        other.upstream == crash.upstream)
+      continue;
+    ++crashes_before;
+    if (other.crashed_at + options_.report_delay >
+        crash.sent_at + kTimeTolerance)
+      return false;
+  }
+  return crashes_before >= options_.crashes_to_hold;
+}
+
 void CrashHistory::CompareWithOthers(Entry& entry) const {
   for (const Crash& crash : entry.crashes) {
     if (!crash.verified || !crash.counts())
       continue;
     const int most_beside = MostCrashesBeside(entry, crash);
     entry.lone_crashes += most_beside == 0 ? 1 : 0;
-    const bool is_last = crash.crashed_at == LastCrashAt(entry);
-    entry.crashed_in_trial |= is_last && most_beside <= 1;
+    entry.trial_crashes += most_beside <= 1 && IsTrial(entry, crash) ? 1 : 0;
   }
 }
 
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -330,6 +330,26 @@
   CHECK(other.history.Assess(kInnocent, other.now).crashes == 1);
 }
 
+TEST_CASE("a request is not refused before it had a trial") {
+  Host host;
+  // Four crashes before the first hold is over, each beside another request.
+  for (uint64_t crash = 1; crash <= 4; ++crash)
+    host.Crash(Engine(static_cast<int>(crash)), {kInnocent, {9, crash}}, {},
+               milliseconds(400));
+  host.now += CrashHistoryOptions().report_delay;
+  CHECK_FALSE(host.Holds(kInnocent));
+  CHECK(host.history.Assess(kInnocent, host.now).is_trial);
+  host.WaitForHolds();
+  CHECK_FALSE(host.Refuses(kInnocent));
+  // The trial may meet a crash of another cause.
+  host.Crash(Engine(5), {kInnocent, {9, 5}});
+  host.WaitForHolds();
+  CHECK_FALSE(host.Refuses(kInnocent));
+  host.Crash(Engine(6), {kInnocent, {9, 6}});
+  host.WaitForHolds();
+  CHECK(host.Refuses(kInnocent));
+}
+
 TEST_CASE("a request is not refused for upstreams that were only cut off") {
   Host host;
   for (int crash = 1; crash <= 4; ++crash)
