--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -77,6 +77,9 @@
     return history_.Assess(fingerprint, now);
   }
 
+  /// Time without data after which an attempt or an upstream counts as silent.
+  static constexpr std::chrono::milliseconds kMinSilence{200};
+
   /// Period in which a request that may not start asks again.
   static constexpr std::chrono::milliseconds kTrialCheckPeriod{50};
 
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -11,9 +11,6 @@
 
 namespace teaselhill::gateway {
 
-/// Time without data from an upstream after which it may have crashed.
-static constexpr std::chrono::milliseconds kMinSilence{200};
-
 /// Time for which it is remembered when an upstream was last seen alive.
 static constexpr std::chrono::minutes kSeenAliveRetention{1};
 
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -8,10 +8,6 @@
 
 namespace teaselhill::gateway {
 
-/// Time without data after which an attempt that is given up may have lost its
-/// upstream.
-static constexpr std::chrono::milliseconds kMinSilence{200};
-
 bool Exchange::IsUpstreamInService() const {
   const auto upstream_list = gateway_.shared_state_.upstreams();
   const std::vector<UpstreamEntry>& listed =
@@ -38,8 +34,8 @@
 
 void Exchange::ReportSilence() {
   const TimePoint now = BootNow();
-  if (!attempt_ || transfer_paused_ || now < data_at_ + kMinSilence ||
-      !IsUpstreamInService())
+  if (!attempt_ || transfer_paused_ ||
+      now < data_at_ + CrashGuard::kMinSilence || !IsUpstreamInService())
     return;
   gateway_.crash_guard_.OnAttemptSilent(request_.Fingerprint(), upstream_,
                                         AnsweringFor(data_at_), sent_at_, now);
