--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -114,11 +114,12 @@
 /// A crash ends all requests of the upstream, and nothing in one crash tells
 /// its cause from the others: the cause may run for a while, wait for a slot
 /// before it runs, or meet the same other request again and again. So a request
-/// with several crashes is held for a moment and then run once more, apart from
-/// the others. The cause crashes one more upstream and is refused; an innocent
-/// request is answered, which clears it on all hosts. A request that was
-/// answered completely a short time ago is not suspected: many callers may send
-/// it, so that a copy of it is in flight at each crash.
+/// with several crashes is held for a moment and then run again, one such
+/// request of the fleet at a time. The cause crashes another upstream, and is
+/// refused after two such trials; an innocent request is answered, which clears
+/// it on all hosts. A request that was answered completely a short time ago is
+/// not suspected: many callers may send it, so that a copy of it is in flight
+/// at each crash.
 ///
 /// Deterministic: time is an argument.
 class CrashHistory {
