--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -17,7 +17,7 @@
 #include "teaselhill/gateway/loss_reviewer.h"
 #include "teaselhill/gateway/protocol.h"
 #include "teaselhill/gateway/shared_state.h"
-#include "teaselhill/gateway/trial_lane.h"
+#include "teaselhill/gateway/trial_queue.h"
 #include "teaselhill/gateway/upstream_prober.h"
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_client.h"
@@ -27,7 +27,7 @@
 struct CrashGuardOptions {
   CrashHistoryOptions history;
   LossReviewOptions review;
-  TrialLaneOptions trial_lane;
+  TrialQueueOptions trial_queue;
   Duration probe_timeout = std::chrono::milliseconds(300);
 };
 
@@ -159,7 +159,7 @@
   std::map<UpstreamProcess, TimePoint> seen_alive_at_;
   LossReviewer reviewer_;
   CrashHistory history_;
-  TrialLane trial_lane_;
+  TrialQueue trial_queue_;
   std::unordered_map<std::string, RunCounts> runs_by_upstream_;
   /// Runs Review().
   TimerSubscription review_timer_;
--- a/include/teaselhill/gateway/fleet_log.h
+++ b/include/teaselhill/gateway/fleet_log.h
@@ -9,7 +9,7 @@
 
 #include "teaselhill/gateway/crash_history.h"
 #include "teaselhill/gateway/fleet_size.h"
-#include "teaselhill/gateway/trial_lane.h"
+#include "teaselhill/gateway/trial_queue.h"
 #include "teaselhill/support/result.h"
 
 namespace teaselhill::gateway {
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -56,7 +56,7 @@
   /// Shares crash records with the other hosts.
   using CrashPublisher = std::function<void(std::vector<CrashRecord>)>;
 
-  /// Shares claims of the trial lane with the other hosts.
+  /// Shares claims of the trial queue with the other hosts.
   using ClaimPublisher = std::function<void(std::vector<TrialClaim>)>;
 
   /// `options.placement_policy` must name a registered policy.
--- a/include/teaselhill/gateway/trial_lane.h
+++ b/include/teaselhill/gateway/trial_queue.h
@@ -1,8 +1,8 @@
 /// \file
 /// Lets one host at a time run a request that may crash its upstream.
 
-#ifndef TEASELHILL_GATEWAY_TRIAL_LANE_H_
-#define TEASELHILL_GATEWAY_TRIAL_LANE_H_
+#ifndef TEASELHILL_GATEWAY_TRIAL_QUEUE_H_
+#define TEASELHILL_GATEWAY_TRIAL_QUEUE_H_
 
 #include <cstdint>
 #include <deque>
@@ -22,7 +22,7 @@
   Duration age{};  ///< since the claim was made
 };
 
-struct TrialLaneOptions {
+struct TrialQueueOptions {
   /// Time for which a claim is in force at most once it is the first. A host
   /// may end before it releases its claim.
   Duration lease = std::chrono::seconds(2);
@@ -40,13 +40,13 @@
 /// could crash another upstream if all were tried at once.
 ///
 /// Deterministic: time is an argument.
-class TrialLane {
+class TrialQueue {
  public:
   /// `host`: differs between all hosts and restarts.
-  explicit TrialLane(uint64_t host, TrialLaneOptions options = {})
+  explicit TrialQueue(uint64_t host, TrialQueueOptions options = {})
       : host_(host), options_(options) {}
 
-  /// Whether a trial may begin now. Claims the lane if not; call again soon.
+  /// Whether a trial may begin now. Joins the queue if not; call again soon.
   bool TryStart(TimePoint now);
   void OnTrialStarted() { running_ = true; }
   void OnTrialEnded();
@@ -69,7 +69,7 @@
   void Advance(TimePoint now);
 
   uint64_t host_;
-  TrialLaneOptions options_;
+  TrialQueueOptions options_;
   std::deque<Waiting> claims_;
   std::optional<TimePoint> claimed_at_;
   TimePoint last_asked_at_{};
@@ -79,4 +79,4 @@
 
 }  // namespace teaselhill::gateway
 
-#endif  // TEASELHILL_GATEWAY_TRIAL_LANE_H_
+#endif  // TEASELHILL_GATEWAY_TRIAL_QUEUE_H_
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -37,14 +37,14 @@
       trial_(assessment.is_trial) {
   guard_.ChangeRuns(upstream_id_, repeat_, 1);
   if (trial_)
-    guard_.trial_lane_.OnTrialStarted();
+    guard_.trial_queue_.OnTrialStarted();
 }
 
 CrashGuard::SuspectRun::~SuspectRun() {
   guard_.ChangeRuns(upstream_id_, repeat_, -1);
   if (!trial_)
     return;
-  guard_.trial_lane_.OnTrialEnded();
+  guard_.trial_queue_.OnTrialEnded();
   guard_.ShareRecords();
 }
 
@@ -72,7 +72,7 @@
       prober_(client, protocol, options.probe_timeout),
       reviewer_(options.review),
       history_(EntropySeed(), options.history),
-      trial_lane_(EntropySeed(), options.trial_lane) {}
+      trial_queue_(EntropySeed(), options.trial_queue) {}
 
 CrashGuard::~CrashGuard() = default;
 
@@ -97,7 +97,7 @@
 bool CrashGuard::MayStartRun(const CrashAssessment& assessment, TimePoint now) {
   if (!assessment.is_trial)
     return true;
-  const bool may_start = trial_lane_.TryStart(now);
+  const bool may_start = trial_queue_.TryStart(now);
   ShareRecords();
   return may_start;
 }
@@ -243,11 +243,11 @@
 
 void CrashGuard::OnTrialClaims(const std::vector<TrialClaim>& claims,
                                TimePoint now) {
-  trial_lane_.OnClaims(claims, now);
+  trial_queue_.OnClaims(claims, now);
 }
 
 void CrashGuard::Expire(TimePoint now) {
-  trial_lane_.Expire(now);
+  trial_queue_.Expire(now);
   for (auto it = seen_alive_at_.begin(); it != seen_alive_at_.end();) {
     const bool is_old = now - it->second > kSeenAliveRetention;
     it = is_old ? seen_alive_at_.erase(it) : std::next(it);
@@ -271,12 +271,12 @@
 }
 
 void CrashGuard::ShareRecords() {
-  std::vector<TrialClaim> claims = trial_lane_.TakeClaims();
+  std::vector<TrialClaim> claims = trial_queue_.TakeClaims();
   const TimePoint now = BootNow();
   for (const TrialClaim& claim : claims)
     log_.Write(LineKind::kFailure,
-               LogLine(LogLevel::kInfo, claim.released ? "trial_lane_released"
-                                                       : "trial_lane_claimed")
+               LogLine(LogLevel::kInfo, claim.released ? "trial_claim_released"
+                                                       : "trial_claimed")
                    .Field("claim", claim.host),
                now);
   if (!claims.empty())
--- a/lib/gateway/loss_reviewer.cc
+++ b/lib/gateway/loss_reviewer.cc
@@ -13,7 +13,7 @@
 static constexpr std::chrono::seconds kMaxDirectoryAge{2};
 
 /// Whether each start of the upstream has a new id, as far as its entry tells.
-static bool HasIdOfItsOwn(const UpstreamEntry& upstream) {
+static bool HasNewIdPerStart(const UpstreamEntry& upstream) {
   return upstream.incarnation == 0;
 }
 
@@ -171,7 +171,7 @@
   if (!identity.id)
     return {};
   const bool own_response =
-      identity.incarnation || HasIdOfItsOwn(review.upstream);
+      identity.incarnation || HasNewIdPerStart(review.upstream);
   if (own_response) {
     review.alive_at = report.sent_at;
     const LossVerdict verdict =
--- a/lib/gateway/trial_lane.cc
+++ b/lib/gateway/trial_queue.cc
@@ -1,13 +1,13 @@
 /// \file
 /// Order and leases of the hosts' claims.
 
-#include "teaselhill/gateway/trial_lane.h"
+#include "teaselhill/gateway/trial_queue.h"
 
 #include <algorithm>
 
 namespace teaselhill::gateway {
 
-bool TrialLane::TryStart(TimePoint now) {
+bool TrialQueue::TryStart(TimePoint now) {
   last_asked_at_ = now;
   if (running_)
     return false;
@@ -25,12 +25,13 @@
   return claims_.front().host == host_;
 }
 
-void TrialLane::OnTrialEnded() {
+void TrialQueue::OnTrialEnded() {
   running_ = false;
   Release();
 }
 
-void TrialLane::OnClaims(const std::vector<TrialClaim>& claims, TimePoint now) {
+void TrialQueue::OnClaims(const std::vector<TrialClaim>& claims,
+                          TimePoint now) {
   for (const TrialClaim& claim : claims) {
     Advance(now);
     Remove(claim.host);
@@ -44,13 +45,13 @@
   Advance(now);
 }
 
-void TrialLane::Expire(TimePoint now) {
+void TrialQueue::Expire(TimePoint now) {
   const bool is_idle = now > last_asked_at_ + options_.max_idle;
   if (claimed_at_ && is_idle && !running_)
     Release();
 }
 
-void TrialLane::Remove(uint64_t host) {
+void TrialQueue::Remove(uint64_t host) {
   claims_.erase(std::remove_if(claims_.begin(), claims_.end(),
                                [host](const Waiting& claim) {
                                  return claim.host == host;
@@ -58,7 +59,7 @@
                 claims_.end());
 }
 
-void TrialLane::Release() {
+void TrialQueue::Release() {
   if (!claimed_at_)
     return;
   claimed_at_.reset();
@@ -66,7 +67,7 @@
   unshared_.push_back({host_, /*released=*/true, Duration::zero()});
 }
 
-void TrialLane::Advance(TimePoint now) {
+void TrialQueue::Advance(TimePoint now) {
   while (!claims_.empty()) {
     Waiting& first = claims_.front();
     if (!first.first_since)
--- a/unittests/gateway/crash_history_fleet_test.cc
+++ b/unittests/gateway/crash_history_fleet_test.cc
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "teaselhill/gateway/crash_history.h"
-#include "teaselhill/gateway/trial_lane.h"
+#include "teaselhill/gateway/trial_queue.h"
 #include "teaselhill/support/rng.h"
 
 namespace teaselhill::gateway {
@@ -87,10 +87,10 @@
 };
 
 struct Host {
-  explicit Host(uint64_t seed) : history(seed), lane(seed) {}
+  explicit Host(uint64_t seed) : history(seed), trial_queue(seed) {}
 
   CrashHistory history;
-  TrialLane lane;
+  TrialQueue trial_queue;
   size_t read_entries = 0;
   TimePoint next_read_at{};
 };
@@ -172,7 +172,7 @@
   bool Hold(const Request& request, const CrashAssessment& assessment) {
     Duration hold = assessment.hold_for;
     if (hold == Duration::zero() && assessment.is_trial &&
-        !hosts_[request.host].lane.TryStart(now_))
+        !hosts_[request.host].trial_queue.TryStart(now_))
       hold = kTrialCheckPeriod;
     if (hold == Duration::zero())
       return false;
@@ -241,7 +241,7 @@
     attempt.incarnation = engine.incarnation;
     attempt.sent_at = now_;
     if (attempt.is_trial)
-      hosts_[request.host].lane.OnTrialStarted();
+      hosts_[request.host].trial_queue.OnTrialStarted();
     if (engine.up_at > now_)
       return Lose(attempt, {"e" + std::to_string(attempt.engine),
                             engine.incarnation - 1});
@@ -272,7 +272,7 @@
     }
     for (const Attempt& attempt : ended) {
       if (attempt.is_trial)
-        hosts_[attempt.host].lane.OnTrialEnded();
+        hosts_[attempt.host].trial_queue.OnTrialEnded();
       const Engine& engine = engines_[attempt.engine];
       const bool running =
           engine.incarnation == attempt.incarnation && engine.up_at <= now_;
@@ -295,7 +295,7 @@
         continue;
       }
       if (it->is_trial)
-        hosts_[it->host].lane.OnTrialEnded();
+        hosts_[it->host].trial_queue.OnTrialEnded();
       lost.push_back(*it);
       it = attempts_.erase(it);
     }
@@ -346,11 +346,11 @@
 
   void Deliver() {
     for (Host& host : hosts_) {
-      host.lane.Expire(now_);
+      host.trial_queue.Expire(now_);
       LogEntry entry;
       entry.shared_at = now_;
       entry.records = host.history.TakeRecords(now_);
-      entry.claims = host.lane.TakeClaims();
+      entry.claims = host.trial_queue.TakeClaims();
       if (!entry.records.empty() || !entry.claims.empty())
         log_.push_back(std::move(entry));
     }
@@ -372,7 +372,7 @@
     std::vector<TrialClaim> claims = entry.claims;
     for (TrialClaim& claim : claims)
       claim.age += now_ - entry.shared_at;
-    host.lane.OnClaims(claims, now_);
+    host.trial_queue.OnClaims(claims, now_);
   }
 
   void Restart() {
--- a/unittests/gateway/loss_reviewer_test.cc
+++ b/unittests/gateway/loss_reviewer_test.cc
@@ -39,8 +39,8 @@
 
 enum class Expected { kUndecided, kCrashed, kAlive };
 
-struct Bench {
-  explicit Bench(uint64_t incarnation) {
+struct Fixture {
+  explicit Fixture(uint64_t incarnation) {
     entry.id = kId;
     entry.service = "s";
     entry.address = "10.0.0.1:80";
@@ -212,60 +212,64 @@
        Expected::kAlive},
   }));
   INFO(row.name);
-  Bench bench(row.incarnation);
-  REQUIRE(bench.reviewer.OnConnectionLost(
-      bench.entry, bench.list, bench.start - milliseconds(5), bench.start));
+  Fixture fixture(row.incarnation);
+  REQUIRE(fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list,
+                                            fixture.start - milliseconds(5),
+                                            fixture.start));
   for (const Step& step : row.steps)
-    bench.Apply(step);
-  CHECK(bench.result == row.expected);
+    fixture.Apply(step);
+  CHECK(fixture.result == row.expected);
 }
 
 TEST_CASE("a process that is lost cannot crash again until it is seen alive") {
-  Bench bench(0);
+  Fixture fixture(0);
   const auto lose = [&](milliseconds sent_at, milliseconds lost_at) {
-    return bench.reviewer.OnConnectionLost(
-        bench.entry, bench.list, bench.At(sent_at), bench.At(lost_at));
+    return fixture.reviewer.OnConnectionLost(
+        fixture.entry, fixture.list, fixture.At(sent_at), fixture.At(lost_at));
   };
   CHECK(lose(milliseconds(-5), milliseconds(0)));
   // In flight at the same crash.
   CHECK(lose(milliseconds(-100), milliseconds(2)));
   // A forwarder accepts the next request and resets it.
   CHECK_FALSE(lose(milliseconds(40), milliseconds(41)));
-  bench.Apply({milliseconds(50), Step::Kind::kProbe, Outcome::kClosed});
+  fixture.Apply({milliseconds(50), Step::Kind::kProbe, Outcome::kClosed});
   CHECK_FALSE(lose(milliseconds(60), milliseconds(61)));
-  bench.Apply({milliseconds(900),
-               Step::Kind::kProbe,
-               Outcome::kAnswered,
-               {kId, std::nullopt}});
+  fixture.Apply({milliseconds(900),
+                 Step::Kind::kProbe,
+                 Outcome::kAnswered,
+                 {kId, std::nullopt}});
   CHECK(lose(milliseconds(950), milliseconds(951)));
 }
 
 TEST_CASE("a predecessor whose entry has not lapsed is no successor") {
-  Bench bench(0);
-  bench.list.by_service["s"].push_back(bench.entry);
-  bench.list.by_service["s"].back().id = kOtherId;
-  bench.reviewer.OnConnectionLost(bench.entry, bench.list, bench.start,
-                                  bench.start);
-  bench.Keep(bench.reviewer.OnDirectory(bench.list, bench.start, bench.start));
-  CHECK(bench.result == Expected::kUndecided);
+  Fixture fixture(0);
+  fixture.list.by_service["s"].push_back(fixture.entry);
+  fixture.list.by_service["s"].back().id = kOtherId;
+  fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list, fixture.start,
+                                    fixture.start);
+  fixture.Keep(
+      fixture.reviewer.OnDirectory(fixture.list, fixture.start, fixture.start));
+  CHECK(fixture.result == Expected::kUndecided);
 }
 
 TEST_CASE("probes go on until the process is seen alive, and then end") {
-  Bench bench(0);
-  CHECK_FALSE(bench.reviewer.NextDue());
-  bench.reviewer.OnConnectionLost(bench.entry, bench.list, bench.start,
-                                  bench.start);
-  CHECK(bench.reviewer.NextDue() == bench.At(milliseconds(30)));
-  CHECK(bench.reviewer.TakeDueProbes(bench.At(milliseconds(29))).empty());
-  CHECK(bench.reviewer.TakeDueProbes(bench.At(milliseconds(30))).size() == 1);
-  CHECK(bench.reviewer.TakeDueProbes(bench.At(milliseconds(31))).empty());
-  bench.Apply({milliseconds(40), Step::Kind::kProbe, Outcome::kRefused});
-  CHECK(bench.reviewer.TakeDueProbes(bench.At(milliseconds(2000))).size() == 1);
-  bench.Apply({milliseconds(2001),
-               Step::Kind::kProbe,
-               Outcome::kAnswered,
-               {kId, std::nullopt}});
-  CHECK(bench.reviewer.empty());
+  Fixture fixture(0);
+  CHECK_FALSE(fixture.reviewer.NextDue());
+  fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list, fixture.start,
+                                    fixture.start);
+  CHECK(fixture.reviewer.NextDue() == fixture.At(milliseconds(30)));
+  CHECK(fixture.reviewer.TakeDueProbes(fixture.At(milliseconds(29))).empty());
+  CHECK(fixture.reviewer.TakeDueProbes(fixture.At(milliseconds(30))).size() ==
+        1);
+  CHECK(fixture.reviewer.TakeDueProbes(fixture.At(milliseconds(31))).empty());
+  fixture.Apply({milliseconds(40), Step::Kind::kProbe, Outcome::kRefused});
+  CHECK(fixture.reviewer.TakeDueProbes(fixture.At(milliseconds(2000))).size() ==
+        1);
+  fixture.Apply({milliseconds(2001),
+                 Step::Kind::kProbe,
+                 Outcome::kAnswered,
+                 {kId, std::nullopt}});
+  CHECK(fixture.reviewer.empty());
 }
 
 }  // namespace teaselhill::gateway
--- a/unittests/gateway/trial_lane_test.cc
+++ b/unittests/gateway/trial_queue_test.cc
@@ -2,7 +2,7 @@
 /// Guards against hosts that all try their copies of a crashing request at
 /// once, and against a host that waits forever for one that has ended.
 
-#include "teaselhill/gateway/trial_lane.h"
+#include "teaselhill/gateway/trial_queue.h"
 
 #include <catch2/catch.hpp>
 
@@ -15,8 +15,8 @@
 
 /// Hosts that read the log up to its end with Deliver().
 struct Hosts {
-  TrialLane first{1};
-  TrialLane second{2};
+  TrialQueue first{1};
+  TrialQueue second{2};
   TimePoint now = TimePoint(std::chrono::hours(5));
 
   void Deliver() {
@@ -52,10 +52,10 @@
 TEST_CASE("a claim ends with its lease, without requests, or without the log") {
   Hosts hosts;
   hosts.first.TryStart(hosts.now);
-  SECTION("the host that has the lane ends") {
+  SECTION("the host that is first in the queue ends") {
     hosts.second.TryStart(hosts.now);
     hosts.Deliver();
-    hosts.now += TrialLaneOptions().lease;
+    hosts.now += TrialQueueOptions().lease;
     CHECK(hosts.second.TryStart(hosts.now));
   }
   SECTION("no request asks for it any more") {
@@ -67,7 +67,7 @@
     CHECK(hosts.second.TryStart(hosts.now));
   }
   SECTION("the log is unreachable") {
-    hosts.now += TrialLaneOptions().max_claim_delay - milliseconds(1);
+    hosts.now += TrialQueueOptions().max_claim_delay - milliseconds(1);
     CHECK_FALSE(hosts.first.TryStart(hosts.now));
     hosts.now += milliseconds(1);
     CHECK(hosts.first.TryStart(hosts.now));
@@ -75,18 +75,18 @@
 }
 
 TEST_CASE("claims that were left behind have no effect and are removed") {
-  TrialLane lane(1);
+  TrialQueue queue(1);
   const TimePoint now{std::chrono::hours(5)};
-  lane.OnClaims({{2, /*released=*/false, seconds(5)},
-                 {3, /*released=*/false, std::chrono::hours(2)}},
-                now);
-  const std::vector<TrialClaim> removed = lane.TakeClaims();
+  queue.OnClaims({{2, /*released=*/false, seconds(5)},
+                  {3, /*released=*/false, std::chrono::hours(2)}},
+                 now);
+  const std::vector<TrialClaim> removed = queue.TakeClaims();
   REQUIRE(removed.size() == 1);
   CHECK(removed[0].host == 3);
   CHECK(removed[0].released);
-  lane.TryStart(now);
-  lane.OnClaims(lane.TakeClaims(), now);
-  CHECK(lane.TryStart(now));
+  queue.TryStart(now);
+  queue.OnClaims(queue.TakeClaims(), now);
+  CHECK(queue.TryStart(now));
 }
 
 }  // namespace teaselhill::gateway
--- a/unittests/platform/fleet_records_test.cc
+++ b/unittests/platform/fleet_records_test.cc
@@ -59,7 +59,7 @@
   CHECK(read->silent_for == teaselhill::Duration::zero());
 }
 
-TEST_CASE("a claim of the trial lane reads as it was written") {
+TEST_CASE("a claim of the trial queue reads as it was written") {
   TrialClaim claim;
   claim.host = 0xfedcba9876543210;
   const auto read =
