--- a/scripts/soak/probes.py
+++ b/scripts/soak/probes.py
@@ -53,8 +53,7 @@
         """Returns the status; None if the host does not answer."""
         request_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
         target = f"/marker-{version}/x"
-        self.ledger.on_sent(request_id, "marker", target, None, b"",
-                            self.host)
+        self.ledger.on_sent(request_id, "marker", target, None, b"", self.host)
         writer = None
         try:
             reader, writer = await asyncio.wait_for(
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -12,7 +12,8 @@
 from caller import Caller
 from crash_styles import STYLES
 from crashing import CrashingCaller
-from fleet import FAULTS, FURTHER_FAULTS, Fleet, disturb_store, cut_from_store, freeze, kill
+from fleet import (FAULTS, FURTHER_FAULTS, Fleet, cut_from_store, disturb_store,
+                   freeze, kill)
 from ledger import Ledger
 from probes import ConfigProbe
 
--- a/test/store-restore.sh
+++ b/test/store-restore.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
 # Guards against hosts that miss what is written at offsets which a store that came
-# back from an older copy gives out again, and against crash records that are lost
-# with the newer ones.
+# back from an older copy gives out again, and so send to upstreams that have left.
 set -eu
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
