Simulate and play crashing requests that are tried after three crashes

The soak gains several senders of a crashing request, the time for which a crashed upstream is down, an outage of the store up to the end, and bounds on crashes, late arrivals and the part of innocent requests that is served.

--- a/scripts/soak/crashing.py
+++ b/scripts/soak/crashing.py
@@ -41,28 +41,43 @@
         self.crashes.append(now)
 
 
-class CrashingCaller:
-    """Repeats one request with the same path, key and body and a new id each time."""
+class CrashingRequest:
+    """What its senders have in common: path, key and body, and the watch."""
 
-    def __init__(self, fleet, ledger, rng):
-        self.fleet, self.ledger, self.rng = fleet, ledger, rng
+    def __init__(self, fleet, rng):
         self.watch = CrashWatch(fleet)
         self.kind = rng.choice(["stream", "draft", "safe", "once"])
         self.key = rng.choice(fleet.keys)
         self.body = BODY_MARK + rng.randbytes(rng.choice([0, 200]))
 
+    def check(self, ledger, options):
+        watch = self.watch
+        ledger.requests["crashing_runs"] += watch.arrivals
+        ledger.requests["crashing_late"] += watch.late
+        ledger.requests["crashing_crashes"] += len(watch.crashes)
+        if watch.late > options.most_late:
+            ledger.violate("crashing", f"{self.kind}: {watch.late} "
+                           f"arrivals over {CONTACT_S} s after the third "
+                           f"crash, {watch.arrivals} in all")
+        if len(watch.crashes) > options.most_crashes:
+            ledger.violate("crashes", f"{self.kind}: {len(watch.crashes)} "
+                           "upstreams crashed")
+
+
+class CrashingCaller:
+    """Repeats one request with the same path, key and body and a new id each time."""
+
+    def __init__(self, fleet, ledger, request, rng):
+        self.fleet, self.ledger, self.rng = fleet, ledger, rng
+        self.watch, self.kind = request.watch, request.kind
+        self.key, self.body = request.key, request.body
+
     async def run(self, end):
         while time.monotonic() < end:
             host = self.fleet.pick(self.rng)
             if host is not None:
                 await self.send(host)
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
-        self.ledger.requests["crashing_runs"] += self.watch.arrivals
-        self.ledger.requests["crashing_late"] += self.watch.late
-        if self.watch.late > MOST_LATE_ARRIVALS:
-            self.ledger.violate("crashing", f"{self.kind}: {self.watch.late} "
-                                f"arrivals over {CONTACT_S} s after the third "
-                                f"crash, {self.watch.arrivals} in all")
 
     async def send(self, host):
         team, key = self.key
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -11,11 +11,12 @@
 
 from caller import Caller
 from crash_styles import STYLES
-from crashing import CrashingCaller
+from crashing import MOST_LATE_ARRIVALS, CrashingCaller, CrashingRequest
 from fleet import (FAULTS, FURTHER_FAULTS, Fleet, cut_from_store, disturb_store,
                    freeze, kill)
 from ledger import Ledger
 from probes import ConfigProbe
+from upstream import RESTART_S
 
 CALLERS_PER_HOST = 4
 
@@ -23,6 +24,9 @@
 # and upstream. With 480 callers it ran out of them.
 MOST_CALLERS = 160
 
+# Time from the readiness of the hosts to an outage that lasts to the end.
+STORE_AWAY_AFTER_S = 1.0
+
 # A host that was disturbed learns late that an upstream leaves, so a run either
 # disturbs hosts or checks the bound on leaving upstreams.
 HOST_FAULTS = (disturb_store, cut_from_store, freeze, kill)
@@ -54,6 +58,12 @@
         await asyncio.wait(running, timeout=4)
 
 
+async def keep_store_away(fleet, seconds):
+    """The hosts know of each other, and then the store is down to the end."""
+    await asyncio.sleep(STORE_AWAY_AFTER_S)
+    await fleet.store.disturb("down", seconds)
+
+
 def ignore_cancelled(loop, context):
     """Connections that are open at the end are cancelled, which is no fault."""
     if not isinstance(context.get("exception"), asyncio.CancelledError):
@@ -74,11 +84,17 @@
                                   MOST_CALLERS))]
     probes = [ConfigProbe(fleet, ledger, host, random.Random(rng.random()))
               .run(end) for host in fleet.hosts]
-    crashing = [CrashingCaller(fleet, ledger, random.Random(rng.random()))
-                .run(end) for _ in range(options.crashing)]
+    crashing = [CrashingRequest(fleet, random.Random(rng.random()))
+                for _ in range(options.crashing)]
+    senders = [CrashingCaller(fleet, ledger, request, random.Random(rng.random()))
+               .run(end) for request in crashing for _ in range(options.senders)]
+    if options.store_away:
+        asyncio.create_task(keep_store_away(fleet, options.seconds))
     await asyncio.gather(inject(fleet, random.Random(rng.random()), end, counts,
                                 options.faults),
-                         *callers, *probes, *crashing)
+                         *callers, *probes, *senders)
+    for request in crashing:
+        request.check(ledger, options)
 
 
 async def run(options):
@@ -98,17 +114,23 @@
         print(example)
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
                 "cut", "denied", "answer", "config_late", "config_backwards",
-                "urgent", "crashing", "innocent", "attempts", "deadline",
-                "repeats"]
+                "urgent", "crashing", "crashes", "innocent", "attempts", "deadline",
+                "repeats", "served"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
         ledger.violate("answer", f"only {served} requests were served")
+    innocent = sum(n for name, n in ledger.requests.items()
+                   if name[-4:-3] == "_" and not name.startswith("crashing"))
+    served_part = served / max(1, innocent)
+    if served_part < options.least_served:
+        ledger.violate("served", f"{served} of {innocent} innocent requests")
     print(json.dumps({
         "seed": options.seed, "seconds": options.seconds,
         "processes": options.processes, "logs": folder,
         "faults": dict(sorted(counts.items())),
         "requests": dict(sorted(ledger.requests.items())),
+        "served_part": round(served_part, 3),
         "broken": {name: ledger.broken[name] for name in promises}}))
     return 1 if set(ledger.broken) - set(options.known_red) else 0
 
@@ -126,6 +148,19 @@
     parser.add_argument("--crash-after", type=float, default=0,
                         help="seconds from the start of a crashing request's run "
                         "to the crash")
+    parser.add_argument("--senders", type=int, default=1,
+                        help="callers that send each crashing request")
+    parser.add_argument("--down", type=float, nargs=2, default=RESTART_S,
+                        help="seconds until a crashed upstream is back, from and to")
+    parser.add_argument("--most-late", type=int, default=MOST_LATE_ARRIVALS,
+                        help="arrivals of a crashing request that are tolerated "
+                        "after the bound")
+    parser.add_argument("--most-crashes", type=int, default=1000,
+                        help="upstreams that one request may crash")
+    parser.add_argument("--least-served", type=float, default=0,
+                        help="part of the innocent requests that must be answered")
+    parser.add_argument("--store-away", action="store_true",
+                        help="the store is down from shortly after the start on")
     parser.add_argument("--new-ids", action="store_true",
                         help="a restarted upstream has a new id")
     parser.add_argument("--faults", nargs="*", default=[],
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -84,7 +84,7 @@
         if self.down or self.starts != process:
             return
         watch.on_crash(time.monotonic())
-        await self.crash_for(self.rng.uniform(*RESTART_S))
+        await self.crash_for(self.rng.uniform(*self.options.down))
 
     def strikes(self, fault):
         return self.rng.random() < self.faults.get(fault, 0)
--- a/unittests/gateway/crash_history_fleet_test.cc
+++ b/unittests/gateway/crash_history_fleet_test.cc
@@ -57,6 +57,11 @@
   /// When the first crashing request arrives. Without answers before, nothing
   /// tells the other requests from it.
   milliseconds crashing_from{1000};
+  /// Callers that repeat each crashing request independently of each other.
+  int senders = 1;
+  /// Time for which a crashed engine is down.
+  milliseconds min_down{1500};
+  milliseconds max_down{4000};
 };
 
 struct Attempt {
@@ -105,18 +110,15 @@
 
   void Run() {
     crashing_.resize(static_cast<size_t>(options_.crashing_requests));
-    for (CrashingRequest& crashing : crashing_)
-      crashing.next_at = now_ + options_.crashing_from;
+    for (CrashingRequest& crashing : crashing_) {
+      for (int sender = 0; sender < options_.senders; ++sender)
+        crashing.next_at.push_back(now_ + options_.crashing_from);
+    }
     for (; now_ - TimePoint{} < kDuration; now_ += kStep) {
       if (rng_.Uniform() < options_.requests_per_second * ToSeconds(kStep))
         Send({RandomHost(), RandomRequest(), 1, now_});
-      for (uint64_t i = 0; i < crashing_.size(); ++i) {
-        if (now_ < crashing_[i].next_at)
-          continue;
-        Send({RandomHost(), Hash128{kCrashing, i}, 1, now_});
-        crashing_[i].next_at =
-            now_ + RandomTime(milliseconds(100), milliseconds(600));
-      }
+      for (uint64_t i = 0; i < crashing_.size(); ++i)
+        SendCrashing(i);
       EndHolds();
       EndAttempts();
       Retry();
@@ -127,7 +129,7 @@
   }
 
   struct CrashingRequest {
-    TimePoint next_at{};
+    std::vector<TimePoint> next_at;  ///< of each sender
     TimePoint third_crash_at{};
     int crashes = 0;
     int late_sends = 0;
@@ -154,6 +156,15 @@
 
   using LostProcess = std::pair<int, UpstreamProcess>;
 
+  void SendCrashing(uint64_t number) {
+    for (TimePoint& next_at : crashing_[number].next_at) {
+      if (now_ < next_at)
+        continue;
+      Send({RandomHost(), Hash128{kCrashing, number}, 1, now_});
+      next_at = now_ + RandomTime(milliseconds(100), milliseconds(600));
+    }
+  }
+
   int RandomHost() { return static_cast<int>(rng_.Uniform() * options_.hosts); }
   Duration RandomTime(milliseconds min, milliseconds max) {
     return FromSeconds(ToSeconds(min) + rng_.Uniform() * ToSeconds(max - min));
@@ -302,7 +313,7 @@
     const UpstreamProcess process{"e" + std::to_string(cause.engine),
                                   engine.incarnation};
     ++engine.incarnation;
-    engine.up_at = now_ + RandomTime(milliseconds(1500), milliseconds(4000));
+    engine.up_at = now_ + RandomTime(options_.min_down, options_.max_down);
     for (const Attempt& attempt : lost)
       Lose(attempt, process);
   }
@@ -491,4 +502,68 @@
   CHECK(fleet.innocent_refusals == 0);
 }
 
+namespace {
+
+/// The most upstreams that a request beside companions may crash. The platform
+/// counts what is sent on later than kContact after the third crash.
+constexpr int kMaxCrashesBesideCompanions = 4;
+
+FleetOptions ThreeEngines(const char* name, int hosts) {
+  FleetOptions options{};
+  options.name = name;
+  options.hosts = hosts;
+  options.engines = 3;
+  options.requests_per_second = 25;
+  options.max_record_delay = milliseconds(60);
+  options.max_queueing = milliseconds(40);
+  return options;
+}
+
+FleetOptions TwoCrashing(const char* name, milliseconds crash_delay) {
+  FleetOptions options = ThreeEngines(name, 4);
+  options.crashing_requests = 2;
+  options.crash_delay = crash_delay;
+  return options;
+}
+
+FleetOptions ThreeSenders(const char* name, milliseconds down) {
+  FleetOptions options = ThreeEngines(name, 7);
+  options.senders = 3;
+  options.min_down = options.max_down = down;
+  return options;
+}
+
+FleetOptions ManyEngines(const char* name) {
+  FleetOptions options = ThreeEngines(name, 60);
+  options.engines = 90;
+  options.requests_per_second = 300;
+  options.max_record_delay = milliseconds(250);
+  return options;
+}
+
+}  // namespace
+
+// Guards against a crashing request that the hosts go on to try after three
+// crashes, while all upstreams of its service are down.
+TEST_CASE("a crashing request is found in three crashes or four at most") {
+  const FleetOptions options = GENERATE(values<FleetOptions>({
+      ThreeEngines("one", 7),
+      TwoCrashing("two", milliseconds(0)),
+      TwoCrashing("two after the start", milliseconds(300)),
+      ThreeSenders("three senders", milliseconds(3000)),
+      ThreeSenders("three senders, back soon", milliseconds(300)),
+      ManyEngines("large"),
+  }));
+  const uint64_t seed = GENERATE(range(1, 21));
+  INFO(options.name << ", seed " << seed);
+  Fleet fleet(options, seed);
+  fleet.Run();
+  for (const Fleet::CrashingRequest& crashing : fleet.crashing()) {
+    CHECK(crashing.crashes >= 2);
+    CHECK(crashing.crashes <= kMaxCrashesBesideCompanions);
+    CHECK(crashing.late_sends == 0);
+  }
+  CHECK(fleet.innocent_refusals == 0);
+}
+
 }  // namespace teaselhill::gateway
