Send crash records from host to host

What callers saw: while the store was away, each host counted crashes for itself, and a request crashed up to 21 upstreams; innocent requests were refused beside it.

Cause: hosts learned of each other's crashes from the store only.

Change: hosts announce an address (the first port of portRange) with their host record and send crash records to each other at once, as CBOR over HTTP; from ten hosts on along a ring with distances of 1, 2, 4 and so on, each host passing a message on once. The store stays where records are kept and where a host finds them when it starts. Claims of trials go through the store only: their order is the store's.

The soak's store now reads the body of a call that it rejects; before, the body was taken for the next call on the connection.

--- a/include/teaselhill/gateway/daemon.h
+++ b/include/teaselhill/gateway/daemon.h
@@ -32,6 +32,7 @@
   Endpoint caller_endpoint;
   Endpoint readiness_endpoint;
   Endpoint metrics_endpoint;  ///< port 0: metrics are not served
+  Endpoint peer_endpoint;     ///< port 0: no messages between hosts
   /// Time after SIGTERM at which the platform sends SIGKILL.
   Duration shutdown_grace = std::chrono::seconds(8);
   RetryBudgetOptions retry_budget;
--- a/include/teaselhill/gateway/fleet_size.h
+++ b/include/teaselhill/gateway/fleet_size.h
@@ -15,7 +15,8 @@
 /// Announcement of a host that runs.
 struct HostRecord {
   std::string host;
-  Duration age{};  ///< since the announcement
+  Duration age{};            ///< since the announcement
+  std::string peer_address;  ///< IP address and port of PeerExchange; or empty
 };
 
 /// The number of hosts that share a limit of the fleet. A host counts until its
--- /dev/null
+++ b/include/teaselhill/gateway/peer_exchange.h
@@ -0,0 +1,86 @@
+/// \file
+/// Sends crash records from host to host, beside the fleet's log.
+
+#ifndef TEASELHILL_GATEWAY_PEER_EXCHANGE_H_
+#define TEASELHILL_GATEWAY_PEER_EXCHANGE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "teaselhill/gateway/event_log.h"
+#include "teaselhill/gateway/fleet_size.h"
+#include "teaselhill/gateway/peer_message.h"
+#include "teaselhill/net/event_loop.h"
+#include "teaselhill/net/http_client.h"
+#include "teaselhill/net/http_server.h"
+#include "teaselhill/support/rng.h"
+
+namespace teaselhill::gateway {
+
+struct PeerExchangeOptions {
+  /// Number of peers up to which a host sends a message to all of them. In a
+  /// larger fleet it sends to those at distances of 1, 2, 4 and so on in a ring
+  /// of all hosts, and each host passes a message on once in the same way.
+  size_t max_direct_peers = 8;
+  Duration timeout = std::chrono::milliseconds(500);
+  size_t max_message_bytes = 1 << 20;
+  /// Messages that are remembered so that they are passed on only once.
+  size_t max_known_messages = 4096;
+};
+
+/// Crash records reach the other hosts within milliseconds, also while the
+/// fleet's log is unreachable. Nothing is retried: the log brings the records
+/// as well, and keeps them. Used on one event loop.
+class PeerExchange : private net::HttpHandler {
+ public:
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    virtual void OnPeerRecords(std::vector<CrashRecord> records) = 0;
+  };
+
+  /// `host`: name of this host. `server`: where to listen.
+  PeerExchange(net::EventLoop& loop,
+               std::string host,
+               net::HttpServerOptions server,
+               EventLog& log,
+               Handler& handler,
+               PeerExchangeOptions options = {});
+
+  /// Binds the listener; kBindFailed names the address.
+  Status Start() { return server_.Start(); }
+  uint16_t port() const { return server_.port(); }
+
+  /// Adds the hosts that announce an address, other than this one.
+  void AddPeers(const std::vector<HostRecord>& records);
+
+  void Send(std::vector<CrashRecord> records);
+
+ private:
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override;
+  /// Returns whether the message was not known before.
+  bool Remember(uint64_t message_id);
+  void SendToPeers(const std::string& body);
+  std::vector<std::string> PickPeers() const;
+
+  std::string host_;
+  EventLog& log_;
+  Handler& handler_;
+  PeerExchangeOptions options_;
+  Rng rng_;
+  net::HttpClient client_;
+  net::HttpServer server_;
+  std::map<std::string, std::string> peer_addresses_;  ///< by host
+  std::unordered_set<uint64_t> known_messages_;
+  std::deque<uint64_t> known_messages_by_age_;
+};
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_PEER_EXCHANGE_H_
--- /dev/null
+++ b/include/teaselhill/gateway/peer_message.h
@@ -0,0 +1,33 @@
+/// \file
+/// Messages between the hosts of the gateway.
+
+#ifndef TEASELHILL_GATEWAY_PEER_MESSAGE_H_
+#define TEASELHILL_GATEWAY_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "teaselhill/gateway/crash_history.h"
+#include "teaselhill/support/result.h"
+
+namespace teaselhill::gateway {
+
+/// Crash records that one host has to share. Times are ages, so that the clocks
+/// of the hosts need not agree.
+struct PeerMessage {
+  uint64_t id = 0;  ///< differs between all messages
+  std::string sender;
+  std::vector<CrashRecord> records;
+};
+
+/// Encodes the message as CBOR.
+std::string EncodePeerMessage(const PeerMessage& message);
+
+/// kProtocolError if the text is not a message.
+Result<PeerMessage> DecodePeerMessage(std::string_view text);
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_PEER_MESSAGE_H_
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <thread>
 
+#include "teaselhill/gateway/peer_exchange.h"
 #include "teaselhill/gateway/state_keeper.h"
 
 namespace teaselhill::gateway {
@@ -37,6 +38,9 @@
 /// idle connections, but the listener opens before a configuration is known.
 constexpr std::chrono::seconds kIdleTimeout{30};
 
+/// Connections from other hosts. A host sends a message to a few peers only.
+constexpr size_t kMaxPeerConnections = 64;
+
 /// File descriptors reserved for listeners, the store, metrics, files and event
 /// queues.
 constexpr size_t kReservedDescriptors = 256;
@@ -103,7 +107,7 @@
 
 /// The running gateway. Members are used on the control thread unless noted
 /// otherwise.
-class Daemon : private FleetLog::Handler {
+class Daemon : private FleetLog::Handler, private PeerExchange::Handler {
  public:
   Daemon(const GatewaySettings& settings, Adapter& adapter)
       : settings_(settings),
@@ -129,6 +133,12 @@
         metrics_server_(control_loop_,
                         MakeListenerOptions(settings.metrics_endpoint, 16),
                         metrics_handler_),
+        peer_exchange_(
+            control_loop_,
+            settings.host,
+            MakeListenerOptions(settings.peer_endpoint, kMaxPeerConnections),
+            log_,
+            *this),
         state_keeper_(shared_state_, log_, BootNow),
         fleet_log_monitor_(log_, "fleet_log"),
         source_(adapter.MakeStateSource(control_loop_)),
@@ -146,6 +156,7 @@
             .Field("domain", settings_.domain)
             .Field("port", static_cast<int>(settings_.caller_endpoint.port))
             .Field("version", TEASELHILL_VERSION));
+    StartPeerExchange();
     const auto termination = net::HandleTermination(
         control_loop_, [this](int signal) { StartDrain(signal); });
     const auto hangup = net::HandleHangup(
@@ -171,6 +182,7 @@
         });
     gateway_.SetCrashPublisher([this](std::vector<CrashRecord> records) {
       control_loop_.Post([this, records = std::move(records)] {
+        peer_exchange_.Send(records);
         fleet_log_->Append(records);
       });
     });
@@ -193,6 +205,10 @@
     });
   }
 
+  void OnPeerRecords(std::vector<CrashRecord> records) override {
+    OnCrashRecords(std::move(records));
+  }
+
   void OnTrialClaims(std::vector<TrialClaim> claims) override {
     traffic_loop_.Post(
         [this, claims = std::move(claims)] { gateway_.OnTrialClaims(claims); });
@@ -200,6 +216,7 @@
 
   void OnHostRecords(std::vector<HostRecord> records) override {
     fleet_size_.OnRecords(records, BootNow());
+    peer_exchange_.AddPeers(records);
     PublishHostCount();
   }
 
@@ -261,6 +278,18 @@
     return servers;
   }
 
+  /// Without it, hosts learn of each other's crashes from the fleet's log only.
+  void StartPeerExchange() {
+    if (settings_.peer_endpoint.port == 0)
+      return;
+    const Status started = peer_exchange_.Start();
+    if (started)
+      return;
+    logger_.Write(LogLine(LogLevel::kWarning, "peer_exchange_failed")
+                      .Field("code", static_cast<int>(started.error().code))
+                      .Field("fault", started.error().message));
+  }
+
   int ReportFailure(const Error& error) {
     logger_.Write(LogLine(LogLevel::kError, "start_failed")
                       .Field("code", static_cast<int>(error.code))
@@ -359,6 +388,7 @@
   net::HttpServer caller_server_;  ///< on the traffic thread
   net::HttpServer readiness_server_;
   net::HttpServer metrics_server_;
+  PeerExchange peer_exchange_;
   StateKeeper state_keeper_;
   DependencyMonitor fleet_log_monitor_;
   std::unique_ptr<StateSource> source_;
--- /dev/null
+++ b/lib/gateway/peer_message.cc
@@ -0,0 +1,100 @@
+/// \file
+/// CBOR encoding of the messages between hosts.
+
+#include "teaselhill/gateway/peer_message.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace teaselhill::gateway {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kIdField = "id";
+constexpr const char* kSenderField = "sender";
+constexpr const char* kRecordsField = "records";
+constexpr const char* kFingerprintField = "fingerprint";
+constexpr const char* kWithdrawnField = "withdrawn";
+constexpr const char* kUpstreamField = "upstream";
+constexpr const char* kIncarnationField = "incarnation";
+constexpr const char* kAgeField = "age_us";
+constexpr const char* kRunTimeField = "run_time_us";
+constexpr const char* kAnsweringField = "answering_us";
+constexpr const char* kSilentField = "silent_us";
+
+int64_t ToMicroseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration)
+      .count();
+}
+
+Duration ReadDuration(const Json& object, const char* field) {
+  return std::chrono::microseconds(
+      std::max<int64_t>(0, object.at(field).get<int64_t>()));
+}
+
+Json EncodeRecord(const CrashRecord& record) {
+  Json object = {{kFingerprintField, ToHex(record.fingerprint)},
+                 {kIdField, record.id},
+                 {kWithdrawnField, record.withdrawn}};
+  if (record.withdrawn)
+    return object;
+  object[kUpstreamField] = record.upstream.id;
+  object[kIncarnationField] = record.upstream.incarnation;
+  object[kAgeField] = ToMicroseconds(record.age);
+  object[kRunTimeField] = ToMicroseconds(record.run_time);
+  object[kAnsweringField] = ToMicroseconds(record.answering_for);
+  object[kSilentField] = ToMicroseconds(record.silent_for);
+  return object;
+}
+
+/// Throws a Json::exception if a field is missing or of another type.
+CrashRecord DecodeRecord(const Json& object) {
+  CrashRecord record;
+  if (!FromHex(object.at(kFingerprintField).get<std::string>(),
+               &record.fingerprint))
+    throw Json::other_error::create(0, "fingerprint is invalid", &object);
+  record.id = object.at(kIdField).get<uint64_t>();
+  record.withdrawn = object.at(kWithdrawnField).get<bool>();
+  if (record.withdrawn)
+    return record;
+  record.upstream.id = object.at(kUpstreamField).get<std::string>();
+  record.upstream.incarnation = object.at(kIncarnationField).get<uint64_t>();
+  record.age = ReadDuration(object, kAgeField);
+  record.run_time = ReadDuration(object, kRunTimeField);
+  record.answering_for = ReadDuration(object, kAnsweringField);
+  record.silent_for = ReadDuration(object, kSilentField);
+  return record;
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  Json records = Json::array();
+  for (const CrashRecord& record : message.records)
+    records.push_back(EncodeRecord(record));
+  const std::vector<uint8_t> encoded =
+      Json::to_cbor(Json{{kIdField, message.id},
+                         {kSenderField, message.sender},
+                         {kRecordsField, std::move(records)}});
+  return {encoded.begin(), encoded.end()};
+}
+
+Result<PeerMessage> DecodePeerMessage(std::string_view text) {
+  const Json object = Json::from_cbor(text.begin(), text.end(), /*strict=*/true,
+                                      /*allow_exceptions=*/false);
+  try {
+    PeerMessage message;
+    message.id = object.at(kIdField).get<uint64_t>();
+    message.sender = object.at(kSenderField).get<std::string>();
+    for (const Json& record : object.at(kRecordsField))
+      message.records.push_back(DecodeRecord(record));
+    return message;
+  } catch (const Json::exception& error) {
+    return {ResultCode::kProtocolError,
+            std::string("peer message: ") + error.what()};
+  }
+}
+
+}  // namespace teaselhill::gateway
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -41,6 +41,7 @@
         self.address = f"{network}.{number + 1}"
         self.callers = (self.address, free_port(self.address))
         self.readiness = (self.address, free_port(self.address))
+        self.peer_port = free_port(self.address)
         self.settings = os.path.join(folder, self.name + ".json")
         self.log = open(os.path.join(folder, self.name + ".log"), "ab")
         self.store_proxy = Proxy(store)
@@ -64,6 +65,7 @@
             "listen": {"front": "%s:%d" % self.callers,
                        "ready": "%s:%d" % self.readiness},
             "limits": {"maxFds": 1024},
+            "portRange": [self.peer_port, self.peer_port],
             "bounds": {"graceS": GRACE_S, "retryRatio": 0.2,
                        "retryWindowS": 10, "retryExtra": 54, "drainMs": 2000},
             "provider": {"addr": f"{self.address}:{self.store_port}"},
--- a/scripts/soak/store.py
+++ b/scripts/soak/store.py
@@ -97,10 +97,12 @@
                     await asyncio.sleep(30)
                 if self.mode == "slow":
                     await asyncio.sleep(0.3)
+                body = b""
+                if request[0].startswith("POST"):
+                    body = await http_io.whole_body(reader, request[1])
                 if self.mode == "down":
                     writer.write(self.response(503))
                 elif request[0].startswith("POST"):
-                    body = await http_io.whole_body(reader, request[1])
                     writer.write(self.append(request[0].split()[1], body))
                 else:
                     writer.write(await self.answer(request[0].split()[1]))
--- a/unittests/platform/fleet_records_test.cc
+++ b/unittests/platform/fleet_records_test.cc
@@ -125,7 +125,8 @@
 }
 
 TEST_CASE("a host record reads as it was written") {
-  const KeyedRecord record = EncodeHost("front-1", kNow);
+  const KeyedRecord record =
+      EncodeHost({"front-1", {}, "10.1.0.19:7200"}, kNow);
   const auto read = DecodeHost(record, kNow + milliseconds(250));
   REQUIRE(read);
   CHECK(read->host == "front-1");
--- a/unittests/platform/fleet_topic_test.cc
+++ b/unittests/platform/fleet_topic_test.cc
@@ -84,7 +84,8 @@
   net::HttpServer server(loop, {}, store);
   REQUIRE(server.Start().ok());
   NoHandler handler;
-  FleetTopic topic(loop, "127.0.0.1:" + std::to_string(server.port()), "h");
+  FleetTopic topic(loop, "127.0.0.1:" + std::to_string(server.port()),
+                   {"h", {}, ""});
   topic.Subscribe(handler);
   CrashRecord crash;
   crash.fingerprint = {1, 2};
