Take a crash back only for signs of life after the review began

What callers saw: with the store away, a request that had crashed three upstreams was sent on, because one of the crashes was taken back.

Cause: an upstream that starts again under its id answers health checks under the same id, and while the store is away its entry cannot tell the new process from the old. A response to the review of a later loss was taken as proof that the process had outlived all losses, also those of reviews that had ended with the verdict of a crash. Data on an open connection was taken so as well, although it shows no more than that the process has lived since the connection was opened.

Change: such a verdict reaches back to the first loss of its review, and data to the opening of the connection.

Measured: the new test fails before.

--- a/include/teaselhill/gateway/loss_reviewer.h
+++ b/include/teaselhill/gateway/loss_reviewer.h
@@ -165,10 +165,13 @@
                                               Review& review,
                                               TimePoint until,
                                               std::string_view evidence);
+  /// The process lived from `since`, exclusive, up to `until`. A process that
+  /// only seems to be the one under review says nothing of earlier losses.
   static LossVerdict Alive(const UpstreamProcess& process,
                            Review& review,
                            TimePoint until,
-                           std::string_view evidence);
+                           std::string_view evidence,
+                           TimePoint since = TimePoint::min());
   std::vector<LossVerdict> OnResponse(const UpstreamProcess& process,
                                       Review& review,
                                       const ProbeReport& report,
--- a/lib/gateway/loss_reviewer.cc
+++ b/lib/gateway/loss_reviewer.cc
@@ -12,6 +12,9 @@
 /// show that their processes renew them.
 static constexpr std::chrono::seconds kMaxDirectoryAge{2};
 
+/// Smallest difference of two times.
+static constexpr Duration kTimeStep{1};
+
 /// Whether each start of the upstream has a new id, as far as its entry tells.
 static bool HasNewIdPerStart(const UpstreamEntry& upstream) {
   return upstream.incarnation == 0;
@@ -86,11 +89,12 @@
 LossVerdict LossReviewer::Alive(const UpstreamProcess& process,
                                 Review& review,
                                 TimePoint until,
-                                std::string_view evidence) {
+                                std::string_view evidence,
+                                TimePoint since) {
   if (review.last_lost_at <= until)
     review.state = State::kAlive;
   review.crashed_until = TimePoint::min();
-  return {process, /*crashed=*/false, TimePoint::min(), until, evidence};
+  return {process, /*crashed=*/false, since, until, evidence};
 }
 
 std::vector<LossVerdict> LossReviewer::OnData(const std::string& upstream_id,
@@ -105,7 +109,7 @@
       ++it;
       continue;
     }
-    verdicts.push_back(Alive(it->first, review, alive_at, "data"));
+    verdicts.push_back(Alive(it->first, review, alive_at, "data", opened_at));
     it = reviews_.erase(it);
   }
   return verdicts;
@@ -188,7 +192,8 @@
     review.last_response = Response{report.sent_at, wall_now};
   if (review.state == State::kDown)
     return {};
-  return {Alive(process, review, report.sent_at, "response")};
+  return {Alive(process, review, report.sent_at, "response",
+                review.first_lost_at - kTimeStep)};
 }
 
 LossVerdict LossReviewer::Restarted(const UpstreamProcess& process,
--- a/unittests/gateway/loss_reviewer_test.cc
+++ b/unittests/gateway/loss_reviewer_test.cc
@@ -241,6 +241,32 @@
   CHECK(lose(milliseconds(950), milliseconds(951)));
 }
 
+// Guards against crashes that are taken back because the next process answers
+// under the same id, while the store is away and cannot name its start.
+TEST_CASE("a sign of life says nothing of a loss before an earlier review") {
+  const bool by_response = GENERATE(true, false);
+  Fixture fixture(kWallStartMs - 1000);
+  fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list, fixture.start,
+                                    fixture.start);
+  fixture.Apply({milliseconds(30), Step::Kind::kProbe, Outcome::kRefused});
+  CHECK(fixture.result == Expected::kCrashed);
+  fixture.Keep(fixture.reviewer.OnDirectory(fixture.list, fixture.start,
+                                            fixture.At(seconds(7))));
+  CHECK(fixture.reviewer.empty());
+  fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list,
+                                    fixture.At(milliseconds(7900)),
+                                    fixture.At(seconds(8)));
+  if (by_response)
+    fixture.Apply({milliseconds(8050),
+                   Step::Kind::kProbe,
+                   Outcome::kAnswered,
+                   {kId, std::nullopt}});
+  else
+    fixture.Keep(fixture.reviewer.OnData(kId, fixture.At(milliseconds(7950)),
+                                         fixture.At(milliseconds(8200))));
+  CHECK(fixture.result == Expected::kCrashed);
+}
+
 TEST_CASE("a predecessor whose entry has not lapsed is no successor") {
   Fixture fixture(0);
   fixture.list.by_service["s"].push_back(fixture.entry);
