Do not let an attempt that was given up hide the crash after it

What callers saw: a request that had crashed three upstreams was sent on.

Cause: when a caller leaves an upstream that is busy, the attempt counts as a loss that may have been a crash. If the upstream then crashed under another request within the 30 ms to the probe, it was found down, and the crash was dated to the attempt that was given up; the real crash, of an attempt that was sent after that, did not count, since a process crashes only once.

Change: losses carry their kind, also between hosts, and only a lost connection dates the end of a process.

Measured: both new tests fail before.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -82,11 +82,7 @@
   Duration answering_for{};
   /// From the last sign of life of the upstream to the crash.
   Duration silent_for{};
-};
-
-enum class LossKind {
-  kConnectionLost,
-  kGivenUp,  ///< after a time without any data
+  LossKind kind = LossKind::kConnectionLost;
 };
 
 struct CrashAssessment {
--- a/include/teaselhill/gateway/loss_reviewer.h
+++ b/include/teaselhill/gateway/loss_reviewer.h
@@ -45,6 +45,11 @@
   std::chrono::milliseconds clock_tolerance{500};
 };
 
+enum class LossKind {
+  kConnectionLost,
+  kGivenUp,  ///< after a time without any data; whether it crashed is open
+};
+
 /// Verdict on the losses of one process in a span of time.
 struct LossVerdict {
   UpstreamProcess process;
@@ -92,7 +97,8 @@
   bool OnConnectionLost(const UpstreamEntry& upstream,
                         const UpstreamList& upstreams,
                         TimePoint sent_at,
-                        TimePoint now);
+                        TimePoint now,
+                        LossKind kind = LossKind::kConnectionLost);
 
   /// An upstream sent data on a connection opened at `opened_at`.
   std::vector<LossVerdict> OnData(const std::string& upstream_id,
@@ -134,6 +140,9 @@
     std::unordered_set<std::string> known_at_address;
     State state = State::kPending;
     TimePoint first_lost_at;  ///< since the last sign of life
+    /// Whether all losses so far were attempts that were given up. The process
+    /// may still have lived then.
+    bool only_given_up = false;
     TimePoint last_lost_at;
     TimePoint alive_at = TimePoint::min();  ///< proven
     /// Up to when the losses have been taken for crashes.
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -146,7 +146,7 @@
                             LossKind kind) {
   const auto upstreams = shared_state_.upstreams();
   if (!upstreams ||
-      !reviewer_.OnConnectionLost(upstream, *upstreams, sent_at, now))
+      !reviewer_.OnConnectionLost(upstream, *upstreams, sent_at, now, kind))
     return;
   const UpstreamProcess process{upstream.id, upstream.incarnation};
   history_.OnConnectionLost(fingerprint, process, answering_for,
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -213,6 +213,7 @@
     crash->crashed_at = now - record.age;
     crash->sent_at = crash->crashed_at - record.run_time;
     crash->answering_for = record.answering_for;
+    crash->kind = record.kind;
     crash->seen_alive_at = crash->crashed_at - record.silent_for;
   }
   crash->verified = true;
@@ -248,7 +249,7 @@
       records.push_back({fingerprint, crash.record_id, /*withdrawn=*/false,
                          crash.upstream, now - crash.crashed_at,
                          crash.crashed_at - crash.sent_at, crash.answering_for,
-                         crash.crashed_at - crash.seen_alive_at});
+                         crash.crashed_at - crash.seen_alive_at, crash.kind});
     }
   }
   return records;
--- a/lib/gateway/crash_history_counts.cc
+++ b/lib/gateway/crash_history_counts.cc
@@ -107,7 +107,7 @@
   std::map<UpstreamProcess, std::vector<TimePoint>> crash_times;
   for (const auto& [fingerprint, entry] : entries_) {
     for (const Crash& crash : entry.crashes) {
-      if (crash.verified)
+      if (crash.verified && crash.kind == LossKind::kConnectionLost)
         crash_times[crash.upstream].push_back(crash.crashed_at);
     }
   }
--- a/lib/gateway/loss_reviewer.cc
+++ b/lib/gateway/loss_reviewer.cc
@@ -36,14 +36,19 @@
 bool LossReviewer::OnConnectionLost(const UpstreamEntry& upstream,
                                     const UpstreamList& upstreams,
                                     TimePoint sent_at,
-                                    TimePoint now) {
+                                    TimePoint now,
+                                    LossKind kind) {
   const UpstreamProcess process{upstream.id, upstream.incarnation};
   const auto [found, added] = reviews_.try_emplace(process);
   Review& review = found->second;
   const bool open = !added && review.state != State::kAlive;
-  if (open && sent_at > review.first_lost_at)
+  const bool given_up = kind == LossKind::kGivenUp;
+  if (open && !review.only_given_up && sent_at > review.first_lost_at)
     return false;
   review.last_lost_at = now;
+  if (open && review.only_given_up && !given_up)
+    review.first_lost_at = now;
+  review.only_given_up = given_up && (!open || review.only_given_up);
   if (open)
     return true;
   review.upstream = upstream;
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -23,6 +23,7 @@
 constexpr const char* kRunTimeField = "run_time_us";
 constexpr const char* kAnsweringField = "answering_us";
 constexpr const char* kSilentField = "silent_us";
+constexpr const char* kGivenUpField = "given_up";
 
 int64_t ToMicroseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration)
@@ -46,6 +47,7 @@
   object[kRunTimeField] = ToMicroseconds(record.run_time);
   object[kAnsweringField] = ToMicroseconds(record.answering_for);
   object[kSilentField] = ToMicroseconds(record.silent_for);
+  object[kGivenUpField] = record.kind == LossKind::kGivenUp;
   return object;
 }
 
@@ -65,6 +67,8 @@
   record.run_time = ReadDuration(object, kRunTimeField);
   record.answering_for = ReadDuration(object, kAnsweringField);
   record.silent_for = ReadDuration(object, kSilentField);
+  if (object.at(kGivenUpField).get<bool>())
+    record.kind = LossKind::kGivenUp;
   return record;
 }
 
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -204,6 +204,22 @@
   CHECK(host.history.TakeRecords(host.now).size() == (restarted ? 0 : 1));
 }
 
+TEST_CASE("an attempt that another host gave up hides no crash after it") {
+  Host host;
+  CrashRecord given_up;
+  given_up.fingerprint = kInnocent;
+  given_up.id = 1;
+  given_up.upstream = Engine(1);
+  given_up.age = milliseconds(100);
+  given_up.run_time = milliseconds(300);
+  given_up.kind = LossKind::kGivenUp;
+  host.history.OnRecords({given_up}, host.now);
+  host.history.OnConnectionLost(kCrashing, Engine(1), {}, TimePoint{},
+                                host.now - milliseconds(5), host.now);
+  host.history.OnVerdict(Verdict(Engine(1), true, host.now));
+  CHECK(host.history.Assess(kCrashing, host.now).crashes == 1);
+}
+
 TEST_CASE("copies that an outage of all upstreams ends count once") {
   Host host;
   for (int engine = 1; engine <= 5; ++engine)
--- a/unittests/gateway/loss_reviewer_test.cc
+++ b/unittests/gateway/loss_reviewer_test.cc
@@ -241,6 +241,22 @@
   CHECK(lose(milliseconds(950), milliseconds(951)));
 }
 
+// Guards against crashes that do not count because a caller left the upstream
+// shortly before: nobody knows whether it had crashed by then.
+TEST_CASE("an attempt that was given up hides no crash after it") {
+  Fixture fixture(0);
+  const auto lose = [&](milliseconds sent_at, milliseconds lost_at,
+                        LossKind kind) {
+    return fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list,
+                                             fixture.At(sent_at),
+                                             fixture.At(lost_at), kind);
+  };
+  CHECK(lose(milliseconds(-300), milliseconds(0), LossKind::kGivenUp));
+  CHECK(lose(milliseconds(26), milliseconds(27), LossKind::kConnectionLost));
+  CHECK_FALSE(
+      lose(milliseconds(60), milliseconds(61), LossKind::kConnectionLost));
+}
+
 // Guards against crashes that are taken back because the next process answers
 // under the same id, while the store is away and cannot name its start.
 TEST_CASE("a sign of life says nothing of a loss before an earlier review") {
--- a/unittests/gateway/peer_exchange_test.cc
+++ b/unittests/gateway/peer_exchange_test.cc
@@ -22,6 +22,7 @@
   record.run_time = std::chrono::milliseconds(6);
   record.answering_for = std::chrono::milliseconds(7);
   record.silent_for = std::chrono::milliseconds(8);
+  record.kind = LossKind::kGivenUp;
   return record;
 }
 
@@ -137,6 +138,7 @@
   CHECK(record.run_time == std::chrono::milliseconds(6));
   CHECK(record.answering_for == std::chrono::milliseconds(7));
   CHECK(record.silent_for == std::chrono::milliseconds(8));
+  CHECK(record.kind == LossKind::kGivenUp);
   CHECK(decoded->records[1].withdrawn);
 }
 
