Let a suspect avoid the upstreams that it has crashed

Cause: the request was tried again at an upstream that it had crashed before and that had started again under the same id. As far as the hosts knew it was the same process, and a process crashes only once, so the second crash did not count.

Change: a suspect avoids the processes that crashed under it until the directory names a new process.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -96,8 +96,11 @@
 
   /// Upstreams that a request should avoid if it can: upstreams that run
   /// suspects, if the request is to be isolated itself, and otherwise upstreams
-  /// that run a request with several crashes.
+  /// that run a request with several crashes. Also upstreams that crashed under
+  /// the request and have not announced a new process since: a second crash
+  /// there cannot be told from the first.
   std::vector<std::string> UpstreamsToAvoid(
+      const Hash128& fingerprint,
       const CrashAssessment& assessment) const;
 
   /// Call for the attempt of a request that is to be isolated.
--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -153,6 +153,10 @@
                         TimePoint now,
                         LossKind kind = LossKind::kConnectionLost);
 
+  /// Processes that crashed under the request, as far as is known.
+  std::vector<UpstreamProcess> CrashedProcesses(
+      const Hash128& fingerprint) const;
+
   /// Applies a verdict to the losses of this host.
   void OnVerdict(const LossVerdict& verdict);
 
--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -71,6 +71,8 @@
   std::unordered_set<std::string> draining_ids;
 
   const std::vector<UpstreamEntry>& OfService(const std::string& service) const;
+  /// Whether the process is the newest one known of its upstream.
+  bool Lists(const UpstreamProcess& process) const;
 };
 
 /// Applies records and listings to the set of known upstreams. Deterministic:
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -89,12 +89,19 @@
 CrashGuard::~CrashGuard() = default;
 
 std::vector<std::string> CrashGuard::UpstreamsToAvoid(
+    const Hash128& fingerprint,
     const CrashAssessment& assessment) const {
   std::vector<std::string> upstreams;
   for (const auto& [id, counts] : runs_by_upstream_) {
     if (assessment.isolate || counts.repeat_suspects > 0)
       upstreams.push_back(id);
   }
+  const auto list = shared_state_.upstreams();
+  for (const UpstreamProcess& process :
+       history_.CrashedProcesses(fingerprint)) {
+    if (list && list->Lists(process))
+      upstreams.push_back(process.id);
+  }
   return upstreams;
 }
 
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -140,6 +140,19 @@
   entry.crashes.push_back(std::move(crash));
 }
 
+std::vector<UpstreamProcess> CrashHistory::CrashedProcesses(
+    const Hash128& fingerprint) const {
+  std::vector<UpstreamProcess> processes;
+  const auto found = entries_.find(fingerprint);
+  if (found == entries_.end())
+    return processes;
+  for (const Crash& crash : found->second.crashes) {
+    if (crash.counts())
+      processes.push_back(crash.upstream);
+  }
+  return processes;
+}
+
 void CrashHistory::OnVerdict(const LossVerdict& verdict) {
   for (auto& [fingerprint, entry] : entries_) {
     for (Crash& crash : entry.crashes) {
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -127,12 +127,14 @@
   const auto upstream_list = gateway_.shared_state_.upstreams();
   directory_offset_ = upstream_list->end_offset;
   const CrashGuard& crash_guard = gateway_.crash_guard_;
-  crash_assessment_ =
-      crash_guard.empty()
-          ? CrashAssessment{}
-          : crash_guard.Assess(request_.Fingerprint(), BootNow());
-  request_.placement_request.avoided_upstreams =
-      crash_guard.UpstreamsToAvoid(crash_assessment_);
+  crash_assessment_ = {};
+  request_.placement_request.avoided_upstreams.clear();
+  if (!crash_guard.empty()) {
+    const Hash128 fingerprint = request_.Fingerprint();
+    crash_assessment_ = crash_guard.Assess(fingerprint, BootNow());
+    request_.placement_request.avoided_upstreams =
+        crash_guard.UpstreamsToAvoid(fingerprint, crash_assessment_);
+  }
   return gateway_.placement_->ChooseUpstream(
       request_.placement_request, *upstream_list, gateway_.upstream_health_,
       BootNow());
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -16,6 +16,16 @@
   return found == by_service.end() ? none : found->second;
 }
 
+bool UpstreamList::Lists(const UpstreamProcess& process) const {
+  for (const auto& [service, upstreams] : by_service) {
+    for (const UpstreamEntry& upstream : upstreams) {
+      if (upstream.id == process.id)
+        return upstream.incarnation == process.incarnation;
+    }
+  }
+  return false;
+}
+
 void UpstreamDirectory::OnSourceUnreachable(TimePoint now) {
   source_unreachable_ = true;
 }
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -220,6 +220,20 @@
   CHECK(host.history.Assess(kCrashing, host.now).crashes == 1);
 }
 
+// Guards against crashes that do not count because the request met the same
+// process, as far as is known, again.
+TEST_CASE("the processes that crashed under a request are known") {
+  Host host;
+  CHECK(host.history.CrashedProcesses(kCrashing).empty());
+  host.Crash(Engine(1), {kCrashing});
+  host.Crash(Engine(2), {kCrashing});
+  CHECK(host.history.CrashedProcesses(kCrashing) ==
+        std::vector<UpstreamProcess>{Engine(1), Engine(2)});
+  host.history.OnVerdict(Verdict(Engine(1), false, host.now));
+  CHECK(host.history.CrashedProcesses(kCrashing) ==
+        std::vector<UpstreamProcess>{Engine(2)});
+}
+
 TEST_CASE("copies that an outage of all upstreams ends count once") {
   Host host;
   for (int engine = 1; engine <= 5; ++engine)
