Play upstreams that name a limit on their requests

The soak gains upstreams that name a limit, change it and drop it, a run in which all of them do, and the promises limit and limit_use.

--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -354,8 +354,19 @@
             fleet.store.put_bytes(topic, key, value)
 
 
+async def limit_upstream(fleet, host):
+    """An upstream in need names a limit, changes it and is well again."""
+    upstream = fleet.rng.choice(fleet.upstreams)
+    if upstream.limit is not None:
+        return
+    for _ in range(fleet.rng.randint(1, 2)):
+        upstream.name_limit(fleet.rng.choice([0, 0.5, 1, 1.1, 3, 20]))
+        await asyncio.sleep(fleet.rng.uniform(4, 8))
+    upstream.name_limit(None)
+
+
 # Played only if they are named, so that older seeds keep their faults.
-FURTHER_FAULTS = [restore_store]
+FURTHER_FAULTS = [restore_store, limit_upstream]
 
 FAULTS = [terminate, kill, freeze, reload, cut_from_store, change_config,
           disturb_store, compact_store, foreign_entry, disturb_upstream,
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -15,6 +15,7 @@
 from fleet import (FAULTS, FURTHER_FAULTS, Fleet, cut_from_store, disturb_store,
                    freeze, kill)
 from ledger import Ledger
+from limits import check_use
 from probes import ConfigProbe
 from upstream import RESTART_S
 
@@ -92,6 +93,9 @@
     senders = [CrashingCaller(fleet, ledger, request, random.Random(rng.random()))
                .run(first_at, end)
                for request in crashing for _ in range(options.senders)]
+    if options.limit_all is not None:
+        for each in fleet.upstreams:
+            each.name_limit(options.limit_all)
     if options.store_away:
         asyncio.create_task(keep_store_away(fleet, options.seconds))
     await asyncio.gather(inject(fleet, random.Random(rng.random()), end, counts,
@@ -99,6 +103,10 @@
                          *callers, *probes, *senders)
     for request in crashing:
         request.check(ledger, options)
+    for each in fleet.upstreams:
+        each.limits.check(ledger, each.name)
+    if options.limit_all is not None:
+        check_use(ledger, fleet.upstreams, end)
 
 
 async def run(options):
@@ -119,7 +127,7 @@
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
                 "cut", "denied", "answer", "config_late", "config_backwards",
                 "urgent", "crashing", "crashes", "innocent", "attempts", "deadline",
-                "repeats", "served"]
+                "repeats", "served", "limit", "limit_use"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
@@ -163,6 +171,8 @@
                         help="upstreams that one request may crash")
     parser.add_argument("--least-served", type=float, default=0,
                         help="part of the innocent requests that must be answered")
+    parser.add_argument("--limit-all", type=float, help="requests a second "
+                        "that each upstream names as its limit from the start")
     parser.add_argument("--store-away", action="store_true",
                         help="the store is down from shortly after the start on")
     parser.add_argument("--new-ids", action="store_true",
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -6,6 +6,7 @@
 
 import http_io
 from crash_styles import STYLES
+from limits import LimitWatch
 
 EVENTS = 12
 LOOK_S = 0.1  # time after which a waiting request looks whether its caller left
@@ -41,6 +42,8 @@
         self.dead = False
         self.slots = asyncio.Semaphore(SLOTS)
         self.on_restart = lambda upstream: None
+        self.limit = None  # requests a second that it takes from all hosts
+        self.limits = LimitWatch()
 
     async def start(self, address):
         self.server = await asyncio.start_server(self.serve, address, 0)
@@ -56,6 +59,9 @@
         self.server = await asyncio.start_server(self.serve, *self.target)
         self.born = int(time.time() * 1000)
         self.starts += 1
+        self.limits.check(self.ledger, self.name)
+        self.limits = LimitWatch()
+        self.limit = None
         if self.options.new_ids:
             self.name = f"{self.first_name}-{self.starts}"
 
@@ -86,6 +92,20 @@
         watch.on_crash(time.monotonic())
         await self.crash_for(self.rng.uniform(*self.options.down))
 
+    def name_limit(self, limit):
+        """Names the limit in all answers from now on; None: no limit any more."""
+        self.limit = limit
+        self.limits.name(limit, time.monotonic())
+
+    def common_headers(self, request_id):
+        headers = {"X-Attempt-Id": request_id}
+        if self.limit is not None:
+            headers["Server-Limit"] = self.limit
+            host = self.ledger.budget.hosts.get(request_id)
+            if host is not None:
+                self.limits.on_answer(host, time.monotonic())
+        return headers
+
     def strikes(self, fault):
         return self.rng.random() < self.faults.get(fault, 0)
 
@@ -124,6 +144,9 @@
         if headers.get("x-expect-instance") != self.name:
             writer.write(http_io.response(421, {"X-Instance-Id": self.name}))
             return True
+        host = self.ledger.budget.hosts.get(request_id)
+        if host is not None:
+            self.limits.on_arrival(host, time.monotonic())
         if self.strikes("refuse"):
             writer.write(http_io.response(503, {"X-Not-Run": "1"}))
             return True
@@ -139,7 +162,7 @@
         if self.strikes("hang"):
             await asyncio.sleep(20)
             return False
-        common = {"X-Attempt-Id": request_id}
+        common = self.common_headers(request_id)
         if self.strikes("busy"):
             writer.write(http_io.response(503, common))
             return True
