Keep the limits that upstreams name, over all hosts together

Cause: nothing read the header.

Change: the adapter decodes it (a decimal number; of several, the lowest; what cannot be read says nothing). UpstreamLimits keeps the limit of each process until an answer to a later request names none or the process is gone, and tells the other hosts of news and again every 5 s. RateShare divides the rate: the n-th request of the fleet is due at n divided by the rate and belongs to host n modulo the number of hosts, and a turn lapses after 1 to 10 s. So the hosts keep the limit without a word between them, also where it leaves each of 300 hosts one request in minutes and all had been idle. Each send counts: repeats, and health checks of lost upstreams, which wait for a turn; load reports are not fetched from a limited upstream. Other upstreams take the rest. Where all of a service are limited, less urgent requests and those of a team that has used more than its part may only use turns of some age, and what finds none is refused at once (2013) with a Retry-After at the rate of the turns.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -42,6 +42,8 @@
     /// Records for the other hosts.
     virtual void OnRecordsToShare(std::vector<CrashRecord> records) = 0;
     virtual void OnClaimsToShare(std::vector<TrialClaim> claims) = 0;
+    /// Whether a health check may be sent to the upstream now.
+    virtual bool MayProbe(const UpstreamProcess& upstream) = 0;
   };
 
   /// An attempt of a request with crashes that is in flight at an upstream; the
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "teaselhill/gateway/crash_guard.h"
 #include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/exchange_policy.h"
+#include "teaselhill/gateway/limited_admission.h"
 #include "teaselhill/gateway/overload_gate.h"
 #include "teaselhill/gateway/placement.h"
 #include "teaselhill/gateway/protocol.h"
@@ -24,6 +25,7 @@
 #include "teaselhill/gateway/retry_budget.h"
 #include "teaselhill/gateway/shared_state.h"
 #include "teaselhill/gateway/upstream_health.h"
+#include "teaselhill/gateway/upstream_limits.h"
 #include "teaselhill/metrics/metrics.h"
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_client.h"
@@ -59,6 +61,9 @@
   /// Shares claims of the trial queue with the other hosts.
   using ClaimPublisher = std::function<void(std::vector<TrialClaim>)>;
 
+  /// Tells the other hosts of upstreams' limits.
+  using LimitPublisher = std::function<void(std::vector<LimitObservation>)>;
+
   /// `options.placement_policy` must name a registered policy.
   Gateway(net::EventLoop& loop,
           GatewayOptions options,
@@ -80,8 +85,11 @@
     retry_budget_.SetOptions(options);
   }
 
-  /// Number of hosts of the fleet. Call on the loop's thread.
-  void SetHostCount(size_t hosts) { retry_budget_.SetHostCount(hosts); }
+  /// Call on the loop's thread.
+  void SetFleetPosition(const FleetPosition& position) {
+    retry_budget_.SetHostCount(position.hosts);
+    upstream_limits_.SetPosition(position);
+  }
 
   /// Call before the loop runs.
   void SetCrashPublisher(CrashPublisher publisher) {
@@ -93,6 +101,14 @@
     claim_publisher_ = std::move(publisher);
   }
 
+  /// Call before the loop runs.
+  void SetLimitPublisher(LimitPublisher publisher) {
+    limit_publisher_ = std::move(publisher);
+  }
+
+  /// Applies limits that other hosts saw. Call on the loop's thread.
+  void OnLimitObservations(const std::vector<LimitObservation>& observations);
+
   /// Applies crash records of the other hosts. Call on the loop's thread.
   void OnCrashRecords(const std::vector<CrashRecord>& records) {
     crash_guard_.OnRecords(records, BootNow());
@@ -106,6 +122,10 @@
   /// Requests with crashes, as of the last second. Callable from any thread.
   CrashCounts crash_counts() const { return {suspects_, quarantined_}; }
 
+  /// Upstreams that name a limit, as of the last second. Callable from any
+  /// thread.
+  size_t limited_upstreams() const { return limited_upstreams_; }
+
   /// Requests in progress. Callable from any thread.
   size_t open_requests() const { return open_requests_; }
 
@@ -120,6 +140,14 @@
 
   void OnRecordsToShare(std::vector<CrashRecord> records) override;
   void OnClaimsToShare(std::vector<TrialClaim> claims) override;
+  /// A health check counts as a request at an upstream that names a limit.
+  bool MayProbe(const UpstreamProcess& upstream) override;
+
+  /// An upstream named a limit in its answer, or none.
+  void OnLimitNotice(const UpstreamEntry& upstream,
+                     const LimitNotice& notice,
+                     TimePoint sent_at);
+  void LogLimitChanges(std::string_view source, TimePoint now);
 
   /// Resolves the request to a route, a team and a service.
   std::optional<Rejection> ResolveRequest(const net::HttpRequest& request,
@@ -159,8 +187,12 @@
   CrashGuard crash_guard_;
   CrashPublisher crash_publisher_;
   ClaimPublisher claim_publisher_;
+  LimitPublisher limit_publisher_;
+  UpstreamLimits upstream_limits_;
+  LimitedAdmission limited_admission_;
   std::atomic<size_t> suspects_{0};
   std::atomic<size_t> quarantined_{0};
+  std::atomic<size_t> limited_upstreams_{0};
   RetryBudget retry_budget_;
   OverloadGate overload_gate_;
   RequestId last_id_ = 0;
--- a/include/teaselhill/gateway/loss_reviewer.h
+++ b/include/teaselhill/gateway/loss_reviewer.h
@@ -110,6 +110,8 @@
     UpstreamEntry upstream;
   };
   std::vector<DueProbe> TakeDueProbes(TimePoint now);
+  /// A due probe was not sent. The directory may decide without it.
+  void OnProbeSkipped(const UpstreamProcess& process, TimePoint now);
   std::vector<LossVerdict> OnProbe(const UpstreamProcess& process,
                                    const ProbeReport& report,
                                    TimePoint now,
--- a/include/teaselhill/gateway/peer_exchange.h
+++ b/include/teaselhill/gateway/peer_exchange.h
@@ -1,5 +1,5 @@
 /// \file
-/// Sends crash records from host to host, beside the fleet's log.
+/// Sends messages from host to host, beside the fleet's log.
 
 #ifndef TEASELHILL_GATEWAY_PEER_EXCHANGE_H_
 #define TEASELHILL_GATEWAY_PEER_EXCHANGE_H_
@@ -33,15 +33,15 @@
   size_t max_known_messages = 4096;
 };
 
-/// Crash records reach the other hosts within milliseconds, also while the
-/// fleet's log is unreachable. Nothing is retried: the log brings the records
-/// as well, and keeps them. Used on one event loop.
+/// Messages reach the other hosts within milliseconds, also while the fleet's
+/// log is unreachable. Nothing is retried: the log brings crash records as
+/// well, and keeps them, and limits are seen again. Used on one event loop.
 class PeerExchange : private net::HttpHandler {
  public:
   class Handler {
    public:
     virtual ~Handler() = default;
-    virtual void OnPeerRecords(std::vector<CrashRecord> records) = 0;
+    virtual void OnPeerMessage(PeerMessage message) = 0;
   };
 
   /// `host`: name of this host. `server`: where to listen.
@@ -59,7 +59,8 @@
   /// Adds the hosts that announce an address, other than this one.
   void AddPeers(const std::vector<HostRecord>& records);
 
-  void Send(std::vector<CrashRecord> records);
+  /// Fills in the id and the sender.
+  void Send(PeerMessage message);
 
  private:
   void Handle(net::HttpRequest request,
--- a/include/teaselhill/gateway/peer_message.h
+++ b/include/teaselhill/gateway/peer_message.h
@@ -10,16 +10,18 @@
 #include <vector>
 
 #include "teaselhill/gateway/crash_history.h"
+#include "teaselhill/gateway/upstream_limits.h"
 #include "teaselhill/support/result.h"
 
 namespace teaselhill::gateway {
 
-/// Crash records that one host has to share. Times are ages, so that the clocks
-/// of the hosts need not agree.
+/// What one host has to share. Times are ages, so that the clocks of the hosts
+/// need not agree.
 struct PeerMessage {
   uint64_t id = 0;  ///< differs between all messages
   std::string sender;
   std::vector<CrashRecord> records;
+  std::vector<LimitObservation> limits;
 };
 
 /// Encodes the message as CBOR.
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -52,6 +52,8 @@
   uint32_t shared_prefix_tokens = 0;  ///< possibly cached
   uint32_t unique_tokens = 0;         ///< after the prefix, never cached
   std::vector<std::string> excluded_upstreams;  ///< upstreams already tried
+  /// Upstreams that take no request now because of a limit that they name.
+  std::vector<std::string> limited_upstreams;
   /// Upstreams that are used only if no other usable upstream is left.
   std::vector<std::string> avoided_upstreams;
 };
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -191,8 +191,12 @@
     ApplyVerdicts(reviewer_.OnDirectory(*upstreams,
                                         shared_state_.upstreams_read_at(), now),
                   now);
-  for (const LossReviewer::DueProbe& probe : reviewer_.TakeDueProbes(now))
-    SendProbe(probe);
+  for (const LossReviewer::DueProbe& probe : reviewer_.TakeDueProbes(now)) {
+    if (handler_.MayProbe(probe.process))
+      SendProbe(probe);
+    else
+      reviewer_.OnProbeSkipped(probe.process, now);
+  }
   ScheduleReview();
 }
 
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -142,7 +142,8 @@
         state_keeper_(shared_state_, log_, BootNow),
         fleet_log_monitor_(log_, "fleet_log"),
         source_(adapter.MakeStateSource(control_loop_)),
-        fleet_log_(adapter.MakeFleetLog(control_loop_)) {}
+        fleet_log_(adapter.MakeFleetLog(control_loop_)),
+        fleet_size_(settings.host) {}
 
   int Run() {
     for (net::HttpServer* server : EnabledServers()) {
@@ -178,11 +179,13 @@
         FleetSize::kAnnouncementPeriod, [this](TimePoint) {
           fleet_log_->AnnounceHost();
           fleet_size_.Expire(BootNow());
-          PublishHostCount();
+          PublishFleetPosition();
         });
     gateway_.SetCrashPublisher([this](std::vector<CrashRecord> records) {
       control_loop_.Post([this, records = std::move(records)] {
-        peer_exchange_.Send(records);
+        PeerMessage message;
+        message.records = records;
+        peer_exchange_.Send(std::move(message));
         fleet_log_->Append(records);
       });
     });
@@ -190,6 +193,13 @@
       control_loop_.Post(
           [this, claims = std::move(claims)] { fleet_log_->Append(claims); });
     });
+    gateway_.SetLimitPublisher([this](std::vector<LimitObservation> limits) {
+      control_loop_.Post([this, limits = std::move(limits)] {
+        PeerMessage message;
+        message.limits = limits;
+        peer_exchange_.Send(std::move(message));
+      });
+    });
     const LoopThread traffic(traffic_loop_, "traffic");
     control_loop_.Run();
     logger_.Write(LogLine(LogLevel::kInfo, "stopped")
@@ -205,8 +215,13 @@
     });
   }
 
-  void OnPeerRecords(std::vector<CrashRecord> records) override {
-    OnCrashRecords(std::move(records));
+  void OnPeerMessage(PeerMessage message) override {
+    if (!message.limits.empty())
+      traffic_loop_.Post([this, limits = std::move(message.limits)] {
+        gateway_.OnLimitObservations(limits);
+      });
+    if (!message.records.empty())
+      OnCrashRecords(std::move(message.records));
   }
 
   void OnTrialClaims(std::vector<TrialClaim> claims) override {
@@ -217,21 +232,23 @@
   void OnHostRecords(std::vector<HostRecord> records) override {
     fleet_size_.OnRecords(records, BootNow());
     peer_exchange_.AddPeers(records);
-    PublishHostCount();
+    PublishFleetPosition();
   }
 
-  void PublishHostCount() {
-    const size_t hosts = fleet_size_.hosts();
-    if (hosts == published_host_count_)
+  void PublishFleetPosition() {
+    const FleetPosition position = fleet_size_.position();
+    if (position == published_position_)
       return;
-    log_.Write(
-        LineKind::kState,
-        LogLine(LogLevel::kInfo, "fleet_size_changed")
-            .Field("hosts", static_cast<uint64_t>(hosts))
-            .Field("previous", static_cast<uint64_t>(published_host_count_)),
-        BootNow());
-    published_host_count_ = hosts;
-    traffic_loop_.Post([this, hosts] { gateway_.SetHostCount(hosts); });
+    log_.Write(LineKind::kState,
+               LogLine(LogLevel::kInfo, "fleet_size_changed")
+                   .Field("hosts", static_cast<uint64_t>(position.hosts))
+                   .Field("index", static_cast<uint64_t>(position.index))
+                   .Field("previous",
+                          static_cast<uint64_t>(published_position_.hosts)),
+               BootNow());
+    published_position_ = position;
+    traffic_loop_.Post(
+        [this, position] { gateway_.SetFleetPosition(position); });
   }
 
   void OnFleetRecordUnreadable(const std::string& key) override {
@@ -312,6 +329,9 @@
     metrics_.SetGauge("teaselhill_quarantined_fingerprints",
                       "Requests that are refused because of crashes",
                       static_cast<double>(crash_counts.quarantined));
+    metrics_.SetGauge("teaselhill_limited_upstreams",
+                      "Upstreams that name a limit on their requests",
+                      static_cast<double>(gateway_.limited_upstreams()));
   }
 
   void ReloadSettings(std::string_view cause) {
@@ -394,7 +414,7 @@
   std::unique_ptr<StateSource> source_;
   std::unique_ptr<FleetLog> fleet_log_;
   FleetSize fleet_size_;
-  size_t published_host_count_ = FleetSize::kMaxHosts;
+  FleetPosition published_position_;
   bool accepting_connections_ = true;
   TimerSubscription close_idle_timer_;
   TimerSubscription stop_accepting_timer_;
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -112,6 +112,8 @@
            gateway_.report_fetcher_.options().min_mean_delay);
   if (!wants_reports)
     return PlaceOrShed();
+  // A load report counts as a request at an upstream that names a limit.
+  request_.placement_request.limited_upstreams = LimitedUpstreams();
   gateway_.report_fetcher_.RefreshReports(
       gateway_.placement_->ReportCandidates(request_.placement_request,
                                             *gateway_.shared_state_.upstreams(),
@@ -135,6 +137,7 @@
     request_.placement_request.avoided_upstreams =
         crash_guard.UpstreamsToAvoid(fingerprint, crash_assessment_);
   }
+  request_.placement_request.limited_upstreams = UpstreamsWithoutTurn();
   return gateway_.placement_->ChooseUpstream(
       request_.placement_request, *upstream_list, gateway_.upstream_health_,
       BootNow());
@@ -163,6 +166,8 @@
   const std::optional<Placement> placement = PlaceRequest();
   if (!PassesGate(placement))
     return ShedRequest();
+  if (!placement && !request_.placement_request.limited_upstreams.empty())
+    return RefuseForLimits();
   if (!placement)
     return FailRequest({ResultCode::kNoUpstream, ""});
   SendToUpstream(*placement);
@@ -188,6 +193,7 @@
         request_.Fingerprint(), upstream_.id, crash_assessment_);
   gateway_.placement_->OnRequestSent(request_.placement_request, upstream_,
                                      now);
+  UseTurn();
   gateway_.log_.Write(
       state_.sends > 1 ? LineKind::kFailure : LineKind::kRoutine,
       RequestLogLine("placed")
@@ -200,6 +206,9 @@
           .Field("second_best_ms", placement.second_best_delay)
           .Field("candidates", placement.candidate_count)
           .Field("ejected", placement.ejected_count)
+          .Field("limited",
+                 static_cast<uint64_t>(
+                     request_.placement_request.limited_upstreams.size()))
           .Field("directory_offset", directory_offset_)
           .Field("directory_age_ms",
                  now - gateway_.shared_state_.upstreams_read_at())
@@ -254,6 +263,9 @@
   ResponseHead head =
       gateway_.upstreams_.ReadHead(status, headers, request_.caller);
   upstream_retry_after_ = head.retry_after;
+  if (head.kind != ResponseKind::kUnrelated &&
+      head.kind != ResponseKind::kWrongUpstream)
+    gateway_.OnLimitNotice(upstream_, head.limit, sent_at_);
   switch (head.kind) {
     case ResponseKind::kResponse:
       response_head_ = std::move(head);
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -75,6 +75,16 @@
   /// Chooses an upstream; returns nothing if every upstream of the service has
   /// been tried.
   std::optional<Placement> PlaceRequest();
+  /// Whether all upstreams of the service name limits.
+  bool AreAllLimited() const;
+  /// Upstreams that name limits.
+  std::vector<std::string> LimitedUpstreams() const;
+  /// Of these, the ones to which this request cannot be sent now.
+  std::vector<std::string> UpstreamsWithoutTurn();
+  /// Counts a send at the upstream of the attempt.
+  void UseTurn();
+  /// Refuses the request because all upstreams take no more requests now.
+  void RefuseForLimits();
   /// Whether the gate admits the request, rechecking a rejection against the
   /// load report of the chosen upstream.
   bool PassesGate(const std::optional<Placement>& placement);
--- a/lib/gateway/fleet_size.cc
+++ b/lib/gateway/fleet_size.cc
@@ -18,6 +18,13 @@
   }
 }
 
+FleetPosition FleetSize::position() const {
+  const auto own = announced_at_.lower_bound(own_host_);
+  const auto index =
+      static_cast<size_t>(std::distance(announced_at_.begin(), own));
+  return {index, hosts()};
+}
+
 void FleetSize::Expire(TimePoint now) {
   for (auto it = announced_at_.begin(); it != announced_at_.end();)
     it = now - it->second >= kHostRetention ? announced_at_.erase(it)
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -83,6 +83,10 @@
     const CrashCounts counts = crash_guard_.Count(now);
     suspects_ = counts.suspects;
     quarantined_ = counts.quarantined;
+    if (const auto upstream_list = shared_state_.upstreams())
+      upstream_limits_.Expire(*upstream_list);
+    LogLimitChanges("directory", now);
+    limited_upstreams_ = upstream_limits_.size();
   });
 }
 
@@ -187,6 +191,59 @@
     claim_publisher_(std::move(claims));
 }
 
+bool Gateway::MayProbe(const UpstreamProcess& upstream) {
+  if (!upstream_limits_.IsLimited(upstream))
+    return true;
+  const WallTime now = WallNow();
+  if (!upstream_limits_.OldestTurnAge(upstream, now))
+    return false;
+  upstream_limits_.OnSent(upstream, now);
+  return true;
+}
+
+void Gateway::OnLimitNotice(const UpstreamEntry& upstream,
+                            const LimitNotice& notice,
+                            TimePoint sent_at) {
+  const bool is_usual = !notice.requests_per_second && !notice.unreadable;
+  const UpstreamProcess process{upstream.id, upstream.incarnation};
+  if (is_usual && !upstream_limits_.IsLimited(process))
+    return;
+  const TimePoint now = BootNow();
+  if (notice.unreadable)
+    log_.Write(LineKind::kFailure,
+               LogLine(LogLevel::kWarning, "limit_unreadable")
+                   .Field("upstream", upstream.id),
+               now);
+  upstream_limits_.OnAnswer(process, notice, sent_at, now, WallNow());
+  LogLimitChanges("answer", now);
+  std::vector<LimitObservation> observations =
+      upstream_limits_.TakeObservations(now);
+  if (!observations.empty() && limit_publisher_)
+    limit_publisher_(std::move(observations));
+}
+
+void Gateway::OnLimitObservations(
+    const std::vector<LimitObservation>& observations) {
+  const TimePoint now = BootNow();
+  upstream_limits_.OnObservations(observations, now, WallNow());
+  LogLimitChanges("peer", now);
+}
+
+void Gateway::LogLimitChanges(std::string_view source, TimePoint now) {
+  for (const LimitChange& change : upstream_limits_.TakeChanges()) {
+    LogLine line(LogLevel::kInfo,
+                 change.limit ? "upstream_limited" : "upstream_limit_ended");
+    line.Field("upstream", change.upstream.id)
+        .Field("incarnation", change.upstream.incarnation)
+        .Field("source", source);
+    if (change.limit)
+      line.Field("requests_per_second", *change.limit);
+    if (change.previous)
+      line.Field("previous", *change.previous);
+    log_.Write(LineKind::kState, line, now);
+  }
+}
+
 void Gateway::RejectRequest(const net::HttpRequest& request,
                             const CallerRequest& caller,
                             net::ResponseWriter& response,
--- a/lib/gateway/loss_reviewer.cc
+++ b/lib/gateway/loss_reviewer.cc
@@ -131,6 +131,15 @@
   return due;
 }
 
+void LossReviewer::OnProbeSkipped(const UpstreamProcess& process,
+                                  TimePoint now) {
+  const auto found = reviews_.find(process);
+  if (found == reviews_.end())
+    return;
+  found->second.probing = false;
+  ScheduleNextProbe(found->second, now);
+}
+
 std::vector<LossVerdict> LossReviewer::OnProbe(const UpstreamProcess& process,
                                                const ProbeReport& report,
                                                TimePoint now,
--- a/lib/gateway/peer_exchange.cc
+++ b/lib/gateway/peer_exchange.cc
@@ -36,11 +36,9 @@
   }
 }
 
-void PeerExchange::Send(std::vector<CrashRecord> records) {
-  PeerMessage message;
+void PeerExchange::Send(PeerMessage message) {
   message.id = rng_.Next();
   message.sender = host_;
-  message.records = std::move(records);
   Remember(message.id);
   SendToPeers(EncodePeerMessage(message));
 }
@@ -66,11 +64,12 @@
       LineKind::kFailure,
       LogLine(LogLevel::kInfo, "peer_message_received")
           .Field("from", message->sender)
-          .Field("records", static_cast<uint64_t>(message->records.size())),
+          .Field("records", static_cast<uint64_t>(message->records.size()))
+          .Field("limits", static_cast<uint64_t>(message->limits.size())),
       BootNow());
   if (peer_addresses_.size() > options_.max_direct_peers)
     SendToPeers(request.body);
-  handler_.OnPeerRecords(std::move(message->records));
+  handler_.OnPeerMessage(std::move(*message));
 }
 
 bool PeerExchange::Remember(uint64_t message_id) {
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -15,6 +15,8 @@
 constexpr const char* kIdField = "id";
 constexpr const char* kSenderField = "sender";
 constexpr const char* kRecordsField = "records";
+constexpr const char* kLimitsField = "limits";
+constexpr const char* kLimitField = "requests_per_second";
 constexpr const char* kFingerprintField = "fingerprint";
 constexpr const char* kWithdrawnField = "withdrawn";
 constexpr const char* kUpstreamField = "upstream";
@@ -72,16 +74,44 @@
   return record;
 }
 
+/// A limit that has ended has no value.
+Json EncodeLimit(const LimitObservation& limit) {
+  Json object = {{kUpstreamField, limit.upstream.id},
+                 {kIncarnationField, limit.upstream.incarnation},
+                 {kAgeField, ToMicroseconds(limit.age)}};
+  if (limit.requests_per_second)
+    object[kLimitField] = *limit.requests_per_second;
+  return object;
+}
+
+/// Throws a Json::exception if a field is missing or of another type.
+LimitObservation DecodeLimit(const Json& object) {
+  LimitObservation limit;
+  limit.upstream.id = object.at(kUpstreamField).get<std::string>();
+  limit.upstream.incarnation = object.at(kIncarnationField).get<uint64_t>();
+  limit.age = ReadDuration(object, kAgeField);
+  if (!object.contains(kLimitField))
+    return limit;
+  limit.requests_per_second = object.at(kLimitField).get<double>();
+  if (!(*limit.requests_per_second >= 0))
+    throw Json::other_error::create(0, "limit is negative", &object);
+  return limit;
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
   Json records = Json::array();
   for (const CrashRecord& record : message.records)
     records.push_back(EncodeRecord(record));
+  Json limits = Json::array();
+  for (const LimitObservation& limit : message.limits)
+    limits.push_back(EncodeLimit(limit));
   const std::vector<uint8_t> encoded =
       Json::to_cbor(Json{{kIdField, message.id},
                          {kSenderField, message.sender},
-                         {kRecordsField, std::move(records)}});
+                         {kRecordsField, std::move(records)},
+                         {kLimitsField, std::move(limits)}});
   return {encoded.begin(), encoded.end()};
 }
 
@@ -94,6 +124,8 @@
     message.sender = object.at(kSenderField).get<std::string>();
     for (const Json& record : object.at(kRecordsField))
       message.records.push_back(DecodeRecord(record));
+    for (const Json& limit : object.at(kLimitsField))
+      message.limits.push_back(DecodeLimit(limit));
     return message;
   } catch (const Json::exception& error) {
     return {ResultCode::kProtocolError,
--- a/lib/gateway/placement.cc
+++ b/lib/gateway/placement.cc
@@ -40,7 +40,8 @@
   EligibleUpstreams eligible;
   std::vector<const UpstreamEntry*> avoided;
   for (const UpstreamEntry& upstream : upstreams.OfService(request.service)) {
-    if (Contains(request.excluded_upstreams, upstream.id))
+    if (Contains(request.excluded_upstreams, upstream.id) ||
+        Contains(request.limited_upstreams, upstream.id))
       continue;
     if (health.IsEjected(upstream.id, upstream.domain, now))
       eligible.ejected.push_back(&upstream);
--- a/scripts/soak/limits.py
+++ b/scripts/soak/limits.py
@@ -17,18 +17,25 @@
 
     def __init__(self):
         self.named = []  # (time, requests a second or None)
-        self.told = {}  # host: when it first passed the limit on
-        self.arrivals = []  # (time, host, whether the host was disturbed)
+        # (host, number of the naming): when it first passed this limit on
+        self.told = {}
+        self.arrivals = []  # (time, whether the host must keep the limit)
+        self.all_arrivals = []  # times
 
     def name(self, limit, now):
         self.named.append((now, limit))
 
     def on_answer(self, host, now):
-        self.told.setdefault(host, now)
+        self.told.setdefault((host, len(self.named)), now)
 
     def on_arrival(self, host, now):
-        if self.named:
-            self.arrivals.append((now, host, host.disturbed_within(CONTACT_S)))
+        """A host that has not passed on the limit in force yet is not bound."""
+        if not self.named:
+            return
+        self.all_arrivals.append(now)
+        told = self.told.get((host, len(self.named)))
+        self.arrivals.append((now, told is not None and now > told + TOLD_S
+                              and not host.disturbed_within(CONTACT_S)))
 
     def highest_limit(self, start, end):
         """Of those in force from some time in the window on; None: no limit."""
@@ -43,9 +50,7 @@
         if not self.named:
             return
         bounded_from = self.named[0][0] + CONTACT_S
-        times = [at for at, host, disturbed in self.arrivals
-                 if not disturbed and host in self.told
-                 and at > self.told[host] + TOLD_S]
+        times = [at for at, bound in self.arrivals if bound]
         for first, start in enumerate(times):
             limit = self.highest_limit(start, start + WINDOW_S)
             if start < bounded_from or limit is None:
@@ -65,7 +70,8 @@
         named = [u for u in upstreams if u.service == service and u.limits.named]
         start = max(u.limits.named[0][0] for u in named) + CONTACT_S
         allowed = (end - start) * sum(u.limits.named[0][1] for u in named)
-        used = sum(at >= start for u in named for at, _, _ in u.limits.arrivals)
+        used = sum(start <= at < end for u in named
+                   for at in u.limits.all_arrivals)
         ledger.requests[f"limit_used_{service}"] = round(used / allowed, 2)
         if used < LEAST_USED * allowed:
             ledger.violate("limit_use", f"{service}: {used} of {allowed:.0f}")
--- a/unittests/gateway/fleet_size_test.cc
+++ b/unittests/gateway/fleet_size_test.cc
@@ -24,6 +24,14 @@
   CHECK(fleet_size.hosts() == 2);
 }
 
+TEST_CASE("hosts have places in the order of their names") {
+  FleetSize fleet_size("b");
+  CHECK(fleet_size.position() == FleetPosition{0, FleetSize::kMaxHosts});
+  fleet_size.OnRecords(
+      {Announcement("c"), Announcement("a"), Announcement("b")}, TimePoint{});
+  CHECK(fleet_size.position() == FleetPosition{1, 3});
+}
+
 TEST_CASE("a host counts until its last announcement is old") {
   FleetSize fleet_size;
   TimePoint now = TimePoint(hours(10));
--- a/unittests/gateway/peer_exchange_test.cc
+++ b/unittests/gateway/peer_exchange_test.cc
@@ -66,8 +66,9 @@
     return options;
   }
 
-  void OnPeerRecords(std::vector<CrashRecord> records) override {
-    received_.insert(received_.end(), records.begin(), records.end());
+  void OnPeerMessage(PeerMessage message) override {
+    received_.insert(received_.end(), message.records.begin(),
+                     message.records.end());
     if (--waiting_ == 0)
       loop_.Stop();
   }
@@ -108,7 +109,7 @@
     peer.exchange().AddPeers(records);
   const auto timeout = loop.timers().After(std::chrono::seconds(10),
                                            [&](TimePoint) { loop.Stop(); });
-  peers.front().exchange().Send({MakeRecord()});
+  peers.front().exchange().Send({0, "", {MakeRecord()}, {}});
   loop.Run();
   CHECK(waiting == 0);
   for (const Peer& peer : peers)
@@ -124,6 +125,8 @@
   withdrawn.id = 7;
   withdrawn.withdrawn = true;
   message.records = {MakeRecord(), withdrawn};
+  message.limits = {{{"i-2", 5}, 1.5, std::chrono::milliseconds(9)},
+                    {{"i-3", 6}, std::nullopt, Duration::zero()}};
   const Result<PeerMessage> decoded =
       DecodePeerMessage(EncodePeerMessage(message));
   REQUIRE(decoded);
@@ -140,12 +143,17 @@
   CHECK(record.silent_for == std::chrono::milliseconds(8));
   CHECK(record.kind == LossKind::kGivenUp);
   CHECK(decoded->records[1].withdrawn);
+  REQUIRE(decoded->limits.size() == 2);
+  CHECK(decoded->limits[0].upstream == UpstreamProcess{"i-2", 5});
+  CHECK(decoded->limits[0].requests_per_second == 1.5);
+  CHECK(decoded->limits[0].age == std::chrono::milliseconds(9));
+  CHECK_FALSE(decoded->limits[1].requests_per_second);
 }
 
 TEST_CASE("a text that is no message is refused") {
-  const std::string text =
-      GENERATE(std::string(), std::string("{}"), std::string("\xa0", 1),
-               EncodePeerMessage({1, "host-1", {MakeRecord()}}).substr(0, 40));
+  const std::string text = GENERATE(
+      std::string(), std::string("{}"), std::string("\xa0", 1),
+      EncodePeerMessage({1, "host-1", {MakeRecord()}, {}}).substr(0, 40));
   CHECK_FALSE(DecodePeerMessage(text));
 }
 
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -247,6 +247,45 @@
   CHECK(head.kind == row.kind);
 }
 
+TEST_CASE("the limit of an upstream is a decimal number in its answer") {
+  struct Row {
+    const char* name;
+    std::vector<std::string> values;
+    std::optional<double> limit;
+    bool unreadable;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"none", {}, std::nullopt, false},
+      {"whole", {"3"}, 3, false},
+      {"fraction", {" 1.1 "}, 1.1, false},
+      {"zero", {"0"}, 0, false},
+      {"huge", {"99999999999999999999999"}, 99999999999999999999999.0, false},
+      {"twice the same", {"2", "2"}, 2, false},
+      {"two limits", {"5", "2"}, 2, false},
+      {"one of two can be read", {"much", "2"}, 2, false},
+      {"empty", {""}, std::nullopt, true},
+      {"negative", {"-1"}, std::nullopt, true},
+      {"a word", {"inf"}, std::nullopt, true},
+      {"with a unit", {"3/s"}, std::nullopt, true},
+      {"exponent", {"1e3"}, std::nullopt, true},
+      {"two points", {"1.2.3"}, std::nullopt, true},
+      {"a list", {"1, 2"}, std::nullopt, true},
+  }));
+  CAPTURE(row.name);
+  gateway::CallerRequest caller;
+  caller.attempt_id = "9c41";
+  teaselhill::net::Headers headers = {{"X-Attempt-Id", "9c41"}};
+  for (const std::string& value : row.values)
+    headers.push_back({"Server-Limit", value});
+  const auto head = UpstreamHeaders().ReadHead(500, headers, caller);
+  CHECK(head.limit.requests_per_second == row.limit);
+  CHECK(head.limit.unreadable == row.unreadable);
+  headers[0].value = "another";
+  CHECK_FALSE(UpstreamHeaders()
+                  .ReadHead(500, headers, caller)
+                  .limit.requests_per_second);
+}
+
 TEST_CASE("a load report without its counts is an error") {
   struct Row {
     int status;
