Bound the answers of upstreams in bytes and time

What callers and hosts saw: bytes that are no answer may come without end, in a head or a body. The client kept up to libcurl's 300 KB of a head and read interim answers, bodies and trailers for as long as they came, also after it had found a body to be too large; only the caller's deadline or the route's timeout ended that, and nothing where both are missing.

Change: a transfer ends with kProtocolError once the head lines of its answer, interim answers and trailers included, exceed 64 KiB or its body exceeds the request's bound: 16 MiB for answers that are collected (as documented, now enforced while they arrive), 64 MiB for those that are relayed. A request ends after an hour where nothing nearer bounds it. Bytes that are no answer are told from lost connections by the socket's error, and are a sign of life: they no longer start the review of a crash.

--- a/include/teaselhill/gateway/exchange_policy.h
+++ b/include/teaselhill/gateway/exchange_policy.h
@@ -67,6 +67,10 @@
   /// A retry is sent only if at least this time remains before the deadline of
   /// the request.
   Duration min_retry_time = std::chrono::milliseconds(30);
+  /// Bounds on an answer and on a request, where neither the caller nor the
+  /// route sets a nearer one: a faulty upstream may send without end.
+  size_t max_answer_bytes = 64 << 20;
+  Duration max_duration = std::chrono::hours(1);
 };
 
 /// Whether the request itself permits a retry. The retry budget is checked only
--- a/include/teaselhill/net/http_client.h
+++ b/include/teaselhill/net/http_client.h
@@ -26,6 +26,10 @@
   std::string body;
   Duration connect_timeout = std::chrono::seconds(2);
   Duration total_timeout{};  ///< zero: none
+  /// Bounds on the answer. A transfer whose answer exceeds one ends with
+  /// kProtocolError, and its connection is closed.
+  size_t max_head_bytes = 64 << 10;  ///< of all lines, with interim answers
+  size_t max_body_bytes = 0;         ///< zero: none
   /// Local address to connect from; empty: any.
   std::string source_address;
   /// Uses a new connection. libcurl sends a request again by itself when a
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -93,8 +93,10 @@
   if (request_.caller.deadline > Duration::zero() &&
       (timeout == Duration::zero() || request_.caller.deadline < timeout))
     timeout = request_.caller.deadline;
-  state_.deadline = timeout == Duration::zero() ? TimePoint::max()
-                                                : request_.arrived_at + timeout;
+  const Duration max_duration = gateway_.options_.exchange_limits.max_duration;
+  if (timeout == Duration::zero() || timeout > max_duration)
+    timeout = max_duration;
+  state_.deadline = request_.arrived_at + timeout;
 }
 
 Exchange::~Exchange() = default;
@@ -222,6 +224,7 @@
                                        MakeAttemptContext(upstream_, now));
   request.connect_timeout = std::min<Duration>(
       gateway_.options_.connect_timeout, state_.deadline - now);
+  request.max_body_bytes = gateway_.options_.exchange_limits.max_answer_bytes;
   // A reused connection may carry the late answer of an earlier request or be
   // dead without notice, and libcurl would resend the request on its own.
   request.fresh_connection = true;
@@ -362,10 +365,12 @@
 }
 
 void Exchange::OnEnd(const net::TransferEnd& end) {
+  // Bytes that are no answer, or more than one may have, are a sign of life.
+  const bool may_have_crashed = end.code != ResultCode::kProtocolError;
   if (!response_head_) {
     const bool not_sent = end.code == ResultCode::kConnectFailed ||
                           (!end.may_have_been_sent && end.status == 0);
-    if (!not_sent)
+    if (!not_sent && may_have_crashed)
       ReportConnectionLost();
     return EndAttempt(
         not_sent ? AttemptOutcome::kNotSent : AttemptOutcome::kBroken,
@@ -373,7 +378,8 @@
                                     : end.detail);
   }
   if (end.code != ResultCode::kOk) {
-    ReportConnectionLost();
+    if (may_have_crashed)
+      ReportConnectionLost();
     return EndAttempt(AttemptOutcome::kBroken, end.detail);
   }
   if (!response_head_->is_success)
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -106,9 +106,11 @@
   void End(CURLcode code) {
     DeliverHead();
     TransferEnd end;
-    end.code = CodeOf(code);
+    end.code = CodeOfEnd(code);
     if (code != CURLE_OK)
       end.detail = error_[0] ? error_ : curl_easy_strerror(code);
+    if (!exceeded_bound_.empty())
+      end.detail = exceeded_bound_;
     end.status = status();
     long request_bytes = 0;
     curl_easy_getinfo(easy(), CURLINFO_REQUEST_SIZE, &request_bytes);
@@ -195,6 +197,28 @@
     curl_easy_setopt(easy(), CURLOPT_HTTPHEADER, list);
   }
 
+  /// libcurl reports bytes that are no HTTP as errors of the socket.
+  ResultCode CodeOfEnd(CURLcode code) const {
+    long socket_error = 0;
+    curl_easy_getinfo(easy(), CURLINFO_OS_ERRNO, &socket_error);
+    const bool malformed = code == CURLE_RECV_ERROR && socket_error == 0;
+    return malformed ? ResultCode::kProtocolError : CodeOf(code);
+  }
+
+  /// Counts bytes of a head or a body. Returns whether they are within the
+  /// bound; the transfer must end if not.
+  bool CountBytes(size_t bytes,
+                  size_t bound,
+                  const char* part,
+                  size_t* received) {
+    *received += bytes;
+    if (bound == 0 || *received <= bound)
+      return true;
+    exceeded_bound_ = std::string("the response ") + part + " exceeds " +
+                      std::to_string(bound) + " bytes";
+    return false;
+  }
+
   int status() const {
     long status = 0;
     curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
@@ -213,6 +237,9 @@
                              size_t count,
                              void* self) {
     auto* transfer = static_cast<Transfer*>(self);
+    if (!transfer->CountBytes(size * count, transfer->request_.max_head_bytes,
+                              "head", &transfer->head_bytes_))
+      return 0;  // aborts the transfer
     std::string_view line(data, size * count);
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
       line.remove_suffix(1);
@@ -239,6 +266,9 @@
 
   static size_t OnBody(char* data, size_t size, size_t count, void* self) {
     auto* transfer = static_cast<Transfer*>(self);
+    if (!transfer->CountBytes(size * count, transfer->request_.max_body_bytes,
+                              "body", &transfer->body_bytes_))
+      return 0;  // aborts the transfer
     transfer->DeliverHead();
     transfer->handler_->OnData(std::string_view(data, size * count));
     return size * count;
@@ -252,6 +282,9 @@
   Headers response_headers_;
   char error_[CURL_ERROR_SIZE] = {0};
   bool head_delivered_ = false;
+  size_t head_bytes_ = 0;  ///< of all heads and trailers
+  size_t body_bytes_ = 0;
+  std::string exceeded_bound_;  ///< diagnostic; empty: none is exceeded
 };
 
 /// Waits for readiness of one socket that libcurl owns.
@@ -518,27 +551,17 @@
 
 class FetchHandler : public TransferHandler {
  public:
-  FetchHandler(HttpClient::FetchCallback callback, size_t max_body_bytes)
-      : callback_(std::move(callback)), max_body_bytes_(max_body_bytes) {}
+  explicit FetchHandler(HttpClient::FetchCallback callback)
+      : callback_(std::move(callback)) {}
 
   void OnHead(int status, const Headers& headers) override {
     response_.status = status;
     response_.headers = headers;
   }
 
-  void OnData(std::string_view data) override {
-    if (response_.body.size() + data.size() > max_body_bytes_) {
-      too_large_ = true;
-      return;
-    }
-    response_.body.append(data);
-  }
+  void OnData(std::string_view data) override { response_.body.append(data); }
 
   void OnEnd(const TransferEnd& end) override {
-    if (too_large_) {
-      callback_({ResultCode::kProtocolError, "response body too large"});
-      return;
-    }
     if (end.code != ResultCode::kOk) {
       callback_({end.code, end.detail});
       return;
@@ -548,9 +571,7 @@
 
  private:
   HttpClient::FetchCallback callback_;
-  size_t max_body_bytes_;
   ClientResponse response_;
-  bool too_large_ = false;
 };
 
 }  // namespace
@@ -558,8 +579,9 @@
 TransferId HttpClient::Fetch(ClientRequest request,
                              FetchCallback callback,
                              size_t max_body_bytes) {
-  return Start(std::move(request), std::make_shared<FetchHandler>(
-                                       std::move(callback), max_body_bytes));
+  request.max_body_bytes = max_body_bytes;
+  return Start(std::move(request),
+               std::make_shared<FetchHandler>(std::move(callback)));
 }
 
 Result<ClientResponse> BlockingFetch(ClientRequest request) {
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -10,7 +10,7 @@
 import http_io
 from proxy import Proxy
 from store import Store
-from upstream import Upstream
+from upstream import ENDLESS, ENDLESS_S, Upstream
 
 GRACE_S = 6
 
@@ -106,6 +106,17 @@
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
 
+    def peak_memory_mb(self):
+        """Of the present process; 0 if there is none."""
+        try:
+            with open(f"/proc/{self.process.pid}/status") as status:
+                for line in status:
+                    if line.startswith("VmHWM:"):
+                        return int(line.split()[1]) / 1024
+        except (OSError, AttributeError):
+            pass
+        return 0
+
     def disturbed_within(self, seconds):
         return time.monotonic() - self.last_fault < seconds
 
@@ -354,6 +365,17 @@
             fleet.store.put_bytes(topic, key, value)
 
 
+async def endless_upstream(fleet, host):
+    """An upstream answers with bytes without end."""
+    upstream = fleet.rng.choice(fleet.upstreams)
+    fault = fleet.rng.choice(ENDLESS)[0]
+    seconds = fleet.rng.uniform(0.5, 2)
+    fleet.hold_upstream_fault(seconds + ENDLESS_S)
+    upstream.faults[fault] = fleet.rng.choice([0.1, 1.0])
+    await asyncio.sleep(seconds)
+    upstream.faults.pop(fault, None)
+
+
 async def limit_upstream(fleet, host):
     """An upstream in need names a limit, changes it and is well again."""
     upstream = fleet.rng.choice(fleet.upstreams)
@@ -366,7 +388,7 @@
 
 
 # Played only if they are named, so that older seeds keep their faults.
-FURTHER_FAULTS = [restore_store, limit_upstream]
+FURTHER_FAULTS = [restore_store, limit_upstream, endless_upstream]
 
 FAULTS = [terminate, kill, freeze, reload, cut_from_store, change_config,
           disturb_store, compact_store, foreign_entry, disturb_upstream,
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -21,6 +21,9 @@
 
 CALLERS_PER_HOST = 4
 
+# Memory of a host on the smaller of the users' installations.
+MOST_MEMORY_MB = 110
+
 # Each caller's request takes about five descriptors of the soak: caller, proxy
 # and upstream. With 480 callers it ran out of them.
 MOST_CALLERS = 160
@@ -103,6 +106,10 @@
                          *callers, *probes, *senders)
     for request in crashing:
         request.check(ledger, options)
+    for host in fleet.hosts:
+        memory = host.peak_memory_mb()
+        if memory > MOST_MEMORY_MB:
+            ledger.violate("memory", f"{host.name} took {memory:.0f} MB")
     for each in fleet.upstreams:
         each.limits.check(ledger, each.name)
     if options.limit_all is not None:
@@ -127,7 +134,7 @@
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
                 "cut", "denied", "answer", "config_late", "config_backwards",
                 "urgent", "crashing", "crashes", "innocent", "attempts", "deadline",
-                "repeats", "served", "limit", "limit_use"]
+                "repeats", "served", "limit", "limit_use", "endless", "memory"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -8,6 +8,19 @@
 from crash_styles import STYLES
 from limits import LimitWatch
 
+# Answers without end: fault, what follows the first head lines, what is repeated.
+ENDLESS = (
+    ("endless_head", b"", b"X-More: of the same\r\n"),
+    ("endless_body", b"X-Server-Seal: none\r\n\r\n", b"more of the same "),
+    ("endless_event", b"X-Server-Seal: none\r\nContent-Type: text/event-stream"
+     b"\r\n\r\nid: 1\ndata: ", b"more of the same "),
+    ("endless_failure", b"Connection: close\r\n\r\n", b"no event at all\n"),
+)
+
+# Time after which an answer without end must have been given up: the deadline of
+# the requests, and a second.
+ENDLESS_S = 5.0
+
 EVENTS = 12
 LOOK_S = 0.1  # time after which a waiting request looks whether its caller left
 SLOTS = 2  # streams that an engine runs at once; callers overload three engines
@@ -166,6 +179,11 @@
         if self.strikes("busy"):
             writer.write(http_io.response(503, common))
             return True
+        for fault, beginning, repeated in ENDLESS:
+            if self.strikes(fault):
+                await self.send_endlessly(request_id, common, beginning, repeated,
+                                          writer)
+                return False
         if self.strikes("garble"):
             writer.write(b"\x00\x01 not an answer\r\n\r\n")
             return False
@@ -189,6 +207,23 @@
         await writer.drain()
         return True
 
+    async def send_endlessly(self, request_id, common, beginning, repeated,
+                             writer):
+        """Sends until the caller closes, which it must do in time."""
+        until = time.monotonic() + ENDLESS_S
+        try:
+            writer.write(http_io.head("HTTP/1.1 200 OK", common)[:-2] + beginning)
+            while time.monotonic() < until:
+                writer.write(repeated * 200)
+                await writer.drain()
+                await asyncio.sleep(0.001)
+        except ConnectionError:
+            return
+        host = self.ledger.budget.hosts.get(request_id)
+        if host is not None and not host.disturbed_within(ENDLESS_S):
+            self.ledger.violate("endless", f"{request_id} was read for "
+                                f"{ENDLESS_S} s")
+
     async def stream(self, headers, common, reader, writer):
         first = int(headers.get("last-event-id", 0)) + 1
         common["X-Server-Seal"] = "stream"
