--- a/test/crash-allowance.sh
+++ b/test/crash-allowance.sh
@@ -4,8 +4,7 @@
 # that cannot share what they see because the store is away.
 set -eu
 cd "$(dirname "$0")/.."
-folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
+. scripts/lib/soak_cases.sh
 bounds="--seconds 25 --faults none --most-crashes 4 --most-late 0"
 
 # name | arguments of the soak
@@ -14,22 +13,5 @@
 three-senders | --seed 1001 --crashing 1 --senders 3 --processes 7 --down 3 3 --new-ids
 store-away | --seed 1005 --crashing 1 --processes 7 --store-away"
 
-play() { # NAME ARGUMENTS...
-  name=$1
-  shift
-  # shellcheck disable=SC2086
-  if SKIP_BUILD=1 scripts/soak.sh $bounds --logs "$folder/$name" "$@" >"$folder/$name.out" 2>&1; then
-    echo "passed: $name"
-  else
-    echo "FAILED: $name"
-    cat "$folder/$name.out"
-    touch "$folder/failed"
-  fi
-}
-
-while IFS='|' read -r name arguments; do
-  # shellcheck disable=SC2086
-  play ${name% } $arguments &
-done <<<"$cases"
-wait
-[ ! -e "$folder/failed" ]
+# shellcheck disable=SC2086
+soak_cases 4 $bounds <<<"$cases"
--- a/test/crash-evidence.sh
+++ b/test/crash-evidence.sh
@@ -5,8 +5,7 @@
 # Guards against innocent requests that are refused for plain resets.
 set -eu
 cd "$(dirname "$0")/.."
-folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
+. scripts/lib/soak_cases.sh
 
 # name | arguments of the soak
 cases="accepts-and-resets | --seed 21 --crashing 1 --crash-styles accept_and_reset --new-ids --faults none
@@ -20,27 +19,4 @@
 plain-resets | --seed 29 --faults disturb_upstream cut_upstream
 crash-beside-resets | --seed 30 --crashing 1 --crash-styles accept_and_reset --new-ids --faults disturb_upstream cut_upstream"
 
-play() { # NAME ARGUMENTS...
-  name=$1
-  shift
-  if SKIP_BUILD=1 scripts/soak.sh --seconds 15 --logs "$folder/$name" "$@" >"$folder/$name.out" 2>&1; then
-    echo "passed: $name"
-  else
-    echo "FAILED: $name"
-    cat "$folder/$name.out"
-    touch "$folder/failed"
-  fi
-}
-
-running=0
-while IFS='|' read -r name arguments; do
-  # shellcheck disable=SC2086
-  play ${name% } $arguments &
-  running=$((running + 1))
-  if [ "$running" = 5 ]; then
-    wait
-    running=0
-  fi
-done <<<"$cases"
-wait
-[ ! -e "$folder/failed" ]
+soak_cases 5 --seconds 15 <<<"$cases"
