Log why a request is taken for the cause of crashes

The lines quarantined, quarantine_refusal and held name the evidence: its trial, that it stands out, the greatest number of crashes, or that no upstream was up for its trial in time. Before, a line with three crashes did not tell these cases apart.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -85,6 +86,21 @@
   LossKind kind = LossKind::kConnectionLost;
 };
 
+/// Why a request is taken for the cause of crashes.
+enum class CauseEvidence {
+  kNone,  ///< it is not
+  /// It crashed an upstream in its trial.
+  kTrial,
+  /// No request beside it has several crashes that it did not meet there too.
+  kStandsOut,
+  /// It has as many crashes as are tolerated.
+  kMaxCrashes,
+  /// No upstream was up for its trial in time, and nothing else explains one of
+  /// its crashes.
+  kNoTrialInTime,
+};
+std::string_view CauseEvidenceName(CauseEvidence evidence);
+
 struct CrashAssessment {
   /// Verified crashes under the request, without a complete answer since.
   /// Copies of the request that ran at the same time count once, because an
@@ -104,6 +120,8 @@
   Duration hold_for{};
   /// Time for which the request is refused; zero: it is not refused.
   Duration refused_for{};
+  /// Why it is refused, or held for longer until it is.
+  CauseEvidence evidence = CauseEvidence::kNone;
 };
 
 struct CrashCounts {
@@ -205,11 +223,13 @@
   struct Entry {
     std::vector<Crash> crashes;
     int crash_count = 0;  ///< CrashAssessment::crashes
-    /// To be refused, once the hold is over.
-    bool identified = false;
+    /// Why it is to be refused, once the hold is over.
+    CauseEvidence evidence = CauseEvidence::kNone;
     /// To be refused if it has no trial in time.
     bool needs_trial = false;
     bool refused = false;  ///< as of the last TakeNewlyRefused()
+
+    bool identified() const { return evidence != CauseEvidence::kNone; }
   };
   using Entries = std::unordered_map<Hash128, Entry, Hash128Hasher>;
 
@@ -226,7 +246,7 @@
   /// with each record, since one identified request explains crashes of others.
   void IdentifyCauses();
   void Classify(Entry& entry) const;
-  bool IsIdentified(const Entry& entry, TimePoint now) const;
+  CauseEvidence EvidenceAt(const Entry& entry, TimePoint now) const;
   /// Whether it crashed an upstream in a trial, which no other request explains
   /// or may have caused.
   bool CrashedInTrial(const Entry& entry) const;
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -296,6 +296,7 @@
                LogLine(LogLevel::kWarning, "quarantined")
                    .Field("fingerprint", ToHex(fingerprint))
                    .Field("crashes", assessment.crashes)
+                   .Field("evidence", CauseEvidenceName(assessment.evidence))
                    .Field("for_ms", assessment.refused_for),
                now);
   }
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -16,6 +16,22 @@
 /// while LossReviewer reviews the process.
 static constexpr std::chrono::seconds kRefutedRetention{10};
 
+std::string_view CauseEvidenceName(CauseEvidence evidence) {
+  switch (evidence) {
+    case CauseEvidence::kNone:
+      return "none";
+    case CauseEvidence::kTrial:
+      return "trial";
+    case CauseEvidence::kStandsOut:
+      return "stands_out";
+    case CauseEvidence::kMaxCrashes:
+      return "max_crashes";
+    case CauseEvidence::kNoTrialInTime:
+      return "no_trial_in_time";
+  }
+  return "unknown";
+}
+
 void CrashHistory::Withdraw(const Hash128& fingerprint, uint64_t record_id) {
   CrashRecord record;
   record.fingerprint = fingerprint;
@@ -66,13 +82,15 @@
         std::max(Duration::zero(),
                  HeldUntil(entry, assessment.suspected_crashes, now) - now);
   assessment.refused_for = RefusedFor(entry, now);
+  assessment.evidence = EvidenceAt(entry, now);
   return assessment;
 }
 
-bool CrashHistory::IsIdentified(const Entry& entry, TimePoint now) const {
-  return entry.identified ||
-         (entry.needs_trial &&
-          now >= LastCrashAt(entry) + options_.max_trial_delay);
+CauseEvidence CrashHistory::EvidenceAt(const Entry& entry,
+                                       TimePoint now) const {
+  const bool is_overdue =
+      entry.needs_trial && now >= LastCrashAt(entry) + options_.max_trial_delay;
+  return is_overdue ? CauseEvidence::kNoTrialInTime : entry.evidence;
 }
 
 TimePoint CrashHistory::HeldUntil(const Entry& entry,
@@ -83,13 +101,13 @@
   Duration hold = options_.report_delay;
   if (suspected_crashes < options_.crashes_to_hold && is_own)
     hold = options_.first_retry_delay;
-  if (IsIdentified(entry, now))
+  if (EvidenceAt(entry, now) != CauseEvidence::kNone)
     hold = options_.confirmation_delay;
   return LastCrashAt(entry) + hold;
 }
 
 Duration CrashHistory::RefusedFor(const Entry& entry, TimePoint now) const {
-  if (!IsIdentified(entry, now) ||
+  if (EvidenceAt(entry, now) == CauseEvidence::kNone ||
       now < HeldUntil(entry, entry.crash_count, now))
     return Duration::zero();
   const int doublings =
--- a/lib/gateway/crash_history_counts.cc
+++ b/lib/gateway/crash_history_counts.cc
@@ -137,7 +137,7 @@
 void CrashHistory::IdentifyCauses() {
   std::vector<std::pair<Hash128, Entry*>> candidates;
   for (auto& [fingerprint, entry] : entries_) {
-    entry.identified = false;
+    entry.evidence = CauseEvidence::kNone;
     entry.needs_trial = false;
     if (entry.crash_count >= options_.crashes_to_quarantine)
       candidates.emplace_back(fingerprint, &entry);
@@ -159,16 +159,19 @@
   if (!at_limit && HasRival(entry))
     return;
   if (CrashedInTrial(entry)) {
-    entry.identified = true;
+    entry.evidence = CauseEvidence::kTrial;
     return;
   }
   const int without_suspects = CountWithoutSuspects(entry);
   const bool enough_unexplained =
       CountUnexplained(entry) >= options_.unexplained_crashes_to_quarantine;
-  entry.identified =
-      enough_unexplained &&
-      (at_limit || without_suspects >= options_.crashes_to_quarantine);
-  entry.needs_trial = !entry.identified && without_suspects > 0;
+  if (enough_unexplained && at_limit)
+    entry.evidence = CauseEvidence::kMaxCrashes;
+  else if (enough_unexplained &&
+           without_suspects >= options_.crashes_to_quarantine)
+    entry.evidence = CauseEvidence::kStandsOut;
+  else
+    entry.needs_trial = without_suspects > 0;
 }
 
 bool CrashHistory::CrashedInTrial(const Entry& entry) const {
@@ -248,7 +251,7 @@
 
 bool CrashHistory::IsExplained(const Entry& entry, const Crash& crash) const {
   return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
-    return &item.second != &entry && item.second.identified &&
+    return &item.second != &entry && item.second.identified() &&
            RanBeside(item.second, crash);
   });
 }
--- a/lib/gateway/exchange_hold.cc
+++ b/lib/gateway/exchange_hold.cc
@@ -29,13 +29,18 @@
 
 void Exchange::Hold(Duration duration, std::function<void()> resume) {
   const TimePoint now = BootNow();
+  const CrashAssessment assessment =
+      gateway_.crash_guard_.Assess(request_.Fingerprint(), now);
   if (!std::exchange(held_, true))
-    gateway_.log_.Write(LineKind::kFailure,
-                        RequestLogLine("held")
-                            .Field("fingerprint", ToHex(request_.Fingerprint()))
-                            .Field("for_ms", duration)
-                            .Field("time_left_ms", state_.deadline - now),
-                        now);
+    gateway_.log_.Write(
+        LineKind::kFailure,
+        RequestLogLine("held")
+            .Field("fingerprint", ToHex(request_.Fingerprint()))
+            .Field("crashes", assessment.suspected_crashes)
+            .Field("evidence", CauseEvidenceName(assessment.evidence))
+            .Field("for_ms", duration)
+            .Field("time_left_ms", state_.deadline - now),
+        now);
   if (now + duration + gateway_.options_.exchange_limits.min_retry_time >
       state_.deadline) {
     upstream_retry_after_ = duration;
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -176,6 +176,7 @@
                  .Field("request", accepted_request.caller.attempt_id)
                  .Field("fingerprint", ToHex(fingerprint))
                  .Field("crashes", assessment.crashes)
+                 .Field("evidence", CauseEvidenceName(assessment.evidence))
                  .Field("retry_after_ms", assessment.refused_for),
              accepted_request.arrived_at);
   return Rejection{{ResultCode::kQuarantined, ""}, assessment.refused_for};
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -393,10 +393,11 @@
     /// apart from it, so that they may be the causes.
     bool others_are_suspects;
     bool refused;
+    CauseEvidence evidence;
   };
   const Row row = GENERATE(values<Row>({
-      {"nothing else explains a crash", false, true},
-      {"others may be the causes", true, false},
+      {"nothing else explains a crash", false, true, CauseEvidence::kStandsOut},
+      {"others may be the causes", true, false, CauseEvidence::kNone},
   }));
   INFO(row.name);
   Host host;
@@ -409,6 +410,7 @@
   }
   host.WaitForHolds();
   CHECK(host.Refuses(kCrashing) == row.refused);
+  CHECK(host.history.Assess(kCrashing, host.now).evidence == row.evidence);
 }
 
 TEST_CASE("a request is not refused for upstreams that were only cut off") {
