Share the additional retries of the fleet by RateShare

What callers saw: in a fleet of 380 hosts no host ever had an additional retry: the settings' number, divided by the hosts and halved for a margin, is 216 x 0.5 / 380 = 0.28 (arithmetic, not a run). Retries by ratio were not affected.

Cause: the retry budget divided the number itself, as a fixed part of each host, while limits of upstreams have a module that lets hosts take turns.

Change: RetryBudget uses RateShare; a turn lapses after half of the window, and the rate is chosen so that the turns of a window and a half are three quarters of the number. lib/quota divides limits of contracts by the demand that hosts report to each other, and stays as it is.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -87,7 +87,7 @@
 
   /// Call on the loop's thread.
   void SetFleetPosition(const FleetPosition& position) {
-    retry_budget_.SetHostCount(position.hosts);
+    retry_budget_.SetPosition(position);
     upstream_limits_.SetPosition(position);
   }
 
--- a/include/teaselhill/gateway/retry_budget.h
+++ b/include/teaselhill/gateway/retry_budget.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "teaselhill/gateway/fleet_size.h"
+#include "teaselhill/gateway/rate_share.h"
 #include "teaselhill/support/time.h"
 
 namespace teaselhill::gateway {
@@ -24,52 +24,56 @@
   /// Fraction of `ratio` that this host uses. The rest is a margin, since the
   /// hosts do not count requests in the same windows.
   double used_ratio_fraction = 0.8;
-  /// Fraction of its share of the additional retries that this host uses. The
-  /// rest is a margin for hosts that have joined and are not known yet.
-  double used_additional_fraction = 0.5;
+  /// Fraction of the additional retries that the hosts use together. The rest
+  /// is a margin for hosts that have joined and are not known yet.
+  double used_additional_fraction = 0.75;
 };
 
-/// Retry budget for each service, over a sliding window. Deterministic: time is
-/// an argument.
+/// Retry budget for each service, over a sliding window. The additional retries
+/// are turns of RateShare. Deterministic: time is an argument.
 class RetryBudget {
  public:
-  explicit RetryBudget(RetryBudgetOptions options, TimePoint started_at)
-      : options_(options), started_at_(started_at) {}
+  explicit RetryBudget(RetryBudgetOptions options) : options_(options) {}
 
-  void SetOptions(RetryBudgetOptions options) { options_ = options; }
+  void SetOptions(RetryBudgetOptions options);
 
-  /// Number of hosts that share the additional retries.
-  void SetHostCount(size_t hosts) { hosts_ = hosts; }
+  /// The hosts that share the additional retries.
+  void SetPosition(const FleetPosition& position);
 
   /// A caller's request for the service was accepted.
-  void OnRequest(const std::string& service, TimePoint now);
+  void OnRequest(const std::string& service, TimePoint now, WallTime wall_now);
 
-  /// Retries in the current window, and the limit on them.
   struct Usage {
-    size_t retries = 0;
-    double limit = 0;
-    bool has_room() const { return static_cast<double>(retries) + 1 <= limit; }
+    size_t retries = 0;           ///< by ratio, in the current window
+    double limit = 0;             ///< on these
+    bool has_additional = false;  ///< whether this host has an additional retry
+
+    bool is_within_ratio() const {
+      return static_cast<double>(retries) + 1 <= limit;
+    }
+    bool has_room() const { return is_within_ratio() || has_additional; }
   };
-  Usage UsageOf(const std::string& service, TimePoint now);
+  Usage UsageOf(const std::string& service, TimePoint now, WallTime wall_now);
 
   /// Acquires one retry, or returns false if the budget is spent.
-  bool TryAcquire(const std::string& service, TimePoint now);
+  bool TryAcquire(const std::string& service, TimePoint now, WallTime wall_now);
 
  private:
-  struct ServiceWindow {
+  struct ServiceBudget {
     std::deque<TimePoint> requests;
-    std::deque<TimePoint> retries;
+    std::deque<TimePoint> retries;  ///< by ratio
+    RateShare additional;
   };
-  void RemoveExpired(std::deque<TimePoint>& times, TimePoint now) const;
 
-  /// Additional retries of this host. They accrue during the first window of
-  /// the process, so that a restart does not grant them again.
-  double AdditionalRetries(TimePoint now) const;
+  /// Adds the budget of a service that had no request yet. Its additional
+  /// retries accrue from then on, so that a restart does not grant them again.
+  ServiceBudget& BudgetOf(const std::string& service, WallTime wall_now);
+  void ConfigureAdditional(RateShare* additional) const;
+  void RemoveExpired(std::deque<TimePoint>& times, TimePoint now) const;
 
   RetryBudgetOptions options_;
-  TimePoint started_at_;
-  size_t hosts_ = FleetSize::kMaxHosts;
-  std::unordered_map<std::string, ServiceWindow> windows_by_service_;
+  FleetPosition position_;
+  std::unordered_map<std::string, ServiceBudget> budgets_;
 };
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -58,7 +58,7 @@
   const bool retry_allowed =
       MayRetry(state_, gateway_.options_.exchange_limits, now + hold);
   const RetryBudget::Usage usage =
-      gateway_.retry_budget_.UsageOf(request_.service, now);
+      gateway_.retry_budget_.UsageOf(request_.service, now, WallNow());
   gateway_.log_.Write(
       LineKind::kFailure,
       RequestLogLine("attempt_ended")
@@ -76,6 +76,7 @@
           .Field("repeat_budget", usage.has_room())
           .Field("repeats", static_cast<uint64_t>(usage.retries))
           .Field("repeats_limit", usage.limit)
+          .Field("additional_repeat", usage.has_additional)
           .Field("time_left_ms", state_.deadline - now)
           .Field("fingerprint", ToHex(request_.Fingerprint())),
       now);
@@ -92,7 +93,7 @@
   // budget.
   const bool within_budget =
       outcome == AttemptOutcome::kNotSent ||
-      gateway_.retry_budget_.TryAcquire(request_.service, BootNow());
+      gateway_.retry_budget_.TryAcquire(request_.service, BootNow(), WallNow());
   const std::optional<Placement> placement =
       within_budget ? PlaceRequest() : std::nullopt;
   if (placement)
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -73,7 +73,7 @@
                    log,
                    *this,
                    options_.crash_guard),
-      retry_budget_(options_.retry_budget, BootNow()),
+      retry_budget_(options_.retry_budget),
       overload_gate_(options_.overload_gate) {
   cleanup_timer_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
     const TimePoint now = BootNow();
@@ -110,8 +110,8 @@
         accepted_request.arrived_at);
   accepted_request.http_request = std::move(request);
   accepted_request.id = ++last_id_;
-  retry_budget_.OnRequest(accepted_request.service,
-                          accepted_request.arrived_at);
+  retry_budget_.OnRequest(accepted_request.service, accepted_request.arrived_at,
+                          WallNow());
   const RequestId id = accepted_request.id;
   const auto exchange = std::make_shared<Exchange>(
       *this, std::move(accepted_request), std::move(response));
