Part the search for causes from the counts of crashes, and index it by process

The search compared each request with all others at each of its crashes; it now looks only at those with a loss at the same process.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -6,6 +6,7 @@
 #define TEASELHILL_GATEWAY_CRASH_HISTORY_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -272,6 +273,12 @@
   bool IsExplained(const Entry& entry, const Crash& crash) const;
   int CountUnexplained(const Entry& entry) const;
   static bool RanBeside(const Entry& other, const Crash& crash);
+  void IndexByProcess();
+  /// Whether the predicate holds for another request that ran at the crash.
+  template <typename Predicate>
+  bool AnyBeside(const Entry& entry,
+                 const Crash& crash,
+                 Predicate predicate) const;
   TimePoint HeldUntil(const Entry& entry,
                       int suspected_crashes,
                       TimePoint now) const;
@@ -300,6 +307,8 @@
   uint64_t records_created_ = 0;
   CrashHistoryOptions options_;
   Entries entries_;
+  /// The requests with a loss at each process; as of IndexByProcess().
+  std::map<UpstreamProcess, std::vector<const Entry*>> entries_by_process_;
   /// Answered requests, in two generations: the older one is dropped when the
   /// newer one is full or old.
   FingerprintSet completions_;
