Count an attempt given up and a connection lost at one process as one crash

Cause: an attempt of it was given up at an upstream that was slow; another attempt was lost when the upstream crashed. Because the upstream had given a sign of life in between, the two counted as two crashes, although that sign shows that the first was none.

Change: at one process, a loss of either kind and an attempt that was given up are one crash.

--- a/lib/gateway/crash_history_counts.cc
+++ b/lib/gateway/crash_history_counts.cc
@@ -30,19 +30,31 @@
   return count;
 }
 
-/// Removes losses at a process that has not been seen alive since an earlier
-/// one: it crashes only once.
+/// Whether two losses at one process, in the order of their times, were lost in
+/// the same crash: it crashes only once, unless it was seen alive in between. A
+/// sign of life before a loss says that an attempt given up earlier was none.
+template <typename Crash>
+static bool IsSameCrash(const Crash& earlier, const Crash& later) {
+  return earlier.upstream == later.upstream &&
+         (later.seen_alive_at <= earlier.crashed_at ||
+          earlier.kind == LossKind::kGivenUp ||
+          later.kind == LossKind::kGivenUp);
+}
+
+/// Keeps one loss of each crash; of these, the first lost connection.
 template <typename Crashes>
 static void RemoveRepeated(Crashes* by_end) {
   Crashes kept;
   for (const auto* crash : *by_end) {
-    const bool repeated =
-        std::any_of(kept.begin(), kept.end(), [crash](const auto* earlier) {
-          return earlier->upstream == crash->upstream &&
-                 crash->seen_alive_at <= earlier->crashed_at;
-        });
-    if (!repeated)
+    const auto same = std::find_if(
+        kept.begin(), kept.end(),
+        [crash](const auto* earlier) { return IsSameCrash(*earlier, *crash); });
+    if (same == kept.end()) {
       kept.push_back(crash);
+    } else if ((*same)->kind == LossKind::kGivenUp) {
+      kept.erase(same);
+      kept.push_back(crash);
+    }
   }
   *by_end = std::move(kept);
 }
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -204,6 +204,28 @@
   CHECK(host.history.TakeRecords(host.now).size() == (restarted ? 0 : 1));
 }
 
+// Guards against an innocent request that is refused for one crash that counts
+// twice: an attempt at the upstream was given up before, and another one was
+// lost.
+TEST_CASE("an attempt that was given up and one that was lost are one crash") {
+  const bool given_up_first = GENERATE(true, false);
+  Host host;
+  const auto lose = [&](LossKind kind, milliseconds at) {
+    const TimePoint lost_at = host.now + at;
+    host.history.OnConnectionLost(kInnocent, Engine(1), {},
+                                  lost_at - milliseconds(10),
+                                  lost_at - milliseconds(790), lost_at, kind);
+  };
+  // The upstream gave a sign of life in between.
+  lose(given_up_first ? LossKind::kGivenUp : LossKind::kConnectionLost,
+       milliseconds(0));
+  lose(given_up_first ? LossKind::kConnectionLost : LossKind::kGivenUp,
+       milliseconds(800));
+  host.now += seconds(1);
+  host.history.OnVerdict(Verdict(Engine(1), true, host.now));
+  CHECK(host.history.Assess(kInnocent, host.now).crashes == 1);
+}
+
 TEST_CASE("an attempt that another host gave up hides no crash after it") {
   Host host;
   CrashRecord given_up;
