Leave losses that a process had outlived out of its later crash

Cause: a cut was taken for a crash and the loss taken back when the upstream answered two seconds later. When the same process crashed some seconds after that, the verdict of the new review covered all losses before it, and the one from the cut counted again.

Change: a review judges no losses from before its first one.

Measured: the new test fails before.

--- a/include/teaselhill/gateway/loss_reviewer.h
+++ b/include/teaselhill/gateway/loss_reviewer.h
@@ -141,6 +141,7 @@
     /// Other ids with the same address by then, such as its predecessor.
     std::unordered_set<std::string> known_at_address;
     State state = State::kPending;
+    TimePoint opened_at;      ///< first loss; earlier ones were judged before
     TimePoint first_lost_at;  ///< since the last sign of life
     /// Whether all losses so far were attempts that were given up. The process
     /// may still have lived then.
--- a/lib/gateway/loss_reviewer.cc
+++ b/lib/gateway/loss_reviewer.cc
@@ -41,6 +41,8 @@
   const UpstreamProcess process{upstream.id, upstream.incarnation};
   const auto [found, added] = reviews_.try_emplace(process);
   Review& review = found->second;
+  if (added)
+    review.opened_at = now;
   const bool open = !added && review.state != State::kAlive;
   const bool given_up = kind == LossKind::kGivenUp;
   if (open && !review.only_given_up && sent_at > review.first_lost_at)
@@ -77,8 +79,9 @@
                                   std::string_view evidence) {
   review.state = State::kDown;
   review.crashed_until = until;
-  return {process, /*crashed=*/true, review.presumed_alive_at(), until,
-          evidence};
+  return {process, /*crashed=*/true,
+          std::max(review.presumed_alive_at(), review.opened_at - kTimeStep),
+          until, evidence};
 }
 
 std::vector<LossVerdict> LossReviewer::Unreachable(
@@ -207,7 +210,7 @@
   if (review.state == State::kDown)
     return {};
   return {Alive(process, review, report.sent_at, "response",
-                review.first_lost_at - kTimeStep)};
+                review.opened_at - kTimeStep)};
 }
 
 LossVerdict LossReviewer::Restarted(const UpstreamProcess& process,
--- a/unittests/gateway/loss_reviewer_test.cc
+++ b/unittests/gateway/loss_reviewer_test.cc
@@ -257,6 +257,26 @@
       lose(milliseconds(60), milliseconds(61), LossKind::kConnectionLost));
 }
 
+// Guards against innocent requests that are refused for a cut that had healed
+// long before the process crashed.
+TEST_CASE("a crash says nothing of a loss that the process had outlived") {
+  Fixture fixture(0);
+  fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list, fixture.start,
+                                    fixture.start);
+  fixture.Apply({milliseconds(30), Step::Kind::kProbe, Outcome::kClosed});
+  CHECK(fixture.result == Expected::kCrashed);
+  fixture.Apply({milliseconds(2000),
+                 Step::Kind::kProbe,
+                 Outcome::kAnswered,
+                 {kId, std::nullopt}});
+  CHECK(fixture.result == Expected::kAlive);
+  fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list,
+                                    fixture.At(milliseconds(2900)),
+                                    fixture.At(seconds(3)));
+  fixture.Apply({milliseconds(3030), Step::Kind::kProbe, Outcome::kClosed});
+  CHECK(fixture.result == Expected::kAlive);
+}
+
 // Guards against crashes that are taken back because the next process answers
 // under the same id, while the store is away and cannot name its start.
 TEST_CASE("a sign of life says nothing of a loss before an earlier review") {
