Count copies that one crash ends as no further evidence

A request of which one crash had ended three copies had three crashes that nothing explained.

Change: unexplained crashes, and those without another suspect, are counted by process, and a popular request with a single unexplained crash is not refused for want of a trial.

Measured: the new test fails before.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -264,9 +264,13 @@
   /// those that met all of theirs beside the entry do not count, unless it is
   /// popular.
   int CountWithoutSuspects(const Entry& entry) const;
-  /// Number of verified crashes for which the predicate holds.
+  /// Number of verified losses for which the predicate holds; a crash may have
+  /// ended several copies of the request.
   template <typename Predicate>
   static int CountCrashesIf(const Entry& entry, Predicate predicate);
+  /// Number of processes with such a loss.
+  template <typename Predicate>
+  static int CountProcessesIf(const Entry& entry, Predicate predicate);
   /// Whether another request with as many crashes ran at each of the entry's.
   bool HasRival(const Entry& entry) const;
   /// Whether another identified request ran at the crash.
--- a/lib/gateway/crash_history_causes.cc
+++ b/lib/gateway/crash_history_causes.cc
@@ -2,6 +2,7 @@
 /// Tells which requests are the causes of crashes.
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -27,6 +28,16 @@
       }));
 }
 
+template <typename Predicate>
+int CrashHistory::CountProcessesIf(const Entry& entry, Predicate predicate) {
+  std::set<UpstreamProcess> processes;
+  for (const Crash& crash : entry.crashes) {
+    if (crash.verified && crash.counts() && predicate(crash))
+      processes.insert(crash.upstream);
+  }
+  return static_cast<int>(processes.size());
+}
+
 bool CrashHistory::RanBeside(const Entry& other, const Crash& crash) {
   return std::any_of(
       other.crashes.begin(), other.crashes.end(), [&](const Crash& lost) {
@@ -97,7 +108,7 @@
   else if (enough_unexplained &&
            without_suspects >= options_.crashes_to_quarantine)
     entry.evidence = CauseEvidence::kStandsOut;
-  else
+  else if (enough_unexplained || !IsPopular(entry))
     entry.needs_trial = without_suspects > 0;
 }
 
@@ -153,7 +164,7 @@
              return popular || !RanBeside(entry, crash);
            }) > 0;
   };
-  return CountCrashesIf(entry, [&](const Crash& crash) {
+  return CountProcessesIf(entry, [&](const Crash& crash) {
     return !AnyBeside(entry, crash, is_suspect);
   });
 }
@@ -178,7 +189,7 @@
 }
 
 int CrashHistory::CountUnexplained(const Entry& entry) const {
-  return CountCrashesIf(
+  return CountProcessesIf(
       entry, [&](const Crash& crash) { return !IsExplained(entry, crash); });
 }
 
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -408,6 +408,28 @@
   CHECK_FALSE(host.Refuses(kInnocent));
 }
 
+// Guards against a popular request that is refused for one crash that ended
+// several copies of it.
+TEST_CASE("copies that one crash ends are no further evidence") {
+  Host host;
+  host.Crash(Engine(1), {kInnocent, kCrashing});
+  host.Crash(Engine(2), {kInnocent, kCrashing});
+  host.Crash(Engine(3), {kInnocent}, {}, milliseconds(100));
+  for (uint64_t other_host = 1; other_host <= 2; ++other_host) {
+    CrashRecord copy;
+    copy.fingerprint = kInnocent;
+    copy.id = other_host;
+    copy.upstream = Engine(3);
+    copy.run_time = milliseconds(5);
+    host.history.OnRecords({copy}, host.now);
+  }
+  host.Crash(Engine(4), {kCrashing});
+  host.WaitForHolds();
+  CHECK(host.Refuses(kCrashing));
+  CHECK(host.history.Assess(kInnocent, host.now).crashes == 3);
+  CHECK_FALSE(host.Refuses(kInnocent));
+}
+
 TEST_CASE("a request that can have no trial in time is refused without one") {
   struct Row {
     const char* name;
