--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -8,12 +8,15 @@
 from crash_styles import STYLES
 from limits import LimitWatch
 
-# Answers without end: fault, what follows the first head lines, what is repeated.
+# Answers without end, in chunks: without a length, an upstream that crashes ends
+# its answer like any other. Fault, what follows the first head lines, what is repeated.
 ENDLESS = (
     ("endless_head", b"", b"X-More: of the same\r\n"),
-    ("endless_body", b"X-Server-Seal: none\r\n\r\n", b"more of the same "),
+    ("endless_body", b"X-Server-Seal: none\r\nTransfer-Encoding: chunked\r\n\r\n",
+     b"11\r\nmore of the same \r\n"),
     ("endless_event", b"X-Server-Seal: none\r\nContent-Type: text/event-stream"
-     b"\r\n\r\nid: 1\ndata: ", b"more of the same "),
+     b"\r\nTransfer-Encoding: chunked\r\n\r\n16\r\nid: 1\ndata: some more \r\n",
+     b"11\r\nmore of the same \r\n"),
     ("endless_failure", b"Connection: close\r\n\r\n", b"no event at all\n"),
 )
 
