Find the causes of crashes one after the other, the strongest first

Cause: causes were looked for in one pass, in the order of their crashes and fingerprints. Crashes that a cause further down explains still counted as those of other suspects, and made the trial of the second cause doubtful; then the innocent request, which had run at all crashes of the second cause that the first one did not explain, was taken for it.

Change: of the requests with evidence, the one with the most unexplained crashes is taken, and the search begins again. Requests that reach the greatest number of crashes together are refused together.

Measured: the new test fails before.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -246,7 +246,18 @@
   /// Finds the requests that are the causes of crashes. A verdict may change
   /// with each record, since one identified request explains crashes of others.
   void IdentifyCauses();
-  void Classify(Entry& entry) const;
+  struct Candidate {
+    Hash128 fingerprint;
+    Entry* entry;
+  };
+  /// Identifies the candidate that explains most crashes, of those with
+  /// evidence. Returns whether there was one.
+  bool IdentifyStrongest(const std::vector<Candidate>& candidates);
+  /// Identifies those that have as many crashes as are tolerated.
+  void IdentifyAtLimit(const std::vector<Candidate>& candidates);
+  CauseEvidence EvidenceAgainst(const Entry& entry) const;
+  bool HasEnoughUnexplained(const Entry& entry) const;
+  bool NeedsTrial(const Entry& entry) const;
   CauseEvidence EvidenceAt(const Entry& entry, TimePoint now) const;
   /// Whether it crashed an upstream in a trial, which no other request explains
   /// or may have caused.
@@ -271,7 +282,8 @@
   /// Number of processes with such a loss.
   template <typename Predicate>
   static int CountProcessesIf(const Entry& entry, Predicate predicate);
-  /// Whether another request with as many crashes ran at each of the entry's.
+  /// Whether another request, with as many unexplained crashes, ran at each of
+  /// the entry's.
   bool HasRival(const Entry& entry) const;
   /// Whether another identified request ran at the crash.
   bool IsExplained(const Entry& entry, const Crash& crash) const;
--- a/lib/gateway/crash_history_causes.cc
+++ b/lib/gateway/crash_history_causes.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -70,46 +71,83 @@
 }
 
 void CrashHistory::IdentifyCauses() {
-  std::vector<std::pair<Hash128, Entry*>> candidates;
+  std::vector<Candidate> candidates;
   for (auto& [fingerprint, entry] : entries_) {
     entry.evidence = CauseEvidence::kNone;
     entry.needs_trial = false;
     if (entry.crash_count >= options_.crashes_to_quarantine)
-      candidates.emplace_back(fingerprint, &entry);
+      candidates.push_back({fingerprint, &entry});
   }
   if (candidates.empty())
     return;
   IndexByProcess();
-  // The one with the most crashes first: it explains those of the others. All
-  // hosts take the same order.
-  std::sort(candidates.begin(), candidates.end(),
-            [](const auto& a, const auto& b) {
-              return a.second->crash_count != b.second->crash_count
-                         ? a.second->crash_count > b.second->crash_count
-                         : a.first < b.first;
-            });
-  for (auto& [fingerprint, entry] : candidates)
-    Classify(*entry);
-}
-
-void CrashHistory::Classify(Entry& entry) const {
-  const bool at_limit = entry.crash_count >= options_.max_crashes;
-  if (!at_limit && HasRival(entry))
-    return;
-  if (CrashedInTrial(entry)) {
-    entry.evidence = CauseEvidence::kTrial;
-    return;
+  // Each cause that is found explains crashes of others, so they are found one
+  // after the other.
+  while (IdentifyStrongest(candidates)) {
+  }
+  IdentifyAtLimit(candidates);
+  for (const Candidate& candidate : candidates)
+    candidate.entry->needs_trial = NeedsTrial(*candidate.entry);
+}
+
+bool CrashHistory::IdentifyStrongest(const std::vector<Candidate>& candidates) {
+  // All hosts take the same order.
+  const auto strength = [](const Candidate& candidate, int unexplained) {
+    return std::make_tuple(unexplained, candidate.entry->crash_count,
+                           candidate.fingerprint);
+  };
+  const Candidate* strongest = nullptr;
+  int most_unexplained = 0;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.entry->identified() ||
+        EvidenceAgainst(*candidate.entry) == CauseEvidence::kNone)
+      continue;
+    const int unexplained = CountUnexplained(*candidate.entry);
+    if (strongest && strength(candidate, unexplained) <
+                         strength(*strongest, most_unexplained))
+      continue;
+    strongest = &candidate;
+    most_unexplained = unexplained;
+  }
+  if (!strongest)
+    return false;
+  strongest->entry->evidence = EvidenceAgainst(*strongest->entry);
+  return true;
+}
+
+void CrashHistory::IdentifyAtLimit(const std::vector<Candidate>& candidates) {
+  std::vector<Entry*> at_limit;
+  for (const Candidate& candidate : candidates) {
+    Entry* entry = candidate.entry;
+    if (!entry->identified() && entry->crash_count >= options_.max_crashes &&
+        HasEnoughUnexplained(*entry))
+      at_limit.push_back(entry);
   }
-  const int without_suspects = CountWithoutSuspects(entry);
-  const bool enough_unexplained =
-      CountUnexplained(entry) >= options_.unexplained_crashes_to_quarantine;
-  if (enough_unexplained && at_limit)
-    entry.evidence = CauseEvidence::kMaxCrashes;
-  else if (enough_unexplained &&
-           without_suspects >= options_.crashes_to_quarantine)
-    entry.evidence = CauseEvidence::kStandsOut;
-  else if (enough_unexplained || !IsPopular(entry))
-    entry.needs_trial = without_suspects > 0;
+  // Requests that cannot be told apart do not explain each other.
+  for (Entry* entry : at_limit)
+    entry->evidence = CauseEvidence::kMaxCrashes;
+}
+
+CauseEvidence CrashHistory::EvidenceAgainst(const Entry& entry) const {
+  if (HasRival(entry))
+    return CauseEvidence::kNone;
+  if (CrashedInTrial(entry))
+    return CauseEvidence::kTrial;
+  const bool stands_out =
+      HasEnoughUnexplained(entry) &&
+      CountWithoutSuspects(entry) >= options_.crashes_to_quarantine;
+  return stands_out ? CauseEvidence::kStandsOut : CauseEvidence::kNone;
+}
+
+bool CrashHistory::HasEnoughUnexplained(const Entry& entry) const {
+  return CountUnexplained(entry) >= options_.unexplained_crashes_to_quarantine;
+}
+
+bool CrashHistory::NeedsTrial(const Entry& entry) const {
+  if (entry.identified() || HasRival(entry))
+    return false;
+  return (HasEnoughUnexplained(entry) || !IsPopular(entry)) &&
+         CountWithoutSuspects(entry) > 0;
 }
 
 bool CrashHistory::CrashedInTrial(const Entry& entry) const {
@@ -170,17 +208,24 @@
 }
 
 bool CrashHistory::HasRival(const Entry& entry) const {
+  const int unexplained = CountUnexplained(entry);
+  const int explained = CountProcessesIf(
+      entry, [&](const Crash& crash) { return IsExplained(entry, crash); });
+  const int min_crashes =
+      std::max(entry.crash_count - explained, options_.crashes_to_quarantine);
   const auto ran_at_all = [&](const Entry& other) {
-    return other.crash_count >= entry.crash_count &&
-           CountCrashesIf(entry, [&other](const Crash& crash) {
-             return !RanBeside(other, crash);
+    return !other.identified() && other.crash_count >= min_crashes &&
+           CountUnexplained(other) >= unexplained &&
+           CountCrashesIf(entry, [&](const Crash& crash) {
+             return !RanBeside(other, crash) && !IsExplained(entry, crash);
            }) == 0;
   };
-  // A rival ran at each crash, so it is enough to look at one of them.
+  // A rival ran at each unexplained crash, so it is enough to look at one.
   const auto first = std::find_if(
-      entry.crashes.begin(), entry.crashes.end(),
-      [](const Crash& crash) { return crash.verified && crash.counts(); });
-  return AnyBeside(entry, *first, ran_at_all);
+      entry.crashes.begin(), entry.crashes.end(), [&](const Crash& crash) {
+        return crash.verified && crash.counts() && !IsExplained(entry, crash);
+      });
+  return first != entry.crashes.end() && AnyBeside(entry, *first, ran_at_all);
 }
 
 bool CrashHistory::IsExplained(const Entry& entry, const Crash& crash) const {
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -408,6 +408,33 @@
   CHECK_FALSE(host.Refuses(kInnocent));
 }
 
+// Guards against a popular request that is refused because one cause of its
+// crashes was known and the other one was not.
+TEST_CASE("explained crashes do not tell two requests apart") {
+  Host host;
+  const Hash128 first_cause{2, 2};
+  const Hash128 second_cause{1, 1};
+  const Hash128 innocent{3, 3};
+  const auto crash = [&](int engine, const std::vector<Hash128>& requests,
+                         milliseconds pause) {
+    host.Crash(Engine(engine), requests, {}, pause);
+  };
+  crash(1, {first_cause, second_cause}, milliseconds(500));
+  crash(2, {first_cause}, milliseconds(70));
+  crash(3, {first_cause, innocent}, milliseconds(450));
+  crash(4, {second_cause, innocent}, milliseconds(2060));
+  crash(5, {second_cause, innocent}, milliseconds(790));
+  host.WaitForHolds();
+  CHECK(host.Refuses(first_cause));
+  // Nothing tells these two apart yet.
+  CHECK_FALSE(host.Refuses(second_cause));
+  CHECK_FALSE(host.Refuses(innocent));
+  crash(6, {second_cause}, milliseconds(500));
+  host.WaitForHolds();
+  CHECK(host.Refuses(second_cause));
+  CHECK_FALSE(host.Refuses(innocent));
+}
+
 // Guards against a popular request that is refused for one crash that ended
 // several copies of it.
 TEST_CASE("copies that one crash ends are no further evidence") {
