--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -60,9 +60,9 @@
   /// then LossReviewer has revised the verdicts on processes that were only cut
   /// off.
   Duration confirmation_delay = std::chrono::milliseconds(6500);
-  /// Time after the crash that made a request a candidate for refusal in which
-  /// its trial can begin. If no upstream was up, the request is refused without
-  /// a trial: the platform tolerates no further crash after three seconds.
+  /// Time after its last crash in which a request with three crashes can have a
+  /// trial. If no upstream was up, it is refused without one: the platform
+  /// tolerates few crashes later than three seconds after the third.
   Duration max_trial_delay = std::chrono::milliseconds(2500);
   size_t max_fingerprints = 4096;
   /// Answered requests that are remembered for `completion_retention`.
@@ -259,6 +259,8 @@
   void IdentifyAtLimit(const std::vector<Candidate>& candidates);
   CauseEvidence EvidenceAgainst(const Entry& entry) const;
   bool HasEnoughUnexplained(const Entry& entry) const;
+  /// Whether it is to be refused if it has no trial in time: something is left
+  /// that no other suspect explains.
   bool NeedsTrial(const Entry& entry) const;
   /// Entry::evidence, or that the time for a trial is over.
   CauseEvidence EvidenceAt(const Entry& entry, TimePoint now) const;
--- a/lib/gateway/upstream_limits.cc
+++ b/lib/gateway/upstream_limits.cc
@@ -13,13 +13,12 @@
 
 namespace {
 
-/// Time after which a turn lapses at any limit, and the number of requests of
-/// the fleet for which it waits beyond that at a small limit: together at most
-/// six requests, and one second's worth, can be held back and then sent at
-/// once.
+/// A turn lapses after this time and the time of kTurnAgeRequests requests of
+/// the fleet, and after kMaxTurnAgeSeconds at the latest. That bounds what
+/// hosts that were idle can send at once.
 constexpr double kMinTurnAgeSeconds = 1;
-constexpr double kMaxTurnAgeSeconds = 10;
 constexpr double kTurnAgeRequests = 2;
+constexpr double kMaxTurnAgeSeconds = 10;
 
 }  // namespace
 
