Append no events to a broken answer that is no event stream

Cause: on a route whose streams may be resumed, an answer that is no event stream is relayed once it exceeds 1 MiB. When its connection was lost, the request was resumed like a stream.

Change: a request whose answer has begun without events is not resumed.

--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -343,6 +343,8 @@
 void Exchange::StartAnswer() {
   if (std::exchange(state_.head_sent, true))
     return;
+  // Only events can go on at another upstream.
+  state_.resumable &= response_head_->is_event_stream;
   response_->Start(response_head_->status, response_head_->headers);
 }
 
