Log the software version of the chosen upstream and the stream that goes on

An entry without a version names no upstream to use, as with its other fields. platform_tests and gateway_tests pass.

--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -34,6 +34,9 @@
   std::string api_key;                   ///< empty: none
   Duration deadline{};                   ///< zero: none
   std::optional<uint64_t> resume_after;  ///< last event id received
+  /// Attempt that brought the first event of the stream that this request
+  /// resumes; empty: the caller names none.
+  std::string resumed_attempt_id;
   std::vector<PromptSegment> prompt_segments;  ///< the last is not shared
   uint32_t prompt_tokens = 0;
   uint32_t max_output_tokens = 0;
--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -30,6 +30,9 @@
   /// greater value under the same id means that the process was restarted and
   /// has lost its state, such as cached prompts.
   uint64_t incarnation = 0;
+  /// Version of the upstream's software. Events of one stream that come from
+  /// different versions do not fit together.
+  std::string version;
 };
 
 /// One process of an upstream.
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -215,10 +215,18 @@
   gateway_.placement_->OnRequestSent(request_.placement_request, upstream_,
                                      now);
   UseTurn();
+  const std::optional<uint64_t> resume_after =
+      state_.resumable ? event_stream_.last_event_id()
+                       : request_.caller.resume_after;
+  LogLine line = RequestLogLine("placed");
+  if (resume_after)
+    line.Field("resume_after", *resume_after)
+        .Field("resumed_request", request_.caller.resumed_attempt_id);
   gateway_.log_.Write(
-      state_.sends > 1 ? LineKind::kFailure : LineKind::kRoutine,
-      RequestLogLine("placed")
-          .Field("upstream", upstream_.id)
+      state_.sends > 1 || resume_after ? LineKind::kFailure
+                                       : LineKind::kRoutine,
+      line.Field("upstream", upstream_.id)
+          .Field("version", upstream_.version)
           .Field("address", upstream_.address)
           .Field("domain", upstream_.domain)
           .Field("attempt", state_.sends)
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -122,7 +122,8 @@
                          state.entry->domain == new_entry.domain &&
                          state.entry->slots == new_entry.slots &&
                          state.entry->draining == new_entry.draining &&
-                         state.entry->incarnation == new_entry.incarnation;
+                         state.entry->incarnation == new_entry.incarnation &&
+                         state.entry->version == new_entry.version;
   state.remove_at.reset();
   state.entry = std::move(new_entry);
   list_changed_ |= !unchanged;
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -220,6 +220,7 @@
         return self.store.put("keyed.servers", upstream.name, {
             "service": upstream.service, "zone": "z1", "slots": 8, "seq": 0,
             "addr": f"{self.network}.220:{upstream.port}", "state": state,
+            "version": upstream.version,
             **({} if self.options.new_ids else {"born": upstream.born})})
 
     async def renew(self):
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -59,6 +59,7 @@
         self.starts = 1
         self.options = options
         self.service = service
+        self.version = "v1"
         self.ledger = ledger
         self.rng = rng
         self.faults = {}  # fault: probability
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -121,6 +121,8 @@
       {R"("addr":"10.0.0.9:80")", R"("addr":7)", false},
       {R"("addr":"10.0.0.9:80")", R"("addr":"")", false},
       {R"("service":"a")", R"("service":null)", false},
+      {R"("version":"v1")", R"("version":1)", false},
+      {R"("version":"v1",)", "", false},
       {R"({"service")", R"(["service")", false},
   }));
   CAPTURE(row.from, row.to);
