Test that streams go on only at the software version that began them

Callers saw events of two software versions in one stream: nothing reads the version of an upstream's entry, neither when a broken answer resumes nor when its caller takes the stream up at any host. The soak can have engines of several versions side by side and callers that leave streams and take them up; it counts streams with events of two versions, and how often takes go on against how often new streams begin.

--- a/scripts/soak/caller.py
+++ b/scripts/soak/caller.py
@@ -7,10 +7,12 @@
 import http_io
 import prompts
 import upstream
+from versions import CONTACT_S, take_up
 
 PATHS = {"safe": "/safe/x", "once": "/once/x", "stream": "/stream/x",
          "draft": "/draft/x"}
 STREAMS = ("stream", "draft")
+LEAVES_AFTER_PIECE = 0.2  # of the callers that leave a stream to take it up
 QUEUE_FULL = b'"code":2001'  # refused because answers would begin too late
 QUARANTINED = b'"code":2006'  # refused because the request crashes upstreams
 
@@ -20,6 +22,7 @@
         self.fleet = fleet
         self.ledger = ledger
         self.rng = rng
+        self.unfinished = None  # stream to take up: (request id, what came)
 
     async def run(self, end):
         while time.monotonic() < end:
@@ -37,6 +40,10 @@
                 await self.use(host, reader, writer, end)
             finally:
                 writer.close()
+            if self.unfinished:
+                await take_up(self.fleet, self.ledger, self.rng,
+                              *self.unfinished)
+                self.unfinished = None
 
     async def use(self, host, reader, writer, end):
         """Sends requests on one connection until it closes."""
@@ -89,12 +96,21 @@
         line, headers = answer
         status = int(line.split()[1])
         self.ledger.on_status(request_id, status)
+        if kind in STREAMS and not host.disturbed_within(CONTACT_S):
+            self.ledger.versions.begun[status == 200] += 1
         pieces = b""
+        leaves = (kind in STREAMS and status == 200
+                  and self.rng.random() < self.fleet.options.takes)
         try:
             async for piece in http_io.read_body(reader, headers):
                 pieces += piece
+                if leaves and self.rng.random() < LEAVES_AFTER_PIECE:
+                    self.unfinished = (request_id, pieces)
+                    return False
         except (http_io.TornMessage, ConnectionError):
             self.ledger.requests["cut"] += 1
+            if kind in STREAMS and status == 200 and self.fleet.options.takes:
+                self.unfinished = (request_id, pieces)
             self.lost(host, incarnation, request_id, sent_at)
             return False
         if status == 200:
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -11,9 +11,14 @@
 from proxy import Proxy
 from store import Store
 from upstream import ENDLESS, ENDLESS_S, Upstream
+from versions import CONTACT_S
 
 GRACE_S = 6
 
+# Engines of each software version, and upstreams of the plain service.
+ENGINES_PER_VERSION = 3
+SERVICES = 3
+
 # Period in which an upstream renews its entry, and the silence after which the
 # entry lapses.
 RENEWAL_S = 1.2
@@ -154,8 +159,9 @@
         self.store = Store(self.rng)
         port = await self.store.start(self.network + ".200")
         self.put_config()
-        for number in range(6):
-            service = "llm" if number < 3 else "app"
+        engines = ENGINES_PER_VERSION * self.options.versions
+        for number in range(engines + SERVICES):
+            service = "llm" if number < engines else "app"
             await self.add_upstream(f"i-{number}", service)
         for number in range(host_count):
             host = Host(number, self.options.binary, self.folder, self.network,
@@ -195,12 +201,33 @@
     async def add_upstream(self, name, service):
         upstream = Upstream(name, service, self.ledger, self.rng, self.options)
         upstream.on_restart = self.on_restart
+        upstream.version = self.next_version(service)
         await upstream.start(self.network + ".210")
         upstream.proxy = Proxy(upstream.target)
         upstream.port = await upstream.proxy.start(self.network + ".220")
         self.upstreams.append(upstream)
         self.register(upstream)
 
+    def next_version(self, service):
+        """The versions of a service are as even as can be, unless some of them
+        have a single upstream."""
+        counts = {f"v{number}": 0
+                  for number in range(1, self.options.versions + 1)}
+        for upstream in self.upstreams:
+            if upstream.service == service and upstream.left_at is None:
+                counts[upstream.version] += 1
+        if self.options.single_version and counts["v1"]:
+            counts.pop("v1")
+        return min(counts, key=counts.get)
+
+    def serving(self, version, since):
+        """Engines of this version that have served undisturbed since then."""
+        if self.upstreams_disturbed_since(since - CONTACT_S):
+            return 0
+        return sum(upstream.service == "llm" and upstream.version == version
+                   and upstream.left_at is None and not upstream.down
+                   for upstream in self.upstreams)
+
     def on_restart(self, upstream):
         """The new process registers; the entry of an old id lapses."""
         if upstream.left_at is not None:
--- a/scripts/soak/ledger.py
+++ b/scripts/soak/ledger.py
@@ -4,6 +4,7 @@
 import time
 
 from budget import BudgetWatch
+from versions import VersionWatch
 
 # Headers of callers that must not reach an upstream.
 FORGED = ("x-kv-hold", "x-pin-ms", "x-kv-backup", "kv-from", "authorization")
@@ -21,6 +22,7 @@
         self.priorities = {}  # kind of request: priority at the engines
         self.crashing = {}  # request id: watch of the crashing request
         self.budget = BudgetWatch()
+        self.versions = VersionWatch()
         self.sent_at = {}  # request id: time
         self.answers = []  # of innocent requests: (sent at, whether it is 200)
 
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -146,12 +146,13 @@
     finally:
         await fleet.stop()
     ledger.budget.check(ledger)
+    ledger.versions.check(ledger)
     for example in ledger.examples:
         print(example)
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
                 "cut", "denied", "answer", "config_late", "config_backwards",
                 "urgent", "crashing", "crashes", "innocent", "attempts", "deadline",
-                "repeats", "served", "limit", "limit_use", "wait", "endless", "memory"]
+                "repeats", "served", "limit", "limit_use", "wait", "versions", "takes", "endless", "memory"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
@@ -207,6 +208,12 @@
                         "that each upstream names as its limit from the start")
     parser.add_argument("--store-away", action="store_true",
                         help="the store is down from shortly after the start on")
+    parser.add_argument("--versions", type=int, default=1, help="software "
+                        "versions of the engines, which serve side by side")
+    parser.add_argument("--single-version", action="store_true",
+                        help="one of the versions has a single engine")
+    parser.add_argument("--takes", type=float, default=0, help="part of the "
+                        "streams that callers leave and take up at any host")
     parser.add_argument("--new-ids", action="store_true",
                         help="a restarted upstream has a new id")
     parser.add_argument("--faults", nargs="*", default=[],
