Let a stream go on only at the software version that began it

Callers saw events of two software versions in one stream, when a broken answer resumed at another upstream and when they took the stream up at any host. Nothing read the version of an upstream's entry.

The first event fixes the version: further attempts of the answer are placed at upstreams of that version only, or the answer ends. A host at which a caller takes the stream up looks into its own records, then asks the others. A stream without a record goes on at the only version of its service, if all hosts that answer have no other; else the request is refused with 503 and has not run.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "teaselhill/gateway/report_fetcher.h"
 #include "teaselhill/gateway/retry_budget.h"
 #include "teaselhill/gateway/shared_state.h"
+#include "teaselhill/gateway/stream_versions.h"
 #include "teaselhill/gateway/upstream_health.h"
 #include "teaselhill/gateway/upstream_notices.h"
 #include "teaselhill/metrics/metrics.h"
@@ -106,6 +107,13 @@
     notice_publisher_ = std::move(publisher);
   }
 
+  /// Records of the streams that this host and others began.
+  StreamVersions& stream_versions() { return stream_versions_; }
+
+  /// Call before the loop runs. Without it, hosts do not know of each other's
+  /// streams.
+  void SetStreamPeers(StreamPeers* peers) { stream_peers_ = peers; }
+
   /// Applies notices that other hosts saw. Call on the loop's thread.
   void OnUpstreamObservations(const UpstreamObservations& observations);
 
@@ -144,6 +152,10 @@
   /// wants a pause.
   bool MayProbe(const UpstreamProcess& upstream) override;
 
+  /// Follows the list of upstreams; other hosts are told of the streams of a
+  /// service that has got a further version.
+  void FollowVersions(TimePoint now);
+
   /// What an upstream says of itself in its answer.
   void OnUpstreamNotice(const UpstreamEntry& upstream,
                         const UpstreamNotice& notice,
@@ -190,6 +202,9 @@
   ClaimPublisher claim_publisher_;
   NoticePublisher notice_publisher_;
   UpstreamNotices upstream_notices_;
+  StreamVersions stream_versions_;
+  StreamPeers* stream_peers_ = nullptr;
+  std::shared_ptr<const UpstreamList> followed_upstreams_;
   LimitedAdmission limited_admission_;
   std::atomic<size_t> suspects_{0};
   std::atomic<size_t> quarantined_{0};
--- a/include/teaselhill/gateway/peer_exchange.h
+++ b/include/teaselhill/gateway/peer_exchange.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -62,9 +63,33 @@
   /// Fills in the id and the sender.
   void Send(PeerMessage message);
 
+  /// Answers the calls of other hosts to one path; returns the response body,
+  /// or an error for a call that cannot be decoded.
+  using CallHandler = std::function<Result<std::string>(const std::string&)>;
+  void Serve(const std::string& path, CallHandler handler);
+
+  /// Calls a path of one peer. `callback` gets the response body, or an error
+  /// after `timeout` at the latest.
+  using CallCallback = std::function<void(Result<std::string>)>;
+  void Call(const std::string& address,
+            const std::string& path,
+            std::string body,
+            Duration timeout,
+            CallCallback callback);
+
+  /// Addresses of at most `count` peers, in an order that depends on the key
+  /// and is the same on all hosts.
+  std::vector<std::string> PeersFor(const std::string& key, size_t count) const;
+
  private:
   void Handle(net::HttpRequest request,
               std::shared_ptr<net::ResponseWriter> response) override;
+  void AnswerCall(const CallHandler& handler,
+                  const net::HttpRequest& request,
+                  net::ResponseWriter& response);
+  void RefuseUnreadable(const net::HttpRequest& request,
+                        const Error& error,
+                        net::ResponseWriter& response);
   /// Returns whether the message was not known before.
   bool Remember(uint64_t message_id);
   void SendToPeers(const std::string& body);
@@ -78,6 +103,7 @@
   net::HttpClient client_;
   net::HttpServer server_;
   std::map<std::string, std::string> peer_addresses_;  ///< by host
+  std::map<std::string, CallHandler> call_handlers_;   ///< by path
   std::unordered_set<uint64_t> known_messages_;
   std::deque<uint64_t> known_messages_by_age_;
 };
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -56,6 +56,8 @@
   std::vector<std::string> limited_upstreams;
   /// Upstreams that are used only if no other usable upstream is left.
   std::vector<std::string> avoided_upstreams;
+  /// Software version that began the stream; nothing: the request begins one.
+  std::optional<std::string> required_version;
 };
 
 enum class PlacementReason {
--- /dev/null
+++ b/include/teaselhill/gateway/stream_versions.h
@@ -0,0 +1,131 @@
+/// \file
+/// Which software version began a stream, so that the stream goes on only at
+/// upstreams of that version.
+
+#ifndef TEASELHILL_GATEWAY_STREAM_VERSIONS_H_
+#define TEASELHILL_GATEWAY_STREAM_VERSIONS_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "teaselhill/gateway/upstream_directory.h"
+#include "teaselhill/support/time.h"
+
+namespace teaselhill::gateway {
+
+/// Version that wrote the first event of a stream.
+struct StreamRecord {
+  std::string attempt_id;  ///< attempt of the caller that brought that event
+  std::string service;
+  std::string version;
+  Duration keep_for{};  ///< time in which a caller may still resume the stream
+};
+
+/// Asks for the version of a stream.
+struct StreamQuery {
+  std::string attempt_id;  ///< empty: the caller names none
+  std::string service;
+};
+
+/// What one host knows of a stream.
+struct StreamAnswer {
+  enum class Kind {
+    kRecorded,         ///< `version` began the stream
+    kOnlyVersion,      ///< no record; the service has only `version`
+    kSeveralVersions,  ///< no record; the service has or had several versions
+  };
+  Kind kind = Kind::kSeveralVersions;
+  std::string version;  ///< empty for kSeveralVersions
+};
+
+/// Returns the version at which a stream may go on; nothing if it is not known.
+/// While a service has several versions, each stream is recorded on several
+/// hosts, so a stream without a record has the only version of its service.
+/// `directory_current`: whether this host has read the upstreams of late.
+std::optional<std::string> DecideStreamVersion(
+    const StreamAnswer& own,
+    const std::vector<StreamAnswer>& peers,
+    bool directory_current);
+
+/// Streams that began on this host or that other hosts told it of, and the
+/// versions of each service. Callable from any thread; times are arguments.
+class StreamVersions {
+ public:
+  /// When more streams than this are recorded, the oldest are dropped.
+  static constexpr size_t kMaxRecords = 50000;
+
+  /// Time for which a service counts as having a version that no upstream has
+  /// any more: a caller may still resume a stream of that version.
+  static constexpr std::chrono::minutes kVersionMemory{2};
+
+  /// Call with each new list.
+  void OnUpstreams(const UpstreamList& upstreams, TimePoint now);
+
+  /// `own`: the stream began on this host.
+  void Remember(const StreamRecord& record, bool own, TimePoint now);
+  std::optional<std::string> Find(const std::string& attempt_id,
+                                  TimePoint now) const;
+  StreamAnswer Answer(const StreamQuery& query, TimePoint now) const;
+
+  /// Whether the service has several versions, or had them of late.
+  bool HasSeveral(const std::string& service, TimePoint now) const;
+
+  /// Services that have got a further version since the last call.
+  std::vector<std::string> TakeServicesWithNewVersion();
+
+  /// Records of the streams of the service that began on this host.
+  std::vector<StreamRecord> OwnRecords(const std::string& service,
+                                       TimePoint now) const;
+
+  void Expire(TimePoint now);
+  size_t size() const;
+
+ private:
+  struct Entry {
+    std::string service;
+    std::string version;
+    bool own = false;
+    TimePoint expires_at{};
+  };
+  struct VersionUse {
+    bool listed = false;
+    TimePoint listed_at{};  ///< last time
+  };
+
+  /// Call with the mutex locked.
+  std::vector<std::string> VersionsOf(const std::string& service,
+                                      TimePoint now) const;
+
+  mutable std::mutex mutex_;
+  std::unordered_map<std::string, Entry> entries_;  ///< by attempt id
+  std::deque<std::string> attempts_by_age_;
+  std::map<std::string, std::map<std::string, VersionUse>> versions_;
+  std::vector<std::string> services_with_new_version_;
+};
+
+/// The records of the other hosts. Used on the traffic thread, on which the
+/// callbacks run as well, each once.
+class StreamPeers {
+ public:
+  virtual ~StreamPeers() = default;
+
+  /// Tells other hosts of streams. `done`: one of them has confirmed, or none
+  /// does in time.
+  virtual void Publish(std::vector<StreamRecord> records,
+                       std::function<void()> done) = 0;
+
+  /// Collects the answers of the hosts that reply in time; ends at once with an
+  /// answer of the kind kRecorded.
+  virtual void Ask(StreamQuery query,
+                   std::function<void(std::vector<StreamAnswer>)> done) = 0;
+};
+
+}  // namespace teaselhill::gateway
+
+#endif  // TEASELHILL_GATEWAY_STREAM_VERSIONS_H_
--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -72,6 +73,8 @@
   std::map<std::string, std::vector<UpstreamEntry>> by_service;
   /// Upstreams that are leaving; not in `by_service`.
   std::unordered_set<std::string> draining_ids;
+  /// Software versions of all upstreams of each service, leaving ones included.
+  std::map<std::string, std::set<std::string>> versions_by_service;
 
   const std::vector<UpstreamEntry>& OfService(const std::string& service) const;
   /// Whether the process is the newest one known of its upstream.
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "teaselhill/gateway/peer_exchange.h"
+#include "teaselhill/gateway/peer_streams.h"
 #include "teaselhill/gateway/state_keeper.h"
 
 namespace teaselhill::gateway {
@@ -91,6 +92,40 @@
   return options;
 }
 
+/// Passes calls of the traffic thread to the streams of the control thread, and
+/// the results back.
+class StreamPeersOnLoop : public StreamPeers {
+ public:
+  StreamPeersOnLoop(net::EventLoop& traffic,
+                    net::EventLoop& control,
+                    PeerStreams& streams)
+      : traffic_loop_(traffic), control_loop_(control), streams_(streams) {}
+
+  void Publish(std::vector<StreamRecord> records,
+               std::function<void()> done) override {
+    control_loop_.Post(
+        [this, records = std::move(records), done = std::move(done)] {
+          streams_.Publish(records, [this, done] { traffic_loop_.Post(done); });
+        });
+  }
+
+  void Ask(StreamQuery query,
+           std::function<void(std::vector<StreamAnswer>)> done) override {
+    control_loop_.Post(
+        [this, query = std::move(query), done = std::move(done)] {
+          streams_.Ask(query, [this, done](std::vector<StreamAnswer> answers) {
+            traffic_loop_.Post(
+                [done, answers = std::move(answers)] { done(answers); });
+          });
+        });
+  }
+
+ private:
+  net::EventLoop& traffic_loop_;
+  net::EventLoop& control_loop_;
+  PeerStreams& streams_;
+};
+
 /// Runs an event loop on its own thread and joins it on destruction.
 class LoopThread {
  public:
@@ -144,6 +179,8 @@
             MakeListenerOptions(settings.peer_endpoint, kMaxPeerConnections),
             log_,
             *this),
+        peer_streams_(peer_exchange_, gateway_.stream_versions()),
+        stream_peers_(traffic_loop_, control_loop_, peer_streams_),
         state_keeper_(shared_state_, log_, BootNow),
         fleet_log_monitor_(log_, "fleet_log"),
         source_(adapter.MakeStateSource(control_loop_)),
@@ -198,6 +235,7 @@
       control_loop_.Post(
           [this, claims = std::move(claims)] { fleet_log_->Append(claims); });
     });
+    gateway_.SetStreamPeers(&stream_peers_);
     gateway_.SetNoticePublisher([this](UpstreamObservations observations) {
       control_loop_.Post([this, observations = std::move(observations)] {
         PeerMessage message;
@@ -420,6 +458,8 @@
   net::HttpServer readiness_server_;
   net::HttpServer metrics_server_;
   PeerExchange peer_exchange_;
+  PeerStreams peer_streams_;
+  StreamPeersOnLoop stream_peers_;
   StateKeeper state_keeper_;
   DependencyMonitor fleet_log_monitor_;
   std::unique_ptr<StateSource> source_;
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -125,6 +125,12 @@
     if (const auto self = weak.lock())
       self->OnCallerDisconnected();
   });
+  if (ResumesStream())
+    return FindStreamVersion();
+  PrepareToPlace();
+}
+
+void Exchange::PrepareToPlace() {
   const TimePoint now = BootNow();
   const bool wants_reports =
       request_.placement_request.is_engine &&
@@ -366,6 +372,11 @@
                                               request_.gate_level(), now);
     gateway_.metrics_.ObserveFirstToken(request_.ClassLabel(),
                                         now - request_.arrived_at);
+    BeginStream();
+  }
+  if (publishing_stream_) {
+    held_events_.append(*complete_events);
+    return;
   }
   StartAnswer();
   WriteAnswer(std::move(*complete_events));
@@ -398,6 +409,7 @@
 }
 
 void Exchange::OnEnd(const net::TransferEnd& end) {
+  SendHeldEvents();
   if (!response_head_) {
     // Bytes that are no answer, or more than one may have, are a sign of life.
     const bool may_have_crashed = end.code != ResultCode::kProtocolError;
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -72,7 +72,22 @@
  private:
   class Attempt;
 
+  /// Fetches the load reports that placement needs, and places the request.
+  void PrepareToPlace();
   void PlaceOrShed();
+  /// Whether the caller resumes a stream that an earlier request of it began.
+  bool ResumesStream() const;
+  /// Attempt of the caller that brought the first event of the stream.
+  const std::string& StreamId() const;
+  StreamRecord MakeStreamRecord(TimePoint now) const;
+  /// Finds out which software version began the stream.
+  void FindStreamVersion();
+  void ResumeAt(const StreamAnswer& own,
+                const std::vector<StreamAnswer>& peers);
+  /// The first event of the answer has arrived.
+  void BeginStream();
+  /// Sends the events that waited until other hosts know the stream.
+  void SendHeldEvents();
   /// Time for which the request must not be run, because it may have crashed
   /// upstreams.
   Duration HoldTime(TimePoint now) const;
@@ -157,6 +172,8 @@
   bool answer_framed_ = true;  ///< EndedTransfer::is_framed
   EventStream event_stream_;
   std::string buffered_body_;
+  bool publishing_stream_ = false;  ///< events wait in `held_events_`
+  std::string held_events_;
   /// First data of the answer in the current attempt.
   std::optional<TimePoint> answer_started_at_;
   bool transfer_paused_ = false;
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -49,6 +49,7 @@
 }
 
 void Exchange::EndAttempt(AttemptOutcome outcome, std::string detail) {
+  SendHeldEvents();
   const TimePoint now = BootNow();
   RecordOutcome(outcome, now);
   if (outcome == AttemptOutcome::kNotRun || outcome == AttemptOutcome::kNotSent)
--- /dev/null
+++ b/lib/gateway/exchange_streams.cc
@@ -0,0 +1,108 @@
+/// \file
+/// Streams go on only at the software version that began them.
+
+#include <utility>
+
+#include "exchange.h"
+
+namespace teaselhill::gateway {
+
+namespace {
+
+/// Time after the end of a stream in which its caller may still resume it,
+/// also once more if the resumed stream breaks.
+constexpr std::chrono::minutes kResumePeriod{1};
+
+/// Age from which on the list of upstreams may lack versions. While the source
+/// answers, the list is read again within seconds.
+constexpr std::chrono::seconds kMaxDirectoryAge{5};
+
+}  // namespace
+
+bool Exchange::ResumesStream() const {
+  return request_.caller.resume_after.has_value() ||
+         !request_.caller.resumed_attempt_id.empty();
+}
+
+const std::string& Exchange::StreamId() const {
+  return request_.caller.resumed_attempt_id.empty()
+             ? request_.caller.attempt_id
+             : request_.caller.resumed_attempt_id;
+}
+
+StreamRecord Exchange::MakeStreamRecord(TimePoint now) const {
+  return {StreamId(), request_.service, upstream_.version,
+          std::max<Duration>(state_.deadline - now, Duration::zero()) +
+              kResumePeriod};
+}
+
+void Exchange::FindStreamVersion() {
+  const TimePoint now = BootNow();
+  StreamQuery query;
+  query.attempt_id = request_.caller.resumed_attempt_id;
+  query.service = request_.service;
+  const StreamAnswer own = gateway_.stream_versions_.Answer(query, now);
+  if (own.kind == StreamAnswer::Kind::kRecorded || !gateway_.stream_peers_)
+    return ResumeAt(own, {});
+  gateway_.stream_peers_->Ask(
+      query, [weak = weak_from_this(), own](std::vector<StreamAnswer> peers) {
+        const auto self = weak.lock();
+        if (self && !self->finished_)
+          self->ResumeAt(own, peers);
+      });
+}
+
+void Exchange::ResumeAt(const StreamAnswer& own,
+                        const std::vector<StreamAnswer>& peers) {
+  const TimePoint now = BootNow();
+  const Duration directory_age =
+      now - gateway_.shared_state_.upstreams_read_at();
+  const std::optional<std::string> version =
+      DecideStreamVersion(own, peers, directory_age <= kMaxDirectoryAge);
+  const bool recorded = own.kind == StreamAnswer::Kind::kRecorded;
+  gateway_.log_.Write(
+      LineKind::kFailure,
+      RequestLogLine("stream_resumed")
+          .Field("resumed_request", request_.caller.resumed_attempt_id)
+          .Field("version", version.value_or(""))
+          .Field("known", version.has_value())
+          .Field("recorded_here", recorded)
+          .Field("peer_answers", static_cast<uint64_t>(peers.size()))
+          .Field("directory_age_ms", directory_age),
+      now);
+  if (!version)
+    return FailRequest({ResultCode::kNoUpstream,
+                        "the software version of the stream is not known"});
+  request_.placement_request.required_version = version;
+  PrepareToPlace();
+}
+
+void Exchange::BeginStream() {
+  if (!state_.resumable || request_.placement_request.required_version)
+    return;
+  request_.placement_request.required_version = upstream_.version;
+  const StreamRecord record = MakeStreamRecord(BootNow());
+  gateway_.stream_versions_.Remember(record, /*own=*/true, BootNow());
+  if (!gateway_.stream_peers_ ||
+      !gateway_.stream_versions_.HasSeveral(request_.service, BootNow()))
+    return;
+  // If this host is lost after the first event, its caller resumes the stream
+  // at another host, which has to know the version by then.
+  publishing_stream_ = true;
+  gateway_.stream_peers_->Publish({record}, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->SendHeldEvents();
+  });
+}
+
+void Exchange::SendHeldEvents() {
+  if (!std::exchange(publishing_stream_, false) || finished_)
+    return;
+  std::string events = std::exchange(held_events_, {});
+  if (!events.empty()) {
+    StartAnswer();
+    WriteAnswer(std::move(events));
+  }
+}
+
+}  // namespace teaselhill::gateway
--- a/lib/gateway/exchange_timeouts.cc
+++ b/lib/gateway/exchange_timeouts.cc
@@ -75,6 +75,7 @@
   if (now + kAnswerMargin >= request_.arrived_at + GateReportDelay())
     ReportWaitToGate(now);
   if (now + 2 * kAnswerMargin >= state_.deadline) {
+    SendHeldEvents();
     ReportSilence();
     StopAttempt();
     return ApplyFinalStep(
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -85,6 +85,8 @@
     quarantined_ = counts.quarantined;
     if (const auto upstream_list = shared_state_.upstreams())
       upstream_notices_.Expire(*upstream_list, now);
+    FollowVersions(now);
+    stream_versions_.Expire(now);
     LogNoticeChanges("directory", now);
     limited_upstreams_ = upstream_notices_.limits().size();
   });
@@ -109,6 +111,7 @@
         accepted_request.route->answer_target, rng_.Uniform(), rng_.Uniform(),
         accepted_request.arrived_at);
   accepted_request.http_request = std::move(request);
+  FollowVersions(accepted_request.arrived_at);
   accepted_request.id = ++last_id_;
   retry_budget_.OnRequest(accepted_request.service, accepted_request.arrived_at,
                           WallNow());
@@ -206,6 +209,22 @@
   return true;
 }
 
+void Gateway::FollowVersions(TimePoint now) {
+  const auto upstreams = shared_state_.upstreams();
+  if (!upstreams || upstreams == followed_upstreams_)
+    return;
+  followed_upstreams_ = upstreams;
+  stream_versions_.OnUpstreams(*upstreams, now);
+  std::vector<StreamRecord> records;
+  for (const std::string& service :
+       stream_versions_.TakeServicesWithNewVersion()) {
+    for (StreamRecord& record : stream_versions_.OwnRecords(service, now))
+      records.push_back(std::move(record));
+  }
+  if (!records.empty() && stream_peers_)
+    stream_peers_->Publish(std::move(records), [] {});
+}
+
 void Gateway::OnUpstreamNotice(const UpstreamEntry& upstream,
                                const UpstreamNotice& notice,
                                TimePoint sent_at) {
--- a/lib/gateway/peer_exchange.cc
+++ b/lib/gateway/peer_exchange.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "teaselhill/support/hash.h"
+
 namespace teaselhill::gateway {
 
 namespace {
@@ -45,18 +47,14 @@
 
 void PeerExchange::Handle(net::HttpRequest request,
                           std::shared_ptr<net::ResponseWriter> response) {
+  const auto served = call_handlers_.find(request.path);
+  if (served != call_handlers_.end())
+    return AnswerCall(served->second, request, *response);
   if (request.path != kMessagePath)
     return response->Respond(404, {}, "");
   Result<PeerMessage> message = DecodePeerMessage(request.body);
-  if (!message) {
-    log_.Write(LineKind::kFailure,
-               LogLine(LogLevel::kWarning, "peer_message_unreadable")
-                   .Field("from", request.remote_address)
-                   .Field("code", static_cast<int>(message.error().code))
-                   .Field("fault", message.error().message),
-               BootNow());
-    return response->Respond(400, {}, "");
-  }
+  if (!message)
+    return RefuseUnreadable(request, message.error(), *response);
   response->Respond(200, {}, "");
   if (!Remember(message->id))
     return;
@@ -75,6 +73,68 @@
   handler_.OnPeerMessage(std::move(*message));
 }
 
+void PeerExchange::AnswerCall(const CallHandler& handler,
+                              const net::HttpRequest& request,
+                              net::ResponseWriter& response) {
+  Result<std::string> body = handler(request.body);
+  if (!body)
+    return RefuseUnreadable(request, body.error(), response);
+  response.Respond(200, {}, std::move(*body));
+}
+
+void PeerExchange::RefuseUnreadable(const net::HttpRequest& request,
+                                    const Error& error,
+                                    net::ResponseWriter& response) {
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kWarning, "peer_message_unreadable")
+                 .Field("from", request.remote_address)
+                 .Field("path", request.path)
+                 .Field("code", static_cast<int>(error.code))
+                 .Field("fault", error.message),
+             BootNow());
+  response.Respond(400, {}, "");
+}
+
+void PeerExchange::Serve(const std::string& path, CallHandler handler) {
+  call_handlers_[path] = std::move(handler);
+}
+
+void PeerExchange::Call(const std::string& address,
+                        const std::string& path,
+                        std::string body,
+                        Duration timeout,
+                        CallCallback callback) {
+  net::ClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + address + path;
+  request.body = std::move(body);
+  request.connect_timeout = timeout;
+  request.total_timeout = timeout;
+  client_.Fetch(
+      std::move(request), [callback = std::move(callback)](
+                              const Result<net::ClientResponse>& response) {
+        if (!response)
+          return callback(response.error());
+        if (response->status != 200)
+          return callback({ResultCode::kProtocolError,
+                           "status " + std::to_string(response->status)});
+        callback(response->body);
+      });
+}
+
+std::vector<std::string> PeerExchange::PeersFor(const std::string& key,
+                                                size_t count) const {
+  const uint64_t seed = Hash64(key);
+  std::vector<std::pair<uint64_t, std::string>> ranked;
+  for (const auto& [host, address] : peer_addresses_)
+    ranked.emplace_back(Hash64(host, seed), address);
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<std::string> addresses;
+  for (size_t i = 0; i < std::min(count, ranked.size()); ++i)
+    addresses.push_back(ranked[i].second);
+  return addresses;
+}
+
 bool PeerExchange::Remember(uint64_t message_id) {
   if (!known_messages_.insert(message_id).second)
     return false;
--- a/lib/gateway/placement.cc
+++ b/lib/gateway/placement.cc
@@ -43,6 +43,9 @@
     if (Contains(request.excluded_upstreams, upstream.id) ||
         Contains(request.limited_upstreams, upstream.id))
       continue;
+    if (request.required_version &&
+        upstream.version != *request.required_version)
+      continue;
     if (health.IsEjected(upstream.id, upstream.domain, now))
       eligible.ejected.push_back(&upstream);
     else if (Contains(request.avoided_upstreams, upstream.id))
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -90,6 +90,8 @@
     list->end_offset = std::max(list->end_offset, state.next_offset);
     if (!state.entry)
       continue;
+    list->versions_by_service[state.entry->service].insert(
+        state.entry->version);
     if (state.entry->draining)
       list->draining_ids.insert(id);
     else
--- a/unittests/gateway/placement_test.cc
+++ b/unittests/gateway/placement_test.cc
@@ -288,4 +288,38 @@
   CHECK(placement.in_flight("e2") == 0);
 }
 
+TEST_CASE("a stream is placed only at the version that began it") {
+  struct Row {
+    const char* policy;
+    const char* version;
+    int placements;  ///< until no upstream is left
+  };
+  const Row row = GENERATE(values<Row>({
+      {"affinity", "v1", 2},
+      {"affinity", "v2", 4},
+      {"affinity", "v3", 0},
+      {"round-robin", "v1", 2},
+      {"least-load", "v3", 0},
+  }));
+  CAPTURE(row.policy, row.version);
+  UpstreamList list = MakeList(6);
+  for (size_t i = 0; i < 6; ++i)
+    list.by_service["llm"][i].version = i < 2 ? "v1" : "v2";
+  // An ejected upstream of another version is no way out either.
+  UpstreamHealth health;
+  health.OnMisdirected("e0", TimePoint{});
+  const std::unique_ptr<PlacementPolicy> policy = std::move(
+      *PlacementRegistry::Instance().Create(row.policy, PlacementOptions{}));
+  PlacementRequest request = EngineRequest(7);
+  request.required_version = row.version;
+  int placements = 0;
+  while (const auto placement =
+             policy->ChooseUpstream(request, list, health, TimePoint{})) {
+    CHECK(placement->upstream.version == row.version);
+    request.excluded_upstreams.push_back(placement->upstream.id);
+    ++placements;
+  }
+  CHECK(placements == row.placements);
+}
+
 }  // namespace teaselhill::gateway
