Let an answer of the router go on only at the version that began it

The host list may name the version of an upstream; once tokens were delivered, further attempts go to upstreams of the same version. An answer that no other upstream can go on with, while other requests for its model can start, ends at once: queued, it would hold these up.

Row "each another version" of the new test without the check of the version: the answer goes on at another one; with it: it does not. router_tests, routing_tests and services_tests pass.

--- a/include/teaselhill/router/request_coordinator.h
+++ b/include/teaselhill/router/request_coordinator.h
@@ -162,6 +162,9 @@
   void ForwardRequest(Request& request,
                       const HostIncarnation& holder,
                       TimePoint now);
+  /// Whether the answer can go on at no upstream now, while other requests for
+  /// its target can start. It would hold these up in the queue.
+  bool IsStuckAtVersion(const Request& request, TimePoint now) const;
   routing::RouteRequest MakeRouteRequest(const Request& request,
                                          TimePoint now) const;
   void StartAttempt(Request& request,
--- a/include/teaselhill/routing/routing_policy.h
+++ b/include/teaselhill/routing/routing_policy.h
@@ -5,6 +5,7 @@
 #define TEASELHILL_ROUTING_ROUTING_POLICY_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -49,11 +50,19 @@
   bool idempotent = true;
   std::vector<uint64_t> prefix_blocks;  ///< from `PrefixBlocks`
   std::vector<std::string> excluded;    ///< upstreams already tried
+  /// Software version that wrote what the caller has got of the answer;
+  /// nothing: the answer has not begun.
+  std::optional<std::string> required_version;
   /// Set when `retry::CrashTracker` asks for isolation: only an upstream
   /// without other crash suspects and without non-resumable streams is chosen.
   bool isolated = false;
 };
 
+/// Whether the request was tried at the upstream, or cannot go on there.
+bool IsExcluded(const RouteRequest& request,
+                const UpstreamTable& table,
+                const Upstream& upstream);
+
 enum class ChoiceReason {
   kLeastCost,       ///< least expected time of the sampled candidates
   kPrefixAffinity,  ///< as kLeastCost; the upstream caches the prefix
--- a/include/teaselhill/routing/upstream_table.h
+++ b/include/teaselhill/routing/upstream_table.h
@@ -160,6 +160,13 @@
   /// tracked; later calls for them are ignored.
   void SetUpstreams(const std::vector<UpstreamSpec>& specs, TimePoint now);
 
+  /// Replaces the known software versions, by name of the upstream.
+  void SetVersions(std::unordered_map<std::string, std::string> versions) {
+    versions_by_name_ = std::move(versions);
+  }
+  /// Empty if it is not known.
+  const std::string& VersionOf(const std::string& upstream) const;
+
   void OnLoadReport(const std::string& upstream,
                     const LoadReport& report,
                     TimePoint now);
@@ -279,6 +286,7 @@
   std::vector<Upstream> upstreams_;
   std::vector<uint32_t> free_indices_;
   std::unordered_map<std::string, uint32_t> by_name_;
+  std::unordered_map<std::string, std::string> versions_by_name_;
   std::unordered_map<UpstreamHash, uint32_t> by_hash_;
   std::unordered_map<std::string, std::vector<uint32_t>> by_model_;
   std::unordered_map<std::string, std::vector<uint32_t>> by_service_;
--- a/include/teaselhill/services/host_list_client.h
+++ b/include/teaselhill/services/host_list_client.h
@@ -32,6 +32,7 @@
   std::string domain;
   config::UpstreamKind kind = config::UpstreamKind::kEngine;
   bool leaving = false;
+  std::string version;  ///< of its software; empty: the list names none
 };
 
 struct HostList {
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -298,7 +298,9 @@
     listed_hosts_ += !host.leaving;
   }
   std::vector<membership::UpstreamListEntry> upstreams;
+  std::unordered_map<std::string, std::string> versions;
   for (const services::ListedUpstream& upstream : list->upstreams) {
+    versions[upstream.name] = upstream.version;
     upstreams.push_back({upstream.name, upstream.domain, upstream.leaving});
     if (!upstream.leaving)
       upstreams_.ClearLeaving(upstream.name, routing::LeavingSource::kHostList,
@@ -307,6 +309,7 @@
                                     routing::LeavingSource::kHostList, now))
       BroadcastUpstreamLeaving(upstreams_.MakeLeavingMessage(now));
   }
+  upstreams_.SetVersions(std::move(versions));
   ApplyMemberOutput(members_.OnHostList(hosts, upstreams, now), now);
   // The limits depend on the number of listed hosts.
   if (listed_hosts_ != listed_before)
--- a/lib/router/request_attempts.cc
+++ b/lib/router/request_attempts.cc
@@ -97,6 +97,7 @@
   attempt.sent_at = attempt.last_progress_at = now;
   attempt.hedge = hedge;
   attempt.suspect = suspect;
+  attempt.version = components_.upstreams->VersionOf(choice.upstream);
   const int number = request.next_attempt++;
   request.attempts.emplace(number, attempt);
   request.phase = Request::Phase::kRunning;
@@ -161,6 +162,8 @@
     return;
   ActiveAttempt& attempt = found->second;
   attempt.last_progress_at = now;
+  if (request->delivered_tokens == 0)
+    request->answer_version = attempt.version;
   components_.upstreams->OnFirstToken(attempt.id, now);
   components_.hedges->OnFirstTokenLatency(request->info.model,
                                           now - attempt.sent_at);
@@ -390,10 +393,38 @@
           : components_.upstreams->ServingModel(request.info.model);
   if (request.excluded_upstreams.size() >= serving.size())
     request.excluded_upstreams.clear();
+  if (IsStuckAtVersion(request, now))
+    return FailRequest(request,
+                       {ResultCode::kUpstreamLost,
+                        "no other upstream has the software version that "
+                        "began the answer"},
+                       std::chrono::seconds(1), now);
   request.phase = Request::Phase::kQueued;
   components_.admission->Requeue(request.info.id, now);
 }
 
+bool RequestCoordinator::IsStuckAtVersion(const Request& request,
+                                          TimePoint now) const {
+  if (request.delivered_tokens == 0)
+    return false;
+  const routing::RouteRequest route = MakeRouteRequest(request, now);
+  const routing::UpstreamTable& table = *components_.upstreams;
+  const auto& serving = request.info.model.empty()
+                            ? table.ServingService(request.info.service)
+                            : table.ServingModel(request.info.model);
+  bool others_can_start = false;
+  for (const uint32_t index : serving) {
+    const routing::Upstream& upstream = table.At(index);
+    if (table.IsLeaving(upstream, now))
+      continue;
+    if (!IsExcluded(route, table, upstream))
+      return false;
+    others_can_start |=
+        table.VersionOf(upstream.spec.name) != request.answer_version;
+  }
+  return others_can_start;
+}
+
 void RequestCoordinator::OnSuspicion(const retry::CrashSuspicion& message,
                                      TimePoint now) {
   ApplyCrashActions(components_.crashes->OnMessage(message, now), now);
--- a/lib/router/request_dispatch.cc
+++ b/lib/router/request_dispatch.cc
@@ -308,6 +308,8 @@
     if (now - failed_at < kFailedUpstreamExclusion)
       route.excluded.push_back(upstream);
   }
+  if (request.delivered_tokens > 0)
+    route.required_version = request.answer_version;
   for (const auto& [number, attempt] : request.attempts)
     route.excluded.push_back(attempt.upstream);
   route.isolated =
--- a/lib/router/request_state.h
+++ b/lib/router/request_state.h
@@ -21,6 +21,7 @@
   TimePoint sent_at{};
   TimePoint last_progress_at{};
   uint64_t tokens = 0;
+  std::string version;  ///< of the upstream's software
   bool hedge = false;
   bool suspect = false;
 };
@@ -47,6 +48,7 @@
   /// Time of the last failed attempt at each upstream that a retry avoids.
   std::map<std::string, TimePoint> excluded_upstreams;
   uint64_t delivered_tokens = 0;
+  std::string answer_version;  ///< software version that wrote these tokens
   uint64_t predicted_tokens = kDefaultPredictedTokens;
   quota::RequestCost cost;
   bool quota_acquired = false;
--- a/lib/routing/adaptive_policy.cc
+++ b/lib/routing/adaptive_policy.cc
@@ -171,7 +171,7 @@
       scan_.unhealthy += health == Health::kHealthy ? 0 : 1;
       healthy_non_stragglers +=
           health == Health::kHealthy && !upstream.straggler ? 1 : 0;
-      if (IsExcluded(request, upstream) ||
+      if (IsExcluded(request, table, upstream) ||
           !MeetsIsolation(request, upstream, table, now)) {
         ++scan_.unsuitable;
         continue;
@@ -238,13 +238,6 @@
     return hash % hosts >= static_cast<uint64_t>(free_slots);
   }
 
-  static bool IsExcluded(const RouteRequest& request,
-                         const Upstream& upstream) {
-    return !request.excluded.empty() &&
-           std::find(request.excluded.begin(), request.excluded.end(),
-                     upstream.spec.name) != request.excluded.end();
-  }
-
   RouteResult ChooseFrom(const RouteRequest& request,
                          const UpstreamTable& table,
                          const std::vector<Candidate>& pool,
--- a/lib/routing/baseline_policies.cc
+++ b/lib/routing/baseline_policies.cc
@@ -20,10 +20,8 @@
                             : table.ServingService(request.target);
   for (const uint32_t index : serving) {
     const Upstream& upstream = table.At(index);
-    const bool excluded =
-        std::find(request.excluded.begin(), request.excluded.end(),
-                  upstream.spec.name) != request.excluded.end();
-    if (!excluded && !table.IsLeaving(upstream, now))
+    if (!IsExcluded(request, table, upstream) &&
+        !table.IsLeaving(upstream, now))
       usable.push_back(index);
   }
   return usable;
--- a/lib/routing/routing_policy.cc
+++ b/lib/routing/routing_policy.cc
@@ -1,8 +1,10 @@
 /// \file
-/// Names of choice reasons in decision logs.
+/// Names of choice reasons in decision logs, and rules that all policies share.
 
 #include "teaselhill/routing/routing_policy.h"
 
+#include <algorithm>
+
 namespace teaselhill::routing {
 
 std::string_view ChoiceReasonName(ChoiceReason reason) {
@@ -27,4 +29,14 @@
   return "unknown";
 }
 
+bool IsExcluded(const RouteRequest& request,
+                const UpstreamTable& table,
+                const Upstream& upstream) {
+  if (request.required_version &&
+      table.VersionOf(upstream.spec.name) != *request.required_version)
+    return true;
+  return std::find(request.excluded.begin(), request.excluded.end(),
+                   upstream.spec.name) != request.excluded.end();
+}
+
 }  // namespace teaselhill::routing
--- a/lib/routing/upstream_table.cc
+++ b/lib/routing/upstream_table.cc
@@ -50,6 +50,12 @@
 
 UpstreamTable::UpstreamTable(HostIncarnation self) : self_(std::move(self)) {}
 
+const std::string& UpstreamTable::VersionOf(const std::string& upstream) const {
+  static const std::string unknown;
+  const auto found = versions_by_name_.find(upstream);
+  return found == versions_by_name_.end() ? unknown : found->second;
+}
+
 void UpstreamTable::SetUpstreams(const std::vector<UpstreamSpec>& specs,
                                  TimePoint now) {
   std::unordered_map<std::string, uint32_t> previous_indices;
--- a/lib/services/host_list_client.cc
+++ b/lib/services/host_list_client.cc
@@ -35,7 +35,7 @@
           {entry.at("name"), entry.at("url"), entry.at("domain"),
            entry.value("kind", "") == "service" ? config::UpstreamKind::kService
                                                 : config::UpstreamKind::kEngine,
-           entry.value("state", "") == "leaving"});
+           entry.value("state", "") == "leaving", entry.value("version", "")});
     return list;
   } catch (const Json::exception& e) {
     return {ResultCode::kProtocolError,
--- a/unittests/router/request_coordinator_test.cc
+++ b/unittests/router/request_coordinator_test.cc
@@ -306,4 +306,50 @@
   });
 }
 
+// Guards against answers that go on at another software version than the one
+// that wrote what the caller has got.
+TEST_CASE("interrupted answer goes on only at the version that began it") {
+  struct Row {
+    const char* name;
+    std::map<std::string, std::string> versions;  ///< by engine
+    uint64_t delivered_tokens;
+    bool goes_on;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"the list names no versions", {}, 5, true},
+      {"one version", {{"e0", "v1"}, {"e1", "v1"}, {"e2", "v1"}}, 5, true},
+      {"each another version",
+       {{"e0", "v1"}, {"e1", "v2"}, {"e2", "v3"}},
+       5,
+       false},
+      {"no token was delivered",
+       {{"e0", "v1"}, {"e1", "v2"}, {"e2", "v3"}},
+       0,
+       true},
+  }));
+  INFO(row.name);
+  CoordinatorFixture fixture;
+  fixture.upstreams.SetVersions({row.versions.begin(), row.versions.end()});
+  const RequestId id = fixture.Arrive(/*idempotent=*/true);
+  REQUIRE(fixture.traffic.started.size() == 1);
+  if (row.delivered_tokens > 0)
+    fixture.coordinator.OnFirstToken(id, 0, fixture.now);
+  fixture.EndAttempt(id, 0, ResultCode::kUpstreamLost, true,
+                     row.delivered_tokens);
+  for (int i = 0; i < 10; ++i)
+    fixture.Advance(milliseconds(100));
+  CHECK((fixture.traffic.started.size() == 2) == row.goes_on);
+  // Another request is not held up by the version that is missing.
+  fixture.Arrive(/*idempotent=*/true);
+  CHECK(fixture.traffic.started.back().request == id + 1);
+  for (int i = 0; i < 400; ++i)
+    fixture.Advance(milliseconds(100));
+  std::set<std::string> versions;
+  for (const AttemptCommand& command : fixture.traffic.started) {
+    if (command.request == id)
+      versions.insert(fixture.upstreams.VersionOf(command.upstream));
+  }
+  CHECK((row.delivered_tokens == 0 || versions.size() == 1));
+}
+
 }  // namespace teaselhill::router
