Test that hosts which are cut from all upstreams serve like the others

Callers of a host that is cut from all upstreams were refused, although the other hosts reach these: a host has no way to an upstream but its own. The soak gives each host an address of its own for each upstream, so that single hosts can be cut off (refused, reset, or hanging connections), and compares how often callers of hosts that are cut off and of others are served.

Hosts also tell of crashes that did not happen.

--- a/scripts/soak/caller.py
+++ b/scripts/soak/caller.py
@@ -138,6 +138,7 @@
 
     def lost(self, host, incarnation, request_id, sent_at):
         """A shutdown by SIGTERM alone must not cut what reached an upstream."""
+        self.ledger.served[request_id] = False
         planned = host.only_terminated(sent_at, incarnation)
         faulty = self.fleet.upstreams_disturbed_since(sent_at - 3)
         if planned and not faulty and self.ledger.runs[request_id]:
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -8,6 +8,7 @@
 import time
 
 import http_io
+from cuts import CUT_MODES, CutWatch
 from proxy import Proxy
 from store import Store
 from upstream import ENDLESS, ENDLESS_S, Upstream
@@ -15,6 +16,12 @@
 
 GRACE_S = 6
 
+# Last part of the address at which upstreams are registered, and of the addresses
+# by which it is replaced for the first hosts, so that each can be cut off alone.
+UPSTREAMS = 220
+FIRST_VIEW = 100
+MOST_VIEWS = 20
+
 # Engines of each software version, and upstreams of the plain service.
 ENGINES_PER_VERSION = 3
 SERVICES = 3
@@ -41,12 +48,14 @@
     """One gateway; restarted by the soak whenever it ends."""
 
     def __init__(self, number, binary, folder, network, store):
+        self.number = number
         self.name = f"host-{number}"
         self.binary = binary
         self.address = f"{network}.{number + 1}"
         self.callers = (self.address, free_port(self.address))
         self.readiness = (self.address, free_port(self.address))
         self.peer_port = free_port(self.address)
+        self.relay_port = free_port(self.address)
         self.settings = os.path.join(folder, self.name + ".json")
         self.log = open(os.path.join(folder, self.name + ".log"), "ab")
         self.store_proxy = Proxy(store)
@@ -70,7 +79,7 @@
             "listen": {"front": "%s:%d" % self.callers,
                        "ready": "%s:%d" % self.readiness},
             "limits": {"maxFds": 1024},
-            "portRange": [self.peer_port, self.peer_port],
+            "portRange": [self.peer_port, self.relay_port],
             "bounds": {"graceS": GRACE_S, "retryRatio": 0.2,
                        "retryWindowS": 10, "retryExtra": 54, "drainMs": 2000},
             "provider": {"addr": f"{self.address}:{self.store_port}"},
@@ -154,22 +163,31 @@
         self.upstream_fault = 0.0
         self.drafts_until = 0.0
         self.next_restore_at = 0.0
+        self.cuts = CutWatch()
 
     async def start(self, host_count):
         self.store = Store(self.rng)
-        port = await self.store.start(self.network + ".200")
         self.put_config()
+        self.host_count = host_count
         engines = ENGINES_PER_VERSION * self.options.versions
         for number in range(engines + SERVICES):
             service = "llm" if number < engines else "app"
             await self.add_upstream(f"i-{number}", service)
         for number in range(host_count):
+            port = await self.store.start(self.network + ".200", (
+                f"{self.network}.{UPSTREAMS}:".encode(),
+                f"{self.upstreams_of(number)}:".encode()))
             host = Host(number, self.options.binary, self.folder, self.network,
                         (self.network + ".200", port))
             self.hosts.append(host)
             await host.start()
         asyncio.create_task(self.renew())
 
+    def upstreams_of(self, host):
+        """Address at which this host, and no other, reaches all upstreams."""
+        last = FIRST_VIEW + host if host < MOST_VIEWS else UPSTREAMS
+        return f"{self.network}.{last}"
+
     def put_config(self):
         self.version += self.rng.randint(1, 4)
         route = {"host": "h.example", "timeoutMs": 4000, "priority": 0,
@@ -204,7 +222,10 @@
         upstream.version = self.next_version(service)
         await upstream.start(self.network + ".210")
         upstream.proxy = Proxy(upstream.target)
-        upstream.port = await upstream.proxy.start(self.network + ".220")
+        upstream.port = await upstream.proxy.start(
+            f"{self.network}.{UPSTREAMS}",
+            [self.upstreams_of(number)
+             for number in range(min(self.host_count, MOST_VIEWS))])
         self.upstreams.append(upstream)
         self.register(upstream)
 
@@ -246,7 +267,7 @@
         upstream.registered_at = time.monotonic()
         return self.store.put("keyed.servers", upstream.name, {
             "service": upstream.service, "zone": "z1", "slots": 8, "seq": 0,
-            "addr": f"{self.network}.220:{upstream.port}", "state": state,
+            "addr": f"{self.network}.{UPSTREAMS}:{upstream.port}", "state": state,
             "version": upstream.version,
             **({} if self.options.new_ids else {"born": upstream.born})})
 
@@ -455,9 +476,23 @@
         upstream.notices.wait_s = None
 
 
+async def cut_hosts_off(fleet, host):
+    """Some hosts reach no upstream for a while; all else reaches them."""
+    if fleet.cuts.running(time.monotonic()):
+        return
+    count = fleet.rng.randint(1, len(fleet.hosts) // 2 + 1)
+    cut = fleet.rng.sample(fleet.hosts, count)
+    mode = fleet.options.cut_mode or fleet.rng.choice(CUT_MODES)
+    seconds = fleet.rng.uniform(4, 6)
+    fleet.cuts.on_cut(cut, time.monotonic(), seconds)
+    await asyncio.gather(*(
+        upstream.proxy.cut(fleet.upstreams_of(each.number), mode, seconds)
+        for upstream in fleet.upstreams for each in cut))
+
+
 # Played only if they are named, so that older seeds keep their faults.
 FURTHER_FAULTS = [restore_store, silence_store, limit_upstream,
-                  endless_upstream, say_leaving, turn_away]
+                  endless_upstream, say_leaving, turn_away, cut_hosts_off]
 
 FAULTS = [terminate, kill, freeze, reload, cut_from_store, change_config,
           disturb_store, compact_store, foreign_entry, disturb_upstream,
--- a/scripts/soak/ledger.py
+++ b/scripts/soak/ledger.py
@@ -24,6 +24,7 @@
         self.budget = BudgetWatch()
         self.versions = VersionWatch()
         self.sent_at = {}  # request id: time
+        self.served = {}  # request id: whether it is; not those that left
         self.answers = []  # of innocent requests: (sent at, whether it is 200)
 
     def violate(self, promise, text):
@@ -66,6 +67,7 @@
         """Counts the status under `name`, or else under the kind of request."""
         kind = self.sent[request_id][0]
         self.requests[f"{name or kind}_{status}"] += 1
+        self.served[request_id] = status == 200
         if name is None:
             self.answers.append((self.sent_at[request_id], status == 200))
         if status in (408, 421, 429, 503) and kind == "once":
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -13,6 +13,7 @@
 from crash_styles import STYLES
 from crashing import (CONTACT_S, MOST_LATE_ARRIVALS, PAUSE_S, CrashingCaller,
                       CrashingPart, CrashingRequest)
+from cuts import CUT_MODES
 from fleet import (FAULTS, FURTHER_FAULTS, Fleet, cut_from_store, disturb_store,
                    freeze, kill)
 from ledger import Ledger
@@ -122,6 +123,15 @@
         check_use(ledger, fleet.upstreams, end)
 
 
+def check_no_crashes(ledger, folder):
+    """No upstream crashes, so no host may tell the others of a crash."""
+    for name in sorted(os.listdir(folder)):
+        with open(os.path.join(folder, name), errors="replace") as log:
+            shared = sum('"crash_records_shared"' in line for line in log)
+        if shared:
+            ledger.violate("blamed", f"{name}: records shared {shared} times")
+
+
 def check_served_after(ledger, crashing, options):
     """Innocent requests are served once the causes of crashes are found."""
     last_crash = max((at for cause in crashing for at in cause.watch.crashes),
@@ -147,12 +157,15 @@
         await fleet.stop()
     ledger.budget.check(ledger)
     ledger.versions.check(ledger)
+    fleet.cuts.check(ledger)
+    if set(options.faults) == {"cut_hosts_off"}:
+        check_no_crashes(ledger, folder)
     for example in ledger.examples:
         print(example)
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
                 "cut", "denied", "answer", "config_late", "config_backwards",
                 "urgent", "crashing", "crashes", "innocent", "attempts", "deadline",
-                "repeats", "served", "limit", "limit_use", "wait", "versions", "takes", "endless", "memory"]
+                "repeats", "served", "limit", "limit_use", "wait", "versions", "takes", "cut_off", "blamed", "endless", "memory"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
@@ -208,6 +221,8 @@
                         "that each upstream names as its limit from the start")
     parser.add_argument("--store-away", action="store_true",
                         help="the store is down from shortly after the start on")
+    parser.add_argument("--cut-mode", choices=CUT_MODES, help="how hosts are cut "
+                        "off from upstreams; default: each way in turn")
     parser.add_argument("--versions", type=int, default=1, help="software "
                         "versions of the engines, which serve side by side")
     parser.add_argument("--single-version", action="store_true",
--- a/scripts/soak/store.py
+++ b/scripts/soak/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import functools
 import json
 import struct
 import time
@@ -56,10 +57,15 @@
         self.topics = collections.defaultdict(Topic)
         self.mode = "good"  # or down, silent, slow, stale
         self.era = 1
+        self.servers = []
 
-    async def start(self, address):
-        self.server = await asyncio.start_server(self.serve, address, 0)
-        return self.server.sockets[0].getsockname()[1]
+    async def start(self, address, view=(b"", b"")):
+        """Listens for one host; returns the port. `view`: text in records, and by
+        what it is replaced for this host, such as an address of its own."""
+        server = await asyncio.start_server(
+            functools.partial(self.serve, view), address, 0)
+        self.servers.append(server)
+        return server.sockets[0].getsockname()[1]
 
     def put(self, topic, key, value):
         data = None if value is None else json.dumps(value).encode()
@@ -87,7 +93,7 @@
     def response(self, status, body=b""):
         return http_io.response(status, {"Store-Era": self.era}, body)
 
-    async def serve(self, reader, writer):
+    async def serve(self, view, reader, writer):
         try:
             while True:
                 request = await http_io.read_head(reader)
@@ -105,7 +111,7 @@
                 elif request[0].startswith("POST"):
                     writer.write(self.append(request[0].split()[1], body))
                 else:
-                    writer.write(await self.answer(request[0].split()[1]))
+                    writer.write(await self.answer(request[0].split()[1], view))
                 await writer.drain()
         except (ConnectionError, http_io.TornMessage):
             pass
@@ -125,7 +131,7 @@
         return self.response(200, json.dumps(
             {"end": len(topic.records)}).encode())
 
-    async def answer(self, target):
+    async def answer(self, target, view):
         path = target.partition("?")[0]
         query = parse_query(target)
         topic = self.topics[query["topic"]]
@@ -133,7 +139,7 @@
         if self.mode == "stale":
             end = max(1, end - STALE_RECORDS)
         if path == "/v1/log-newest":
-            items = [{"key": key, "value": base64.b64encode(value).decode(),
+            items = [{"key": key, "value": base64.b64encode(value.replace(*view)).decode(),
                       "offset": offset}
                      for key, (offset, value) in topic.newest(end).items()]
             body = {"items": items, "hasMore": False, "end": end}
@@ -152,6 +158,7 @@
             return self.response(410)
         body = struct.pack(">QQ", end, topic.first)
         for key, value in topic.records[start:end]:
-            content = bytes([len(key)]) + key.encode() + (value or b"")
+            content = (bytes([len(key)]) + key.encode()
+                       + (value or b"").replace(*view))
             body += struct.pack(">I", len(content)) + content
         return self.response(200, body)
