Serve requests of hosts that are cut from all upstreams through other hosts

Callers of a host that was cut from all upstreams got 503 though the other hosts reached these: a host had no way to an upstream but its own. It tried one upstream after the other, for 200 ms each where connections hang.

A host that fails at three upstreams (or all, if there are fewer) without reaching one on a connection opened since takes itself for cut off, tells the others and passes requests on: from its caller as they came, with the rest of the deadline, to a host at random that is not cut off, at most three in turn. The serving host answers hosts of the fleet only, passes nothing on itself, and resolves route, team, limits, crashes and stream versions as for its own callers; it does not count the request for the retry budget again and gets the attempts that are left. Its refusals are known by their code: those for its own state are tried elsewhere, those for load, limits or crashes go to the caller. A hop that fails after the request was sent counts as a possible run. Cancels follow the connection. While it is cut off, the host checks one upstream each 250 ms; when it reaches one, its ejections end.

--- a/include/teaselhill/gateway/daemon.h
+++ b/include/teaselhill/gateway/daemon.h
@@ -33,6 +33,8 @@
   Endpoint readiness_endpoint;
   Endpoint metrics_endpoint;  ///< port 0: metrics are not served
   Endpoint peer_endpoint;     ///< port 0: no messages between hosts
+  /// Requests of hosts that are cut from all upstreams; port 0: not served.
+  Endpoint relay_endpoint;
   /// Time after SIGTERM at which the platform sends SIGKILL.
   Duration shutdown_grace = std::chrono::seconds(8);
   RetryBudgetOptions retry_budget;
--- a/include/teaselhill/gateway/fleet_size.h
+++ b/include/teaselhill/gateway/fleet_size.h
@@ -18,6 +18,8 @@
   std::string host;
   Duration age{};            ///< since the announcement
   std::string peer_address;  ///< IP address and port of PeerExchange; or empty
+  /// IP address and port at which it serves requests of other hosts; or empty.
+  std::string relay_address;
 };
 
 /// Place of a host among the hosts of the fleet, in the order of their names.
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -21,12 +21,15 @@
 #include "teaselhill/gateway/overload_gate.h"
 #include "teaselhill/gateway/placement.h"
 #include "teaselhill/gateway/protocol.h"
+#include "teaselhill/gateway/relay.h"
 #include "teaselhill/gateway/report_fetcher.h"
 #include "teaselhill/gateway/retry_budget.h"
 #include "teaselhill/gateway/shared_state.h"
 #include "teaselhill/gateway/stream_versions.h"
 #include "teaselhill/gateway/upstream_health.h"
 #include "teaselhill/gateway/upstream_notices.h"
+#include "teaselhill/gateway/upstream_prober.h"
+#include "teaselhill/gateway/upstream_reach.h"
 #include "teaselhill/metrics/metrics.h"
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_client.h"
@@ -37,6 +40,10 @@
 namespace teaselhill::gateway {
 
 struct GatewayOptions {
+  std::string host;  ///< name of this host
+  /// IP address from which it sends requests to other hosts, which serve those
+  /// of the fleet only; empty: any.
+  std::string relay_source_address;
   std::string placement_policy = "affinity";  ///< name of a plug-in
   PlacementOptions placement;
   RetryBudgetOptions retry_budget;
@@ -65,6 +72,9 @@
   /// Tells the other hosts what upstreams say of themselves.
   using NoticePublisher = std::function<void(UpstreamObservations)>;
 
+  /// Tells the other hosts whether this one is cut from all upstreams.
+  using ReachPublisher = std::function<void(bool cut)>;
+
   /// `options.placement_policy` must name a registered policy.
   Gateway(net::EventLoop& loop,
           GatewayOptions options,
@@ -78,6 +88,15 @@
   void Handle(net::HttpRequest request,
               std::shared_ptr<net::ResponseWriter> response) override;
 
+  /// Serves a request of another host's caller. It is not passed on again.
+  void HandleRelayed(net::HttpRequest request,
+                     RelayOrigin origin,
+                     std::shared_ptr<net::ResponseWriter> response);
+
+  /// Hosts that serve requests for this one and may ask it to. Call on the
+  /// loop's thread.
+  RelayPeers& relay_peers() { return relay_peers_; }
+
   /// Rejects every request that arrives from now on. Call on the loop's thread.
   void RejectNewRequests() { rejecting_ = true; }
 
@@ -114,6 +133,11 @@
   /// streams.
   void SetStreamPeers(StreamPeers* peers) { stream_peers_ = peers; }
 
+  /// Call before the loop runs.
+  void SetReachPublisher(ReachPublisher publisher) {
+    reach_publisher_ = std::move(publisher);
+  }
+
   /// Applies notices that other hosts saw. Call on the loop's thread.
   void OnUpstreamObservations(const UpstreamObservations& observations);
 
@@ -152,6 +176,20 @@
   /// wants a pause.
   bool MayProbe(const UpstreamProcess& upstream) override;
 
+  void Accept(net::HttpRequest request,
+              std::optional<RelayOrigin> origin,
+              std::shared_ptr<net::ResponseWriter> response);
+
+  /// A connection to the upstream that was opened at `opened_at` brought a
+  /// response, or ended without any.
+  void OnUpstreamReached(TimePoint opened_at);
+  void OnUpstreamFailed(const std::string& upstream_id, TimePoint opened_at);
+  void ApplyReachChange();
+  /// Checks, while this host is cut off, whether it reaches an upstream again.
+  void WatchReach();
+  /// Sends a health check to an upstream, unless one is in flight.
+  void ProbeReach();
+
   /// Follows the list of upstreams; other hosts are told of the streams of a
   /// service that has got a further version.
   void FollowVersions(TimePoint now);
@@ -201,6 +239,12 @@
   CrashPublisher crash_publisher_;
   ClaimPublisher claim_publisher_;
   NoticePublisher notice_publisher_;
+  ReachPublisher reach_publisher_;
+  UpstreamReach reach_;
+  UpstreamProber reach_prober_;
+  bool reach_probe_in_flight_ = false;
+  TimerSubscription reach_timer_;
+  RelayPeers relay_peers_;
   UpstreamNotices upstream_notices_;
   StreamVersions stream_versions_;
   StreamPeers* stream_peers_ = nullptr;
--- a/include/teaselhill/gateway/peer_message.h
+++ b/include/teaselhill/gateway/peer_message.h
@@ -5,6 +5,7 @@
 #define TEASELHILL_GATEWAY_PEER_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,8 @@
   std::string sender;
   std::vector<CrashRecord> records;
   UpstreamObservations observations;
+  /// Whether the sender is cut from all upstreams; nothing: no news.
+  std::optional<bool> cut_off;
 };
 
 /// Encodes the message as CBOR.
--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -42,6 +42,14 @@
   uint32_t max_output_tokens = 0;
 };
 
+/// What changes in a caller's request when another host serves it.
+struct ForwardContext {
+  std::string address;   ///< IP address and port of the serving host
+  Duration time_left{};  ///< until the deadline
+  std::optional<uint64_t> resume_after;
+  std::string resumed_attempt_id;  ///< empty: none
+};
+
 /// Protocol between callers and the gateway.
 class CallerProtocol {
  public:
@@ -52,6 +60,12 @@
   virtual Result<CallerRequest> ReadRequest(
       const net::HttpRequest& request) const = 0;
 
+  /// Builds the request by which another host serves a caller's request. Reads
+  /// like the caller's, with the rest of the deadline.
+  virtual net::ClientRequest BuildForwardRequest(
+      const net::HttpRequest& request,
+      const ForwardContext& context) const = 0;
+
   /// HTTP status of a response that the gateway generates itself.
   virtual int ErrorStatus(const Error& error) const {
     return Describe(error.code).http_status;
--- a/include/teaselhill/gateway/upstream_health.h
+++ b/include/teaselhill/gateway/upstream_health.h
@@ -63,6 +63,9 @@
                        TimePoint now);
   /// An upstream of the domain sent a response head; readmits the domain.
   void OnDomainReached(const std::string& domain);
+  /// This host was cut from all upstreams and reaches them again. What it saw
+  /// meanwhile says nothing of them, so all ejections end.
+  void OnHostReconnected();
   /// The address belongs to another upstream now. Ejects the upstream at once.
   void OnMisdirected(const std::string& id, TimePoint now);
   /// An answer was a failure response, was incomplete or corrupted, or made no
--- a/include/teaselhill/net/http_types.h
+++ b/include/teaselhill/net/http_types.h
@@ -26,6 +26,13 @@
 std::optional<std::string_view> FindHeader(const Headers& headers,
                                            std::string_view name);
 
+/// Whether the header concerns one connection only, such as a length, or one
+/// that `Connection` in `headers` names.
+bool IsHopByHop(std::string_view name, const Headers& headers);
+
+/// Whether `Content-Type` is that of server-sent events.
+bool IsEventStream(const Headers& headers);
+
 /// Splits `a=1&b=2` and decodes percent escapes.
 std::map<std::string, std::string> ParseQuery(std::string_view query);
 
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -12,6 +12,7 @@
 #include "teaselhill/gateway/peer_exchange.h"
 #include "teaselhill/gateway/peer_streams.h"
 #include "teaselhill/gateway/state_keeper.h"
+#include "teaselhill/net/error_response.h"
 
 namespace teaselhill::gateway {
 
@@ -44,6 +45,9 @@
 /// GatewaySettings::crash_stop_delay.
 constexpr std::chrono::milliseconds kTrialMargin{500};
 
+/// What a host adds to the headers of a request that another host serves.
+constexpr size_t kRelayHeaderBytes = 1024;
+
 /// Connections from other hosts. A host sends a message to a few peers only.
 constexpr size_t kMaxPeerConnections = 64;
 
@@ -126,6 +130,38 @@
   PeerStreams& streams_;
 };
 
+/// Serves requests of hosts that are cut from all upstreams. Used on the
+/// traffic thread.
+class RelayHandler : public net::HttpHandler {
+ public:
+  RelayHandler(Gateway& gateway, const SharedState& shared)
+      : gateway_(gateway), shared_state_(shared) {}
+
+  void Handle(net::HttpRequest request,
+              std::shared_ptr<net::ResponseWriter> response) override {
+    std::optional<RelayOrigin> origin = TakeRelayOrigin(&request.headers);
+    const bool from_fleet =
+        gateway_.relay_peers().IsFleetAddress(request.remote_address);
+    if (!origin || !from_fleet)
+      return Refuse({ResultCode::kUnknownPath, "for hosts of the fleet only"},
+                    *response);
+    if (shared_state_.draining)
+      return Refuse({ResultCode::kDraining, ""}, *response);
+    gateway_.HandleRelayed(std::move(request), std::move(*origin),
+                           std::move(response));
+  }
+
+ private:
+  static void Refuse(const Error& error, net::ResponseWriter& response) {
+    response.Respond(Describe(error.code).http_status,
+                     net::ErrorHeaders(error, Duration::zero()),
+                     net::ErrorBody(error));
+  }
+
+  Gateway& gateway_;
+  const SharedState& shared_state_;
+};
+
 /// Runs an event loop on its own thread and joins it on destruction.
 class LoopThread {
  public:
@@ -167,6 +203,8 @@
                        MakeListenerOptions(settings.caller_endpoint,
                                            MaxCallerConnections()),
                        gateway_),
+        relay_handler_(gateway_, shared_state_),
+        relay_server_(traffic_loop_, MakeRelayOptions(), relay_handler_),
         readiness_server_(control_loop_,
                           MakeListenerOptions(settings.readiness_endpoint, 64),
                           readiness_),
@@ -235,6 +273,13 @@
       control_loop_.Post(
           [this, claims = std::move(claims)] { fleet_log_->Append(claims); });
     });
+    gateway_.SetReachPublisher([this](bool cut) {
+      control_loop_.Post([this, cut] {
+        PeerMessage message;
+        message.cut_off = cut;
+        peer_exchange_.Send(std::move(message));
+      });
+    });
     gateway_.SetStreamPeers(&stream_peers_);
     gateway_.SetNoticePublisher([this](UpstreamObservations observations) {
       control_loop_.Post([this, observations = std::move(observations)] {
@@ -259,6 +304,10 @@
   }
 
   void OnPeerMessage(PeerMessage message) override {
+    if (message.cut_off)
+      traffic_loop_.Post([this, host = message.sender, cut = *message.cut_off] {
+        gateway_.relay_peers().OnReach(host, cut, BootNow());
+      });
     if (!message.observations.empty())
       traffic_loop_.Post(
           [this, observations = std::move(message.observations)] {
@@ -278,6 +327,8 @@
   void OnHostRecords(std::vector<HostRecord> records) override {
     fleet_size_.OnRecords(records, BootNow());
     peer_exchange_.AddPeers(records);
+    traffic_loop_.Post(
+        [this, records] { gateway_.relay_peers().OnHosts(records); });
     PublishFleetPosition();
   }
 
@@ -318,6 +369,8 @@
 
   GatewayOptions MakeGatewayOptions() const {
     GatewayOptions options;
+    options.host = settings_.host;
+    options.relay_source_address = settings_.relay_endpoint.address;
     options.placement_policy = settings_.placement_policy;
     options.placement.own_domain = settings_.domain;
     options.retry_budget = settings_.retry_budget;
@@ -336,11 +389,20 @@
     return std::max<size_t>(usable / 2, 1);
   }
 
+  net::HttpServerOptions MakeRelayOptions() const {
+    net::HttpServerOptions options =
+        MakeListenerOptions(settings_.relay_endpoint, MaxCallerConnections());
+    options.max_header_bytes += kRelayHeaderBytes;
+    return options;
+  }
+
   std::vector<net::HttpServer*> EnabledServers() {
     std::vector<net::HttpServer*> servers = {&caller_server_,
                                              &readiness_server_};
     if (settings_.metrics_endpoint.port != 0)
       servers.push_back(&metrics_server_);
+    if (settings_.relay_endpoint.port != 0)
+      servers.push_back(&relay_server_);
     return servers;
   }
 
@@ -439,7 +501,8 @@
   /// requests before its answer is sent completely, so unsent responses are
   /// checked as well.
   void StopWhenIdle() {
-    if (gateway_.open_requests() == 0 && !caller_server_.HasUnsentResponses())
+    if (gateway_.open_requests() == 0 && !caller_server_.HasUnsentResponses() &&
+        !relay_server_.HasUnsentResponses())
       control_loop_.Stop();
   }
 
@@ -455,6 +518,8 @@
   MetricsHandler metrics_handler_;
   Gateway gateway_;                ///< on the traffic thread
   net::HttpServer caller_server_;  ///< on the traffic thread
+  RelayHandler relay_handler_;     ///< on the traffic thread
+  net::HttpServer relay_server_;   ///< on the traffic thread
   net::HttpServer readiness_server_;
   net::HttpServer metrics_server_;
   PeerExchange peer_exchange_;
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -108,6 +108,9 @@
   state_.retryable = route.retryable();
   state_.resumable = route.kind == RouteKind::kStream && route.resumable;
   state_.max_attempts = std::max(1, route.max_attempts);
+  if (request_.relay_origin)
+    state_.max_attempts = std::clamp(request_.relay_origin->attempts_left, 1,
+                                     state_.max_attempts);
   Duration timeout = route.timeout;
   if (request_.caller.deadline > Duration::zero() &&
       (timeout == Duration::zero() || request_.caller.deadline < timeout))
@@ -125,8 +128,10 @@
     if (const auto self = weak.lock())
       self->OnCallerDisconnected();
   });
-  if (ResumesStream())
-    return FindStreamVersion();
+  if (TryRelay())
+    return;
+  if (NeedsStreamVersion())
+    return FindStreamVersion([this] { PrepareToPlace(); });
   PrepareToPlace();
 }
 
@@ -187,6 +192,10 @@
 }
 
 void Exchange::PlaceOrShed() {
+  if (TryRelay())
+    return;
+  if (request_.relay_origin && IsCutOff())
+    return FailRequest({ResultCode::kNoUpstream, ""});
   const Duration wait = WaitBeforeRun(BootNow());
   if (wait > Duration::zero())
     return Hold(wait, [this] { PlaceOrShed(); });
@@ -207,24 +216,22 @@
 void Exchange::SendToUpstream(const Placement& placement) {
   const TimePoint now = BootNow();
   upstream_ = placement.upstream;
+  relay_peer_.reset();
   expected_prefill_ = gateway_.placement_->ExpectedPrefill(
       request_.placement_request, upstream_, now);
   ++state_.sends;
   ++state_.possible_runs;
-  answer_started_at_.reset();
-  response_head_.reset();
-  buffered_body_.clear();
-  sent_at_ = progress_at_ = data_at_ = now;
+  BeginAttempt(now);
   if (crash_assessment_.isolate)
     suspect_run_ =
         gateway_.crash_guard_.StartRun(upstream_.id, crash_assessment_);
   gateway_.placement_->OnRequestSent(request_.placement_request, upstream_,
                                      now);
   UseTurn();
-  const std::optional<uint64_t> resume_after =
-      state_.resumable ? event_stream_.last_event_id()
-                       : request_.caller.resume_after;
+  const std::optional<uint64_t> resume_after = ResumeAfter();
   LogLine line = RequestLogLine("placed");
+  if (request_.relay_origin)
+    line.Field("for_host", request_.relay_origin->host);
   if (resume_after)
     line.Field("resume_after", *resume_after)
         .Field("resumed_request", request_.caller.resumed_attempt_id);
@@ -255,6 +262,17 @@
   net::ClientRequest request =
       gateway_.upstreams_.BuildRequest(request_.http_request, request_.caller,
                                        MakeAttemptContext(upstream_, now));
+  StartTransfer(std::move(request), now);
+}
+
+void Exchange::BeginAttempt(TimePoint now) {
+  answer_started_at_.reset();
+  response_head_.reset();
+  buffered_body_.clear();
+  sent_at_ = progress_at_ = data_at_ = now;
+}
+
+void Exchange::StartTransfer(net::ClientRequest request, TimePoint now) {
   request.connect_timeout = std::min<Duration>(
       gateway_.options_.connect_timeout, state_.deadline - now);
   request.max_body_bytes = gateway_.options_.exchange_limits.max_answer_bytes;
@@ -276,11 +294,15 @@
   context.time_left = state_.deadline - now;
   context.tier = request_.tier;
   context.is_engine = request_.placement_request.is_engine;
-  context.resume_after = state_.resumable ? event_stream_.last_event_id()
-                                          : request_.caller.resume_after;
+  context.resume_after = ResumeAfter();
   return context;
 }
 
+std::optional<uint64_t> Exchange::ResumeAfter() const {
+  return state_.resumable ? event_stream_.last_event_id()
+                          : request_.caller.resume_after;
+}
+
 void Exchange::StopAttempt() {
   const std::shared_ptr<Attempt> stopped_attempt = std::move(attempt_);
   attempt_.reset();
@@ -288,19 +310,24 @@
   if (!stopped_attempt)
     return;
   gateway_.client_.Cancel(stopped_attempt->transfer);
+  if (relay_peer_)
+    return;
   gateway_.placement_->OnAttemptEnded(request_.placement_request, upstream_.id,
                                       answer_started_at_.has_value());
 }
 
 void Exchange::OnHead(int status, const net::Headers& headers) {
   progress_at_ = data_at_ = BootNow();
+  answer_framed_ = net::FindHeader(headers, "Content-Length") ||
+                   net::FindHeader(headers, "Transfer-Encoding");
+  if (relay_peer_)
+    return OnPeerHead(status, headers);
+  gateway_.OnUpstreamReached(sent_at_);
   gateway_.upstream_health_.OnDomainReached(upstream_.domain);
   gateway_.LogHealthEvents(progress_at_);
   ResponseHead head =
       gateway_.upstreams_.ReadHead(status, headers, request_.caller);
   upstream_retry_after_ = head.retry_after;
-  answer_framed_ = net::FindHeader(headers, "Content-Length") ||
-                   net::FindHeader(headers, "Transfer-Encoding");
   if (head.kind != ResponseKind::kUnrelated &&
       head.kind != ResponseKind::kWrongUpstream)
     gateway_.OnUpstreamNotice(upstream_, head.notice, sent_at_);
@@ -332,15 +359,12 @@
   if (!response_head_)
     return;
   const TimePoint now = data_at_ = BootNow();
-  gateway_.crash_guard_.OnDataReceived(upstream_, sent_at_, now);
+  if (!relay_peer_)
+    gateway_.crash_guard_.OnDataReceived(upstream_, sent_at_, now);
   if (!answer_started_at_) {
     answer_started_at_ = now;
-    gateway_.placement_->OnAnswerStarted(request_.placement_request,
-                                         upstream_.id);
-    const Duration excess = now - sent_at_ - expected_prefill_;
-    gateway_.upstream_health_.OnStartDelay(upstream_.id, excess, now);
-    gateway_.upstream_health_.OnServiceStartDelay(request_.service, excess,
-                                                  now);
+    if (!relay_peer_)
+      ReportAnswerStarted(now);
   }
   if (response_head_->is_success && response_head_->is_event_stream)
     return OnEvents(data);
@@ -354,6 +378,14 @@
   WriteAnswer(std::exchange(buffered_body_, {}));
 }
 
+void Exchange::ReportAnswerStarted(TimePoint now) {
+  gateway_.placement_->OnAnswerStarted(request_.placement_request,
+                                       upstream_.id);
+  const Duration excess = now - sent_at_ - expected_prefill_;
+  gateway_.upstream_health_.OnStartDelay(upstream_.id, excess, now);
+  gateway_.upstream_health_.OnServiceStartDelay(request_.service, excess, now);
+}
+
 void Exchange::OnEvents(std::string_view data) {
   Result<std::string> complete_events = event_stream_.Append(data);
   if (!complete_events)
@@ -387,6 +419,7 @@
     return;
   // Only events can go on at another upstream.
   state_.resumable &= response_head_->is_event_stream;
+  AddRelayHeaders(&response_head_->headers);
   response_->Start(response_head_->status, response_head_->headers);
 }
 
@@ -415,6 +448,10 @@
     const bool may_have_crashed = end.code != ResultCode::kProtocolError;
     const bool not_sent = end.code == ResultCode::kConnectFailed ||
                           (!end.may_have_been_sent && end.status == 0);
+    if (relay_peer_)
+      gateway_.relay_peers_.OnFailed(relay_peer_->host, BootNow());
+    else if (may_have_crashed)
+      gateway_.OnUpstreamFailed(upstream_.id, sent_at_);
     if (!not_sent && may_have_crashed)
       ReportConnectionLost();
     return EndAttempt(
@@ -455,6 +492,7 @@
     StartAnswer();
     response_->Finish();
   } else {
+    AddRelayHeaders(&response_head_->headers);
     response_->Respond(response_head_->status, response_head_->headers,
                        std::move(buffered_body_));
   }
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -41,6 +41,8 @@
   /// is full refuses requests itself, within milliseconds.
   GateDecision gate_decision;
   TimePoint arrived_at{};
+  /// Set if another host took the request from its caller.
+  std::optional<RelayOrigin> relay_origin;
 
   GateLevel gate_level() const { return {route->tier, tier}; }
 
@@ -80,10 +82,14 @@
   /// Attempt of the caller that brought the first event of the stream.
   const std::string& StreamId() const;
   StreamRecord MakeStreamRecord(TimePoint now) const;
-  /// Finds out which software version began the stream.
-  void FindStreamVersion();
+  /// Whether the stream must not be placed here yet.
+  bool NeedsStreamVersion() const;
+  /// Finds out which software version began the stream, and then continues with
+  /// `resume`, unless it is not known.
+  void FindStreamVersion(std::function<void()> resume);
   void ResumeAt(const StreamAnswer& own,
-                const std::vector<StreamAnswer>& peers);
+                const std::vector<StreamAnswer>& peers,
+                const std::function<void()>& resume);
   /// The first event of the answer has arrived.
   void BeginStream();
   /// Sends the events that waited until other hosts know the stream.
@@ -101,6 +107,19 @@
   /// Chooses an upstream; returns nothing if every upstream of the service has
   /// been tried.
   std::optional<Placement> PlaceRequest();
+  /// Whether this host is cut from all upstreams.
+  bool IsCutOff() const;
+  /// A host that may serve the request, if this one is cut off.
+  std::optional<RelayPeers::Peer> PickPeer() const;
+  /// Sends the request to a host that reaches upstreams, if this one does not;
+  /// returns false if the request has to be placed here.
+  bool TryRelay();
+  void SendToPeer(const RelayPeers::Peer& peer);
+  void OnPeerHead(int status, net::Headers headers);
+  /// The host has given the response by itself.
+  void OnPeerRefusal(ResultCode code, const net::Headers& headers);
+  /// Adds what the host needs to know that took the request from its caller.
+  void AddRelayHeaders(net::Headers* headers) const;
   /// Whether all upstreams of the service name limits.
   bool AreAllLimited() const;
   /// Upstreams that name limits, or want no requests now.
@@ -120,12 +139,19 @@
   bool PassesGate(const std::optional<Placement>& placement);
   void ShedRequest();
   void SendToUpstream(const Placement& placement);
+  /// Resets the state of the current attempt.
+  void BeginAttempt(TimePoint now);
+  void StartTransfer(net::ClientRequest request, TimePoint now);
+  /// Last event id after which the stream goes on; nothing: it begins.
+  std::optional<uint64_t> ResumeAfter() const;
   AttemptContext MakeAttemptContext(const UpstreamEntry& upstream,
                                     TimePoint now) const;
   void StopAttempt();
   void OnHead(int status, const net::Headers& headers);
   void OnData(std::string_view data);
   void OnEnd(const net::TransferEnd& end);
+  /// Reports when the upstream began to answer, for later placements.
+  void ReportAnswerStarted(TimePoint now);
   void OnEvents(std::string_view data);
   void OnAnswerComplete();
   void StartAnswer();
@@ -139,6 +165,8 @@
   void EndAttempt(AttemptOutcome outcome, std::string detail);
   /// Sends the request again if the retry budget permits, or finishes it.
   void RetryOrFinish(AttemptOutcome outcome);
+  /// Relays the request after an attempt, if the retry budget permits.
+  bool RelayAgain(AttemptOutcome outcome);
   void RecordOutcome(AttemptOutcome outcome, TimePoint now);
   void ApplyFinalStep(const FinalStep& step);
   void ForwardFailure();
@@ -161,8 +189,12 @@
   /// Marks the current attempt for the placement of other requests.
   std::unique_ptr<CrashGuard::SuspectRun> suspect_run_;
   uint64_t directory_offset_ = 0;  ///< of the last upstream list that was used
-  UpstreamEntry upstream_;         ///< of the current or last attempt
-  Duration expected_prefill_{};    ///< of the current attempt
+  /// Of the current or last attempt; only the version is set if another host
+  /// sends the request.
+  UpstreamEntry upstream_;
+  std::optional<RelayPeers::Peer> relay_peer_;  ///< of the current attempt
+  std::vector<std::string> relayed_to_;         ///< hosts
+  Duration expected_prefill_{};                 ///< of the current attempt
   TimePoint sent_at_{};
   /// Last progress of the current attempt; a stall that has no consequence
   /// counts as progress.
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -27,6 +27,8 @@
 }
 
 void Exchange::ReportConnectionLost() {
+  if (relay_peer_)
+    return;
   // An upstream that leaves ends its connections when it stops.
   if (!IsUpstreamInService())
     return;
@@ -39,7 +41,7 @@
 
 void Exchange::ReportSilence() {
   const TimePoint now = BootNow();
-  if (!attempt_ || transfer_paused_ ||
+  if (!attempt_ || relay_peer_ || transfer_paused_ ||
       now < data_at_ + CrashGuard::kMinSilence || !IsUpstreamInService())
     return;
   if (suspect_run_)
@@ -57,7 +59,8 @@
   StopAttempt();
   event_stream_.DiscardPartial();
   transfer_paused_ = false;
-  request_.placement_request.excluded_upstreams.push_back(upstream_.id);
+  if (!relay_peer_)
+    request_.placement_request.excluded_upstreams.push_back(upstream_.id);
   const Duration hold = HoldTime(now);
   const bool retry_allowed =
       MayRetry(state_, gateway_.options_.exchange_limits, now + hold);
@@ -68,6 +71,7 @@
       RequestLogLine("attempt_ended")
           .Field("upstream", upstream_.id)
           .Field("incarnation", upstream_.incarnation)
+          .Field("host", relay_peer_ ? relay_peer_->host : "")
           .Field("attempt", state_.sends)
           .Field("outcome", AttemptOutcomeName(outcome))
           .Field("detail", detail)
@@ -91,6 +95,10 @@
 }
 
 void Exchange::RetryOrFinish(AttemptOutcome outcome) {
+  if (RelayAgain(outcome))
+    return;
+  if (NeedsStreamVersion())
+    return FindStreamVersion([this, outcome] { RetryOrFinish(outcome); });
   const Duration wait = WaitBeforeRun(BootNow());
   if (wait > Duration::zero())
     return Hold(wait, [this, outcome] { RetryOrFinish(outcome); });
@@ -107,6 +115,9 @@
 }
 
 void Exchange::RecordOutcome(AttemptOutcome outcome, TimePoint now) {
+  // What this host sees while it is cut off says nothing of the upstreams.
+  if (relay_peer_ || (IsCutOff() && outcome != AttemptOutcome::kComplete))
+    return;
   UpstreamHealth& health = gateway_.upstream_health_;
   const std::string& id = upstream_.id;
   switch (outcome) {
@@ -143,6 +154,7 @@
 
 void Exchange::ForwardFailure() {
   const int status = response_head_->status;
+  AddRelayHeaders(&response_head_->headers);
   response_->Respond(status, response_head_->headers,
                      std::move(buffered_body_));
   FinishRequest(ResultCode::kUpstreamLost, "status_" + std::to_string(status));
@@ -212,6 +224,7 @@
       .Field("service", request_.service)
       .Field("attempts", state_.sends)
       .Field("upstream", upstream_.id)
+      .Field("forwarded_to", relay_peer_ ? relay_peer_->host : "")
       .Field("total_ms", now - request_.arrived_at);
   if (code == ResultCode::kCallerGone)
     line.Field("fingerprint", ToHex(request_.Keys().fingerprint));
--- a/lib/gateway/exchange_streams.cc
+++ b/lib/gateway/exchange_streams.cc
@@ -24,6 +24,10 @@
          !request_.caller.resumed_attempt_id.empty();
 }
 
+bool Exchange::NeedsStreamVersion() const {
+  return ResumesStream() && !request_.placement_request.required_version;
+}
+
 const std::string& Exchange::StreamId() const {
   return request_.caller.resumed_attempt_id.empty()
              ? request_.caller.attempt_id
@@ -36,24 +40,26 @@
               kResumePeriod};
 }
 
-void Exchange::FindStreamVersion() {
+void Exchange::FindStreamVersion(std::function<void()> resume) {
   const TimePoint now = BootNow();
   StreamQuery query;
   query.attempt_id = request_.caller.resumed_attempt_id;
   query.service = request_.service;
   const StreamAnswer own = gateway_.stream_versions_.Answer(query, now);
   if (own.kind == StreamAnswer::Kind::kRecorded || !gateway_.stream_peers_)
-    return ResumeAt(own, {});
+    return ResumeAt(own, {}, resume);
   gateway_.stream_peers_->Ask(
-      query, [weak = weak_from_this(), own](std::vector<StreamAnswer> peers) {
+      query, [weak = weak_from_this(), own,
+              resume = std::move(resume)](std::vector<StreamAnswer> peers) {
         const auto self = weak.lock();
         if (self && !self->finished_)
-          self->ResumeAt(own, peers);
+          self->ResumeAt(own, peers, resume);
       });
 }
 
 void Exchange::ResumeAt(const StreamAnswer& own,
-                        const std::vector<StreamAnswer>& peers) {
+                        const std::vector<StreamAnswer>& peers,
+                        const std::function<void()>& resume) {
   const TimePoint now = BootNow();
   const Duration directory_age =
       now - gateway_.shared_state_.upstreams_read_at();
@@ -71,10 +77,10 @@
           .Field("directory_age_ms", directory_age),
       now);
   if (!version)
-    return FailRequest({ResultCode::kNoUpstream,
-                        "the software version of the stream is not known"});
+    return ApplyFinalStep(
+        FinalStepAfterTimeout(state_, ResultCode::kNoUpstream));
   request_.placement_request.required_version = version;
-  PrepareToPlace();
+  resume();
 }
 
 void Exchange::BeginStream() {
@@ -83,7 +89,8 @@
   request_.placement_request.required_version = upstream_.version;
   const StreamRecord record = MakeStreamRecord(BootNow());
   gateway_.stream_versions_.Remember(record, /*own=*/true, BootNow());
-  if (!gateway_.stream_peers_ ||
+  // The serving host has told the others of a relayed stream.
+  if (relay_peer_ || !gateway_.stream_peers_ ||
       !gateway_.stream_versions_.HasSeveral(request_.service, BootNow()))
     return;
   // If this host is lost after the first event, its caller resumes the stream
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -12,6 +12,9 @@
 
 constexpr std::chrono::seconds kCleanupPeriod{1};
 
+/// Of a health check that finds out whether an upstream is reached at all.
+constexpr std::chrono::milliseconds kReachProbeTimeout{200};
+
 /// Idle connections kept for load reports. One more idle connection per engine
 /// and host is a small fraction of what an engine accepts.
 constexpr size_t kMaxIdleReportConnections = 96;
@@ -73,6 +76,8 @@
                    log,
                    *this,
                    options_.crash_guard),
+      reach_prober_(client_, upstreams, kReachProbeTimeout),
+      relay_peers_(options_.host),
       retry_budget_(options_.retry_budget),
       overload_gate_(options_.overload_gate) {
   cleanup_timer_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
@@ -96,7 +101,20 @@
 
 void Gateway::Handle(net::HttpRequest request,
                      std::shared_ptr<net::ResponseWriter> response) {
+  Accept(std::move(request), std::nullopt, std::move(response));
+}
+
+void Gateway::HandleRelayed(net::HttpRequest request,
+                            RelayOrigin origin,
+                            std::shared_ptr<net::ResponseWriter> response) {
+  Accept(std::move(request), std::move(origin), std::move(response));
+}
+
+void Gateway::Accept(net::HttpRequest request,
+                     std::optional<RelayOrigin> origin,
+                     std::shared_ptr<net::ResponseWriter> response) {
   AcceptedRequest accepted_request;
+  accepted_request.relay_origin = std::move(origin);
   accepted_request.arrived_at = BootNow();
   std::optional<Rejection> rejection =
       ResolveRequest(request, accepted_request);
@@ -113,8 +131,10 @@
   accepted_request.http_request = std::move(request);
   FollowVersions(accepted_request.arrived_at);
   accepted_request.id = ++last_id_;
-  retry_budget_.OnRequest(accepted_request.service, accepted_request.arrived_at,
-                          WallNow());
+  // The host that took a relayed request from its caller has counted it.
+  if (!accepted_request.relay_origin)
+    retry_budget_.OnRequest(accepted_request.service,
+                            accepted_request.arrived_at, WallNow());
   const RequestId id = accepted_request.id;
   const auto exchange = std::make_shared<Exchange>(
       *this, std::move(accepted_request), std::move(response));
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -18,6 +18,7 @@
 constexpr const char* kLimitsField = "limits";
 constexpr const char* kNoticesField = "notices";
 constexpr const char* kLeavingField = "leaving";
+constexpr const char* kCutOffField = "cut_off";
 constexpr const char* kPauseField = "pause_us";
 constexpr const char* kLimitField = "requests_per_second";
 constexpr const char* kFingerprintField = "fingerprint";
@@ -133,12 +134,14 @@
   Json notices = Json::array();
   for (const NoticeObservation& notice : message.observations.notices)
     notices.push_back(EncodeNotice(notice));
-  const std::vector<uint8_t> encoded =
-      Json::to_cbor(Json{{kIdField, message.id},
-                         {kSenderField, message.sender},
-                         {kRecordsField, std::move(records)},
-                         {kLimitsField, std::move(limits)},
-                         {kNoticesField, std::move(notices)}});
+  Json object = {{kIdField, message.id},
+                 {kSenderField, message.sender},
+                 {kRecordsField, std::move(records)},
+                 {kLimitsField, std::move(limits)},
+                 {kNoticesField, std::move(notices)}};
+  if (message.cut_off)
+    object[kCutOffField] = *message.cut_off;
+  const std::vector<uint8_t> encoded = Json::to_cbor(object);
   return {encoded.begin(), encoded.end()};
 }
 
@@ -156,6 +159,8 @@
     // Hosts of an older version leave the notices out.
     for (const Json& notice : object.value(kNoticesField, Json::array()))
       message.observations.notices.push_back(DecodeNotice(notice));
+    if (object.contains(kCutOffField))
+      message.cut_off = object.at(kCutOffField).get<bool>();
     return message;
   } catch (const Json::exception& error) {
     return {ResultCode::kProtocolError,
--- a/lib/gateway/upstream_health.cc
+++ b/lib/gateway/upstream_health.cc
@@ -66,6 +66,18 @@
   domain_stats_.erase(found);
 }
 
+void UpstreamHealth::OnHostReconnected() {
+  for (auto& [name, domain] : domain_stats_)
+    events_.push_back({"", name, /*ejected=*/false, Duration::zero(), 0, 0,
+                       domain.consecutive_ejections});
+  domain_stats_.clear();
+  for (auto& [id, stats] : upstream_stats_) {
+    stats.failures = 0;
+    stats.ejected_until = TimePoint{};
+    stats.consecutive_ejections = 0;
+  }
+}
+
 void UpstreamHealth::OnMisdirected(const std::string& id, TimePoint now) {
   UpstreamStats& stats = DecayCounts(id, now);
   stats.failures += 1;
--- a/lib/net/http_client.cc
+++ b/lib/net/http_client.cc
@@ -135,8 +135,9 @@
       curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                        CurlMilliseconds(request_.total_timeout));
     if (!request_.source_address.empty())
+      // The prefix keeps libcurl from looking for an interface of this name.
       curl_easy_setopt(easy, CURLOPT_INTERFACE,
-                       request_.source_address.c_str());
+                       ("host!" + request_.source_address).c_str());
     if (request_.fresh_connection)
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     if (request_.close_connection)
--- a/lib/net/http_types.cc
+++ b/lib/net/http_types.cc
@@ -8,6 +8,13 @@
 
 namespace teaselhill::net {
 
+static std::string_view TrimSpaces(std::string_view text) {
+  constexpr std::string_view kSpaces = " \t";
+  const size_t begin = std::min(text.find_first_not_of(kSpaces), text.size());
+  text.remove_prefix(begin);
+  return text.substr(0, text.find_last_not_of(kSpaces) + 1);
+}
+
 bool SameHeaderName(std::string_view a, std::string_view b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                     [](unsigned char x, unsigned char y) {
@@ -24,6 +31,42 @@
   return std::nullopt;
 }
 
+bool IsHopByHop(std::string_view name, const Headers& headers) {
+  static constexpr std::string_view kNames[] = {"Content-Length",
+                                                "Transfer-Encoding",
+                                                "Connection",
+                                                "Keep-Alive",
+                                                "Proxy-Connection",
+                                                "Proxy-Authorization",
+                                                "Proxy-Authenticate",
+                                                "TE",
+                                                "Trailer",
+                                                "Upgrade",
+                                                "Expect"};
+  for (std::string_view known : kNames) {
+    if (SameHeaderName(name, known))
+      return true;
+  }
+  for (const Header& header : headers) {
+    if (!SameHeaderName(header.name, "Connection"))
+      continue;
+    std::string_view list = header.value;
+    while (!list.empty()) {
+      const size_t comma = std::min(list.find(','), list.size());
+      if (SameHeaderName(name, TrimSpaces(list.substr(0, comma))))
+        return true;
+      list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+  }
+  return false;
+}
+
+bool IsEventStream(const Headers& headers) {
+  constexpr std::string_view kType = "text/event-stream";
+  const auto type = FindHeader(headers, "Content-Type");
+  return type && SameHeaderName(type->substr(0, kType.size()), kType);
+}
+
 static int HexValue(char c) {
   if (c >= '0' && c <= '9')
     return c - '0';
--- a/unittests/gateway/peer_exchange_test.cc
+++ b/unittests/gateway/peer_exchange_test.cc
@@ -55,7 +55,7 @@
   }
 
   HostRecord Announcement() const {
-    return {name_, {}, "127.0.1.77:" + std::to_string(exchange_.port())};
+    return {name_, {}, "127.0.1.77:" + std::to_string(exchange_.port()), ""};
   }
   PeerExchange& exchange() { return exchange_; }
   const std::vector<CrashRecord>& received() const { return received_; }
@@ -110,7 +110,7 @@
     peer.exchange().AddPeers(records);
   const auto timeout = loop.timers().After(std::chrono::seconds(10),
                                            [&](TimePoint) { loop.Stop(); });
-  peers.front().exchange().Send({0, "", {MakeRecord()}, {}});
+  peers.front().exchange().Send({0, "", {MakeRecord()}, {}, {}});
   loop.Run();
   CHECK(waiting == 0);
   for (const Peer& peer : peers)
@@ -132,9 +132,11 @@
   message.observations.notices = {
       {{"i-4", 7}, /*leaving=*/true, {}},
       {{"i-5", 8}, /*leaving=*/false, std::chrono::milliseconds(90)}};
+  message.cut_off = GENERATE(true, false);
   const Result<PeerMessage> decoded =
       DecodePeerMessage(EncodePeerMessage(message));
   REQUIRE(decoded);
+  CHECK(decoded->cut_off == message.cut_off);
   CHECK(decoded->id == 9);
   CHECK(decoded->sender == "host-1");
   REQUIRE(decoded->records.size() == 2);
@@ -164,7 +166,7 @@
 TEST_CASE("a text that is no message is refused") {
   const std::string text = GENERATE(
       std::string(), std::string("{}"), std::string("\xa0", 1),
-      EncodePeerMessage({1, "host-1", {MakeRecord()}, {}}).substr(0, 40));
+      EncodePeerMessage({1, "host-1", {MakeRecord()}, {}, {}}).substr(0, 40));
   CHECK_FALSE(DecodePeerMessage(text));
 }
 
--- a/unittests/gateway/peer_streams_test.cc
+++ b/unittests/gateway/peer_streams_test.cc
@@ -28,7 +28,7 @@
   }
   void OnPeerMessage(PeerMessage message) override {}
   HostRecord Announcement() const {
-    return {name, {}, "127.0.1.78:" + std::to_string(exchange.port())};
+    return {name, {}, "127.0.1.78:" + std::to_string(exchange.port()), ""};
   }
 
   std::string name;
@@ -63,7 +63,7 @@
   }
   // Nothing listens there.
   for (int i = 0; i < row.lost; ++i)
-    records.push_back({"lost-" + std::to_string(i), {}, "127.0.1.79:1"});
+    records.push_back({"lost-" + std::to_string(i), {}, "127.0.1.79:1", ""});
   for (Host& host : hosts)
     host.exchange.AddPeers(records);
   std::vector<StreamAnswer> answers;
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -211,6 +211,37 @@
     CHECK(value(dropped).empty());
 }
 
+TEST_CASE("a request for another host reads like the caller's") {
+  const CallerHeaders callers;
+  net::HttpRequest request = CallerHttp();
+  request.body = "{}";
+  request.headers.push_back({"Last-Event-Id", "3"});
+  gateway::ForwardContext context;
+  context.address = "10.0.0.2:7215";
+  context.time_left = std::chrono::milliseconds(1500);
+  context.resume_after = 7;
+  context.resumed_attempt_id = "77aa";
+  const net::ClientRequest forwarded =
+      callers.BuildForwardRequest(request, context);
+  CHECK(forwarded.url == "http://10.0.0.2:7215");
+  CHECK(forwarded.target == "/p/2f?x=%2F");
+  CHECK(forwarded.body == "{}");
+  net::HttpRequest received = request;
+  received.headers = forwarded.headers;
+  const auto caller = callers.ReadRequest(received);
+  REQUIRE(caller);
+  CHECK(caller->attempt_id == "9c41");
+  CHECK(caller->host == "h.example");
+  CHECK(caller->api_key == "k");
+  CHECK(caller->deadline == std::chrono::milliseconds(1500));
+  CHECK(caller->resume_after == 7);
+  CHECK(caller->resumed_attempt_id == "77aa");
+  CHECK(caller->prompt_segments.size() == 2);
+  CHECK_FALSE(net::FindHeader(forwarded.headers, "Connection"));
+  CHECK_FALSE(net::FindHeader(forwarded.headers, "X-Own"));
+  CHECK(net::FindHeader(forwarded.headers, "X-Kept"));
+}
+
 TEST_CASE("a response head is classified by its status and headers") {
   struct Row {
     const char* description;
--- a/unittests/platform/fleet_records_test.cc
+++ b/unittests/platform/fleet_records_test.cc
@@ -128,11 +128,13 @@
 
 TEST_CASE("a host record reads as it was written") {
   const KeyedRecord record =
-      EncodeHost({"front-1", {}, "10.1.0.19:7200"}, kNow);
+      EncodeHost({"front-1", {}, "10.1.0.19:7200", "10.1.0.19:7215"}, kNow);
   const auto read = DecodeHost(record, kNow + milliseconds(250));
   REQUIRE(read);
   CHECK(read->host == "front-1");
   CHECK(read->age == milliseconds(250));
+  CHECK(read->peer_address == "10.1.0.19:7200");
+  CHECK(read->relay_address == "10.1.0.19:7215");
   CHECK_FALSE(DecodeCrash(record, kNow));
   CHECK_FALSE(DecodeHost({0, record.key, std::nullopt}, kNow));
   CHECK_FALSE(DecodeHost({0, record.key, "[]"}, kNow));
--- a/unittests/platform/store_outage_test.cc
+++ b/unittests/platform/store_outage_test.cc
@@ -49,7 +49,7 @@
     source_ = std::make_unique<StoreSource>(timers_, store_,
                                             Duration(kMaxDrainDelay));
     fleet_log_ = std::make_unique<FleetTopic>(
-        timers_, store_, gateway::HostRecord{"this", {}, ""});
+        timers_, store_, gateway::HostRecord{"this", {}, "", ""});
     source_->Subscribe(*this);
     fleet_log_->Subscribe(*this);
   }
@@ -62,7 +62,7 @@
                       R"(,"routes":[],"services":[],"limits":{}})");
     store_->Write(kUpstreamTopic, number, "");
     const KeyedRecord host =
-        EncodeHost({"h" + number, {}, ""}, teaselhill::WallNow());
+        EncodeHost({"h" + number, {}, "", ""}, teaselhill::WallNow());
     store_->Write(kFleetTopic, host.key, *host.value);
     for (const char* topic : {kConfigTopic, kUpstreamTopic, kFleetTopic})
       due_from_[topic][changes_] = due_from;
