--- a/scripts/soak/caller.py
+++ b/scripts/soak/caller.py
@@ -7,11 +7,14 @@
 import http_io
 import prompts
 import upstream
+from budget import DEADLINE_S
 from versions import CONTACT_S, take_up
 
 PATHS = {"safe": "/safe/x", "once": "/once/x", "stream": "/stream/x",
          "draft": "/draft/x"}
 STREAMS = ("stream", "draft")
+# Time before the deadline of a request at which its host gives it up.
+DEADLINE_MARGIN_S = 0.1
 LEAVES_AFTER_PIECE = 0.2  # of the callers that leave a stream to take it up
 QUEUE_FULL = b'"code":2001'  # refused because answers would begin too late
 QUARANTINED = b'"code":2006'  # refused because the request crashes upstreams
@@ -141,6 +144,8 @@
         self.ledger.served[request_id] = False
         planned = host.only_terminated(sent_at, incarnation)
         faulty = self.fleet.upstreams_disturbed_since(sent_at - 3)
-        if planned and not faulty and self.ledger.runs[request_id]:
+        overdue = time.monotonic() > sent_at + DEADLINE_S - DEADLINE_MARGIN_S
+        if (planned and not faulty and not overdue
+                and self.ledger.runs[request_id]):
             self.ledger.violate("cut", f"{request_id} was cut by a shutdown "
                                 f"of {host.name}")
