Relay requests to hosts that drain or have failed rather than to none

A draining host serves relayed requests as long as it serves its own, hosts that have failed are asked last, and a refusal by a host that cannot connect itself is tried elsewhere.

--- a/include/teaselhill/gateway/relay.h
+++ b/include/teaselhill/gateway/relay.h
@@ -61,8 +61,8 @@
     std::string address;  ///< IP address and port
   };
 
-  /// Time for which a host is left alone that could not be reached or told that
-  /// it is cut off itself. It repeats that more often.
+  /// Time for which a host is avoided that did not serve a request, or that
+  /// told that it is cut off itself. It repeats that more often.
   static constexpr std::chrono::seconds kAvoidance{2};
 
   /// `own_host`: is never a peer.
@@ -73,7 +73,8 @@
   /// The host tells that it is, or is not any more, cut from all upstreams.
   void OnReach(const std::string& host, bool cut, TimePoint now);
 
-  /// A host at random, other than `tried`; nothing if none is left.
+  /// A host at random, other than `tried` and those that are cut off; nothing
+  /// if none is left. Hosts that have failed come last: they may be back.
   std::optional<Peer> Pick(const std::vector<std::string>& tried,
                            Rng& rng,
                            TimePoint now) const;
@@ -85,7 +86,8 @@
   std::string own_host_;
   std::map<std::string, std::string> address_by_host_;
   std::unordered_set<std::string> fleet_ips_;
-  std::map<std::string, TimePoint> avoided_until_;  ///< by host
+  std::map<std::string, TimePoint> failed_at_;  ///< by host
+  std::map<std::string, TimePoint> cut_at_;     ///< by host, as last told
 };
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -134,8 +134,7 @@
 /// traffic thread.
 class RelayHandler : public net::HttpHandler {
  public:
-  RelayHandler(Gateway& gateway, const SharedState& shared)
-      : gateway_(gateway), shared_state_(shared) {}
+  explicit RelayHandler(Gateway& gateway) : gateway_(gateway) {}
 
   void Handle(net::HttpRequest request,
               std::shared_ptr<net::ResponseWriter> response) override {
@@ -145,8 +144,6 @@
     if (!origin || !from_fleet)
       return Refuse({ResultCode::kUnknownPath, "for hosts of the fleet only"},
                     *response);
-    if (shared_state_.draining)
-      return Refuse({ResultCode::kDraining, ""}, *response);
     gateway_.HandleRelayed(std::move(request), std::move(*origin),
                            std::move(response));
   }
@@ -159,7 +156,6 @@
   }
 
   Gateway& gateway_;
-  const SharedState& shared_state_;
 };
 
 /// Runs an event loop on its own thread and joins it on destruction.
@@ -203,7 +199,7 @@
                        MakeListenerOptions(settings.caller_endpoint,
                                            MaxCallerConnections()),
                        gateway_),
-        relay_handler_(gateway_, shared_state_),
+        relay_handler_(gateway_),
         relay_server_(traffic_loop_, MakeRelayOptions(), relay_handler_),
         readiness_server_(control_loop_,
                           MakeListenerOptions(settings.readiness_endpoint, 64),
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -194,7 +194,8 @@
   UpstreamEntry upstream_;
   std::optional<RelayPeers::Peer> relay_peer_;  ///< of the current attempt
   std::vector<std::string> relayed_to_;         ///< hosts
-  Duration expected_prefill_{};                 ///< of the current attempt
+  int runs_before_relay_ = 0;    ///< ExchangeState::possible_runs
+  Duration expected_prefill_{};  ///< of the current attempt
   TimePoint sent_at_{};
   /// Last progress of the current attempt; a stall that has no consequence
   /// counts as progress.
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -55,7 +55,8 @@
   const TimePoint now = BootNow();
   RecordOutcome(outcome, now);
   if (outcome == AttemptOutcome::kNotRun || outcome == AttemptOutcome::kNotSent)
-    --state_.possible_runs;
+    state_.possible_runs =
+        relay_peer_ ? runs_before_relay_ : state_.possible_runs - 1;
   StopAttempt();
   event_stream_.DiscardPartial();
   transfer_paused_ = false;
--- a/lib/gateway/exchange_relay.cc
+++ b/lib/gateway/exchange_relay.cc
@@ -51,7 +51,7 @@
   relay_peer_ = peer;
   relayed_to_.push_back(peer.host);
   upstream_ = {};
-  ++state_.possible_runs;
+  runs_before_relay_ = state_.possible_runs;
   BeginAttempt(now);
   const std::optional<uint64_t> resume_after = ResumeAfter();
   gateway_.log_.Write(LineKind::kRoutine,
@@ -74,8 +74,9 @@
   request.source_address = gateway_.options_.relay_source_address;
   RelayOrigin origin;
   origin.host = gateway_.options_.host;
-  // This attempt is one of the runs that are possible by now.
-  origin.attempts_left = state_.max_attempts - state_.possible_runs + 1;
+  origin.attempts_left = state_.max_attempts - state_.possible_runs;
+  // Until it answers, the host may have used all of them.
+  state_.possible_runs = state_.max_attempts;
   AddRelayOrigin(origin, &request.headers);
   StartTransfer(std::move(request), now);
 }
@@ -89,7 +90,7 @@
         AttemptOutcome::kBroken,
         "not a response of a host: status " + std::to_string(status));
   }
-  state_.possible_runs += std::max(0, relayed->runs - 1);
+  state_.possible_runs = runs_before_relay_ + std::max(1, relayed->runs);
   upstream_.version = relayed->version;
   ResponseHead head;
   head.kind = ResponseKind::kResponse;
@@ -107,16 +108,13 @@
   upstream_retry_after_ = RelayRetryAfter(headers);
   const std::string detail =
       "refused by the host: " + std::string(Describe(code).name);
-  if (Describe(code).outcome != Outcome::kNotRun) {
-    // The host has used up the attempts that were left.
-    state_.possible_runs = std::max(state_.possible_runs, state_.max_attempts);
+  if (Describe(code).outcome != Outcome::kNotRun)
     return EndAttempt(AttemptOutcome::kBroken, detail);
-  }
   if (MayServeElsewhere(code)) {
     gateway_.relay_peers_.OnFailed(relay_peer_->host, BootNow());
     return EndAttempt(AttemptOutcome::kNotRun, detail);
   }
-  --state_.possible_runs;
+  state_.possible_runs = runs_before_relay_;
   StopAttempt();
   relay_peer_.reset();
   ApplyFinalStep(FinalStepAfterTimeout(state_, code));
--- a/lib/gateway/exchange_timeouts.cc
+++ b/lib/gateway/exchange_timeouts.cc
@@ -65,8 +65,11 @@
           : route.answer_target;
   const Duration mean_delay =
       gateway_.upstream_health_.MeanServiceDelay(request_.service, BootNow());
-  return std::max<Duration>(
-      {2 * target, kStallDelayFactor * mean_delay, kMinStallTimeout});
+  // The serving host knows better when an upstream stalls, and tries another.
+  const Duration host_timeout =
+      relay_peer_ ? (state_.deadline - sent_at_) / 2 : Duration::zero();
+  return std::max<Duration>({2 * target, kStallDelayFactor * mean_delay,
+                             kMinStallTimeout, host_timeout});
 }
 
 void Exchange::OnTimer(TimePoint now) {
--- a/lib/gateway/relay.cc
+++ b/lib/gateway/relay.cc
@@ -108,6 +108,8 @@
     case ResultCode::kDraining:
     case ResultCode::kNoConfiguration:
     case ResultCode::kNoUpstream:
+    // Also what a host answers that does not know yet that it is cut off.
+    case ResultCode::kUpstreamRefused:
     case ResultCode::kUnknownPath:
     case ResultCode::kBadKey:
       return true;
@@ -126,34 +128,41 @@
 }
 
 void RelayPeers::OnFailed(const std::string& host, TimePoint now) {
-  avoided_until_[host] = now + kAvoidance;
+  failed_at_[host] = now;
 }
 
 void RelayPeers::OnReach(const std::string& host, bool cut, TimePoint now) {
+  failed_at_.erase(host);
   if (cut)
-    avoided_until_[host] = now + kAvoidance;
+    cut_at_[host] = now;
   else
-    avoided_until_.erase(host);
+    cut_at_.erase(host);
 }
 
 std::optional<RelayPeers::Peer> RelayPeers::Pick(
     const std::vector<std::string>& tried,
     Rng& rng,
     TimePoint now) const {
+  const auto is_recent = [now](const std::map<std::string, TimePoint>& times,
+                               const std::string& host) {
+    const auto found = times.find(host);
+    return found != times.end() && now - found->second < kAvoidance;
+  };
   std::vector<Peer> peers;
+  std::vector<Peer> failed_peers;
   for (const auto& [host, address] : address_by_host_) {
-    const auto avoided = avoided_until_.find(host);
-    const bool is_avoided =
-        avoided != avoided_until_.end() && now < avoided->second;
-    if (!is_avoided &&
-        std::find(tried.begin(), tried.end(), host) == tried.end())
-      peers.push_back({host, address});
+    const bool was_tried =
+        std::find(tried.begin(), tried.end(), host) != tried.end();
+    if (!was_tried && !is_recent(cut_at_, host))
+      (is_recent(failed_at_, host) ? failed_peers : peers)
+          .push_back({host, address});
   }
-  if (peers.empty())
+  const std::vector<Peer>& candidates = peers.empty() ? failed_peers : peers;
+  if (candidates.empty())
     return std::nullopt;
-  const auto index =
-      static_cast<size_t>(rng.Uniform() * static_cast<double>(peers.size()));
-  return peers[std::min(index, peers.size() - 1)];
+  const auto index = static_cast<size_t>(
+      rng.Uniform() * static_cast<double>(candidates.size()));
+  return candidates[std::min(index, candidates.size() - 1)];
 }
 
 bool RelayPeers::IsFleetAddress(std::string_view ip) const {
