--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -120,6 +120,11 @@
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
 
+    def serves(self):
+        """Ready, and not told to stop."""
+        return (self.ready and self.process.returncode is None
+                and self.incarnation not in self.terminated)
+
     def peak_memory_mb(self):
         """Of the present process; 0 if there is none."""
         try:
@@ -480,12 +485,13 @@
     """Some hosts reach no upstream for a while; all else reaches them."""
     if fleet.cuts.running(time.monotonic()):
         return
-    count = fleet.rng.randint(1, len(fleet.hosts) // 2 + 1)
+    count = fleet.rng.randint(2, len(fleet.hosts) // 2 + 1)
     cut = fleet.rng.sample(fleet.hosts, count)
     mode = fleet.options.cut_mode or fleet.rng.choice(CUT_MODES)
     seconds = fleet.rng.uniform(4, 6)
+    fleet.hold_upstream_fault(seconds)
     fleet.cuts.on_cut(cut, time.monotonic(), seconds)
-    await asyncio.gather(*(
+    await asyncio.gather(fleet.cuts.watch_helpers(fleet.hosts), *(
         upstream.proxy.cut(fleet.upstreams_of(each.number), mode, seconds)
         for upstream in fleet.upstreams for each in cut))
 
