Take no upstream for crashed while this host reaches none

Hosts that were cut from all upstreams told the others of crashes that had not happened: a health check that found nobody was proof of a crash, whatever the host could reach. Sound requests could be held and refused everywhere. A failed check counts only if this host has reached another upstream on a connection opened since the loss; if it has not, it checks one. Entries of the directory decide as before.

Rows of the new unit test fail without the condition: refused, closed and silent give a crash.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -44,6 +44,9 @@
     virtual void OnClaimsToShare(std::vector<TrialClaim> claims) = 0;
     /// Whether a health check may be sent to the upstream now.
     virtual bool MayProbe(const UpstreamProcess& upstream) = 0;
+    /// Whether this host has reached an upstream since then. May find that out
+    /// only after the call, so a probe that fails is sent again.
+    virtual bool HasReachedUpstreamSince(TimePoint time) = 0;
   };
 
   /// An attempt of a request with crashes that is in flight at an upstream; the
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -175,6 +175,7 @@
   /// A health check counts as a request at an upstream that names a limit or
   /// wants a pause.
   bool MayProbe(const UpstreamProcess& upstream) override;
+  bool HasReachedUpstreamSince(TimePoint time) override;
 
   void Accept(net::HttpRequest request,
               std::optional<RelayOrigin> origin,
--- a/include/teaselhill/gateway/loss_reviewer.h
+++ b/include/teaselhill/gateway/loss_reviewer.h
@@ -112,10 +112,16 @@
   std::vector<DueProbe> TakeDueProbes(TimePoint now);
   /// A due probe was not sent. The directory may decide without it.
   void OnProbeSkipped(const UpstreamProcess& process, TimePoint now);
+  /// `reaches_others`: this host has reached an upstream since the process was
+  /// lost. A host that is cut off finds no upstream alive.
   std::vector<LossVerdict> OnProbe(const UpstreamProcess& process,
                                    const ProbeReport& report,
+                                   bool reaches_others,
                                    TimePoint now,
                                    WallTime wall_now);
+  /// First loss of the process since its last sign of life; nothing if it is
+  /// not under review.
+  std::optional<TimePoint> FirstLostAt(const UpstreamProcess& process) const;
 
   /// Compares the open reviews with the directory, and ends old reviews.
   /// `read_at`: when the directory's source last answered.
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -225,7 +225,12 @@
              now);
   if (report.identity.id == process.id)
     seen_alive_at_[process] = report.sent_at;
-  ApplyVerdicts(reviewer_.OnProbe(process, report, now, WallNow()), now);
+  const std::optional<TimePoint> lost_at = reviewer_.FirstLostAt(process);
+  const bool answered = report.outcome == ProbeReport::Outcome::kAnswered;
+  const bool reaches_others =
+      answered || !lost_at || handler_.HasReachedUpstreamSince(*lost_at);
+  ApplyVerdicts(
+      reviewer_.OnProbe(process, report, reaches_others, now, WallNow()), now);
   ScheduleReview();
 }
 
--- a/lib/gateway/gateway_reach.cc
+++ b/lib/gateway/gateway_reach.cc
@@ -95,4 +95,11 @@
                       });
 }
 
+bool Gateway::HasReachedUpstreamSince(TimePoint time) {
+  if (reach_.ReachedAfter(time))
+    return true;
+  ProbeReach();
+  return false;
+}
+
 }  // namespace teaselhill::gateway
--- a/lib/gateway/loss_reviewer.cc
+++ b/lib/gateway/loss_reviewer.cc
@@ -143,8 +143,17 @@
   ScheduleNextProbe(found->second, now);
 }
 
+std::optional<TimePoint> LossReviewer::FirstLostAt(
+    const UpstreamProcess& process) const {
+  const auto found = reviews_.find(process);
+  if (found == reviews_.end())
+    return std::nullopt;
+  return found->second.first_lost_at;
+}
+
 std::vector<LossVerdict> LossReviewer::OnProbe(const UpstreamProcess& process,
                                                const ProbeReport& report,
+                                               bool reaches_others,
                                                TimePoint now,
                                                WallTime wall_now) {
   const auto found = reviews_.find(process);
@@ -155,6 +164,8 @@
   ScheduleNextProbe(review, now);
   if (report.sent_at < review.first_lost_at)
     return {};
+  if (report.outcome != ProbeReport::Outcome::kAnswered && !reaches_others)
+    return {};
   switch (report.outcome) {
     case ProbeReport::Outcome::kAnswered:
       return OnResponse(process, review, report, now, wall_now);
--- a/unittests/gateway/loss_reviewer_test.cc
+++ b/unittests/gateway/loss_reviewer_test.cc
@@ -59,8 +59,8 @@
       case Step::Kind::kProbe: {
         reviewer.TakeDueProbes(now);
         const UpstreamProcess process{kId, entry.incarnation};
-        Keep(reviewer.OnProbe(process, {step.outcome, step.identity, now}, now,
-                              WallAt(step.at)));
+        Keep(reviewer.OnProbe(process, {step.outcome, step.identity, now},
+                              reaches_others, now, WallAt(step.at)));
         return;
       }
       case Step::Kind::kData:
@@ -99,6 +99,7 @@
   UpstreamEntry entry;
   UpstreamList list;
   LossReviewer reviewer;
+  bool reaches_others = true;  ///< the host has reached an upstream since
   Expected result = Expected::kUndecided;
 };
 
@@ -334,4 +335,31 @@
   CHECK(fixture.reviewer.empty());
 }
 
+TEST_CASE("a host that reaches no upstream takes none for crashed") {
+  using Kind = Step::Kind;
+  struct Row {
+    const char* name;
+    Outcome outcome;
+    bool reaches_others;
+    Expected expected;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"refused, cut off", Outcome::kRefused, false, Expected::kUndecided},
+      {"closed, cut off", Outcome::kClosed, false, Expected::kUndecided},
+      {"silent, cut off", Outcome::kSilent, false, Expected::kUndecided},
+      {"refused", Outcome::kRefused, true, Expected::kCrashed},
+      {"closed", Outcome::kClosed, true, Expected::kCrashed},
+      {"silent", Outcome::kSilent, true, Expected::kCrashed},
+  }));
+  INFO(row.name);
+  Fixture fixture(kWallStartMs - 60000);
+  fixture.reaches_others = row.reaches_others;
+  fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list,
+                                    fixture.start - milliseconds(50),
+                                    fixture.start);
+  for (int i = 1; i <= 4; ++i)
+    fixture.Apply({milliseconds(400 * i), Kind::kProbe, row.outcome});
+  CHECK(fixture.result == row.expected);
+}
+
 }  // namespace teaselhill::gateway
