Bound the open requests of the fleet at brittle upstreams

Upstreams that say that they end if they have to refuse many requests ended again and again, as hosts sent each of them what they would send to any. A brittle upstream's slots are divided among the hosts as a bound on open requests, with what is left over at other hosts for each upstream. A refusal shrinks the bound on all hosts; it grows back slowly. Less urgent requests leave a quarter of a host's part free.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaselhill/gateway/brittle_upstreams.h"
 #include "teaselhill/gateway/crash_guard.h"
 #include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/exchange_policy.h"
@@ -109,6 +110,7 @@
   void SetFleetPosition(const FleetPosition& position) {
     retry_budget_.SetPosition(position);
     upstream_notices_.limits().SetPosition(position);
+    brittle_upstreams_.SetPosition(position);
   }
 
   /// Call before the loop runs.
@@ -198,6 +200,7 @@
   /// What an upstream says of itself in its answer.
   void OnUpstreamNotice(const UpstreamEntry& upstream,
                         const UpstreamNotice& notice,
+                        bool refused,
                         TimePoint sent_at);
   void LogNoticeChanges(std::string_view source, TimePoint now);
 
@@ -247,6 +250,7 @@
   TimerSubscription reach_timer_;
   RelayPeers relay_peers_;
   UpstreamNotices upstream_notices_;
+  BrittleUpstreams brittle_upstreams_;
   StreamVersions stream_versions_;
   StreamPeers* stream_peers_ = nullptr;
   std::shared_ptr<const UpstreamList> followed_upstreams_;
--- a/include/teaselhill/gateway/upstream_notices.h
+++ b/include/teaselhill/gateway/upstream_notices.h
@@ -22,6 +22,8 @@
   bool leaving = false;
   /// Time in which it wants no requests of this host; zero: none is named.
   Duration pause{};
+  /// The upstream ends if it has to refuse many requests for want of room.
+  bool brittle = false;
 };
 
 /// A notice as hosts tell it each other.
@@ -35,8 +37,12 @@
 struct UpstreamObservations {
   std::vector<LimitObservation> limits;
   std::vector<NoticeObservation> notices;
+  /// Brittle upstreams that had no room for a request.
+  std::vector<UpstreamProcess> refusals;
 
-  bool empty() const { return limits.empty() && notices.empty(); }
+  bool empty() const {
+    return limits.empty() && notices.empty() && refusals.empty();
+  }
 };
 
 /// A notice for the log.
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -228,6 +228,7 @@
   gateway_.placement_->OnRequestSent(request_.placement_request, upstream_,
                                      now);
   UseTurn();
+  open_request_ = gateway_.brittle_upstreams_.Open(upstream_.id);
   const std::optional<uint64_t> resume_after = ResumeAfter();
   LogLine line = RequestLogLine("placed");
   if (request_.relay_origin)
@@ -307,6 +308,7 @@
   const std::shared_ptr<Attempt> stopped_attempt = std::move(attempt_);
   attempt_.reset();
   suspect_run_.reset();
+  open_request_.reset();
   if (!stopped_attempt)
     return;
   gateway_.client_.Cancel(stopped_attempt->transfer);
@@ -330,7 +332,8 @@
   upstream_retry_after_ = head.retry_after;
   if (head.kind != ResponseKind::kUnrelated &&
       head.kind != ResponseKind::kWrongUpstream)
-    gateway_.OnUpstreamNotice(upstream_, head.notice, sent_at_);
+    gateway_.OnUpstreamNotice(upstream_, head.notice,
+                              head.kind == ResponseKind::kNotRun, sent_at_);
   switch (head.kind) {
     case ResponseKind::kResponse:
       response_head_ = std::move(head);
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -188,6 +188,7 @@
   CrashAssessment crash_assessment_;  ///< as of the last placement
   /// Marks the current attempt for the placement of other requests.
   std::unique_ptr<CrashGuard::SuspectRun> suspect_run_;
+  BrittleUpstreams::OpenRequest open_request_;  ///< of the current attempt
   uint64_t directory_offset_ = 0;  ///< of the last upstream list that was used
   /// Of the current or last attempt; only the version is set if another host
   /// sends the request.
--- a/lib/gateway/exchange_limits.cc
+++ b/lib/gateway/exchange_limits.cc
@@ -8,6 +8,15 @@
 
 namespace teaselhill::gateway {
 
+namespace {
+
+constexpr Tier kUrgentTier = 0;
+
+/// Delay after which a caller may find room at brittle upstreams.
+constexpr std::chrono::milliseconds kRoomRetryAfter{300};
+
+}  // namespace
+
 bool Exchange::AreAllLimited() const {
   const auto list = gateway_.shared_state_.upstreams();
   const std::vector<UpstreamEntry>& upstreams =
@@ -23,9 +32,10 @@
 std::vector<std::string> Exchange::UpstreamsWithoutTurn() {
   const UpstreamNotices& notices = gateway_.upstream_notices_;
   std::vector<std::string> without_turn;
-  if (notices.empty())
+  if (notices.empty() && gateway_.brittle_upstreams_.empty())
     return without_turn;
   const TimePoint now = BootNow();
+  const bool urgent = request_.tier <= kUrgentTier;
   const double required_age =
       AreAllLimited() ? gateway_.limited_admission_.RequiredTurnAge(
                             request_.service, request_.gate_level(),
@@ -34,7 +44,8 @@
   const auto list = gateway_.shared_state_.upstreams();
   for (const UpstreamEntry& upstream : list->OfService(request_.service)) {
     const UpstreamProcess process{upstream.id, upstream.incarnation};
-    if (notices.IsExcluded(process, now) || !HasTurn(process, required_age))
+    if (notices.IsExcluded(process, now) || !HasTurn(process, required_age) ||
+        !gateway_.brittle_upstreams_.HasRoom(upstream, urgent, now))
       without_turn.push_back(upstream.id);
     else if (notices.IsAvoided(process, now))
       request_.placement_request.avoided_upstreams.push_back(upstream.id);
@@ -82,11 +93,14 @@
   double own_rate = 0;
   Duration until_next_turn = Duration::max();
   bool all_paused = true;
+  bool no_room = false;  // at an upstream that takes requests otherwise
   const auto list = gateway_.shared_state_.upstreams();
   for (const UpstreamEntry& upstream : list->OfService(request_.service)) {
     const UpstreamProcess process{upstream.id, upstream.incarnation};
     if (notices.IsLeaving(process))
       continue;
+    no_room |= notices.UntilPauseEnds(process, now) == Duration::zero() &&
+               !notices.limits().IsLimited(process);
     own_rate += notices.limits().OwnRate(process);
     all_paused &= notices.UntilPauseEnds(process, now) > Duration::zero();
     until_next_turn =
@@ -96,7 +110,8 @@
   }
   if (until_next_turn == Duration::max())
     return FailRequest({ResultCode::kNoUpstream, ""});
-  upstream_retry_after_ = all_paused
+  upstream_retry_after_ = no_room ? kRoomRetryAfter
+                          : all_paused
                               ? until_next_turn
                               : gateway_.limited_admission_.RetryAfter(
                                     request_.service, request_.gate_level(),
@@ -108,6 +123,7 @@
                           .Field("service", request_.service)
                           .Field("own_rate", own_rate)
                           .Field("all_paused", all_paused)
+                          .Field("no_room", no_room)
                           .Field("retry_after_ms", upstream_retry_after_),
                       now);
   ApplyFinalStep(FinalStepAfterTimeout(state_, ResultCode::kUpstreamsLimited));
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -88,8 +88,11 @@
     const CrashCounts counts = crash_guard_.Count(now);
     suspects_ = counts.suspects;
     quarantined_ = counts.quarantined;
-    if (const auto upstream_list = shared_state_.upstreams())
+    const auto upstream_list = shared_state_.upstreams();
+    if (upstream_list)
       upstream_notices_.Expire(*upstream_list, now);
+    if (upstream_list)
+      brittle_upstreams_.Expire(*upstream_list);
     FollowVersions(now);
     stream_versions_.Expire(now);
     LogNoticeChanges("directory", now);
@@ -247,6 +250,7 @@
 
 void Gateway::OnUpstreamNotice(const UpstreamEntry& upstream,
                                const UpstreamNotice& notice,
+                               bool refused,
                                TimePoint sent_at) {
   const UpstreamProcess process{upstream.id, upstream.incarnation};
   const TimePoint now = BootNow();
@@ -258,6 +262,16 @@
   upstream_notices_.OnAnswer(process, notice, sent_at, now, WallNow());
   LogNoticeChanges("answer", now);
   UpstreamObservations observations = upstream_notices_.TakeObservations(now);
+  if (notice.brittle != brittle_upstreams_.IsBrittle(process))
+    log_.Write(LineKind::kState,
+               LogLine(LogLevel::kInfo, "upstream_brittle")
+                   .Field("upstream", upstream.id)
+                   .Field("brittle", notice.brittle)
+                   .Field("slots", upstream.slots),
+               now);
+  brittle_upstreams_.OnAnswer(process, notice.brittle, sent_at, now);
+  if (refused && brittle_upstreams_.OnRefused(process, /*local=*/true, now))
+    observations.refusals.push_back(process);
   if (!observations.empty() && notice_publisher_)
     notice_publisher_(std::move(observations));
 }
@@ -265,6 +279,8 @@
 void Gateway::OnUpstreamObservations(const UpstreamObservations& observations) {
   const TimePoint now = BootNow();
   upstream_notices_.OnObservations(observations, now, WallNow());
+  for (const UpstreamProcess& process : observations.refusals)
+    brittle_upstreams_.OnRefused(process, /*local=*/false, now);
   LogNoticeChanges("peer", now);
 }
 
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -17,6 +17,7 @@
 constexpr const char* kRecordsField = "records";
 constexpr const char* kLimitsField = "limits";
 constexpr const char* kNoticesField = "notices";
+constexpr const char* kRefusalsField = "refusals";
 constexpr const char* kLeavingField = "leaving";
 constexpr const char* kCutOffField = "cut_off";
 constexpr const char* kPauseField = "pause_us";
@@ -139,6 +140,10 @@
                  {kRecordsField, std::move(records)},
                  {kLimitsField, std::move(limits)},
                  {kNoticesField, std::move(notices)}};
+  for (const UpstreamProcess& upstream : message.observations.refusals)
+    object[kRefusalsField].push_back(
+        {{kUpstreamField, upstream.id},
+         {kIncarnationField, upstream.incarnation}});
   if (message.cut_off)
     object[kCutOffField] = *message.cut_off;
   const std::vector<uint8_t> encoded = Json::to_cbor(object);
@@ -159,6 +164,10 @@
     // Hosts of an older version leave the notices out.
     for (const Json& notice : object.value(kNoticesField, Json::array()))
       message.observations.notices.push_back(DecodeNotice(notice));
+    for (const Json& refusal : object.value(kRefusalsField, Json::array()))
+      message.observations.refusals.push_back(
+          {refusal.at(kUpstreamField).get<std::string>(),
+           refusal.at(kIncarnationField).get<uint64_t>()});
     if (object.contains(kCutOffField))
       message.cut_off = object.at(kCutOffField).get<bool>();
     return message;
--- a/lib/gateway/upstream_notices.cc
+++ b/lib/gateway/upstream_notices.cc
@@ -64,7 +64,7 @@
 }
 
 UpstreamObservations UpstreamNotices::TakeObservations(TimePoint now) {
-  return {limits_.TakeObservations(now), std::exchange(unshared_, {})};
+  return {limits_.TakeObservations(now), std::exchange(unshared_, {}), {}};
 }
 
 const UpstreamNotices::State* UpstreamNotices::Find(
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -271,7 +271,8 @@
         upstream.registered_name = upstream.name
         upstream.registered_at = time.monotonic()
         return self.store.put("keyed.servers", upstream.name, {
-            "service": upstream.service, "zone": "z1", "slots": 8, "seq": 0,
+            "service": upstream.service, "zone": "z1", "seq": 0,
+            "slots": self.options.slots if upstream.brittle else 8,
             "addr": f"{self.network}.{UPSTREAMS}:{upstream.port}", "state": state,
             "version": upstream.version,
             **({} if self.options.new_ids else {"born": upstream.born})})
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 
+from brittle import BrittleWatch, check as check_brittle
 from caller import Caller
 from crash_styles import STYLES
 from crashing import (CONTACT_S, MOST_LATE_ARRIVALS, PAUSE_S, CrashingCaller,
@@ -19,7 +20,7 @@
 from ledger import Ledger
 from limits import check_use
 from probes import ConfigProbe
-from upstream import RESTART_S
+from upstream import RESTART_S, SLOTS
 
 CALLERS_PER_HOST = 4
 
@@ -104,6 +105,11 @@
     if options.limit_all is not None:
         for each in fleet.upstreams:
             each.name_limit(options.limit_all)
+    brittle = [each for each in fleet.upstreams if each.service == "llm"
+               and options.brittle is not None]
+    for each in brittle:
+        each.brittle = BrittleWatch(options.brittle, options.slots)
+        fleet.register(each)
     if options.store_away:
         asyncio.create_task(keep_store_away(fleet, options.seconds))
     await asyncio.gather(inject(fleet, random.Random(rng.random()), end, counts,
@@ -119,6 +125,8 @@
     for each in fleet.upstreams:
         each.limits.check(ledger, each.name)
         each.notices.check(ledger, each.name)
+    if brittle:
+        check_brittle(ledger, [each.brittle for each in brittle], end)
     if options.limit_all is not None:
         check_use(ledger, fleet.upstreams, end)
 
@@ -165,7 +173,7 @@
     promises = ["twice", "not_run", "mixed", "order", "unasked", "leaving",
                 "cut", "denied", "answer", "config_late", "config_backwards",
                 "urgent", "crashing", "crashes", "innocent", "attempts", "deadline",
-                "repeats", "served", "limit", "limit_use", "wait", "versions", "takes", "cut_off", "blamed", "endless", "memory"]
+                "repeats", "served", "limit", "limit_use", "wait", "versions", "takes", "cut_off", "blamed", "falls", "endless", "memory"]
     served = sum(n for name, n in ledger.requests.items()
                  if name.endswith("_200"))
     if served < 5 * options.seconds:
@@ -221,6 +229,10 @@
                         "that each upstream names as its limit from the start")
     parser.add_argument("--store-away", action="store_true",
                         help="the store is down from shortly after the start on")
+    parser.add_argument("--brittle", type=int, help="refusals a second above "
+                        "which engines fall over, from the start on")
+    parser.add_argument("--slots", type=int, default=SLOTS,
+                        help="streams that an engine runs at once")
     parser.add_argument("--cut-mode", choices=CUT_MODES, help="how hosts are cut "
                         "off from upstreams; default: each way in turn")
     parser.add_argument("--versions", type=int, default=1, help="software "
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -31,7 +31,7 @@
 LOOK_S = 0.1  # time after which a waiting request looks whether its caller left
 # Part of the answers that have neither a length nor chunks.
 UNFRAMED_PART = 0.1
-SLOTS = 2  # streams that an engine runs at once; callers overload three engines
+SLOTS = 2  # streams that an engine runs at once by default, an overload for three
 
 # Time after which an upstream that a request has crashed is back.
 RESTART_S = (0.8, 2.5)
@@ -69,7 +69,8 @@
         self.born = int(time.time() * 1000)
         self.down = False
         self.dead = False
-        self.slots = asyncio.Semaphore(SLOTS)
+        self.slots = asyncio.Semaphore(options.slots)
+        self.brittle = None  # watch, from when on it says that it is
         self.on_restart = lambda upstream: None
         self.limit = None  # requests a second that it takes from all hosts
         self.limits = LimitWatch()
@@ -136,6 +137,8 @@
             host = self.ledger.budget.hosts.get(request_id)
             if host is not None:
                 self.limits.on_answer(host, time.monotonic())
+        if self.brittle:
+            headers["Server-Brittle"] = self.brittle.refusals_per_second
         return {**headers, **self.notice_headers(request_id)}
 
     def notice_headers(self, request_id):
@@ -190,6 +193,12 @@
                 writer.write(http_io.response(
                     503, {**refusal, **self.notice_headers(request_id)}))
                 return True
+        if self.brittle and not self.brittle.has_room():
+            if self.brittle.on_refused():
+                asyncio.create_task(self.crash_for(self.rng.uniform(1, 2)))
+            writer.write(http_io.response(
+                503, {"X-Not-Run": "1", **self.common_headers(request_id)}))
+            return True
         if self.strikes("refuse"):
             writer.write(http_io.response(503, {"X-Not-Run": "1"}))
             return True
@@ -228,12 +237,9 @@
             writer.write(b"\x00\x01 not an answer\r\n\r\n")
             return False
         if "/stream" in line or "/draft" in line:
-            if not await self.wait_for_slot(reader):
-                return False
-            try:
-                return await self.stream(headers, common, reader, writer)
-            finally:
-                self.slots.release()
+            if self.brittle:
+                return await self.serve_brittle(headers, common, reader, writer)
+            return await self.serve_stream(headers, common, reader, writer)
         await asyncio.sleep(self.rng.uniform(0.002, 0.03))
         answer = f"{self.service} ran {request_id}".encode()
         common["X-Server-Seal"] = checksum(request_id, answer)
@@ -250,6 +256,25 @@
         await writer.drain()
         return True
 
+    async def serve_stream(self, headers, common, reader, writer):
+        if not await self.wait_for_slot(reader):
+            return False
+        began_at = time.monotonic()
+        try:
+            return await self.stream(headers, common, reader, writer)
+        finally:
+            self.slots.release()
+            if self.brittle:
+                self.brittle.on_served(began_at)
+
+    async def serve_brittle(self, headers, common, reader, writer):
+        brittle = self.brittle
+        brittle.open += 1
+        try:
+            return await self.serve_stream(headers, common, reader, writer)
+        finally:
+            brittle.open -= 1
+
     async def send_endlessly(self, request_id, common, beginning, repeated,
                              writer):
         """Sends until the caller closes, which it must do in time."""
--- a/unittests/gateway/peer_exchange_test.cc
+++ b/unittests/gateway/peer_exchange_test.cc
@@ -132,11 +132,14 @@
   message.observations.notices = {
       {{"i-4", 7}, /*leaving=*/true, {}},
       {{"i-5", 8}, /*leaving=*/false, std::chrono::milliseconds(90)}};
+  message.observations.refusals = {{"i-6", 9}};
   message.cut_off = GENERATE(true, false);
   const Result<PeerMessage> decoded =
       DecodePeerMessage(EncodePeerMessage(message));
   REQUIRE(decoded);
   CHECK(decoded->cut_off == message.cut_off);
+  REQUIRE(decoded->observations.refusals.size() == 1);
+  CHECK(decoded->observations.refusals[0] == UpstreamProcess{"i-6", 9});
   CHECK(decoded->id == 9);
   CHECK(decoded->sender == "host-1");
   REQUIRE(decoded->records.size() == 2);
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -371,6 +371,17 @@
   CHECK_FALSE(UpstreamHeaders().ReadHead(421, headers, caller).notice.leaving);
 }
 
+TEST_CASE("an upstream says in each answer that it is brittle") {
+  gateway::CallerRequest caller;
+  caller.attempt_id = "9c41";
+  teaselhill::net::Headers headers = {{"X-Attempt-Id", "9c41"}};
+  const int status = GENERATE(200, 500, 503);
+  CHECK_FALSE(
+      UpstreamHeaders().ReadHead(status, headers, caller).notice.brittle);
+  headers.push_back({"Server-Brittle", "3"});
+  CHECK(UpstreamHeaders().ReadHead(status, headers, caller).notice.brittle);
+}
+
 TEST_CASE("a load report without its counts is an error") {
   struct Row {
     int status;
