Take no silent upstream for crashed within a second and a half

Two health checks without an answer, at the earliest 0.75 s after a loss, made a crash of a process that only fell silent for a second, and the hosts told each other of it. A sound upstream may do that. A process counts as crashed for its silence only 1.5 s after the loss. The row "silent twice" of the table expected a crash after 450 ms, which contradicts this; it is undecided now, and a row for a longer silence is added. The new test failed before (a crash for a process that answers after 1.6 s). test/crash-evidence, crash-allowance and crashing-request pass.

--- a/include/teaselhill/gateway/loss_reviewer.h
+++ b/include/teaselhill/gateway/loss_reviewer.h
@@ -32,6 +32,8 @@
   Duration review_duration = std::chrono::seconds(6);
   /// Probes without any answer after which a process is taken for down.
   int silent_probes_until_down = 2;
+  /// Silence after a loss that a sound upstream may need to go on.
+  Duration max_sound_silence = std::chrono::milliseconds(1500);
   /// Time after a loss from which data on another connection shows that the
   /// process outlived the loss. A busy host reads data late that was sent
   /// before a crash.
--- a/lib/gateway/loss_reviewer.cc
+++ b/lib/gateway/loss_reviewer.cc
@@ -174,7 +174,8 @@
     case ProbeReport::Outcome::kClosed:
       return Unreachable(process, review, report.sent_at, "closed");
     case ProbeReport::Outcome::kSilent:
-      if (++review.silent_probes < options_.silent_probes_until_down)
+      if (++review.silent_probes < options_.silent_probes_until_down ||
+          now - review.first_lost_at < options_.max_sound_silence)
         return {};
       return Unreachable(process, review, report.sent_at, "silent");
   }
--- a/unittests/gateway/loss_reviewer_test.cc
+++ b/unittests/gateway/loss_reviewer_test.cc
@@ -92,6 +92,7 @@
     for (const LossVerdict& verdict : verdicts) {
       if (verdict.after < start && verdict.until >= start)
         result = verdict.crashed ? Expected::kCrashed : Expected::kAlive;
+      ever_crashed |= verdict.crashed;
     }
   }
 
@@ -99,6 +100,7 @@
   UpstreamEntry entry;
   UpstreamList list;
   LossReviewer reviewer;
+  bool ever_crashed = false;
   bool reaches_others = true;  ///< the host has reached an upstream since
   Expected result = Expected::kUndecided;
 };
@@ -156,6 +158,10 @@
       {"silent twice",
        0,
        {{probe_at, Kind::kProbe}, {milliseconds(450), Kind::kProbe}},
+       Expected::kUndecided},
+      {"silent for longer than a sound process may be",
+       0,
+       {{probe_at, Kind::kProbe}, {milliseconds(1600), Kind::kProbe}},
        Expected::kCrashed},
       {"the entry lapses",
        0,
@@ -362,4 +368,25 @@
   CHECK(fixture.result == row.expected);
 }
 
+TEST_CASE("a sound upstream that is silent for a second has not crashed") {
+  using Kind = Step::Kind;
+  const LossKind kind = GENERATE(LossKind::kGivenUp, LossKind::kConnectionLost);
+  const bool answers = GENERATE(true, false);
+  CAPTURE(kind == LossKind::kGivenUp, answers);
+  Fixture fixture(kWallStartMs - 60000);
+  fixture.reviewer.OnConnectionLost(fixture.entry, fixture.list,
+                                    fixture.start - milliseconds(500),
+                                    fixture.start, kind);
+  for (const int at : {330, 450, 700, 1000, 1300})
+    fixture.Apply({milliseconds(at), Kind::kProbe, Outcome::kSilent});
+  CHECK_FALSE(fixture.ever_crashed);
+  // One that stays silent has.
+  for (const int at : {1600, 1900, 2600})
+    fixture.Apply({milliseconds(at),
+                   Kind::kProbe,
+                   answers ? Outcome::kAnswered : Outcome::kSilent,
+                   {kId, {}}});
+  CHECK(fixture.ever_crashed != answers);
+}
+
 }  // namespace teaselhill::gateway
