--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import time
@@ -38,10 +39,24 @@
 RESTORE_PERIOD_S = 8.0
 
 
-def free_port(address):
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
+# Ports that the system never gives to connections or listeners by itself.
+HOST_PORTS = range(10000, 30000)
+
+
+def free_ports(address, count):
+    """Different ports that nobody else gets before the host listens on them."""
+    probes = []
+    while len(probes) < count:
+        probe = socket.socket()
+        try:
+            probe.bind((address, random.SystemRandom().choice(HOST_PORTS)))
+            probes.append(probe)
+        except OSError:
+            probe.close()
+    ports = [probe.getsockname()[1] for probe in probes]
+    for probe in probes:
+        probe.close()
+    return ports
 
 
 class Host:
@@ -52,10 +67,10 @@
         self.name = f"host-{number}"
         self.binary = binary
         self.address = f"{network}.{number + 1}"
-        self.callers = (self.address, free_port(self.address))
-        self.readiness = (self.address, free_port(self.address))
-        self.peer_port = free_port(self.address)
-        self.relay_port = free_port(self.address)
+        callers, readiness, self.peer_port, self.relay_port = free_ports(
+            self.address, 4)
+        self.callers = (self.address, callers)
+        self.readiness = (self.address, readiness)
         self.settings = os.path.join(folder, self.name + ".json")
         self.log = open(os.path.join(folder, self.name + ".log"), "ab")
         self.store_proxy = Proxy(store)
