--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -2,7 +2,6 @@
 /// Sends a request to upstreams and relays the answer to the caller.
 
 #include "exchange.h"
-#include "teaselhill/retry/crash_tracker.h"
 
 #include <algorithm>
 #include <utility>
@@ -37,22 +36,6 @@
 
 }  // namespace
 
-Hash128 RequestFingerprint(const net::HttpRequest& request,
-                           const std::string& team) {
-  return retry::Fingerprint(request.method + ' ' + request.target + ' ' + team,
-                            request.body);
-}
-
-CrashKeys RequestKeys(const net::HttpRequest& request,
-                      const CallerRequest& caller,
-                      const std::string& team) {
-  std::vector<CrashKey> parts;
-  // The last segment is unique to the request or its session.
-  for (size_t i = 0; i + 1 < caller.prompt_segments.size(); ++i)
-    parts.push_back(PromptPartKey(caller.prompt_segments[i].id));
-  return {RequestFingerprint(request, team), std::move(parts), team};
-}
-
 std::string AcceptedRequest::SharedPartsText() const {
   std::string text;
   for (size_t i = 0; i + 1 < caller.prompt_segments.size(); ++i) {
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -12,20 +12,11 @@
 #include "teaselhill/gateway/crash_keys.h"
 #include "teaselhill/gateway/event_stream.h"
 #include "teaselhill/gateway/gateway.h"
+#include "teaselhill/gateway/request_keys.h"
 #include "teaselhill/support/hash.h"
 
 namespace teaselhill::gateway {
 
-/// Hash of what a repeated request has in common with its first send: method,
-/// path, team and body. The same on every host.
-Hash128 RequestFingerprint(const net::HttpRequest& request,
-                           const std::string& team);
-
-/// The fingerprint, and the shared parts of the prompt.
-CrashKeys RequestKeys(const net::HttpRequest& request,
-                      const CallerRequest& caller,
-                      const std::string& team);
-
 /// A request that was resolved to a route and a service.
 struct AcceptedRequest {
   RequestId id = 0;
