Let a stream go on only in the service that began it

A route may lead to several services. A caller that took a stream up was given to one of them by lot, so another service could go on with it if its version had the same name. Records hold the service as well; a stream is moved to it if the route still leads there, else refused.

--- a/include/teaselhill/gateway/stream_versions.h
+++ b/include/teaselhill/gateway/stream_versions.h
@@ -19,36 +19,45 @@
 
 namespace teaselhill::gateway {
 
-/// Version that wrote the first event of a stream.
+/// What wrote the first event of a stream. A route may lead to several
+/// services.
+struct StreamOrigin {
+  std::string service;
+  std::string version;  ///< of the upstream's software
+
+  friend bool operator==(const StreamOrigin& a, const StreamOrigin& b) {
+    return a.service == b.service && a.version == b.version;
+  }
+};
+
 struct StreamRecord {
   std::string attempt_id;  ///< attempt of the caller that brought that event
-  std::string service;
-  std::string version;
+  StreamOrigin origin;
   Duration keep_for{};  ///< time in which a caller may still resume the stream
 };
 
 /// Asks for the version of a stream.
 struct StreamQuery {
   std::string attempt_id;  ///< empty: the caller names none
-  std::string service;
+  std::string service;     ///< in which the stream is taken to have begun
 };
 
 /// What one host knows of a stream.
 struct StreamAnswer {
   enum class Kind {
-    kRecorded,         ///< `version` began the stream
-    kOnlyVersion,      ///< no record; the service has only `version`
+    kRecorded,         ///< `origin` began the stream
+    kOnlyVersion,      ///< no record; the service has only this version
     kSeveralVersions,  ///< no record; the service has or had several versions
   };
   Kind kind = Kind::kSeveralVersions;
-  std::string version;  ///< empty for kSeveralVersions
+  StreamOrigin origin;  ///< empty for kSeveralVersions
 };
 
-/// Returns the version at which a stream may go on; nothing if it is not known.
+/// Returns where a stream may go on; nothing if it is not known.
 /// While a service has several versions, each stream is recorded on several
 /// hosts, so a stream without a record has the only version of its service.
 /// `directory_current`: whether this host has read the upstreams of late.
-std::optional<std::string> DecideStreamVersion(
+std::optional<StreamOrigin> DecideStreamOrigin(
     const StreamAnswer& own,
     const std::vector<StreamAnswer>& peers,
     bool directory_current);
@@ -69,8 +78,8 @@
 
   /// `own`: the stream began on this host.
   void Remember(const StreamRecord& record, bool own, TimePoint now);
-  std::optional<std::string> Find(const std::string& attempt_id,
-                                  TimePoint now) const;
+  std::optional<StreamOrigin> Find(const std::string& attempt_id,
+                                   TimePoint now) const;
   StreamAnswer Answer(const StreamQuery& query, TimePoint now) const;
 
   /// Whether the service has several versions, or had them of late.
@@ -88,8 +97,7 @@
 
  private:
   struct Entry {
-    std::string service;
-    std::string version;
+    StreamOrigin origin;
     bool own = false;
     TimePoint expires_at{};
   };
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -81,6 +81,8 @@
   void ResumeAt(const StreamAnswer& own,
                 const std::vector<StreamAnswer>& peers,
                 const std::function<void()>& resume);
+  /// Returns false if the route does not lead to the service.
+  bool MoveToService(const std::string& service);
   /// The first event of the answer has arrived.
   void BeginStream();
   /// Sends the events that waited until other hosts know the stream.
--- a/lib/gateway/exchange_streams.cc
+++ b/lib/gateway/exchange_streams.cc
@@ -1,6 +1,7 @@
 /// \file
 /// Streams go on only at the software version that began them.
 
+#include <algorithm>
 #include <utility>
 
 #include "exchange.h"
@@ -35,7 +36,8 @@
 }
 
 StreamRecord Exchange::MakeStreamRecord(TimePoint now) const {
-  return {StreamId(), request_.service, upstream_.version,
+  return {StreamId(),
+          {request_.service, upstream_.version},
           std::max<Duration>(state_.deadline - now, Duration::zero()) +
               kResumePeriod};
 }
@@ -45,7 +47,11 @@
   StreamQuery query;
   query.attempt_id = request_.caller.resumed_attempt_id;
   query.service = request_.service;
-  const StreamAnswer own = gateway_.stream_versions_.Answer(query, now);
+  StreamAnswer own = gateway_.stream_versions_.Answer(query, now);
+  // Without a record it is not known in which of several services it began.
+  if (own.kind == StreamAnswer::Kind::kOnlyVersion &&
+      request_.route->services.size() > 1)
+    own = {};
   if (own.kind == StreamAnswer::Kind::kRecorded || !gateway_.stream_peers_)
     return ResumeAt(own, {}, resume);
   gateway_.stream_peers_->Ask(
@@ -63,26 +69,43 @@
   const TimePoint now = BootNow();
   const Duration directory_age =
       now - gateway_.shared_state_.upstreams_read_at();
-  const std::optional<std::string> version =
-      DecideStreamVersion(own, peers, directory_age <= kMaxDirectoryAge);
+  const std::optional<StreamOrigin> origin =
+      DecideStreamOrigin(own, peers, directory_age <= kMaxDirectoryAge);
   const bool recorded = own.kind == StreamAnswer::Kind::kRecorded;
   gateway_.log_.Write(
       LineKind::kFailure,
       RequestLogLine("stream_resumed")
           .Field("resumed_request", request_.caller.resumed_attempt_id)
-          .Field("version", version.value_or(""))
-          .Field("known", version.has_value())
+          .Field("service", origin ? origin->service : "")
+          .Field("version", origin ? origin->version : "")
+          .Field("known", origin.has_value())
           .Field("recorded_here", recorded)
           .Field("peer_answers", static_cast<uint64_t>(peers.size()))
           .Field("directory_age_ms", directory_age),
       now);
-  if (!version)
+  if (!origin || !MoveToService(origin->service))
     return ApplyFinalStep(
         FinalStepAfterTimeout(state_, ResultCode::kNoUpstream));
-  request_.placement_request.required_version = version;
+  request_.placement_request.required_version = origin->version;
   resume();
 }
 
+bool Exchange::MoveToService(const std::string& service) {
+  const std::vector<WeightedService>& services = request_.route->services;
+  const bool is_allowed =
+      std::any_of(services.begin(), services.end(),
+                  [&service](const WeightedService& allowed) {
+                    return allowed.service == service;
+                  });
+  if (!is_allowed)
+    return false;
+  request_.service = service;
+  request_.placement_request.service = service;
+  const Service* known = request_.routes->FindService(service);
+  request_.placement_request.is_engine = known && known->is_engine;
+  return true;
+}
+
 void Exchange::BeginStream() {
   if (!state_.resumable || request_.placement_request.required_version)
     return;
@@ -90,8 +113,12 @@
   const StreamRecord record = MakeStreamRecord(BootNow());
   gateway_.stream_versions_.Remember(record, /*own=*/true, BootNow());
   // The serving host has told the others of a relayed stream.
-  if (relay_peer_ || !gateway_.stream_peers_ ||
-      !gateway_.stream_versions_.HasSeveral(request_.service, BootNow()))
+  if (relay_peer_ || !gateway_.stream_peers_)
+    return;
+  const bool has_one_origin =
+      request_.route->services.size() == 1 &&
+      !gateway_.stream_versions_.HasSeveral(request_.service, BootNow());
+  if (has_one_origin)
     return;
   // If this host is lost after the first event, its caller resumes the stream
   // at another host, which has to know the version by then.
--- a/lib/gateway/peer_streams.cc
+++ b/lib/gateway/peer_streams.cc
@@ -48,8 +48,8 @@
 
 Json EncodeRecord(const StreamRecord& record) {
   return {{kAttemptField, record.attempt_id},
-          {kServiceField, record.service},
-          {kVersionField, record.version},
+          {kServiceField, record.origin.service},
+          {kVersionField, record.origin.version},
           {kKeepForField, ToMicroseconds(record.keep_for)}};
 }
 
@@ -57,8 +57,8 @@
   std::vector<StreamRecord> records;
   for (const Json& record : json)
     records.push_back(
-        {record.at(kAttemptField), record.at(kServiceField),
-         record.at(kVersionField),
+        {record.at(kAttemptField),
+         {record.at(kServiceField), record.at(kVersionField)},
          std::chrono::microseconds(record.at(kKeepForField).get<int64_t>())});
   return records;
 }
@@ -72,7 +72,8 @@
   const int kind = json.at(kKindField);
   if (kind < 0 || kind > static_cast<int>(Kind::kSeveralVersions))
     throw Json::other_error::create(0, "kind is unknown", &json);
-  return {static_cast<Kind>(kind), json.at(kVersionField)};
+  return {static_cast<Kind>(kind),
+          {json.at(kServiceField), json.at(kVersionField)}};
 }
 
 /// Answers to one query.
@@ -174,7 +175,8 @@
     return query.error();
   const StreamAnswer answer = versions_.Answer(*query, BootNow());
   return ToCbor({{kKindField, static_cast<int>(answer.kind)},
-                 {kVersionField, answer.version}});
+                 {kServiceField, answer.origin.service},
+                 {kVersionField, answer.origin.version}});
 }
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/stream_versions.cc
+++ b/lib/gateway/stream_versions.cc
@@ -8,28 +8,28 @@
 
 namespace teaselhill::gateway {
 
-std::optional<std::string> DecideStreamVersion(
+std::optional<StreamOrigin> DecideStreamOrigin(
     const StreamAnswer& own,
     const std::vector<StreamAnswer>& peers,
     bool directory_current) {
   using Kind = StreamAnswer::Kind;
   if (own.kind == Kind::kRecorded)
-    return own.version;
+    return own.origin;
   const auto recorded = std::find_if(
       peers.begin(), peers.end(),
       [](const StreamAnswer& peer) { return peer.kind == Kind::kRecorded; });
   if (recorded != peers.end())
-    return recorded->version;
+    return recorded->origin;
   if (own.kind == Kind::kSeveralVersions)
     return std::nullopt;
   // A host whose list is old does not know the versions that came since.
   if (peers.empty() && !directory_current)
     return std::nullopt;
   for (const StreamAnswer& peer : peers) {
-    if (peer.kind == Kind::kSeveralVersions || peer.version != own.version)
+    if (peer.kind == Kind::kSeveralVersions || !(peer.origin == own.origin))
       return std::nullopt;
   }
-  return own.version;
+  return own.origin;
 }
 
 void StreamVersions::OnUpstreams(const UpstreamList& upstreams, TimePoint now) {
@@ -59,8 +59,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto [found, is_new] = entries_.emplace(record.attempt_id, Entry{});
   Entry& entry = found->second;
-  entry.service = record.service;
-  entry.version = record.version;
+  entry.origin = record.origin;
   entry.own |= own;
   entry.expires_at = std::max(entry.expires_at, now + record.keep_for);
   if (!is_new)
@@ -72,25 +71,25 @@
   }
 }
 
-std::optional<std::string> StreamVersions::Find(const std::string& attempt_id,
-                                                TimePoint now) const {
+std::optional<StreamOrigin> StreamVersions::Find(const std::string& attempt_id,
+                                                 TimePoint now) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const auto found = entries_.find(attempt_id);
   if (found == entries_.end() || found->second.expires_at <= now)
     return std::nullopt;
-  return found->second.version;
+  return found->second.origin;
 }
 
 StreamAnswer StreamVersions::Answer(const StreamQuery& query,
                                     TimePoint now) const {
   using Kind = StreamAnswer::Kind;
-  if (const auto version = Find(query.attempt_id, now))
-    return {Kind::kRecorded, *version};
+  if (const auto origin = Find(query.attempt_id, now))
+    return {Kind::kRecorded, *origin};
   const std::lock_guard<std::mutex> lock(mutex_);
   const std::vector<std::string> versions = VersionsOf(query.service, now);
   if (versions.size() != 1)
     return {};
-  return {Kind::kOnlyVersion, versions.front()};
+  return {Kind::kOnlyVersion, {query.service, versions.front()}};
 }
 
 std::vector<std::string> StreamVersions::VersionsOf(const std::string& service,
@@ -122,9 +121,8 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<StreamRecord> records;
   for (const auto& [attempt_id, entry] : entries_) {
-    if (entry.own && entry.service == service && entry.expires_at > now)
-      records.push_back(
-          {attempt_id, service, entry.version, entry.expires_at - now});
+    if (entry.own && entry.origin.service == service && entry.expires_at > now)
+      records.push_back({attempt_id, entry.origin, entry.expires_at - now});
   }
   return records;
 }
--- a/unittests/gateway/peer_streams_test.cc
+++ b/unittests/gateway/peer_streams_test.cc
@@ -67,7 +67,7 @@
   for (Host& host : hosts)
     host.exchange.AddPeers(records);
   std::vector<StreamAnswer> answers;
-  const StreamRecord record{"attempt", "llm", "v1", std::chrono::seconds(9)};
+  const StreamRecord record{"attempt", {"llm", "v1"}, std::chrono::seconds(9)};
   hosts.front().streams.Publish({record}, [&] {
     hosts.back().streams.Ask({"attempt", "llm"},
                              [&](std::vector<StreamAnswer> received) {
@@ -82,7 +82,7 @@
       hosts.back().versions.Find("attempt", BootNow()).has_value();
   const bool answered = !answers.empty() &&
                         answers.back().kind == StreamAnswer::Kind::kRecorded &&
-                        answers.back().version == "v1";
+                        answers.back().origin == StreamOrigin{"llm", "v1"};
   CHECK((held_here || answered));
 }
 
@@ -93,7 +93,7 @@
   Host host(loop, "host", log);
   bool told = false;
   bool asked = false;
-  host.streams.Publish({{"attempt", "llm", "v1", std::chrono::seconds(9)}},
+  host.streams.Publish({{"attempt", {"llm", "v1"}, std::chrono::seconds(9)}},
                        [&] { told = true; });
   host.streams.Ask({"attempt", "llm"}, [&](std::vector<StreamAnswer> answers) {
     asked = answers.empty();
--- a/unittests/gateway/stream_versions_test.cc
+++ b/unittests/gateway/stream_versions_test.cc
@@ -22,15 +22,15 @@
 }
 
 StreamRecord Record(const std::string& attempt_id) {
-  return {attempt_id, "llm", "v1", seconds(30)};
+  return {attempt_id, {"llm", "v1"}, seconds(30)};
 }
 
 }  // namespace
 
 TEST_CASE("a stream goes on only at a version that is known to be its own") {
-  const StreamAnswer recorded{Kind::kRecorded, "v1"};
-  const StreamAnswer only_v1{Kind::kOnlyVersion, "v1"};
-  const StreamAnswer only_v2{Kind::kOnlyVersion, "v2"};
+  const StreamAnswer recorded{Kind::kRecorded, {"llm", "v1"}};
+  const StreamAnswer only_v1{Kind::kOnlyVersion, {"llm", "v1"}};
+  const StreamAnswer only_v2{Kind::kOnlyVersion, {"llm", "v2"}};
   const StreamAnswer several{};
   struct Row {
     const char* name;
@@ -38,10 +38,17 @@
     std::vector<StreamAnswer> peers;
     bool directory_current;
     const char* version;  ///< empty: refused
+    const char* service = "llm";
   };
   const Row row = GENERATE_COPY(values<Row>({
       {"recorded here", recorded, {}, false, "v1"},
       {"recorded at a peer", several, {several, recorded}, false, "v1"},
+      {"recorded at another service of the route",
+       several,
+       {{Kind::kRecorded, {"canary", "v1"}}},
+       true,
+       "v1",
+       "canary"},
       {"recorded before a release", only_v2, {recorded}, true, "v1"},
       {"no record, several versions", several, {several}, true, ""},
       {"no record, one version", only_v1, {only_v1, only_v1}, true, "v1"},
@@ -56,8 +63,11 @@
       {"alone, old list", only_v1, {}, false, ""},
   }));
   INFO(row.name);
-  CHECK(DecideStreamVersion(row.own, row.peers, row.directory_current)
-            .value_or("") == row.version);
+  const StreamOrigin origin =
+      DecideStreamOrigin(row.own, row.peers, row.directory_current)
+          .value_or(StreamOrigin{});
+  CHECK(origin.version == row.version);
+  CHECK(origin.service == (origin.version.empty() ? "" : row.service));
 }
 
 TEST_CASE(
@@ -75,7 +85,7 @@
   CHECK(versions.HasSeveral("llm", left_at + seconds(60)));
   const TimePoint later = left_at + StreamVersions::kVersionMemory;
   CHECK_FALSE(versions.HasSeveral("llm", later));
-  CHECK(versions.Answer({"a", "llm"}, later).version == "v2");
+  CHECK(versions.Answer({"a", "llm"}, later).origin.version == "v2");
   CHECK(versions.Answer({"a", "unknown"}, later).kind ==
         Kind::kSeveralVersions);
 }
@@ -102,7 +112,7 @@
 TEST_CASE("records expire, and the oldest give way when there are too many") {
   StreamVersions versions;
   versions.Remember(Record("a"), /*own=*/true, kStart);
-  CHECK(versions.Find("a", kStart + seconds(29)) == "v1");
+  CHECK(versions.Find("a", kStart + seconds(29))->version == "v1");
   CHECK_FALSE(versions.Find("a", kStart + seconds(30)));
   versions.Expire(kStart + seconds(30));
   CHECK(versions.size() == 0);
@@ -110,7 +120,7 @@
     versions.Remember(Record(std::to_string(i)), /*own=*/false, kStart);
   CHECK(versions.size() == StreamVersions::kMaxRecords);
   CHECK_FALSE(versions.Find("0", kStart));
-  CHECK(versions.Find("1", kStart) == "v1");
+  CHECK(versions.Find("1", kStart)->version == "v1");
 }
 
 }  // namespace teaselhill::gateway
