Tell the caller's host in which service a relayed stream began

The host that relays a stream recorded it for the service that it had chosen itself, though the serving host chooses among the services of the route again. Found by reading.

--- a/include/teaselhill/gateway/relay.h
+++ b/include/teaselhill/gateway/relay.h
@@ -29,7 +29,8 @@
 
 /// What the serving host tells of an upstream's response.
 struct RelayedResponse {
-  std::string version;  ///< of the upstream's software
+  std::string service;  ///< of the upstream; a route may lead to several
+  std::string version;  ///< of its software
   int runs = 1;         ///< upstreams that may have run the request so far
 };
 
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -183,8 +183,8 @@
   std::unique_ptr<CrashGuard::SuspectRun> suspect_run_;
   BrittleUpstreams::OpenRequest open_request_;  ///< of the current attempt
   uint64_t directory_offset_ = 0;  ///< of the last upstream list that was used
-  /// Of the current or last attempt; only the version is set if another host
-  /// sends the request.
+  /// Of the current or last attempt; only service and version are set if
+  /// another host sends the request.
   UpstreamEntry upstream_;
   std::optional<RelayPeers::Peer> relay_peer_;  ///< of the current attempt
   std::vector<std::string> relayed_to_;         ///< hosts
--- a/lib/gateway/exchange_relay.cc
+++ b/lib/gateway/exchange_relay.cc
@@ -91,6 +91,7 @@
         "not a response of a host: status " + std::to_string(status));
   }
   state_.possible_runs = runs_before_relay_ + std::max(1, relayed->runs);
+  upstream_.service = relayed->service;
   upstream_.version = relayed->version;
   ResponseHead head;
   head.kind = ResponseKind::kResponse;
@@ -122,7 +123,8 @@
 
 void Exchange::AddRelayHeaders(net::Headers* headers) const {
   if (request_.relay_origin)
-    AddRelayedResponse({upstream_.version, std::max(1, state_.possible_runs)},
+    AddRelayedResponse({upstream_.service, upstream_.version,
+                        std::max(1, state_.possible_runs)},
                        headers);
 }
 
--- a/lib/gateway/exchange_streams.cc
+++ b/lib/gateway/exchange_streams.cc
@@ -37,7 +37,7 @@
 
 StreamRecord Exchange::MakeStreamRecord(TimePoint now) const {
   return {StreamId(),
-          {request_.service, upstream_.version},
+          {upstream_.service, upstream_.version},
           std::max<Duration>(state_.deadline - now, Duration::zero()) +
               kResumePeriod};
 }
@@ -110,6 +110,9 @@
   if (!state_.resumable || request_.placement_request.required_version)
     return;
   request_.placement_request.required_version = upstream_.version;
+  // The serving host may have chosen another service of the route.
+  if (relay_peer_)
+    MoveToService(upstream_.service);
   const StreamRecord record = MakeStreamRecord(BootNow());
   gateway_.stream_versions_.Remember(record, /*own=*/true, BootNow());
   // The serving host has told the others of a relayed stream.
--- a/lib/gateway/relay.cc
+++ b/lib/gateway/relay.cc
@@ -13,6 +13,7 @@
 
 constexpr std::string_view kOriginHeader = "X-Teaselhill-Relay-Host";
 constexpr std::string_view kAttemptsLeftHeader = "X-Teaselhill-Attempts-Left";
+constexpr std::string_view kServiceHeader = "X-Teaselhill-Service";
 constexpr std::string_view kVersionHeader = "X-Teaselhill-Version";
 constexpr std::string_view kRunsHeader = "X-Teaselhill-Runs";
 /// Set in every response that a host gives by itself; see net::ErrorHeaders().
@@ -66,17 +67,21 @@
 
 void AddRelayedResponse(const RelayedResponse& response,
                         net::Headers* headers) {
+  headers->push_back({std::string(kServiceHeader), response.service});
   headers->push_back({std::string(kVersionHeader), response.version});
   headers->push_back({std::string(kRunsHeader), std::to_string(response.runs)});
 }
 
 std::optional<RelayedResponse> TakeRelayedResponse(net::Headers* headers) {
+  const auto service = net::FindHeader(*headers, kServiceHeader);
   const auto version = net::FindHeader(*headers, kVersionHeader);
   const std::optional<int> runs =
       ParseCount(net::FindHeader(*headers, kRunsHeader));
   std::optional<RelayedResponse> response;
-  if (version && runs)
-    response = RelayedResponse{std::string(*version), *runs};
+  if (service && version && runs)
+    response =
+        RelayedResponse{std::string(*service), std::string(*version), *runs};
+  RemoveHeader(kServiceHeader, headers);
   RemoveHeader(kVersionHeader, headers);
   RemoveHeader(kRunsHeader, headers);
   return response;
--- a/unittests/gateway/relay_test.cc
+++ b/unittests/gateway/relay_test.cc
@@ -136,15 +136,17 @@
   CHECK_FALSE(TakeRelayOrigin(&request));
 
   net::Headers response = {{"X-Kept", "1"}};
-  AddRelayedResponse({"v1.1", 3}, &response);
+  AddRelayedResponse({"llm", "v1.1", 3}, &response);
   CHECK_FALSE(RelayErrorCode(response));
   const std::optional<RelayedResponse> relayed = TakeRelayedResponse(&response);
   REQUIRE(relayed);
+  CHECK(relayed->service == "llm");
   CHECK(relayed->version == "v1.1");
   CHECK(relayed->runs == 3);
   CHECK(response.size() == 1);
 
-  net::Headers forged = {{"X-Teaselhill-Version", "v1"},
+  net::Headers forged = {{"X-Teaselhill-Service", "llm"},
+                         {"X-Teaselhill-Version", "v1"},
                          {"X-Teaselhill-Runs", "-1"}};
   CHECK_FALSE(TakeRelayedResponse(&forged));
 }
