Record the versions of services in the fleet's log for hosts that start

Cause: a stream without a record may go on at the only version that hosts know, and hosts that have just started know no version of the past. If all have, none objects.

Hosts now record each version of a service in the fleet's log and withdraw it when no stream of it can go on any more. A host that starts answers kPastUnknown until it has read the log. That is no objection either: until now a host without a list of upstreams counted as one that knows several versions, which refused streams of services with a single one.

--- a/include/teaselhill/gateway/fleet_log.h
+++ b/include/teaselhill/gateway/fleet_log.h
@@ -9,6 +9,7 @@
 
 #include "teaselhill/gateway/crash_history.h"
 #include "teaselhill/gateway/fleet_size.h"
+#include "teaselhill/gateway/stream_versions.h"
 #include "teaselhill/gateway/trial_queue.h"
 #include "teaselhill/support/result.h"
 
@@ -27,6 +28,9 @@
     virtual void OnCrashRecords(std::vector<CrashRecord> records) = 0;
     virtual void OnHostRecords(std::vector<HostRecord> records) = 0;
     virtual void OnTrialClaims(std::vector<TrialClaim> claims) = 0;
+    virtual void OnVersions(std::vector<StreamOrigin> versions) = 0;
+    /// All records that the log held at the first read have been passed on.
+    virtual void OnRecordsListed() = 0;
     virtual void OnFleetRecordUnreadable(const std::string& key) = 0;
     /// A read or an append succeeded or failed.
     virtual void OnFleetLogAnswered() = 0;
@@ -46,6 +50,7 @@
   /// fails, the oldest waiting records are dropped above a maximum.
   virtual void Append(std::vector<CrashRecord> records) = 0;
   virtual void Append(std::vector<TrialClaim> claims) = 0;
+  virtual void Append(std::vector<VersionRecord> versions) = 0;
 };
 
 }  // namespace teaselhill::gateway
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -73,6 +73,9 @@
   /// Tells the other hosts what upstreams say of themselves.
   using NoticePublisher = std::function<void(UpstreamObservations)>;
 
+  /// Tells the fleet's log of versions.
+  using VersionPublisher = std::function<void(std::vector<VersionRecord>)>;
+
   /// Tells the other hosts whether this one is cut from all upstreams.
   using ReachPublisher = std::function<void(bool cut)>;
 
@@ -128,6 +131,11 @@
     notice_publisher_ = std::move(publisher);
   }
 
+  /// Call before the loop runs.
+  void SetVersionPublisher(VersionPublisher publisher) {
+    version_publisher_ = std::move(publisher);
+  }
+
   /// Records of the streams that this host and others began.
   StreamVersions& stream_versions() { return stream_versions_; }
 
@@ -196,6 +204,8 @@
   /// Follows the list of upstreams; other hosts are told of the streams of a
   /// service that has got a further version.
   void FollowVersions(TimePoint now);
+  /// Tells the fleet's log of the versions that came or have gone.
+  void RecordVersions();
 
   /// What an upstream says of itself in its answer.
   void OnUpstreamNotice(const UpstreamEntry& upstream,
@@ -244,6 +254,7 @@
   ClaimPublisher claim_publisher_;
   NoticePublisher notice_publisher_;
   ReachPublisher reach_publisher_;
+  VersionPublisher version_publisher_;
   UpstreamReach reach_;
   UpstreamProber reach_prober_;
   bool reach_probe_in_flight_ = false;
--- a/include/teaselhill/gateway/stream_versions.h
+++ b/include/teaselhill/gateway/stream_versions.h
@@ -10,7 +10,9 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +30,16 @@
   friend bool operator==(const StreamOrigin& a, const StreamOrigin& b) {
     return a.service == b.service && a.version == b.version;
   }
+  friend bool operator<(const StreamOrigin& a, const StreamOrigin& b) {
+    return std::tie(a.service, a.version) < std::tie(b.service, b.version);
+  }
+};
+
+/// A version that upstreams of a service have or had of late. Kept in the
+/// fleet's log, so that hosts which start know of it.
+struct VersionRecord {
+  StreamOrigin version;
+  bool withdrawn = false;  ///< no stream of this version can go on any more
 };
 
 struct StreamRecord {
@@ -48,6 +60,9 @@
     kRecorded,         ///< `origin` began the stream
     kOnlyVersion,      ///< no record; the service has only this version
     kSeveralVersions,  ///< no record; the service has or had several versions
+    /// No record; the host has started and does not know the versions of
+    /// before. `origin` is the only version that it knows now, or empty.
+    kPastUnknown,
   };
   Kind kind = Kind::kSeveralVersions;
   StreamOrigin origin;  ///< empty for kSeveralVersions
@@ -70,12 +85,26 @@
   static constexpr size_t kMaxRecords = 50000;
 
   /// Time for which a service counts as having a version that no upstream has
-  /// any more: a caller may still resume a stream of that version.
+  /// any more: a caller may still resume a stream of that version. After this
+  /// time a host knows the versions of the past by itself.
   static constexpr std::chrono::minutes kVersionMemory{2};
 
   /// Call with each new list.
   void OnUpstreams(const UpstreamList& upstreams, TimePoint now);
 
+  /// Versions that the fleet's log holds. Those that no upstream has count as
+  /// listed until now: streams of them may be older than this host.
+  void OnRecordedVersions(const std::vector<StreamOrigin>& versions,
+                          TimePoint now);
+
+  /// All records have been read that the fleet's log held when this host
+  /// started.
+  void OnRecordsListed();
+
+  /// What the fleet's log has to add or to withdraw since the last call;
+  /// nothing before it has been read.
+  std::vector<VersionRecord> TakeVersionRecords();
+
   /// `own`: the stream began on this host.
   void Remember(const StreamRecord& record, bool own, TimePoint now);
   std::optional<StreamOrigin> Find(const std::string& attempt_id,
@@ -109,12 +138,17 @@
   /// Call with the mutex locked.
   std::vector<std::string> VersionsOf(const std::string& service,
                                       TimePoint now) const;
+  bool KnowsPast(TimePoint now) const;
 
   mutable std::mutex mutex_;
   std::unordered_map<std::string, Entry> entries_;  ///< by attempt id
   std::deque<std::string> attempts_by_age_;
   std::map<std::string, std::map<std::string, VersionUse>> versions_;
   std::vector<std::string> services_with_new_version_;
+  std::set<StreamOrigin> recorded_versions_;  ///< or about to be recorded
+  std::vector<StreamOrigin> expired_versions_;
+  bool records_listed_ = false;
+  std::optional<TimePoint> first_list_at_;
 };
 
 /// The records of the other hosts. Used on the traffic thread, on which the
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -269,6 +269,11 @@
       control_loop_.Post(
           [this, claims = std::move(claims)] { fleet_log_->Append(claims); });
     });
+    gateway_.SetVersionPublisher([this](std::vector<VersionRecord> versions) {
+      control_loop_.Post([this, versions = std::move(versions)] {
+        fleet_log_->Append(versions);
+      });
+    });
     gateway_.SetReachPublisher([this](bool cut) {
       control_loop_.Post([this, cut] {
         PeerMessage message;
@@ -320,6 +325,14 @@
         [this, claims = std::move(claims)] { gateway_.OnTrialClaims(claims); });
   }
 
+  void OnVersions(std::vector<StreamOrigin> versions) override {
+    gateway_.stream_versions().OnRecordedVersions(versions, BootNow());
+  }
+
+  void OnRecordsListed() override {
+    gateway_.stream_versions().OnRecordsListed();
+  }
+
   void OnHostRecords(std::vector<HostRecord> records) override {
     fleet_size_.OnRecords(records, BootNow());
     peer_exchange_.AddPeers(records);
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -95,6 +95,7 @@
       brittle_upstreams_.Expire(*upstream_list);
     FollowVersions(now);
     stream_versions_.Expire(now);
+    RecordVersions();
     LogNoticeChanges("directory", now);
     limited_upstreams_ = upstream_notices_.limits().size();
   });
@@ -234,10 +235,10 @@
 
 void Gateway::FollowVersions(TimePoint now) {
   const auto upstreams = shared_state_.upstreams();
-  if (!upstreams || upstreams == followed_upstreams_)
-    return;
-  followed_upstreams_ = upstreams;
-  stream_versions_.OnUpstreams(*upstreams, now);
+  if (upstreams && upstreams != followed_upstreams_) {
+    followed_upstreams_ = upstreams;
+    stream_versions_.OnUpstreams(*upstreams, now);
+  }
   std::vector<StreamRecord> records;
   for (const std::string& service :
        stream_versions_.TakeServicesWithNewVersion()) {
@@ -248,6 +249,14 @@
     stream_peers_->Publish(std::move(records), [] {});
 }
 
+void Gateway::RecordVersions() {
+  if (!version_publisher_)
+    return;
+  std::vector<VersionRecord> records = stream_versions_.TakeVersionRecords();
+  if (!records.empty())
+    version_publisher_(std::move(records));
+}
+
 void Gateway::OnUpstreamNotice(const UpstreamEntry& upstream,
                                const UpstreamNotice& notice,
                                bool refused,
--- a/lib/gateway/peer_streams.cc
+++ b/lib/gateway/peer_streams.cc
@@ -70,7 +70,7 @@
 StreamAnswer DecodeAnswer(const Json& json) {
   using Kind = StreamAnswer::Kind;
   const int kind = json.at(kKindField);
-  if (kind < 0 || kind > static_cast<int>(Kind::kSeveralVersions))
+  if (kind < 0 || kind > static_cast<int>(Kind::kPastUnknown))
     throw Json::other_error::create(0, "kind is unknown", &json);
   return {static_cast<Kind>(kind),
           {json.at(kServiceField), json.at(kVersionField)}};
--- a/lib/gateway/stream_versions.cc
+++ b/lib/gateway/stream_versions.cc
@@ -20,20 +20,30 @@
       [](const StreamAnswer& peer) { return peer.kind == Kind::kRecorded; });
   if (recorded != peers.end())
     return recorded->origin;
-  if (own.kind == Kind::kSeveralVersions)
-    return std::nullopt;
   // A host whose list is old does not know the versions that came since.
-  if (peers.empty() && !directory_current)
-    return std::nullopt;
+  std::optional<StreamOrigin> known =
+      own.kind == Kind::kOnlyVersion && directory_current
+          ? std::optional(own.origin)
+          : std::nullopt;
   for (const StreamAnswer& peer : peers) {
-    if (peer.kind == Kind::kSeveralVersions || !(peer.origin == own.origin))
-      return std::nullopt;
+    if (peer.kind == Kind::kOnlyVersion && !known)
+      known = peer.origin;
   }
-  return own.origin;
+  const auto agrees = [&known](const StreamAnswer& answer) {
+    const bool knows_none =
+        answer.kind == Kind::kPastUnknown && answer.origin.service.empty();
+    return answer.kind != Kind::kSeveralVersions &&
+           (knows_none || answer.origin == *known);
+  };
+  const bool all_agree =
+      known && agrees(own) && std::all_of(peers.begin(), peers.end(), agrees);
+  return all_agree ? known : std::nullopt;
 }
 
 void StreamVersions::OnUpstreams(const UpstreamList& upstreams, TimePoint now) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (!first_list_at_)
+    first_list_at_ = now;
   for (auto& [service, versions] : versions_) {
     for (auto& [version, use] : versions) {
       if (std::exchange(use.listed, false))
@@ -53,6 +63,43 @@
   }
 }
 
+void StreamVersions::OnRecordedVersions(
+    const std::vector<StreamOrigin>& versions,
+    TimePoint now) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const StreamOrigin& recorded : versions) {
+    recorded_versions_.insert(recorded);
+    std::map<std::string, VersionUse>& known = versions_[recorded.service];
+    const auto [use, is_new] = known.try_emplace(recorded.version);
+    use->second.listed_at = std::max(use->second.listed_at, now);
+    if (is_new && known.size() > 1)
+      services_with_new_version_.push_back(recorded.service);
+  }
+}
+
+void StreamVersions::OnRecordsListed() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  records_listed_ = true;
+}
+
+std::vector<VersionRecord> StreamVersions::TakeVersionRecords() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<VersionRecord> records;
+  if (!records_listed_)
+    return records;
+  for (const StreamOrigin& expired : std::exchange(expired_versions_, {})) {
+    if (recorded_versions_.erase(expired) != 0)
+      records.push_back({expired, /*withdrawn=*/true});
+  }
+  for (const auto& [service, versions] : versions_) {
+    for (const auto& [version, use] : versions) {
+      if (recorded_versions_.insert({service, version}).second)
+        records.push_back({{service, version}, /*withdrawn=*/false});
+    }
+  }
+  return records;
+}
+
 void StreamVersions::Remember(const StreamRecord& record,
                               bool own,
                               TimePoint now) {
@@ -87,9 +134,17 @@
     return {Kind::kRecorded, *origin};
   const std::lock_guard<std::mutex> lock(mutex_);
   const std::vector<std::string> versions = VersionsOf(query.service, now);
-  if (versions.size() != 1)
-    return {};
-  return {Kind::kOnlyVersion, {query.service, versions.front()}};
+  if (versions.empty())
+    return {Kind::kPastUnknown, {}};
+  if (versions.size() > 1)
+    return {Kind::kSeveralVersions, {}};
+  return {KnowsPast(now) ? Kind::kOnlyVersion : Kind::kPastUnknown,
+          {query.service, versions.front()}};
+}
+
+bool StreamVersions::KnowsPast(TimePoint now) const {
+  return records_listed_ ||
+         (first_list_at_ && now - *first_list_at_ >= kVersionMemory);
 }
 
 std::vector<std::string> StreamVersions::VersionsOf(const std::string& service,
@@ -138,9 +193,12 @@
   for (auto& [service, versions] : versions_) {
     for (auto version = versions.begin(); version != versions.end();) {
       const VersionUse& use = version->second;
-      version = !use.listed && now - use.listed_at >= kVersionMemory
-                    ? versions.erase(version)
-                    : std::next(version);
+      if (use.listed || now - use.listed_at < kVersionMemory) {
+        ++version;
+        continue;
+      }
+      expired_versions_.push_back({service, version->first});
+      version = versions.erase(version);
     }
   }
 }
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -35,6 +35,11 @@
 # Time in which what a restored store has lost is written again.
 REWRITE_S = 1.0
 
+# Time from one end of a version to the next, and from the end of its engines to the
+# loss of all hosts.
+VERSION_END_PERIOD_S = 4.0
+ENDED_BEFORE_LOSS_S = (0.2, 0.6)
+
 # The bounds hold again some seconds after a restore, so the next one comes later.
 RESTORE_PERIOD_S = 8.0
 
@@ -183,6 +188,7 @@
         self.upstream_fault = 0.0
         self.drafts_until = 0.0
         self.next_restore_at = 0.0
+        self.next_version_end_at = 0.0
         self.cuts = CutWatch()
 
     async def start(self, host_count):
@@ -512,9 +518,30 @@
         for upstream in fleet.upstreams for each in cut))
 
 
+async def end_version(fleet, host):
+    """The last engines of a version end, and then all hosts are lost at once."""
+    if time.monotonic() < fleet.next_version_end_at:
+        return
+    fleet.next_version_end_at = time.monotonic() + VERSION_END_PERIOD_S
+    await asyncio.sleep(VERSION_END_PERIOD_S / 2)
+    engines = [each for each in fleet.upstreams if each.service == "llm"]
+    versions = sorted({each.version for each in engines})
+    for each in engines if len(versions) > 1 else []:
+        if each.version == versions[0]:
+            each.crash()
+            each.dead = True
+            fleet.store.put("keyed.servers", each.name, None)
+            fleet.upstreams.remove(each)
+    fleet.hold_upstream_fault(CONTACT_S)
+    await asyncio.sleep(fleet.rng.uniform(*ENDED_BEFORE_LOSS_S))
+    for each in fleet.hosts:
+        await kill(fleet, each)
+
+
 # Played only if they are named, so that older seeds keep their faults.
 FURTHER_FAULTS = [restore_store, silence_store, limit_upstream,
-                  endless_upstream, say_leaving, turn_away, cut_hosts_off]
+                  endless_upstream, say_leaving, turn_away, cut_hosts_off,
+                  end_version]
 
 FAULTS = [terminate, kill, freeze, reload, cut_from_store, change_config,
           disturb_store, compact_store, foreign_entry, disturb_upstream,
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -241,6 +241,8 @@
                         help="one of the versions has a single engine")
     parser.add_argument("--takes", type=float, default=0, help="part of the "
                         "streams that callers leave and take up at any host")
+    parser.add_argument("--take-pause", type=float, nargs=2, default=(0, 0),
+                        help="seconds until a caller takes a stream up, from and to")
     parser.add_argument("--new-ids", action="store_true",
                         help="a restarted upstream has a new id")
     parser.add_argument("--faults", nargs="*", default=[],
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -77,6 +77,7 @@
     count = received.count(b"\n\n")
     if count in (0, upstream.EVENTS):
         return
+    await asyncio.sleep(rng.uniform(*fleet.options.take_pause))
     for _ in range(2):
         host = fleet.pick(rng)
         if host is None:
--- a/unittests/platform/fleet_records_test.cc
+++ b/unittests/platform/fleet_records_test.cc
@@ -61,6 +61,26 @@
   CHECK(read->silent_for == teaselhill::Duration::zero());
 }
 
+TEST_CASE("a version of a service reads as it was written") {
+  using teaselhill::gateway::StreamOrigin;
+  const StreamOrigin origin{"sheet/llm", std::string(300, 'v')};
+  const KeyedRecord record = EncodeVersion({origin, /*withdrawn=*/false});
+  CHECK(record.key.size() < 256);
+  std::optional<StreamOrigin> read;
+  REQUIRE(DecodeVersion(record, &read));
+  REQUIRE(read);
+  CHECK(*read == origin);
+
+  const KeyedRecord withdrawal = EncodeVersion({origin, /*withdrawn=*/true});
+  CHECK(withdrawal.key == record.key);
+  CHECK_FALSE(withdrawal.value);
+  CHECK(DecodeVersion(withdrawal, &read));
+  CHECK_FALSE(read);
+
+  CHECK_FALSE(DecodeVersion({0, record.key, "{}"}, &read));
+  CHECK_FALSE(DecodeVersion({0, "host/version", "{}"}, &read));
+}
+
 TEST_CASE("a claim of the trial queue reads as it was written") {
   TrialClaim claim;
   claim.host = 0xfedcba9876543210;
--- a/unittests/platform/fleet_topic_test.cc
+++ b/unittests/platform/fleet_topic_test.cc
@@ -72,6 +72,8 @@
   void OnCrashRecords(std::vector<CrashRecord>) override {}
   void OnHostRecords(std::vector<HostRecord>) override {}
   void OnTrialClaims(std::vector<TrialClaim>) override {}
+  void OnVersions(std::vector<teaselhill::gateway::StreamOrigin>) override {}
+  void OnRecordsListed() override {}
   void OnFleetRecordUnreadable(const std::string&) override {}
   void OnFleetLogAnswered() override {}
   void OnFleetLogUnreachable(const teaselhill::Error&) override {}
--- a/unittests/platform/store_outage_test.cc
+++ b/unittests/platform/store_outage_test.cc
@@ -106,6 +106,8 @@
   }
   void OnCrashRecords(std::vector<gateway::CrashRecord>) override {}
   void OnTrialClaims(std::vector<gateway::TrialClaim>) override {}
+  void OnVersions(std::vector<gateway::StreamOrigin>) override {}
+  void OnRecordsListed() override {}
   void OnFleetRecordUnreadable(const std::string&) override {}
   void OnFleetLogAnswered() override {}
   void OnFleetLogUnreachable(const teaselhill::Error&) override {}
