Bound open requests at brittle upstreams by what their refusals show

Cause: the bound of the fleet began at the slots and shrank at most twice a second, while refused requests were replaced at once; the number of refusals that an upstream tolerates was not read. Each host's part was fixed, so hosts with little traffic kept places free.

Places follow the traffic of the hosts. A process that follows a brittle one counts as brittle until it answers.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -203,7 +203,7 @@
 
   /// Follows the list of upstreams; other hosts are told of the streams of a
   /// service that has got a further version.
-  void FollowVersions(TimePoint now);
+  void FollowUpstreams(TimePoint now);
   /// Tells the fleet's log of the versions that came or have gone.
   void RecordVersions();
 
--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -77,6 +77,9 @@
   std::map<std::string, std::set<std::string>> versions_by_service;
 
   const std::vector<UpstreamEntry>& OfService(const std::string& service) const;
+  /// The entry of the process; null if it is not the newest one known of its
+  /// upstream, or not usable.
+  const UpstreamEntry* Find(const UpstreamProcess& process) const;
   /// Whether the process is the newest one known of its upstream.
   bool Lists(const UpstreamProcess& process) const;
 };
--- a/include/teaselhill/gateway/upstream_notices.h
+++ b/include/teaselhill/gateway/upstream_notices.h
@@ -5,6 +5,7 @@
 #define TEASELHILL_GATEWAY_UPSTREAM_NOTICES_H_
 
 #include <map>
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -22,8 +23,9 @@
   bool leaving = false;
   /// Time in which it wants no requests of this host; zero: none is named.
   Duration pause{};
-  /// The upstream ends if it has to refuse many requests for want of room.
-  bool brittle = false;
+  /// The upstream ends if it has to refuse more requests a second than this for
+  /// want of room; nothing: it does not say so.
+  std::optional<double> tolerated_refusals;
 };
 
 /// A notice as hosts tell it each other.
--- a/lib/gateway/brittle_upstreams.cc
+++ b/lib/gateway/brittle_upstreams.cc
@@ -7,8 +7,6 @@
 #include <cmath>
 #include <iterator>
 
-#include "teaselhill/support/hash.h"
-
 namespace teaselhill::gateway {
 
 BrittleUpstreams::OpenRequest BrittleUpstreams::Open(
@@ -21,56 +19,120 @@
   });
 }
 
-void BrittleUpstreams::OnAnswer(const UpstreamProcess& upstream,
-                                bool brittle,
+BrittleUpstreams::State& BrittleUpstreams::Add(const UpstreamEntry& upstream,
+                                               TimePoint now) {
+  const auto [found, is_new] =
+      states_.try_emplace({upstream.id, upstream.incarnation});
+  State& state = found->second;
+  if (!is_new)
+    return state;
+  state.service = upstream.service;
+  state.slots = std::max(1, upstream.slots);
+  // The bounds of the hosts are less than one in a large fleet. Their fractions
+  // differ, so that they sum up to the bound of the fleet and do not grow to
+  // the next place at the same time.
+  const double share = EvenShare(state.slots);
+  state.bound = std::max(options_.initial_part * share, std::min(share, 1.0)) +
+                rng_.Uniform();
+  state.growth = options_.initial_growth;
+  state.changed_at = now;
+  return state;
+}
+
+void BrittleUpstreams::OnAnswer(const UpstreamEntry& upstream,
+                                std::optional<double> tolerated_refusals,
                                 TimePoint sent_at,
                                 TimePoint now) {
-  const auto found = states_.find(upstream);
-  if (brittle && found == states_.end()) {
-    State state;
-    state.observed_at = sent_at;
-    state.changed_at = now;
-    states_.emplace(upstream, state);
-  } else if (brittle) {
-    found->second.observed_at = std::max(found->second.observed_at, sent_at);
-  } else if (found != states_.end() && sent_at > found->second.observed_at) {
-    states_.erase(found);
+  if (tolerated_refusals) {
+    State& state = Add(upstream, now);
+    state.observed_at = std::max(state.observed_at, sent_at);
+    state.tolerated_refusals = *tolerated_refusals;
+    return;
   }
+  const auto found = states_.find({upstream.id, upstream.incarnation});
+  if (found != states_.end() && sent_at > found->second.observed_at)
+    states_.erase(found);
 }
 
-bool BrittleUpstreams::OnRefused(const UpstreamProcess& upstream,
+bool BrittleUpstreams::OnRefused(const UpstreamEntry& upstream,
                                  bool local,
                                  TimePoint now) {
-  auto found = states_.find(upstream);
-  if (found == states_.end()) {
-    if (local)
-      return false;
-    // Another host has seen that the upstream is brittle.
-    OnAnswer(upstream, /*brittle=*/true, now, now);
-    found = states_.find(upstream);
-  }
-  State& state = found->second;
-  if (now - state.shrunk_at < options_.shrink_period)
+  // Requests that were open before the upstream became brittle, or that it
+  // refused for another reason.
+  if (local && !IsBrittle({upstream.id, upstream.incarnation}))
+    return false;
+  State& state = Add(upstream, now);
+  if (!local)
+    state.observed_at = std::max(state.observed_at, now);
+  const int open = CountOpen(upstream.id) - (local ? 1 : 0);
+  state.bound = std::min(BoundAt(state, now),
+                         options_.part_after_refusal * open + rng_.Uniform());
+  state.changed_at = now;
+  // What it refuses in a pause was sent before other hosts knew.
+  if (now < state.paused_until)
     return false;
-  state.fraction = FractionAt(state, now) * options_.shrink_factor;
-  state.changed_at = state.shrunk_at = now;
+  state.paused_until = now + PauseAfterRefusal(state, now);
+  AdaptGrowth(state, now);
   return local;
 }
 
-double BrittleUpstreams::FractionAt(const State& state, TimePoint now) const {
-  return std::min(1.0, state.fraction + options_.growth_per_second *
-                                            ToSeconds(now - state.changed_at));
+void BrittleUpstreams::AdaptGrowth(State& state, TimePoint now) const {
+  if (state.refused_at) {
+    const double intervals = ToSeconds(now - *state.refused_at) /
+                             ToSeconds(options_.refusal_interval);
+    state.growth = std::clamp(state.growth * std::clamp(intervals, 0.5, 1.5),
+                              options_.min_growth, options_.max_growth);
+  }
+  state.refused_at = now;
 }
 
-int BrittleUpstreams::OwnShare(const UpstreamEntry& upstream,
-                               const State& state,
-                               TimePoint now) const {
-  const auto bound = static_cast<size_t>(
-      std::max(1.0, std::floor(upstream.slots * FractionAt(state, now))));
-  const size_t hosts = std::max<size_t>(1, position_.hosts);
-  // What is left over goes to other hosts at each upstream.
-  const size_t place = (position_.index + Hash64(upstream.id)) % hosts;
-  return static_cast<int>(bound / hosts + (place < bound % hosts ? 1 : 0));
+void BrittleUpstreams::OnUpstreams(const UpstreamList& upstreams,
+                                   TimePoint now) {
+  std::set<std::string> brittle_services;
+  for (auto state = states_.begin(); state != states_.end();) {
+    brittle_services.insert(state->second.service);
+    state =
+        upstreams.Lists(state->first) ? std::next(state) : states_.erase(state);
+  }
+  for (const std::string& service : brittle_services) {
+    for (const UpstreamEntry& upstream : upstreams.OfService(service))
+      Add(upstream, now);
+  }
+}
+
+double BrittleUpstreams::EvenShare(double total) const {
+  return total / static_cast<double>(std::max<size_t>(1, hosts_));
+}
+
+double BrittleUpstreams::BoundAt(const State& state, TimePoint now) const {
+  const double share = EvenShare(state.slots);
+  const double elapsed = std::max(0.0, ToSeconds(now - state.changed_at));
+  // Without refusals it grows faster and faster: there is more room.
+  const double acceleration =
+      1 + elapsed / (2 * ToSeconds(options_.refusal_interval));
+  return std::min(options_.max_share * share + 1,
+                  state.bound + state.growth * share * elapsed * acceleration);
+}
+
+Duration BrittleUpstreams::PauseAfterRefusal(const State& state,
+                                             TimePoint now) const {
+  // Unless refusals come as seldom as expected, the upstream may have far less
+  // room than before, and more would follow at once if it has many slots.
+  const bool is_expected =
+      state.refused_at &&
+      now - *state.refused_at >= 3 * options_.refusal_interval / 4;
+  const bool has_few_slots =
+      state.slots <= options_.few_slots * state.tolerated_refusals;
+  if ((!is_expected && !has_few_slots) || state.tolerated_refusals <= 0)
+    return options_.max_pause;
+  return std::clamp(
+      FromSeconds(1 / (options_.used_refusals * state.tolerated_refusals)),
+      options_.min_pause, options_.max_pause);
+}
+
+int BrittleUpstreams::CountOpen(const std::string& upstream_id) const {
+  const auto count = open_->find(upstream_id);
+  return count == open_->end() ? 0 : count->second;
 }
 
 bool BrittleUpstreams::HasRoom(const UpstreamEntry& upstream,
@@ -79,17 +141,13 @@
   const auto found = states_.find({upstream.id, upstream.incarnation});
   if (found == states_.end())
     return true;
-  const int share = OwnShare(upstream, found->second, now);
-  const int reserve =
-      urgent ? 0 : static_cast<int>(share * options_.urgent_reserve);
-  const auto count = open_->find(upstream.id);
-  return (count == open_->end() ? 0 : count->second) < share - reserve;
-}
-
-void BrittleUpstreams::Expire(const UpstreamList& upstreams) {
-  for (auto state = states_.begin(); state != states_.end();)
-    state =
-        upstreams.Lists(state->first) ? std::next(state) : states_.erase(state);
+  const State& state = found->second;
+  if (now < state.paused_until)
+    return false;
+  const double bound = std::floor(BoundAt(state, now));
+  const double reserve =
+      urgent ? 0 : std::floor(bound * options_.urgent_reserve);
+  return CountOpen(upstream.id) < bound - reserve;
 }
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -78,6 +78,7 @@
                    options_.crash_guard),
       reach_prober_(client_, upstreams, kReachProbeTimeout),
       relay_peers_(options_.host),
+      brittle_upstreams_(EntropySeed()),
       retry_budget_(options_.retry_budget),
       overload_gate_(options_.overload_gate) {
   cleanup_timer_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
@@ -91,9 +92,7 @@
     const auto upstream_list = shared_state_.upstreams();
     if (upstream_list)
       upstream_notices_.Expire(*upstream_list, now);
-    if (upstream_list)
-      brittle_upstreams_.Expire(*upstream_list);
-    FollowVersions(now);
+    FollowUpstreams(now);
     stream_versions_.Expire(now);
     RecordVersions();
     LogNoticeChanges("directory", now);
@@ -133,7 +132,7 @@
         accepted_request.route->answer_target, rng_.Uniform(), rng_.Uniform(),
         accepted_request.arrived_at);
   accepted_request.http_request = std::move(request);
-  FollowVersions(accepted_request.arrived_at);
+  FollowUpstreams(accepted_request.arrived_at);
   accepted_request.id = ++last_id_;
   // The host that took a relayed request from its caller has counted it.
   if (!accepted_request.relay_origin)
@@ -233,11 +232,12 @@
   return true;
 }
 
-void Gateway::FollowVersions(TimePoint now) {
+void Gateway::FollowUpstreams(TimePoint now) {
   const auto upstreams = shared_state_.upstreams();
   if (upstreams && upstreams != followed_upstreams_) {
     followed_upstreams_ = upstreams;
     stream_versions_.OnUpstreams(*upstreams, now);
+    brittle_upstreams_.OnUpstreams(*upstreams, now);
   }
   std::vector<StreamRecord> records;
   for (const std::string& service :
@@ -271,15 +271,19 @@
   upstream_notices_.OnAnswer(process, notice, sent_at, now, WallNow());
   LogNoticeChanges("answer", now);
   UpstreamObservations observations = upstream_notices_.TakeObservations(now);
-  if (notice.brittle != brittle_upstreams_.IsBrittle(process))
-    log_.Write(LineKind::kState,
-               LogLine(LogLevel::kInfo, "upstream_brittle")
-                   .Field("upstream", upstream.id)
-                   .Field("brittle", notice.brittle)
-                   .Field("slots", upstream.slots),
-               now);
-  brittle_upstreams_.OnAnswer(process, notice.brittle, sent_at, now);
-  if (refused && brittle_upstreams_.OnRefused(process, /*local=*/true, now))
+  const bool brittle = notice.tolerated_refusals.has_value();
+  if (brittle != brittle_upstreams_.IsBrittle(process))
+    log_.Write(
+        LineKind::kState,
+        LogLine(LogLevel::kInfo, "upstream_brittle")
+            .Field("upstream", upstream.id)
+            .Field("brittle", brittle)
+            .Field("tolerated_refusals", notice.tolerated_refusals.value_or(0))
+            .Field("slots", upstream.slots),
+        now);
+  brittle_upstreams_.OnAnswer(upstream, notice.tolerated_refusals, sent_at,
+                              now);
+  if (refused && brittle_upstreams_.OnRefused(upstream, /*local=*/true, now))
     observations.refusals.push_back(process);
   if (!observations.empty() && notice_publisher_)
     notice_publisher_(std::move(observations));
@@ -288,8 +292,13 @@
 void Gateway::OnUpstreamObservations(const UpstreamObservations& observations) {
   const TimePoint now = BootNow();
   upstream_notices_.OnObservations(observations, now, WallNow());
-  for (const UpstreamProcess& process : observations.refusals)
-    brittle_upstreams_.OnRefused(process, /*local=*/false, now);
+  const auto upstreams = shared_state_.upstreams();
+  for (const UpstreamProcess& process : observations.refusals) {
+    const UpstreamEntry* upstream =
+        upstreams ? upstreams->Find(process) : nullptr;
+    if (upstream)
+      brittle_upstreams_.OnRefused(*upstream, /*local=*/false, now);
+  }
   LogNoticeChanges("peer", now);
 }
 
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -16,14 +16,19 @@
   return found == by_service.end() ? none : found->second;
 }
 
-bool UpstreamList::Lists(const UpstreamProcess& process) const {
+const UpstreamEntry* UpstreamList::Find(const UpstreamProcess& process) const {
   for (const auto& [service, upstreams] : by_service) {
     for (const UpstreamEntry& upstream : upstreams) {
       if (upstream.id == process.id)
-        return upstream.incarnation == process.incarnation;
+        return upstream.incarnation == process.incarnation ? &upstream
+                                                           : nullptr;
     }
   }
-  return false;
+  return nullptr;
+}
+
+bool UpstreamList::Lists(const UpstreamProcess& process) const {
+  return Find(process) != nullptr;
 }
 
 void UpstreamDirectory::OnSourceUnreachable(TimePoint now) {
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -108,7 +108,8 @@
     brittle = [each for each in fleet.upstreams if each.service == "llm"
                and options.brittle is not None]
     for each in brittle:
-        each.brittle = BrittleWatch(options.brittle, options.slots)
+        each.brittle = BrittleWatch(options.brittle,
+                                    options.room or options.slots)
         fleet.register(each)
     if options.store_away:
         asyncio.create_task(keep_store_away(fleet, options.seconds))
@@ -233,6 +234,8 @@
                         "which engines fall over, from the start on")
     parser.add_argument("--slots", type=int, default=SLOTS,
                         help="streams that an engine runs at once")
+    parser.add_argument("--room", type=int, help="streams that an engine runs at "
+                        "once if memory lets it run fewer than it has slots")
     parser.add_argument("--cut-mode", choices=CUT_MODES, help="how hosts are cut "
                         "off from upstreams; default: each way in turn")
     parser.add_argument("--versions", type=int, default=1, help="software "
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -69,7 +69,7 @@
         self.born = int(time.time() * 1000)
         self.down = False
         self.dead = False
-        self.slots = asyncio.Semaphore(options.slots)
+        self.slots = asyncio.Semaphore(options.room or options.slots)
         self.brittle = None  # watch, from when on it says that it is
         self.on_restart = lambda upstream: None
         self.limit = None  # requests a second that it takes from all hosts
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -376,10 +376,16 @@
   caller.attempt_id = "9c41";
   teaselhill::net::Headers headers = {{"X-Attempt-Id", "9c41"}};
   const int status = GENERATE(200, 500, 503);
-  CHECK_FALSE(
-      UpstreamHeaders().ReadHead(status, headers, caller).notice.brittle);
+  const auto tolerated_refusals = [&] {
+    return UpstreamHeaders()
+        .ReadHead(status, headers, caller)
+        .notice.tolerated_refusals;
+  };
+  CHECK_FALSE(tolerated_refusals());
   headers.push_back({"Server-Brittle", "3"});
-  CHECK(UpstreamHeaders().ReadHead(status, headers, caller).notice.brittle);
+  CHECK(tolerated_refusals() == 3);
+  headers.back().value = "unreadable";
+  CHECK(tolerated_refusals() == 0);
 }
 
 TEST_CASE("a load report without its counts is an error") {
