Release a part whose crashes are all explained by causes found later

Both requests were found later, by crashes without the part, and explain all of its crashes, but nothing went back over what had been found before them.

The search now releases a cause of which others explain each crash. A cause that was found after it has a crash of its own, so it stays.

The new case of unittests/gateway/crash_parts_test.cc failed before.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -328,6 +328,10 @@
   /// evidence, and those that cannot be told from it. Returns whether there was
   /// one.
   bool IdentifyStrongest(const std::vector<Candidate>& candidates);
+  /// Releases those of which other identified ones explain each crash: what
+  /// many requests have in common is found before causes that had fewer
+  /// crashes.
+  void DropExplained(std::vector<Candidate> candidates);
   /// Fills in Crash::explained and Entry::has_stronger of parts.
   void MarkExplained(const std::vector<Candidate>& candidates);
   static bool HasStronger(const Entry& entry,
--- a/lib/gateway/crash_history_causes.cc
+++ b/lib/gateway/crash_history_causes.cc
@@ -112,6 +112,7 @@
   // after the other.
   while (IdentifyStrongest(candidates)) {
   }
+  DropExplained(candidates);
   IdentifyAtLimit(candidates);
   for (const Candidate& candidate : candidates)
     candidate.entry->needs_trial = NeedsTrial(*candidate.entry);
@@ -185,6 +186,24 @@
   return true;
 }
 
+void CrashHistory::DropExplained(std::vector<Candidate> candidates) {
+  // All hosts take the same order, in which parts go before requests.
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return std::make_pair(!a.entry->is_part, a.key) <
+                     std::make_pair(!b.entry->is_part, b.key);
+            });
+  for (const Candidate& candidate : candidates) {
+    Entry& entry = *candidate.entry;
+    if (!entry.identified() || CountUnexplained(entry) > 0)
+      continue;
+    for (const Candidate& other : candidates) {
+      if (AreInseparable(*other.entry, entry))
+        other.entry->evidence = CauseEvidence::kNone;
+    }
+  }
+}
+
 void CrashHistory::FindInseparable(const std::vector<Candidate>& candidates) {
   for (const Candidate& candidate : candidates) {
     for (const Candidate& other : candidates) {
--- a/unittests/gateway/crash_parts_test.cc
+++ b/unittests/gateway/crash_parts_test.cc
@@ -123,6 +123,26 @@
   CHECK_FALSE(assessment.isolate);
 }
 
+// Guards against a popular part that stays refused although two requests, which
+// were found later, explain all of its crashes.
+TEST_CASE("a part whose crashes two requests explain is refused no more") {
+  Host host;
+  const CrashKeys first = host.Request({kOtherPart});
+  const CrashKeys second = host.Request({kOtherPart + 10});
+  for (const CrashKeys& cause : {first, second, second, first})
+    host.Crash({cause, host.Request({kPopularPart})});
+  // It ran at each crash, and nothing was answered yet.
+  CHECK(host.Refuses({kPopularPart}));
+  host.Crash({first});
+  host.Crash({second});
+  CHECK(host.Assess(first).refused_for > Duration::zero());
+  CHECK(host.Assess(second).refused_for > Duration::zero());
+  const CrashAssessment sound = host.Assess(host.Request({kPopularPart}));
+  CHECK(sound.refused_for == Duration::zero());
+  CHECK(sound.hold_for == Duration::zero());
+  CHECK_FALSE(sound.is_trial);
+}
+
 TEST_CASE("a part that was answered a short time ago is not held up at once") {
   Host host;
   host.Answer({kOtherPart});
