--- a/scripts/lib/soak_cases.sh
+++ b/scripts/lib/soak_cases.sh
@@ -19,7 +19,8 @@
   wait
   local failed=0
   [ ! -e "$folder/failed" ] || failed=1
-  rm -rf "$folder"
+  # The logs of a failure are kept.
+  [ "$failed" = 1 ] || rm -rf "$folder"
   return $failed
 }
 
