Count crashes soon after a trial was given up as its own

Two of the six crashes came 50 and 130 ms after the request with the part had been given up, for a stall and at its deadline. The upstream went on with it and crashed under it, but the request was not among those that lost their connections.

A trial that is given up is kept for ten seconds. If its process is found to have crashed within half a second after that, the crash counts for its keys. Only trials are kept, which run apart from other suspects.

--- a/include/teaselhill/gateway/crash_guard.h
+++ b/include/teaselhill/gateway/crash_guard.h
@@ -122,6 +122,12 @@
                        Duration answering_for,
                        TimePoint sent_at,
                        TimePoint now);
+  /// See CrashHistory::OnTrialAbandoned().
+  void OnTrialAbandoned(const CrashKeys& keys,
+                        const UpstreamEntry& upstream,
+                        Duration answering_for,
+                        TimePoint sent_at,
+                        TimePoint now);
   /// The upstream sent data for an attempt that was sent at `sent_at`.
   void OnDataReceived(const UpstreamEntry& upstream,
                       TimePoint sent_at,
--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -215,6 +215,15 @@
                         TimePoint now,
                         LossKind kind = LossKind::kConnectionLost);
 
+  /// The trial of a request was given up. The upstream may go on with it for a
+  /// while: a crash of the process soon after counts as one under the request.
+  /// Arguments as of OnConnectionLost().
+  void OnTrialAbandoned(const CrashKeys& keys,
+                        const UpstreamProcess& upstream,
+                        Duration answering_for,
+                        TimePoint sent_at,
+                        TimePoint now);
+
   /// Processes that crashed under the request, as far as is known.
   std::vector<UpstreamProcess> CrashedProcesses(const CrashKeys& keys) const;
 
@@ -268,6 +277,12 @@
 
     bool counts() const { return !refuted && !superseded; }
   };
+  struct AbandonedTrial {
+    CrashKeys keys;
+    /// As it is recorded if the upstream crashes; `crashed_at` is the time at
+    /// which the trial was given up.
+    Crash crash;
+  };
   struct Entry {
     bool is_part = false;  ///< of prompts; otherwise a request
     std::vector<Crash> crashes;
@@ -300,6 +315,12 @@
   /// was answered a short time ago and has few crashes since, or a stronger
   /// suspect ran at each of its crashes.
   bool IsTrusted(const CrashKey& key, const Entry& entry) const;
+  /// A loss of this host at `now`, not verified yet.
+  Crash MakeLoss(const CrashKeys& keys,
+                 const UpstreamProcess& upstream,
+                 Duration answering_for,
+                 TimePoint sent_at,
+                 TimePoint now);
   void RecordLoss(const CrashKey& key, Crash crash);
 
   /// Number of crashes for which the predicate holds, counted as in
@@ -314,6 +335,12 @@
   /// Finds the losses at upstreams that had crashed before. Hosts learn late of
   /// the crashes that others saw.
   void FindSuperseded();
+  /// Records the crashes of upstreams that went on with an abandoned trial.
+  void FindCrashesOfAbandoned();
+  /// When the process crashed within that span, as far as is known.
+  std::optional<TimePoint> CrashedBetween(const UpstreamProcess& process,
+                                          TimePoint begin,
+                                          TimePoint end) const;
   void UpdateCounts();
   /// Finds the requests that are the causes of crashes. A verdict may change
   /// with each record, since one identified request explains crashes of others.
@@ -426,6 +453,7 @@
   AnswerMemory answered_parts_;
   int part_answers_ = 0;  ///< to requests with parts, since the start
   std::vector<CrashRecord> withdrawals_;  ///< to share
+  std::vector<AbandonedTrial> abandoned_trials_;
   /// Whether TakeRecords() may have records to return.
   bool has_unshared_ = false;
 };
--- a/lib/gateway/crash_guard.cc
+++ b/lib/gateway/crash_guard.cc
@@ -145,6 +145,15 @@
   RecordLoss(keys, upstream, answering_for, sent_at, now, LossKind::kGivenUp);
 }
 
+void CrashGuard::OnTrialAbandoned(const CrashKeys& keys,
+                                  const UpstreamEntry& upstream,
+                                  Duration answering_for,
+                                  TimePoint sent_at,
+                                  TimePoint now) {
+  history_.OnTrialAbandoned(keys, {upstream.id, upstream.incarnation},
+                            answering_for, sent_at, now);
+}
+
 void CrashGuard::RecordLoss(const CrashKeys& keys,
                             const UpstreamEntry& upstream,
                             Duration answering_for,
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -19,6 +19,9 @@
 /// takes to be found.
 static constexpr std::chrono::minutes kCrashedProcessRetention{2};
 
+/// Time in which crashes after an abandoned trial become known.
+static constexpr std::chrono::seconds kAbandonedTrialRetention{10};
+
 /// Time for which a loss that was no crash is kept. Its verdict may be revised
 /// while LossReviewer reviews the process.
 static constexpr std::chrono::seconds kRefutedRetention{10};
@@ -228,6 +231,22 @@
   return newly_refused;
 }
 
+CrashHistory::Crash CrashHistory::MakeLoss(const CrashKeys& keys,
+                                           const UpstreamProcess& upstream,
+                                           Duration answering_for,
+                                           TimePoint sent_at,
+                                           TimePoint now) {
+  Crash crash;
+  crash.record_id = Hash64(std::to_string(++records_created_), record_id_seed_);
+  crash.upstream = upstream;
+  crash.sent_at = sent_at;
+  crash.crashed_at = now;
+  crash.team = keys.team;
+  crash.answering_for = answering_for;
+  crash.own = true;
+  return crash;
+}
+
 void CrashHistory::OnConnectionLost(const CrashKeys& keys,
                                     const UpstreamProcess& upstream,
                                     Duration answering_for,
@@ -235,22 +254,25 @@
                                     TimePoint sent_at,
                                     TimePoint now,
                                     LossKind kind) {
-  Crash crash;
-  crash.record_id = Hash64(std::to_string(++records_created_), record_id_seed_);
-  crash.upstream = upstream;
-  crash.sent_at = sent_at;
-  crash.crashed_at = now;
+  Crash crash = MakeLoss(keys, upstream, answering_for, sent_at, now);
   crash.seen_alive_at = seen_alive_at;
   crash.kind = kind;
-  crash.team = keys.team;
-  crash.answering_for = answering_for;
-  crash.own = true;
   keys.ForEach([&](const CrashKey& key) {
     if (!IsCleared(key))
       RecordLoss(key, crash);
   });
 }
 
+void CrashHistory::OnTrialAbandoned(const CrashKeys& keys,
+                                    const UpstreamProcess& upstream,
+                                    Duration answering_for,
+                                    TimePoint sent_at,
+                                    TimePoint now) {
+  Crash crash = MakeLoss(keys, upstream, answering_for, sent_at, now);
+  crash.seen_alive_at = now;
+  abandoned_trials_.push_back({keys, crash});
+}
+
 void CrashHistory::RecordLoss(const CrashKey& key, Crash crash) {
   Entry& entry = FindOrAdd(key);
   // An attempt that was sent after a crash of this process ran on a new process
@@ -399,6 +421,12 @@
 void CrashHistory::Expire(TimePoint now) {
   answered_requests_.ForgetOld(now);
   answered_parts_.ForgetOld(now);
+  const auto is_over = [now](const AbandonedTrial& trial) {
+    return now - trial.crash.crashed_at > kAbandonedTrialRetention;
+  };
+  abandoned_trials_.erase(std::remove_if(abandoned_trials_.begin(),
+                                         abandoned_trials_.end(), is_over),
+                          abandoned_trials_.end());
   for (auto it = crashed_processes_.begin(); it != crashed_processes_.end();) {
     const bool is_old = now - it->second > kCrashedProcessRetention;
     it = is_old ? crashed_processes_.erase(it) : std::next(it);
--- a/lib/gateway/crash_history_counts.cc
+++ b/lib/gateway/crash_history_counts.cc
@@ -11,6 +11,10 @@
 
 namespace teaselhill::gateway {
 
+/// Time for which an upstream may go on with a request after its connection was
+/// closed.
+static constexpr std::chrono::milliseconds kAbandonedRunTime{500};
+
 /// Counts the crashes, given in the order of their times. An outage of several
 /// upstreams ends copies of one request at the same time, or makes them time
 /// out one after the other; these count once.
@@ -114,7 +118,44 @@
   }
 }
 
+std::optional<TimePoint> CrashHistory::CrashedBetween(
+    const UpstreamProcess& process,
+    TimePoint begin,
+    TimePoint end) const {
+  for (const auto& [key, entry] : entries_) {
+    for (const Crash& crash : entry.crashes) {
+      if (crash.upstream == process && crash.verified && crash.counts() &&
+          crash.kind == LossKind::kConnectionLost &&
+          crash.crashed_at >= begin && crash.crashed_at <= end)
+        return crash.crashed_at;
+    }
+  }
+  return std::nullopt;
+}
+
+void CrashHistory::FindCrashesOfAbandoned() {
+  for (auto trial = abandoned_trials_.begin();
+       trial != abandoned_trials_.end();) {
+    Crash crash = trial->crash;
+    const std::optional<TimePoint> crashed_at = CrashedBetween(
+        crash.upstream, crash.crashed_at, crash.crashed_at + kAbandonedRunTime);
+    if (!crashed_at) {
+      ++trial;
+      continue;
+    }
+    crash.crashed_at = *crashed_at;
+    crash.verified = true;
+    trial->keys.ForEach([&](const CrashKey& key) {
+      if (!IsCleared(key))
+        RecordLoss(key, crash);
+    });
+    has_unshared_ = true;
+    trial = abandoned_trials_.erase(trial);
+  }
+}
+
 void CrashHistory::UpdateCounts() {
+  FindCrashesOfAbandoned();
   FindSuperseded();
   for (auto& [key, entry] : entries_)
     entry.crash_count =
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -41,8 +41,12 @@
 
 void Exchange::ReportSilence() {
   const TimePoint now = BootNow();
-  if (!attempt_ || relay_peer_ || transfer_paused_ ||
-      now < data_at_ + CrashGuard::kMinSilence || !IsUpstreamInService())
+  if (!attempt_ || relay_peer_ || !IsUpstreamInService())
+    return;
+  if (crash_assessment_.is_trial)
+    gateway_.crash_guard_.OnTrialAbandoned(
+        request_.Keys(), upstream_, AnsweringFor(data_at_), sent_at_, now);
+  if (transfer_paused_ || now < data_at_ + CrashGuard::kMinSilence)
     return;
   if (suspect_run_)
     suspect_run_->OnLost({upstream_.id, upstream_.incarnation}, now);
--- a/unittests/gateway/crash_history_test.cc
+++ b/unittests/gateway/crash_history_test.cc
@@ -408,6 +408,39 @@
   CHECK_FALSE(host.Refuses(kInnocent));
 }
 
+// Guards against a request that crashes a further upstream each time that it is
+// given up shortly before.
+TEST_CASE("a crash soon after a trial was given up counts as its own") {
+  struct Row {
+    const char* name;
+    milliseconds crashes_after;
+    bool crashed;
+    bool refused;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"soon after", milliseconds(130), true, true},
+      {"long after", milliseconds(900), true, false},
+      {"another request lost its connection", milliseconds(130), false, false},
+  }));
+  INFO(row.name);
+  Host host;
+  host.Crash(Engine(1), {kCrashing});
+  host.WaitForHolds();
+  host.Crash(Engine(2), {kCrashing});
+  host.WaitForHolds();
+  CHECK(host.history.Assess(kCrashing, host.now).is_trial);
+  host.history.OnTrialAbandoned(kCrashing, Engine(3), {},
+                                host.now - milliseconds(500), host.now);
+  host.now += row.crashes_after;
+  host.history.OnConnectionLost(kInnocent, Engine(3), {},
+                                host.now - milliseconds(6),
+                                host.now - milliseconds(5), host.now);
+  host.history.OnVerdict(Verdict(Engine(3), row.crashed, host.now));
+  host.WaitForHolds();
+  CHECK(host.Refuses(kCrashing) == row.refused);
+  CHECK_FALSE(host.Refuses(kInnocent));
+}
+
 // Guards against a popular request that is refused because one cause of its
 // crashes was known and the other one was not.
 TEST_CASE("explained crashes do not tell two requests apart") {
