--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -9,10 +9,11 @@
 #include <charconv>
 #include <thread>
 
+#include "http_handlers.h"
+#include "stream_peers_on_loop.h"
 #include "teaselhill/gateway/peer_exchange.h"
 #include "teaselhill/gateway/peer_streams.h"
 #include "teaselhill/gateway/state_keeper.h"
-#include "teaselhill/net/error_response.h"
 
 namespace teaselhill::gateway {
 
@@ -55,37 +56,6 @@
 /// queues.
 constexpr size_t kReservedDescriptors = 256;
 
-/// Responds to readiness checks on every path.
-class ReadinessHandler : public net::HttpHandler {
- public:
-  explicit ReadinessHandler(const SharedState& shared)
-      : shared_state_(shared) {}
-
-  void Handle(net::HttpRequest request,
-              std::shared_ptr<net::ResponseWriter> response) override {
-    const bool ready = shared_state_.Ready();
-    response->Respond(ready ? 200 : 503, {{"Content-Type", "text/plain"}},
-                      ready ? "ready\n" : "not ready\n");
-  }
-
- private:
-  const SharedState& shared_state_;
-};
-
-class MetricsHandler : public net::HttpHandler {
- public:
-  explicit MetricsHandler(const Metrics& metrics) : metrics_(metrics) {}
-
-  void Handle(net::HttpRequest request,
-              std::shared_ptr<net::ResponseWriter> response) override {
-    response->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                      metrics_.Exposition());
-  }
-
- private:
-  const Metrics& metrics_;
-};
-
 net::HttpServerOptions MakeListenerOptions(const Endpoint& endpoint,
                                            size_t max_connections) {
   net::HttpServerOptions options;
@@ -96,68 +66,6 @@
   return options;
 }
 
-/// Passes calls of the traffic thread to the streams of the control thread, and
-/// the results back.
-class StreamPeersOnLoop : public StreamPeers {
- public:
-  StreamPeersOnLoop(net::EventLoop& traffic,
-                    net::EventLoop& control,
-                    PeerStreams& streams)
-      : traffic_loop_(traffic), control_loop_(control), streams_(streams) {}
-
-  void Publish(std::vector<StreamRecord> records,
-               std::function<void()> done) override {
-    control_loop_.Post(
-        [this, records = std::move(records), done = std::move(done)] {
-          streams_.Publish(records, [this, done] { traffic_loop_.Post(done); });
-        });
-  }
-
-  void Ask(StreamQuery query,
-           std::function<void(std::vector<StreamAnswer>)> done) override {
-    control_loop_.Post(
-        [this, query = std::move(query), done = std::move(done)] {
-          streams_.Ask(query, [this, done](std::vector<StreamAnswer> answers) {
-            traffic_loop_.Post(
-                [done, answers = std::move(answers)] { done(answers); });
-          });
-        });
-  }
-
- private:
-  net::EventLoop& traffic_loop_;
-  net::EventLoop& control_loop_;
-  PeerStreams& streams_;
-};
-
-/// Serves requests of hosts that are cut from all upstreams. Used on the
-/// traffic thread.
-class RelayHandler : public net::HttpHandler {
- public:
-  explicit RelayHandler(Gateway& gateway) : gateway_(gateway) {}
-
-  void Handle(net::HttpRequest request,
-              std::shared_ptr<net::ResponseWriter> response) override {
-    std::optional<RelayOrigin> origin = TakeRelayOrigin(&request.headers);
-    const bool from_fleet =
-        gateway_.relay_peers().IsFleetAddress(request.remote_address);
-    if (!origin || !from_fleet)
-      return Refuse({ResultCode::kUnknownPath, "for hosts of the fleet only"},
-                    *response);
-    gateway_.HandleRelayed(std::move(request), std::move(*origin),
-                           std::move(response));
-  }
-
- private:
-  static void Refuse(const Error& error, net::ResponseWriter& response) {
-    response.Respond(Describe(error.code).http_status,
-                     net::ErrorHeaders(error, Duration::zero()),
-                     net::ErrorBody(error));
-  }
-
-  Gateway& gateway_;
-};
-
 /// Runs an event loop on its own thread and joins it on destruction.
 class LoopThread {
  public:
