Let events of runs that were given up say nothing of a stream's version

The run at v1 still wrote its second event into the cut, and the check took that for the writer of the event that the caller had got.

The check now counts the events of the newest run of a stream only: a host has one attempt at a time, so an older run has been given up. That a run goes on at another version than that of the event before is checked as before.

--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -296,7 +296,7 @@
         request_id = headers["x-attempt-id"]
         first = int(headers.get("last-event-id", 0)) + 1
         versions = self.ledger.versions
-        versions.on_run(request_id, first - 1, self.version)
+        run = versions.on_run(request_id, first - 1, self.version)
         common["X-Server-Seal"] = "stream"
         common["Content-Type"] = "text/event-stream"
         framed = self.rng.random() >= UNFRAMED_PART
@@ -313,7 +313,7 @@
                 writer.write(frame(data[:len(data) // 2]))
                 return False
             writer.write(frame(data))
-            versions.on_event(request_id, number, self.version)
+            versions.on_event(request_id, number, self.version, run)
             await writer.drain()
         if framed:
             writer.write(http_io.LAST_CHUNK)
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self.first = {}  # request id of a take: that of the stream's first request
         self.writers = collections.defaultdict(dict)  # by stream: event: version
+        self.runs = collections.Counter()  # by stream
         self.resumed = 0
         self.mixed = set()
         self.begun = collections.Counter()  # whether a new stream began: streams
@@ -35,16 +36,20 @@
         return self.first.get(request_id, request_id)
 
     def on_run(self, request_id, last_event_id, version):
-        """A run goes on after this event; 0: it begins."""
-        if last_event_id == 0:
-            return
-        self.resumed += 1
+        """A run goes on after this event; 0: it begins. Returns its number."""
         stream = self.stream_of(request_id)
-        if self.writers[stream].get(last_event_id) != version:
-            self.mixed.add(stream)
-
-    def on_event(self, request_id, number, version):
-        self.writers[self.stream_of(request_id)][number] = version
+        self.runs[stream] += 1
+        if last_event_id > 0:
+            self.resumed += 1
+            if self.writers[stream].get(last_event_id) != version:
+                self.mixed.add(stream)
+        return self.runs[stream]
+
+    def on_event(self, request_id, number, version, run):
+        """The host has given up earlier runs, which may not know that yet."""
+        stream = self.stream_of(request_id)
+        if run == self.runs[stream]:
+            self.writers[stream][number] = version
 
     def version_of(self, stream):
         written = self.writers[stream]
