--- a/scripts/soak/cuts.py
+++ b/scripts/soak/cuts.py
@@ -47,6 +47,8 @@
     def check(self, ledger):
         served = {True: [], False: []}  # by whether the host was cut off
         for request_id, (sent_at, _, host) in ledger.budget.sent.items():
+            if request_id in ledger.versions.first:
+                continue  # a take is no first try, and is checked for itself
             for begin, end, hosts in self.cuts:
                 if (begin + FOUND_S <= sent_at < end and request_id in ledger.served
                         and not self.is_helpless(sent_at)):
