Tell the versions of a stream by the events that its callers get

The stand-in's events now name their version. A stream is mixed if its caller got events of two versions over all tries, or if a run went on at another version than that of the event before, as the caller got it.

--- a/scripts/soak/caller.py
+++ b/scripts/soak/caller.py
@@ -107,6 +107,8 @@
         try:
             async for piece in http_io.read_body(reader, headers):
                 pieces += piece
+                if kind in STREAMS and status == 200:
+                    self.ledger.versions.on_received(request_id, pieces)
                 if leaves and self.rng.random() < LEAVES_AFTER_PIECE:
                     self.unfinished = (request_id, pieces)
                     return False
@@ -132,9 +134,7 @@
         if headers.get("x-attempt-id") != request_id:
             self.ledger.violate("mixed", f"{request_id} got another's answer")
         if kind in STREAMS:
-            expected = b"".join(map(upstream.event,
-                                    range(1, upstream.EVENTS + 1)))
-            if body != expected:
+            if upstream.without_versions(body) != upstream.WHOLE_STREAM:
                 self.ledger.violate("order", f"{request_id}: {body[-60:]}")
         elif headers.get("x-server-seal") != upstream.checksum(request_id, body):
             self.ledger.violate("mixed", f"{request_id} has a wrong body")
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import re
 import socket
 import struct
 import time
@@ -48,8 +49,17 @@
     return hashlib.sha256(request_id.encode() + body).hexdigest()[:16]
 
 
-def event(number):
-    return f"id: {number}\ndata: piece {number}\n\n".encode()
+def event(number, version):
+    return f"id: {number}\ndata: piece {number} of {version}\n\n".encode()
+
+
+def without_versions(events):
+    return re.sub(rb" of \S+\n", b"\n", events)
+
+
+# What a whole stream holds, but for the versions.
+WHOLE_STREAM = without_versions(b"".join(event(number, "any")
+                                         for number in range(1, EVENTS + 1)))
 
 
 class Upstream:
@@ -295,8 +305,7 @@
     async def stream(self, headers, common, reader, writer):
         request_id = headers["x-attempt-id"]
         first = int(headers.get("last-event-id", 0)) + 1
-        versions = self.ledger.versions
-        run = versions.on_run(request_id, first - 1, self.version)
+        self.ledger.versions.on_run(request_id, first - 1, self.version)
         common["X-Server-Seal"] = "stream"
         common["Content-Type"] = "text/event-stream"
         framed = self.rng.random() >= UNFRAMED_PART
@@ -308,12 +317,11 @@
             await asyncio.sleep(self.rng.uniform(0.005, 0.04))
             if reader.at_eof():
                 return False
-            data = event(number)
+            data = event(number, self.version)
             if self.strikes("cut_stream"):
                 writer.write(frame(data[:len(data) // 2]))
                 return False
             writer.write(frame(data))
-            versions.on_event(request_id, number, self.version, run)
             await writer.drain()
         if framed:
             writer.write(http_io.LAST_CHUNK)
--- a/scripts/soak/versions.py
+++ b/scripts/soak/versions.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import collections
+import re
 import time
 import uuid
 
@@ -21,14 +22,17 @@
 DEADLINE_S = 4.0
 PAUSE_S = (0.1, 0.4)
 
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \d+ of (\S+)\n\n")
+
 
 class VersionWatch:
+    """An upstream that was given up may go on writing, so that only what callers
+    get tells which version wrote an event."""
+
     def __init__(self):
         self.first = {}  # request id of a take: that of the stream's first request
-        self.writers = collections.defaultdict(dict)  # by stream: event: version
-        self.runs = collections.Counter()  # by stream
-        self.resumed = 0
-        self.mixed = set()
+        self.received = collections.defaultdict(dict)  # by stream: event: version
+        self.resumed = []  # runs: (stream, event after which it goes on, version)
         self.begun = collections.Counter()  # whether a new stream began: streams
         self.taken = collections.Counter()  # whether a take went on: takes
 
@@ -36,32 +40,36 @@
         return self.first.get(request_id, request_id)
 
     def on_run(self, request_id, last_event_id, version):
-        """A run goes on after this event; 0: it begins. Returns its number."""
-        stream = self.stream_of(request_id)
-        self.runs[stream] += 1
+        """A run goes on after this event; 0: it begins."""
         if last_event_id > 0:
-            self.resumed += 1
-            if self.writers[stream].get(last_event_id) != version:
-                self.mixed.add(stream)
-        return self.runs[stream]
+            self.resumed.append((self.stream_of(request_id), last_event_id, version))
 
-    def on_event(self, request_id, number, version, run):
-        """The host has given up earlier runs, which may not know that yet."""
-        stream = self.stream_of(request_id)
-        if run == self.runs[stream]:
-            self.writers[stream][number] = version
+    def on_received(self, request_id, data):
+        """What the caller has got so far of the answer to this request."""
+        received = self.received[self.stream_of(request_id)]
+        for number, version in EVENT.findall(whole_events(data)):
+            received.setdefault(int(number), version.decode())
 
     def version_of(self, stream):
-        written = self.writers[stream]
-        return written[max(written)] if written else None
+        received = self.received[stream]
+        return received[max(received)] if received else None
+
+    def mixed(self):
+        """Streams with events of two versions, or that went on at another than
+        that of the event before."""
+        streams = {stream for stream, received in self.received.items()
+                   if len(set(received.values())) > 1}
+        return streams | {stream for stream, event, version in self.resumed
+                          if self.received[stream].get(event, version) != version}
 
     def check(self, ledger):
-        ledger.requests["streams_resumed"] = self.resumed
+        ledger.requests["streams_resumed"] = len(self.resumed)
         ledger.requests["takes_on"] = self.taken[True]
         ledger.requests["takes_refused"] = self.taken[False]
-        if self.mixed:
-            ledger.violate("versions", f"{len(self.mixed)} streams hold events of "
-                           f"two versions, such as {sorted(self.mixed)[0]}")
+        mixed = sorted(self.mixed())
+        if mixed:
+            ledger.violate("versions", f"{len(mixed)} streams hold events of two "
+                           f"versions, such as {mixed[0]}")
         takes, streams = sum(self.taken.values()), sum(self.begun.values())
         if takes < LEAST_TAKES or not streams:
             return
@@ -91,8 +99,8 @@
         rest = await send_take(fleet, ledger, rng, host, request_id, count)
         calm = not host.disturbed_within(CONTACT_S)
         if rest is not None:
-            if received + rest != b"".join(
-                    map(upstream.event, range(1, upstream.EVENTS + 1))):
+            if (upstream.without_versions(received + rest)
+                    != upstream.WHOLE_STREAM):
                 ledger.violate("order", f"{request_id} taken up: {rest[-60:]}")
             break
         await asyncio.sleep(rng.uniform(*PAUSE_S))
@@ -127,6 +135,7 @@
             ledger.on_status(request_id, status, "take")
             async for piece in http_io.read_body(reader, answer[1]):
                 rest += piece
+                ledger.versions.on_received(request_id, rest)
             return rest if status == 200 else None
         finally:
             writer.close()
