--- a/include/teaselhill/gateway/fleet_log.h
+++ b/include/teaselhill/gateway/fleet_log.h
@@ -28,6 +28,7 @@
     virtual void OnCrashRecords(std::vector<CrashRecord> records) = 0;
     virtual void OnHostRecords(std::vector<HostRecord> records) = 0;
     virtual void OnTrialClaims(std::vector<TrialClaim> claims) = 0;
+    /// Versions that services have, or had of late.
     virtual void OnVersions(std::vector<StreamOrigin> versions) = 0;
     /// All records that the log held at the first read have been passed on.
     virtual void OnRecordsListed() = 0;
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -154,7 +154,7 @@
   Duration AnsweringFor(TimePoint now) const;
   void ReportConnectionLost();
   /// Call before an attempt is given up.
-  void ReportSilence();
+  void ReportGivenUp();
   void EndAttempt(AttemptOutcome outcome, std::string detail);
   /// Sends the request again if the retry budget permits, or finishes it.
   void RetryOrFinish(AttemptOutcome outcome);
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -39,7 +39,7 @@
                                          AnsweringFor(now), sent_at_, now);
 }
 
-void Exchange::ReportSilence() {
+void Exchange::ReportGivenUp() {
   const TimePoint now = BootNow();
   if (!attempt_ || relay_peer_ || !IsUpstreamInService())
     return;
@@ -206,7 +206,7 @@
 void Exchange::OnCallerDisconnected() {
   if (finished_)
     return;
-  ReportSilence();
+  ReportGivenUp();
   StopAttempt();
   FinishRequest(ResultCode::kCallerGone, "caller_gone");
 }
--- a/lib/gateway/exchange_timeouts.cc
+++ b/lib/gateway/exchange_timeouts.cc
@@ -79,7 +79,7 @@
     ReportWaitToGate(now);
   if (now + 2 * kAnswerMargin >= state_.deadline) {
     SendHeldEvents();
-    ReportSilence();
+    ReportGivenUp();
     StopAttempt();
     return ApplyFinalStep(
         FinalStepAfterTimeout(state_, ResultCode::kDeadlineUnreachable));
@@ -89,7 +89,7 @@
   // An attempt that cannot be retried continues: a stall alone is no reason to
   // end it.
   if (is_stalled && MayRetry(state_, gateway_.options_.exchange_limits, now)) {
-    ReportSilence();
+    ReportGivenUp();
     return EndAttempt(AttemptOutcome::kTimedOut,
                       "no data within the stall timeout");
   }
