Leave disturbed hosts out of the comparison of hosts that are cut off

The comparison takes requests to hosts without a kill, a freeze or an outage of their store in the last three seconds.

--- a/scripts/soak/cuts.py
+++ b/scripts/soak/cuts.py
@@ -49,6 +49,8 @@
         for request_id, (sent_at, _, host) in ledger.budget.sent.items():
             if request_id in ledger.versions.first:
                 continue  # a take is no first try, and is checked for itself
+            if request_id not in ledger.to_calm_host:
+                continue
             for begin, end, hosts in self.cuts:
                 if (begin + FOUND_S <= sent_at < end and request_id in ledger.served
                         and not self.is_helpless(sent_at)):
--- a/scripts/soak/ledger.py
+++ b/scripts/soak/ledger.py
@@ -4,7 +4,7 @@
 import time
 
 from budget import BudgetWatch
-from versions import VersionWatch
+from versions import CONTACT_S, VersionWatch
 
 # Headers of callers that must not reach an upstream.
 FORGED = ("x-kv-hold", "x-pin-ms", "x-kv-backup", "kv-from", "authorization")
@@ -24,6 +24,7 @@
         self.budget = BudgetWatch()
         self.versions = VersionWatch()
         self.sent_at = {}  # request id: time
+        self.to_calm_host = set()  # ids of requests to undisturbed hosts
         self.served = {}  # request id: whether it is; not those that left
         self.answers = []  # of innocent requests: (sent at, whether it is 200)
 
@@ -35,6 +36,8 @@
     def on_sent(self, request_id, kind, target, team, body, host):
         self.sent[request_id] = (kind, target, team, body)
         self.sent_at[request_id] = time.monotonic()
+        if not host.disturbed_within(CONTACT_S):
+            self.to_calm_host.add(request_id)
         self.budget.on_sent(request_id, kind, host, time.monotonic())
 
     def on_run(self, request_id, line, headers, body, upstream, now):
