Begin at a new brittle process with the room that others of its service have

Cause: the bound of a process that follows a fallen one began at its slots, of which seven hosts have one each, while two requests fit in. All hosts sent at once, so that one fall led to the next.

The bound now begins at that of another upstream of the service that has refused requests, or of the process before it. The test of a process that follows a brittle one failed before.

--- a/include/teaselhill/gateway/brittle_upstreams.h
+++ b/include/teaselhill/gateway/brittle_upstreams.h
@@ -7,8 +7,8 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "teaselhill/gateway/fleet_size.h"
 #include "teaselhill/gateway/upstream_directory.h"
@@ -104,8 +104,11 @@
     TimePoint paused_until = TimePoint::min();
   };
 
-  /// The state of the upstream, added if it has none.
+  /// The state of the upstream, added if it has none. Its bound begins at that
+  /// of another upstream of the service, which is likely to have as much room.
   State& Add(const UpstreamEntry& upstream, TimePoint now);
+  /// Of each upstream of the service that has refused requests.
+  std::vector<double> BoundsOf(const std::string& service, TimePoint now) const;
   /// Part of one host if all have the same part of `total`.
   double EvenShare(double total) const;
   double BoundAt(const State& state, TimePoint now) const;
--- a/lib/gateway/brittle_upstreams.cc
+++ b/lib/gateway/brittle_upstreams.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <set>
 
 namespace teaselhill::gateway {
 
@@ -21,6 +22,7 @@
 
 BrittleUpstreams::State& BrittleUpstreams::Add(const UpstreamEntry& upstream,
                                                TimePoint now) {
+  const std::vector<double> known = BoundsOf(upstream.service, now);
   const auto [found, is_new] =
       states_.try_emplace({upstream.id, upstream.incarnation});
   State& state = found->second;
@@ -34,6 +36,8 @@
   const double share = EvenShare(state.slots);
   state.bound = std::max(options_.initial_part * share, std::min(share, 1.0)) +
                 rng_.Uniform();
+  if (!known.empty())
+    state.bound = std::min(state.bound, known[rng_.Below(known.size())]);
   state.growth = options_.initial_growth;
   state.changed_at = now;
   return state;
@@ -89,15 +93,26 @@
 void BrittleUpstreams::OnUpstreams(const UpstreamList& upstreams,
                                    TimePoint now) {
   std::set<std::string> brittle_services;
-  for (auto state = states_.begin(); state != states_.end();) {
-    brittle_services.insert(state->second.service);
-    state =
-        upstreams.Lists(state->first) ? std::next(state) : states_.erase(state);
-  }
+  for (const auto& [process, state] : states_)
+    brittle_services.insert(state.service);
+  // A process that has ended tells how much room its successor has.
   for (const std::string& service : brittle_services) {
     for (const UpstreamEntry& upstream : upstreams.OfService(service))
       Add(upstream, now);
   }
+  for (auto state = states_.begin(); state != states_.end();)
+    state =
+        upstreams.Lists(state->first) ? std::next(state) : states_.erase(state);
+}
+
+std::vector<double> BrittleUpstreams::BoundsOf(const std::string& service,
+                                               TimePoint now) const {
+  std::vector<double> bounds;
+  for (const auto& [process, state] : states_) {
+    if (state.service == service && state.refused_at)
+      bounds.push_back(BoundAt(state, now));
+  }
+  return bounds;
 }
 
 double BrittleUpstreams::EvenShare(double total) const {
--- a/unittests/gateway/brittle_upstreams_test.cc
+++ b/unittests/gateway/brittle_upstreams_test.cc
@@ -275,13 +275,16 @@
   BrittleUpstreams host(/*seed=*/1);
   host.SetPosition({0, 1});
   host.OnAnswer(fallen, 2, kStart, kStart);
+  // It had no room although nothing was open at this host.
+  host.OnRefused(fallen, /*local=*/false, kStart + seconds(4));
   UpstreamList list;
   list.by_service["llm"] = {restarted};
   list.by_service["app"] = {other};
-  host.OnUpstreams(list, kStart + seconds(5));
+  host.OnUpstreams(list, kStart + seconds(4));
   CHECK_FALSE(host.IsBrittle(ProcessOf(fallen)));
   CHECK(host.IsBrittle(ProcessOf(restarted)));
   CHECK_FALSE(host.IsBrittle(ProcessOf(other)));
+  CHECK(CountRoom(host, restarted, true, kStart + seconds(4)) == 0);
   // It says that it is not.
   host.OnAnswer(restarted, std::nullopt, kStart + seconds(6),
                 kStart + seconds(6));
