Test that a slow upstream stays in use after a request that may run once

It passes on; it guards the condition in RecordStall() that only attempts which can be replaced count as stalled.

--- a/unittests/platform/silent_upstream_test.cc
+++ b/unittests/platform/silent_upstream_test.cc
@@ -256,6 +256,24 @@
   CHECK(dark.requests().size() == 1);
 }
 
+// Requests that wait for a slow upstream, because they must not run twice,
+// would put sound upstreams out of use under load.
+TEST_CASE("a request that may run once only fails no slow upstream") {
+  gateway::Route route = ResumableRoute(kTarget);
+  route.kind = gateway::RouteKind::kNonIdempotent;
+  route.resumable = false;
+  GatewayFixture fixture(route, WithRetries(0, 0));
+  const AnswerScript silent;
+  const AnswerScript whole = {
+      {{}, AnswerHead("200 OK", "Content-Length: 5\r\n") + "whole"}};
+  const ScriptedUpstream& slow = fixture.AddUpstream({silent, whole});
+  const ScriptedUpstream& other = fixture.AddUpstream({whole});
+  CHECK(fixture.Send(milliseconds(1500)).status == 504);
+  CHECK(fixture.Send(milliseconds(1500)).body == "whole");
+  CHECK(slow.requests().size() == 2);
+  CHECK(other.requests().empty());
+}
+
 TEST_CASE("a failure after a replaced attempt does not wait for a retry") {
   gateway::Route route = ResumableRoute(kTarget);
   route.kind = gateway::RouteKind::kIdempotent;
