--- a/lib/routing/baseline_policies.cc
+++ b/lib/routing/baseline_policies.cc
@@ -43,15 +43,39 @@
   return choice;
 }
 
-class RoundRobinPolicy : public RoutingPolicy {
+NoCapacity AllFull(const std::vector<uint32_t>& usable) {
+  const int count = static_cast<int>(usable.size());
+  return NoCapacity{count, 0, count, 0};
+}
+
+/// Chooses among the upstreams that may get the request at all.
+class BaselinePolicy : public RoutingPolicy {
  public:
   RouteResult Choose(const RouteRequest& request,
                      const UpstreamTable& table,
                      Rng& rng,
-                     TimePoint now) override {
+                     TimePoint now) final {
     const std::vector<uint32_t> usable = UsableUpstreams(request, table, now);
     if (usable.empty())
       return NoUpstream{};
+    return ChooseAmong(usable, request, table, rng, now);
+  }
+
+ private:
+  /// `usable` holds one index at least.
+  virtual RouteResult ChooseAmong(const std::vector<uint32_t>& usable,
+                                  const RouteRequest& request,
+                                  const UpstreamTable& table,
+                                  Rng& rng,
+                                  TimePoint now) = 0;
+};
+
+class RoundRobinPolicy : public BaselinePolicy {
+  RouteResult ChooseAmong(const std::vector<uint32_t>& usable,
+                          const RouteRequest& request,
+                          const UpstreamTable& table,
+                          Rng& rng,
+                          TimePoint now) override {
     size_t& next = next_[request.target];
     for (size_t tried = 0; tried < usable.size(); ++tried) {
       const uint32_t index = usable[next++ % usable.size()];
@@ -60,23 +84,18 @@
         return MakeChoice(table, index, load, ChoiceReason::kRoundRobin,
                           usable.size());
     }
-    const int count = static_cast<int>(usable.size());
-    return NoCapacity{count, 0, count, 0};
+    return AllFull(usable);
   }
 
- private:
   std::map<std::string, size_t> next_;
 };
 
-class LeastLoadPolicy : public RoutingPolicy {
- public:
-  RouteResult Choose(const RouteRequest& request,
-                     const UpstreamTable& table,
-                     Rng& rng,
-                     TimePoint now) override {
-    const std::vector<uint32_t> usable = UsableUpstreams(request, table, now);
-    if (usable.empty())
-      return NoUpstream{};
+class LeastLoadPolicy : public BaselinePolicy {
+  RouteResult ChooseAmong(const std::vector<uint32_t>& usable,
+                          const RouteRequest& request,
+                          const UpstreamTable& table,
+                          Rng& rng,
+                          TimePoint now) override {
     const auto reported = [&](uint32_t index) {
       const Upstream& upstream = table.At(index);
       return upstream.has_report
@@ -92,9 +111,8 @@
         ties.push_back(index);
     }
     const uint32_t least = ties[rng.Below(ties.size())];
-    const int count = static_cast<int>(usable.size());
     if (reported(least) >= table.MaxBatch(table.At(least)))
-      return NoCapacity{count, 0, count, 0};
+      return AllFull(usable);
     return MakeChoice(table, least, reported(least),
                       ChoiceReason::kLeastReported, usable.size());
   }
