--- a/unittests/gateway/upstream_limits_test.cc
+++ b/unittests/gateway/upstream_limits_test.cc
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "notices_fixture.h"
+
 namespace teaselhill::gateway {
 
 namespace {
@@ -13,9 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const UpstreamProcess kUpstream{"i-1", 1};
-const UpstreamProcess kRestarted{"i-1", 2};
-
 struct Host {
   UpstreamLimits limits;
   TimePoint now = TimePoint(std::chrono::hours(5));
@@ -47,15 +46,6 @@
   }
 };
 
-UpstreamList ListOf(const UpstreamProcess& process) {
-  UpstreamList list;
-  UpstreamEntry entry;
-  entry.id = process.id;
-  entry.incarnation = process.incarnation;
-  list.by_service["s"].push_back(entry);
-  return list;
-}
-
 }  // namespace
 
 TEST_CASE("the sends to a limited upstream keep its limit") {
--- a/unittests/gateway/upstream_notices_test.cc
+++ b/unittests/gateway/upstream_notices_test.cc
@@ -6,15 +6,14 @@
 
 #include <catch2/catch.hpp>
 
+#include "notices_fixture.h"
+
 namespace teaselhill::gateway {
 
 namespace {
 
 using std::chrono::seconds;
 
-const UpstreamProcess kUpstream{"i-1", 1};
-const UpstreamProcess kRestarted{"i-1", 2};
-
 struct Host {
   UpstreamNotices notices;
   TimePoint now = TimePoint(std::chrono::hours(5));
@@ -30,15 +29,6 @@
   }
 };
 
-UpstreamList ListOf(const UpstreamProcess& process) {
-  UpstreamList list;
-  UpstreamEntry entry;
-  entry.id = process.id;
-  entry.incarnation = process.incarnation;
-  list.by_service["s"].push_back(entry);
-  return list;
-}
-
 }  // namespace
 
 TEST_CASE("an upstream that leaves gets no further requests of any host") {
--- a/unittests/net/cut_head_test.cc
+++ b/unittests/net/cut_head_test.cc
@@ -39,10 +39,10 @@
      "HTTP/1.1 103 Hints\r\nX: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-More: v\r\n\r\n"},
 };
 
-}  // namespace
-
-TEST_CASE("an answer whose head stops at any byte is lost") {
-  const Row row = GENERATE(from_range(std::begin(kRows), std::end(kRows)));
+/// Calls `check` with a client and a request whose answer is the row's head up
+/// to one of its bytes, for each byte.
+template <typename Check>
+void ForEachCut(const Row& row, Check check) {
   const std::string head = row.head;
   for (size_t size = 0; size < head.size(); ++size) {
     INFO(row.name << ": " << head.substr(0, size));
@@ -51,34 +51,38 @@
     const OneAnswerServer server(loop, head.substr(0, size));
     ClientRequest request;
     request.url = server.url();
-    const auto handler = std::make_shared<RecordingHandler>();
-    client.Start(std::move(request), handler);
-    RunUntil(loop, [&] { return handler->end().has_value(); });
-    CHECK_FALSE(handler->has_head());
-    CHECK(handler->body().empty());
-    CHECK(handler->end()->code == ResultCode::kConnectionLost);
-    CHECK(handler->end()->status == 0);
-    CHECK(handler->end()->may_have_been_sent);
+    check(loop, client, std::move(request));
   }
 }
 
+}  // namespace
+
+TEST_CASE("an answer whose head stops at any byte is lost") {
+  const Row row = GENERATE(from_range(std::begin(kRows), std::end(kRows)));
+  ForEachCut(row,
+             [](EventLoop& loop, HttpClient& client, ClientRequest request) {
+               const auto handler = std::make_shared<RecordingHandler>();
+               client.Start(std::move(request), handler);
+               RunUntil(loop, [&] { return handler->end().has_value(); });
+               CHECK_FALSE(handler->has_head());
+               CHECK(handler->body().empty());
+               CHECK(handler->end()->code == ResultCode::kConnectionLost);
+               CHECK(handler->end()->status == 0);
+               CHECK(handler->end()->may_have_been_sent);
+             });
+}
+
 TEST_CASE("a fetch fails if the head of its answer stops at any byte") {
   const Row row = GENERATE(from_range(std::begin(kRows), std::end(kRows)));
-  const std::string head = row.head;
-  for (size_t size = 0; size < head.size(); ++size) {
-    INFO(row.name << ": " << head.substr(0, size));
-    EventLoop loop;
-    HttpClient client(loop);
-    const OneAnswerServer server(loop, head.substr(0, size));
-    ClientRequest request;
-    request.url = server.url();
-    std::optional<Result<ClientResponse>> fetched;
-    client.Fetch(std::move(request), [&](Result<ClientResponse> result) {
-      fetched.emplace(std::move(result));
-    });
-    RunUntil(loop, [&] { return fetched.has_value(); });
-    CHECK_FALSE(fetched->ok());
-  }
+  ForEachCut(
+      row, [](EventLoop& loop, HttpClient& client, ClientRequest request) {
+        std::optional<Result<ClientResponse>> fetched;
+        client.Fetch(std::move(request), [&](Result<ClientResponse> result) {
+          fetched.emplace(std::move(result));
+        });
+        RunUntil(loop, [&] { return fetched.has_value(); });
+        CHECK_FALSE(fetched->ok());
+      });
 }
 
 }  // namespace teaselhill::net
