Add the interfaces that bound what lib/net holds

Collected answers, requests of callers and unsent responses are to count towards a MemoryBudget. Fetch() collects 1 MiB by default instead of 16 MiB; callers whose answers are larger state their bound. FetchHead() ends with the head, a request can share its body with its owner, and RefuseUnread() refuses requests that have arrived in part.

--- a/include/teaselhill/net/http_client.h
+++ b/include/teaselhill/net/http_client.h
@@ -14,6 +14,7 @@
 
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_types.h"
+#include "teaselhill/net/memory_budget.h"
 #include "teaselhill/net/tls.h"
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
@@ -25,6 +26,9 @@
   std::string url;
   Headers headers;
   std::string body;
+  /// Body that is shared with the owner of the request instead of copied; sent
+  /// in place of `body` if it is set.
+  std::shared_ptr<const std::string> shared_body;
   Duration connect_timeout = std::chrono::seconds(2);
   Duration total_timeout{};  ///< zero: none
   /// Time without a byte of the answer after which the transfer ends with
@@ -36,6 +40,9 @@
   /// kProtocolError, and its connection is closed.
   size_t max_head_bytes = 64 << 10;  ///< of all lines, with interim answers
   size_t max_body_bytes = 0;         ///< zero: none
+  /// Ends the transfer, with success, when the head of the answer has arrived;
+  /// its body is not read and the connection is closed.
+  bool head_only = false;
   /// Local address to connect from; empty: any.
   std::string source_address;
   /// Uses a new connection. libcurl sends a request again by itself when a
@@ -87,6 +94,9 @@
 
 using TransferId = uint64_t;
 
+/// Largest body that Fetch() collects unless its caller states another bound.
+constexpr size_t kDefaultFetchBytes = 1 << 20;
+
 /// Bytes of HTTP heads and bodies, without those of lower layers.
 struct ByteCount {
   uint64_t sent = 0;
@@ -106,6 +116,10 @@
   /// for each new connection, so that a replaced file takes effect by itself.
   void UseTls(TlsFiles files);
 
+  /// Counts what Fetch() collects towards `budget`, which must outlive the
+  /// client. Call it before any transfer; null: not counted.
+  void UseBudget(MemoryBudget* budget);
+
   /// Starts a transfer. The handler is kept until OnEnd() or Cancel().
   TransferId Start(ClientRequest request,
                    std::shared_ptr<TransferHandler> handler);
@@ -123,10 +137,14 @@
   void Resume(TransferId id);
 
   /// Performs a request and collects the response, at most `max_body_bytes`.
+  /// Ends with kProtocolError if the response has to give way in the budget.
   using FetchCallback = std::function<void(Result<ClientResponse>)>;
   TransferId Fetch(ClientRequest request,
                    FetchCallback callback,
-                   size_t max_body_bytes = 16 << 20);
+                   size_t max_body_bytes = kDefaultFetchBytes);
+
+  /// Performs a request and collects the head of the response only.
+  TransferId FetchHead(ClientRequest request, FetchCallback callback);
 
   /// Counts by purpose of the transfers that have ended.
   const std::map<std::string, ByteCount>& byte_counts() const;
@@ -134,10 +152,13 @@
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
+  MemoryBudget* budget_ = nullptr;
 };
 
 /// Performs one request and blocks until it ends. For command-line tools.
-Result<ClientResponse> BlockingFetch(ClientRequest request);
+Result<ClientResponse> BlockingFetch(
+    ClientRequest request,
+    size_t max_body_bytes = kDefaultFetchBytes);
 
 }  // namespace teaselhill::net
 
--- a/include/teaselhill/net/http_server.h
+++ b/include/teaselhill/net/http_server.h
@@ -12,6 +12,7 @@
 
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_types.h"
+#include "teaselhill/net/memory_budget.h"
 #include "teaselhill/net/tls.h"
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
@@ -84,6 +85,9 @@
   /// Further connections wait in the listener's backlog.
   size_t max_connections = 20000;
   std::shared_ptr<TlsContext> tls;  ///< null: plain HTTP
+  /// Counts requests and what is not sent of responses; must outlive the
+  /// server. Null: none.
+  MemoryBudget* memory_budget = nullptr;
 };
 
 /// Serves on one event loop. Destroy it on the loop's thread or after the loop
@@ -111,6 +115,10 @@
   /// the last response.
   void CloseIdle();
 
+  /// Answers each connection on which a part of a request has arrived, and no
+  /// response is in progress, with the error `code` and closes it.
+  void RefuseUnread(ResultCode code);
+
   /// Whether a response has not been handed to the system whole. Call on the
   /// loop's thread.
   bool HasUnsentResponses() const;
--- a/lib/ctl/host_commands.cc
+++ b/lib/ctl/host_commands.cc
@@ -20,6 +20,8 @@
 constexpr Duration kHostTimeout = std::chrono::seconds(3);
 constexpr Duration kWaitStep = std::chrono::milliseconds(200);
 constexpr size_t kHostColumns = 10;
+/// A host of the largest size lists some thousand upstreams.
+constexpr size_t kMaxAnswerBytes = 16 << 20;
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kForbidden = 403;
@@ -33,7 +35,7 @@
   request.total_timeout = kHostTimeout;
   request.ca_file = settings.tls_ca;
   request.headers = {{"Authorization", "Bearer " + settings.operator_key}};
-  const auto answer = net::BlockingFetch(std::move(request));
+  const auto answer = net::BlockingFetch(std::move(request), kMaxAnswerBytes);
   if (!answer)
     return answer.error();
   const std::string text = "answered " + std::to_string(answer->status);
--- a/lib/gateway/peer_exchange.cc
+++ b/lib/gateway/peer_exchange.cc
@@ -14,6 +14,7 @@
 
 constexpr const char* kMessagePath = "/v1/peer-message";
 constexpr size_t kMaxIdleConnections = 16;
+constexpr size_t kMaxAnswerBytes = 4 << 20;
 
 }  // namespace
 
@@ -111,15 +112,17 @@
   request.connect_timeout = timeout;
   request.total_timeout = timeout;
   client_.Fetch(
-      std::move(request), [callback = std::move(callback)](
-                              const Result<net::ClientResponse>& response) {
+      std::move(request),
+      [callback =
+           std::move(callback)](const Result<net::ClientResponse>& response) {
         if (!response)
           return callback(response.error());
         if (response->status != 200)
           return callback({ResultCode::kProtocolError,
                            "status " + std::to_string(response->status)});
         callback(response->body);
-      });
+      },
+      kMaxAnswerBytes);
 }
 
 std::vector<std::string> PeerExchange::PeersFor(const std::string& key,
--- a/lib/net/caller_socket.h
+++ b/lib/net/caller_socket.h
@@ -29,6 +29,16 @@
 
   explicit Channel(asio::io_context& context) : tcp(context) {}
 
+  /// Ends the pending read, so that the connection closes with a refusal of
+  /// `code`.
+  void Refuse(ResultCode code) {
+    if (!reading)
+      return;
+    refusal = code;
+    asio::error_code ignored;
+    tcp.cancel(ignored);
+  }
+
   asio::ip::tcp::socket tcp;
   /// Keeps the certificates that were current at the handshake.
   std::shared_ptr<asio::ssl::context> tls_context;
@@ -37,6 +47,8 @@
   bool writing = false;
   /// Bytes received since the last write ended.
   size_t unanswered_bytes = 0;
+  /// Code of the refusal with which the connection is to end.
+  std::optional<ResultCode> refusal;
 };
 
 /// Channels of one server that are alive, in no order.
@@ -156,9 +168,13 @@
                     const asio::error_code& error, size_t size) mutable {
       channel->reading = false;
       channel->unanswered_bytes += size;
-      if (error || channel->unanswered_bytes <= policy->max_unanswered_bytes)
+      policy->fault = channel->refusal;
+      if (!policy->fault && !error &&
+          channel->unanswered_bytes > policy->max_unanswered_bytes)
+        policy->fault = ResultCode::kBodyTooLarge;
+      if (!policy->fault)
         return handler(error, size);
-      policy->fault = ResultCode::kBodyTooLarge;
+      // RESTinio ignores operation_aborted.
       handler(asio::error_code(asio::error::message_size), 0);
     };
     if (channel_->tls)
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -97,6 +97,16 @@
     });
   }
 
+  void RefuseUnread(ResultCode code) {
+    const std::set<restinio::endpoint_t> idle = table_->IdlePeers();
+    policy_->channels.ForEach([&idle, code](Channel& channel) {
+      asio::error_code error;
+      const auto remote = channel.tcp.remote_endpoint(error);
+      if (!error && channel.unanswered_bytes > 0 && idle.count(remote) > 0)
+        channel.Refuse(code);
+    });
+  }
+
   bool HasUnsentResponses() const { return table_->HasUnsent(); }
 
   uint16_t port() const { return port_; }
@@ -213,6 +223,10 @@
   impl_->CloseIdle();
 }
 
+void HttpServer::RefuseUnread(ResultCode code) {
+  impl_->RefuseUnread(code);
+}
+
 bool HttpServer::HasUnsentResponses() const {
   return impl_->HasUnsentResponses();
 }
--- a/lib/net/http_transfer.cc
+++ b/lib/net/http_transfer.cc
@@ -98,6 +98,8 @@
 
 void Transfer::End(CURLcode code) {
   TransferEnd end;
+  if (request_.head_only && head_delivered_)
+    code = CURLE_OK;
   end.code = CodeOfEnd(code);
   if (code != CURLE_OK)
     end.detail = error_[0] ? error_ : curl_easy_strerror(code);
@@ -167,15 +169,17 @@
 }
 
 void Transfer::ConfigureBody() {
-  if (request_.method == "GET" && request_.body.empty())
+  const std::string& body =
+      request_.shared_body ? *request_.shared_body : request_.body;
+  if (request_.method == "GET" && body.empty())
     return;
   if (request_.method == "HEAD") {
     curl_easy_setopt(easy(), CURLOPT_NOBODY, 1L);
     return;
   }
-  curl_easy_setopt(easy(), CURLOPT_POSTFIELDS, request_.body.data());
+  curl_easy_setopt(easy(), CURLOPT_POSTFIELDS, body.data());
   curl_easy_setopt(easy(), CURLOPT_POSTFIELDSIZE_LARGE,
-                   static_cast<curl_off_t>(request_.body.size()));
+                   static_cast<curl_off_t>(body.size()));
   curl_easy_setopt(easy(), CURLOPT_CUSTOMREQUEST, request_.method.c_str());
 }
 
@@ -274,7 +278,7 @@
     head_.Close();
     if (status() >= 200)
       DeliverHead();
-    return true;
+    return !(head_delivered_ && request_.head_only);
   }
   const Status added = head_.Add(line);
   if (!added.ok())
--- a/lib/net/http_transfer.h
+++ b/lib/net/http_transfer.h
@@ -82,8 +82,8 @@
 
   void DeliverHead();
 
-  /// Returns false if the line makes the head malformed; the transfer must end
-  /// then.
+  /// Returns false if the line makes the head malformed, or completes a head
+  /// without whose body the transfer ends; the transfer must end then.
   bool ReadHeadLine(std::string_view line);
 
   /// Whether nothing has arrived on the reused connection of `socket`.
