Answer every request before the end of a planned stop in lib/router

Callers of teaselhilld got no answer at all if their request was still open when the drain timeout was over: the loop stopped with requests that ran, were queued, waited for a limit or for their claim, or were forwarded. Retries and hedges were started though they could not end before the stop, an answer that was written late could be cut while it left the socket, and neither requests for tokens nor requests that had arrived in part were counted.

At the start of the drain the deadlines of open requests are capped at the time before that. No attempt, hedge, resumption, replacement or forwarding starts that is not expected to end by then; a queued request that would start too late is refused at once. What is open at that time ends with its honest outcome: unknown if an upstream or another host may have it, else what the claims allow, else not run. Then requests that have arrived in part are refused and connections close with their last answer, and the process ends when all answers have left, or at the drain timeout. A host that drains issues no idempotency tokens, because no other host could run their requests.

The unbounded timeout of a silent attempt now depends on the caller's own deadline, since a drain gives every request a deadline.

The call of Drain() in an existing test got the new arguments; what it checks is unchanged.

--- a/include/teaselhill/router/control.h
+++ b/include/teaselhill/router/control.h
@@ -37,8 +37,9 @@
 
   /// Rejects new requests and announces to the peers that this host is leaving.
   /// Calls `done` once no request is in flight and the platform's load balancer
-  /// had time to observe the drain, or once the drain timeout has passed.
-  void Drain(std::function<size_t()> open_requests, std::function<void()> done);
+  /// had time to observe the drain, or once the drain timeout has passed. All
+  /// requests are answered shortly before that. `traffic` must outlive this.
+  void Drain(DrainPort& traffic, std::function<void()> done);
 
   // ControlPort; callable from any thread.
   void OnArrived(RequestInfo info) override;
--- a/include/teaselhill/router/ports.h
+++ b/include/teaselhill/router/ports.h
@@ -118,6 +118,20 @@
                                            const std::string& customer) = 0;
 };
 
+/// What a drain needs of the traffic threads.
+class DrainPort {
+ public:
+  virtual ~DrainPort() = default;
+
+  /// Requests whose answer has not been written, and after EndConnections()
+  /// also those whose answer has not left its socket.
+  virtual size_t open_requests() const = 0;
+
+  /// Refuses requests that have not arrived whole, and lets each connection end
+  /// with its last answer.
+  virtual void EndConnections() = 0;
+};
+
 }  // namespace teaselhill::router
 
 #endif  // TEASELHILL_ROUTER_PORTS_H_
--- a/include/teaselhill/router/request_coordinator.h
+++ b/include/teaselhill/router/request_coordinator.h
@@ -131,9 +131,11 @@
   /// about every 20 ms.
   void Tick(TimePoint now);
 
-  /// Stops admitting requests that arrive from now on. Open requests continue,
-  /// and stored answers are still replayed.
-  void Drain() { draining_ = true; }
+  /// Stops admitting requests that arrive from now on. Open requests continue
+  /// until `final_answers`, and stored answers are still replayed. An attempt
+  /// starts only if it is likely to end by then. Tick() ends what is still open
+  /// at that time.
+  void Drain(TimePoint final_answers, TimePoint now);
 
   size_t open_requests() const { return requests_.size(); }
 
@@ -222,6 +224,14 @@
                       ActiveAttempt& attempt,
                       TimePoint now);
   void StartHedges(TimePoint now);
+  /// While draining, makes `final_answers_` the latest deadline.
+  void CapDeadline(Request& request) const;
+  /// Whether an attempt or a forwarded request that starts now is likely to end
+  /// before the last answers of a drain. True while not draining.
+  bool CanEndBeforeStop(const routing::Choice& choice, TimePoint now) const;
+  bool CanForwardBeforeStop(TimePoint now) const;
+  /// Answers all open requests at the end of a drain.
+  void EndOpenRequests(TimePoint now);
   void AbandonWithoutUpstream(TimePoint now);
 
   HostIncarnation self_;
@@ -241,6 +251,7 @@
   routing::AttemptId last_attempt_ = 0;
   TimePoint next_slow_tick_{};
   bool draining_ = false;
+  TimePoint final_answers_{};  ///< of a drain
 };
 
 }  // namespace teaselhill::router
--- a/include/teaselhill/router/traffic_worker.h
+++ b/include/teaselhill/router/traffic_worker.h
@@ -62,8 +62,10 @@
   Status Start();
   uint16_t port() const;
 
-  /// Stops accepting new connections; requests in flight continue.
-  void StopAccepting();
+  /// Stops accepting connections, refuses requests that have not arrived whole,
+  /// and closes each connection after its last answer. Requests in flight
+  /// continue.
+  void EndConnections();
 
   /// Stops and joins the thread. Requests still in flight are aborted.
   void Stop();
@@ -78,17 +80,20 @@
   void SendIdempotencyToken(RequestId request, const std::string& token);
 
   /// Number of requests whose relay still exists; a relay may outlive its
-  /// answer by up to 100 ms. Callable from any thread.
-  size_t open_requests() const { return open_requests_; }
+  /// answer by up to 100 ms. After EndConnections(), one more if an answer has
+  /// not left its socket. Callable from any thread.
+  size_t open_requests() const { return open_requests_ + has_unsent_answers_; }
 
  private:
   class Impl;
   std::atomic<size_t> open_requests_{0};
+  std::atomic<bool> has_unsent_answers_{false};
   std::unique_ptr<Impl> impl_;
 };
 
-/// Dispatches the calls of the traffic port to the addressed worker.
-class WorkerPool : public TrafficPort {
+/// Dispatches the calls of the traffic port to the addressed worker, and those
+/// of the drain port to all.
+class WorkerPool : public TrafficPort, public DrainPort {
  public:
   void AddWorker(TrafficWorker* worker) { workers_.push_back(worker); }
 
@@ -121,6 +126,17 @@
     workers_[worker]->SendIdempotencyToken(request, token);
   }
 
+  size_t open_requests() const override {
+    size_t open = 0;
+    for (const TrafficWorker* worker : workers_)
+      open += worker->open_requests();
+    return open;
+  }
+  void EndConnections() override {
+    for (TrafficWorker* worker : workers_)
+      worker->EndConnections();
+  }
+
  private:
   std::vector<TrafficWorker*> workers_;
 };
--- a/lib/router/control.cc
+++ b/lib/router/control.cc
@@ -19,14 +19,8 @@
 /// Period of the check for due demand messages. They are due every 250 ms, and
 /// earlier after a limit starts to be used.
 constexpr std::chrono::milliseconds kDemandTickPeriod{50};
-constexpr milliseconds kDrainPollPeriod{20};
 constexpr std::chrono::seconds kSendsBurstDuration{5};
 
-/// Minimum duration of a drain, during which `/readyz` answers "not ready", so
-/// that the platform's load balancer observes it. Only a shorter drain timeout
-/// ends the drain earlier.
-constexpr milliseconds kMinDrainNotice{1000};
-
 /// Bounds the file descriptors that clients of the operators' port can use up,
 /// because clients without a key can connect to it too.
 constexpr size_t kMaxOperatorConnections = 64;
@@ -161,30 +155,6 @@
   return Ok{};
 }
 
-void Control::Impl::Drain(std::function<size_t()> open_requests,
-                          std::function<void()> done) {
-  shared_.draining = true;
-  const TimePoint drain_start = Now();
-  logger_.Write(LogLine(LogLevel::kInfo, "draining"));
-  coordinator_.Drain();
-  if (orders_)
-    orders_->StopRenewal();
-  ApplyMemberOutput(members_.MarkSelfLeaving(drain_start), drain_start);
-  SchedulePeriodic(kDrainPollPeriod, [this, drain_start,
-                                      open_requests = std::move(open_requests),
-                                      done = std::move(done)](TimePoint now) {
-    const size_t open = coordinator_.open_requests() + open_requests();
-    const bool notice_given = now - drain_start >= kMinDrainNotice;
-    const bool timed_out = now - drain_start >= settings_.drain_timeout;
-    if (drained_ || (!timed_out && (open > 0 || !notice_given)))
-      return;
-    drained_ = true;
-    logger_.Write(LogLine(LogLevel::kInfo, "drained")
-                      .Field("cut_off", static_cast<uint64_t>(open)));
-    done();
-  });
-}
-
 membership::MemberUpdate Control::Impl::MakeSelfUpdate() const {
   membership::MemberUpdate self;
   self.id = self_;
@@ -383,9 +353,8 @@
   return impl_->loop();
 }
 
-void Control::Drain(std::function<size_t()> open_requests,
-                    std::function<void()> done) {
-  impl_->Drain(std::move(open_requests), std::move(done));
+void Control::Drain(DrainPort& traffic, std::function<void()> done) {
+  impl_->Drain(traffic, std::move(done));
 }
 
 void Control::OnArrived(RequestInfo info) {
--- a/lib/router/control_impl.h
+++ b/lib/router/control_impl.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,7 @@
 #include "teaselhill/routing/byte_budget.h"
 #include "teaselhill/routing/report_sharing.h"
 #include "teaselhill/services/host_list_client.h"
+#include "teaselhill/support/shutdown_times.h"
 
 namespace teaselhill::router {
 
@@ -38,9 +40,19 @@
 constexpr double kSendsBytesPerSecond = 1000;
 constexpr size_t kMaxFullBudgetReceivers = 8;
 
+/// State of the drain, once it has begun.
+struct ControlDrain {
+  DrainPort& traffic;
+  std::function<void()> done;
+  TimePoint notice_given;  ///< the load balancer has observed the drain
+  ShutdownTimes times;
+  bool connections_end = false;
+  bool ended = false;
+};
+
 /// Implemented in control.cc (start, settings and configuration),
 /// control_peers.cc (messages between hosts) and control_state.cc (status and
-/// metrics for operators).
+/// metrics for operators) and control_drain.cc.
 class Control::Impl : public FleetPort, public AdminBackend {
  public:
   Impl(const Settings& settings,
@@ -52,7 +64,7 @@
 
   Status Start();
 
-  void Drain(std::function<size_t()> open_requests, std::function<void()> done);
+  void Drain(DrainPort& traffic, std::function<void()> done);
 
   net::EventLoop& loop() { return loop_; }
   RequestCoordinator& coordinator() { return coordinator_; }
@@ -110,6 +122,8 @@
     timers_.push_back(loop_.timers().Subscribe(period, std::move(callback)));
   }
 
+  void TickDrain(TimePoint now);
+
   void AddConfiguredPeers();
 
   void OnHostList(Result<services::HostList> list);
@@ -222,7 +236,7 @@
   bool host_list_was_reachable_ = false;
   TimePoint last_request_tick_{};
   bool crash_state_requested_ = false;
-  bool drained_ = false;
+  std::optional<ControlDrain> drain_;
   bool sent_upstream_leaving_ = false;
   int exchange_count_ = 0;
   std::array<uint64_t, std::variant_size_v<peer::Message>> sent_bytes_{};
--- a/lib/router/daemon.cc
+++ b/lib/router/daemon.cc
@@ -108,13 +108,7 @@
   const auto signals = net::HandleTermination(control.loop(), [&](int) {
     if (std::exchange(stopping, true))
       return;
-    const auto open_requests = [&workers] {
-      size_t open = 0;
-      for (const auto& worker : workers)
-        open += worker->open_requests();
-      return open;
-    };
-    control.Drain(open_requests, [&control] { control.loop().Stop(); });
+    control.Drain(pool, [&control] { control.loop().Stop(); });
   });
   std::shared_ptr<void> hangups;
   TimerSubscription tls_check;
--- a/lib/router/request_coordinator.cc
+++ b/lib/router/request_coordinator.cc
@@ -86,6 +86,7 @@
   request.history.resumable = !request.info.model.empty();
   if (request.deadline != admission::kNoDeadline)
     request.history.deadline = request.deadline;
+  CapDeadline(request);
   if (!request.keyed())
     return AdmitRequest(request, now);
   const Result<claims::Key> key =
@@ -156,7 +157,7 @@
                                         TimePoint now) {
   request.has_claim_entry = false;
   const std::optional<std::string> url = fleet_.UrlOf(holder);
-  if (!url)
+  if (!url || !CanForwardBeforeStop(now))
     return FailRequest(request, {ResultCode::kHolderUnreachable, ""},
                        std::chrono::seconds(1), now);
   request.phase = Request::Phase::kForwarded;
--- a/lib/router/request_dispatch.cc
+++ b/lib/router/request_dispatch.cc
@@ -52,6 +52,10 @@
     auto* choice = std::get_if<routing::Choice>(&result);
     if (!choice)
       return false;
+    if (!coordinator_.CanEndBeforeStop(*choice, now_)) {
+      too_late_.insert(queued.id);
+      return false;
+    }
     choices_[queued.id] = std::move(*choice);
     return true;
   }
@@ -65,6 +69,9 @@
     return choice;
   }
 
+  /// Requests that could start now, but not end before the host stops.
+  const std::set<RequestId>& too_late() const { return too_late_; }
+
   /// Excludes the model for the rest of this StartQueuedRequests() call.
   void BlockModel(const std::string& model) { blocked_models_.insert(model); }
 
@@ -72,6 +79,7 @@
   RequestCoordinator& coordinator_;
   TimePoint now_;
   mutable std::unordered_map<RequestId, routing::Choice> choices_;
+  mutable std::set<RequestId> too_late_;
   std::set<std::string> blocked_models_;
 };
 
@@ -231,7 +239,7 @@
 void RequestCoordinator::AdmitRequest(Request& request, TimePoint now) {
   // Draining is checked here and not on arrival, because only the claim table
   // knows which answer the caller of a keyed request may get.
-  if (request.arrived_while_draining)
+  if (request.arrived_while_draining || !CanForwardBeforeStop(now))
     return AbandonRequest(request, {ResultCode::kDraining, ""},
                           std::chrono::seconds(1), now);
   if (request.info.max_tokens > 0)
@@ -367,6 +375,12 @@
             .Field("waited_ms", now - request->arrival));
     StartAttempt(*request, *choice, /*hedge=*/false, now);
   }
+  for (const RequestId id : probe.too_late()) {
+    Request* request = FindRequest(id);
+    if (request && request->phase == Request::Phase::kQueued)
+      AbandonRequest(*request, {ResultCode::kDraining, ""},
+                     std::chrono::seconds(1), now);
+  }
 }
 
 }  // namespace teaselhill::router
--- a/lib/router/request_hedges.cc
+++ b/lib/router/request_hedges.cc
@@ -37,7 +37,7 @@
         MakeRouteRequest(*request, now), *components_.upstreams,
         *components_.rng, now);
     const auto* choice = std::get_if<routing::Choice>(&result);
-    if (!choice)
+    if (!choice || !CanEndBeforeStop(*choice, now))
       continue;
     StartAttempt(*request, *choice, /*hedge=*/true, now);
     components_.hedges->OnHedgeStarted(candidate, last_attempt_);
--- a/lib/router/request_timeouts.cc
+++ b/lib/router/request_timeouts.cc
@@ -31,6 +31,7 @@
 }  // namespace
 
 void RequestCoordinator::Tick(TimePoint now) {
+  EndOpenRequests(now);
   ExpireQueue(now);
   ResumeSuspended(now);
   StartHedges(now);
@@ -111,7 +112,7 @@
         continue;
       // A sound upstream may be silent for a while and go on.
       ActiveAttempt& attempt = request->attempts.at(number);
-      if (request->deadline != admission::kNoDeadline ||
+      if (request->info.deadline > Duration::zero() ||
           now - attempt.last_progress_at <= options_.unbounded_timeout) {
         LogKeptAttempt(*request, attempt, now);
         continue;
@@ -147,7 +148,7 @@
       MakeRouteRequest(request, now), *components_.upstreams, *components_.rng,
       now);
   const auto* choice = std::get_if<routing::Choice>(&route);
-  if (!choice)
+  if (!choice || !CanEndBeforeStop(*choice, now))
     return false;
   // The planner comes last, because a retry that it permits is charged to the
   // retry budget.
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -21,6 +21,10 @@
 
 constexpr std::chrono::milliseconds kProgressPeriod{100};
 
+/// Period of the check for answers that have not left their sockets, at the end
+/// of a drain.
+constexpr std::chrono::milliseconds kUnsentPeriod{10};
+
 /// Request ids carry the worker's index in their upper bits, so that workers
 /// need no shared counter.
 constexpr int kWorkerIndexShift = 48;
@@ -124,6 +128,21 @@
     token_requests_.erase(found);
   }
 
+  /// Reports from now on whether an answer has not left its socket.
+  void EndConnections(std::function<void(bool)> report_unsent) {
+    server_.Stop();
+    server_.CloseAfterResponses();
+    EndUnusedConnections();
+    unsent_timer_ = loop_.timers().Subscribe(
+        kUnsentPeriod,
+        [this, report_unsent = std::move(report_unsent)](TimePoint) {
+          EndUnusedConnections();
+          ReportProgress();
+          report_unsent(!token_requests_.empty() ||
+                        server_.HasUnsentResponses());
+        });
+  }
+
   void EraseRelay(RequestId id) {
     if (relays_.erase(id) > 0)
       --open_requests_;
@@ -207,6 +226,9 @@
       const std::shared_ptr<net::ResponseWriter>& response) {
     if (request.method != "POST")
       return {ResultCode::kMethodNotAllowed, "/v1/tokens takes POST"};
+    // Only this host could run a request with the token.
+    if (shared_.draining)
+      return {ResultCode::kDraining, ""};
     const RequestId id = NextId();
     token_requests_[id] = response;
     control_.OnIdempotencyTokenRequested(index_, id, grant.contract->customer);
@@ -271,6 +293,12 @@
     control_.OnArrived(std::move(info));
   }
 
+  /// A connection may have got its answer before it was to be its last one.
+  void EndUnusedConnections() {
+    server_.RefuseUnread(ResultCode::kDraining);
+    server_.CloseIdle();
+  }
+
   void OnCallerDisconnected(RequestId id) {
     const auto found = relays_.find(id);
     if (found == relays_.end())
@@ -314,6 +342,7 @@
   std::unordered_map<RequestId, std::shared_ptr<net::ResponseWriter>>
       token_requests_;
   TimerSubscription progress_timer_;
+  TimerSubscription unsent_timer_;
   std::thread thread_;
 };
 
@@ -337,8 +366,12 @@
   return impl_->server().port();
 }
 
-void TrafficWorker::StopAccepting() {
-  impl_->loop().Post([this] { impl_->server().Stop(); });
+void TrafficWorker::EndConnections() {
+  has_unsent_answers_ = true;
+  impl_->loop().Post([this] {
+    impl_->EndConnections(
+        [this](bool unsent) { has_unsent_answers_ = unsent; });
+  });
 }
 
 void TrafficWorker::Stop() {
--- a/unittests/router/coordinator_fixture.h
+++ b/unittests/router/coordinator_fixture.h
@@ -88,11 +88,13 @@
 class NoFleet : public FleetPort {
  public:
   std::optional<std::string> UrlOf(const HostIncarnation&) const override {
-    return std::nullopt;
+    return url;
   }
   void BroadcastCrashSuspicion(const retry::CrashSuspicion&) override {}
   void BroadcastUpstreamSends() override {}
   void BroadcastUpstreamLeaving(const routing::UpstreamLeaving&) override {}
+
+  std::optional<std::string> url;  ///< of all other hosts
 };
 
 /// A coordinator for one customer with classes `urgent` and `report` and three
--- a/unittests/router/request_coordinator_test.cc
+++ b/unittests/router/request_coordinator_test.cc
@@ -219,7 +219,8 @@
 TEST_CASE("draining host rejects new requests and finishes open ones") {
   CoordinatorFixture fixture;
   const RequestId running = fixture.Arrive(/*idempotent=*/true);
-  fixture.coordinator.Drain();
+  fixture.coordinator.Drain(fixture.now + std::chrono::minutes(10),
+                            fixture.now);
   const RequestId late = fixture.Arrive(/*idempotent=*/true);
   CHECK(fixture.traffic.failures[late] ==
         std::vector<ResultCode>{ResultCode::kDraining});
