Test what collected answers and paused transfers hold

Health checks that pour without end raised a host's peak of memory by 104 MB: Fetch() collected 16 MB for an answer whose head says everything, and nothing bounded what all collected answers hold together. EndlessServer moves to a header of its own.

With Fetch() in place of FetchHead(), and without an account, the tests show: the three endless bodies end with an error instead of their head; no collected answer gives way and the test times out after 10 s. A paused transfer of an endless body keeps no more than its sockets' buffers, chunked or not: libcurl stops to read, no change was needed.

--- a/unittests/net/endless_answer_test.cc
+++ b/unittests/net/endless_answer_test.cc
@@ -2,13 +2,11 @@
 /// Guards against servers that send without end, in a head or a body: the
 /// client would keep all of it, or read on for as long as the server sends.
 
-#include <asio.hpp>
-#include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
-#include <thread>
 
+#include "endless_server.h"
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_client.h"
 
@@ -21,46 +19,6 @@
 
 constexpr size_t kMaxHeadBytes = 32 << 10;
 constexpr size_t kMaxBodyBytes = 256 << 10;
-/// What the sockets' buffers hold beside what the client has read.
-constexpr size_t kBufferedBytes = 8 << 20;
-
-/// Sends a beginning and then the same bytes until the client closes.
-class EndlessServer {
- public:
-  EndlessServer(std::string beginning, const std::string& repeated)
-      : beginning_(std::move(beginning)),
-        acceptor_(context_, {asio::ip::make_address("127.0.1.78"), 0}) {
-    while (block_.size() < 16384)
-      block_ += repeated;
-    thread_ = std::thread([this] { Serve(); });
-  }
-  ~EndlessServer() { thread_.join(); }
-
-  std::string url() const {
-    return "http://127.0.1.78:" +
-           std::to_string(acceptor_.local_endpoint().port());
-  }
-  size_t sent() const { return sent_; }
-
- private:
-  void Serve() {
-    asio::ip::tcp::socket socket(context_);
-    acceptor_.accept(socket);
-    char request[4096];
-    asio::error_code error;
-    socket.read_some(asio::buffer(request), error);
-    asio::write(socket, asio::buffer(beginning_), error);
-    while (!error && sent_ < 64 << 20)
-      sent_ += asio::write(socket, asio::buffer(block_), error);
-  }
-
-  std::string beginning_;
-  std::string block_;
-  asio::io_context context_;
-  asio::ip::tcp::acceptor acceptor_;
-  std::thread thread_;
-  std::atomic<size_t> sent_{0};
-};
 
 class EndHandler : public TransferHandler {
  public:
