Bound what callers' requests and unread answers hold

Callers saw a host run out of memory for the fault of others: 352 bodies of 0.9 MB from 200 callers raised its peak by 124 MB, and callers that read nothing held all that was written for them. The server had a bound for each message and none for all of them.

A server with a MemoryBudget now counts each request from its first bytes until its response has ended. While more than half of the budget is held, requests of more than 64 KiB read on in the order in which they became large, four at a time without those that stall, and none above three quarters as long as a large one is in progress. Small requests are never put off. Unsent bytes of responses are counted too; the largest ones give way: their connection is reset and the close handler called. A read that is put off ends with the 408 of RESTinio's timer, or with the refusal of RefuseUnread(), which no longer leaves a code behind if the connection closes at the same time. Accounts may outlive their budget, because connections outlive their server until the loop is destroyed. A closed response drops what it had not passed on.

--- a/include/teaselhill/net/memory_budget.h
+++ b/include/teaselhill/net/memory_budget.h
@@ -5,19 +5,17 @@
 #ifndef TEASELHILL_NET_MEMORY_BUDGET_H_
 #define TEASELHILL_NET_MEMORY_BUDGET_H_
 
-#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <vector>
 
 namespace teaselhill::net {
 
 /// Sum of what accounts hold. When it exceeds the bound, the account that holds
 /// most is told to give way, and so on until the rest fits. This happens in a
 /// function that is posted to the loop, so an owner may report bytes from any
-/// callback. Must outlive its accounts. Used on the loop's thread only, except
-/// for held_bytes().
+/// callback. Accounts that outlive it count no more. Used on the loop's thread
+/// only, except for held_bytes().
 class MemoryBudget {
  public:
   /// Runs a function soon, but not before it returns.
@@ -26,6 +24,8 @@
   /// Drops what an account holds.
   using GiveWay = std::function<void()>;
 
+  struct State;
+
   /// Bytes of one message; none once it is destroyed.
   class Account {
    public:
@@ -39,13 +39,12 @@
 
    private:
     friend class MemoryBudget;
-    Account(MemoryBudget& budget, GiveWay give_way)
-        : budget_(budget), give_way_(std::move(give_way)) {}
+    Account(std::shared_ptr<State> state, GiveWay give_way);
 
-    MemoryBudget& budget_;
+    std::shared_ptr<State> state_;
     GiveWay give_way_;
     size_t bytes_ = 0;
-    size_t index_ = 0;  ///< in MemoryBudget::accounts_
+    size_t index_ = 0;  ///< in State::accounts
   };
 
   MemoryBudget(size_t max_bytes, Post post);
@@ -57,23 +56,14 @@
   /// destroy it; without a function, the account counts but never gives way.
   std::unique_ptr<Account> Open(GiveWay give_way = nullptr);
 
-  size_t max_bytes() const { return max_bytes_; }
-  bool IsExceeded() const { return held_bytes_ > max_bytes_; }
+  size_t max_bytes() const;
+  bool IsExceeded() const { return held_bytes() > max_bytes(); }
 
   /// Callable from any thread.
-  size_t held_bytes() const { return held_bytes_; }
+  size_t held_bytes() const;
 
  private:
-  void Relieve();
-  Account* Largest() const;
-
-  size_t max_bytes_;
-  Post post_;
-  std::atomic<size_t> held_bytes_{0};
-  std::vector<Account*> accounts_;
-  bool relief_posted_ = false;
-  /// Expires with the budget, for functions that were posted.
-  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  std::shared_ptr<State> state_;
 };
 
 }  // namespace teaselhill::net
--- a/lib/net/caller_socket.cc
+++ b/lib/net/caller_socket.cc
@@ -15,6 +15,28 @@
 
 }  // namespace
 
+void Channel::Refuse(ResultCode code) {
+  if (!reading)
+    return;
+  refusal = code;
+  CancelRead();
+  asio::error_code ignored;
+  tcp.cancel(ignored);
+}
+
+void Channel::CancelRead() {
+  if (reader)
+    reader->CancelRead();
+}
+
+void Channel::Abort() {
+  asio::error_code ignored;
+  // The system would go on sending what it has taken.
+  tcp.set_option(asio::socket_base::linger(true, 0), ignored);
+  // Pending operations end as for a caller that has gone.
+  tcp.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
 Refusal::Refusal(std::shared_ptr<Channel> channel,
                  std::shared_ptr<SocketPolicy> policy,
                  std::string response)
@@ -70,6 +92,10 @@
 void CallerSocket::shutdown(asio::ip::tcp::socket::shutdown_type type,
                             asio::error_code& error) {
   std::optional<ResultCode> fault = std::exchange(policy_->fault, std::nullopt);
+  const std::optional<ResultCode> refusal =
+      std::exchange(channel_->refusal, std::nullopt);
+  if (!fault)
+    fault = refusal;
   // A read is pending when a timer closes the connection, and none after an end
   // of input or a parser error.
   if (!fault && channel_->reading && channel_->unanswered_bytes > 0)
@@ -79,6 +105,7 @@
     channel_->tcp.shutdown(type, error);
     return;
   }
+  channel_->CancelRead();
   channel_->tcp.cancel(error);
   auto& context =
       static_cast<asio::io_context&>(channel_->tcp.get_executor().context());
--- a/lib/net/caller_socket.h
+++ b/lib/net/caller_socket.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "read_gate.h"
 #include "teaselhill/net/tls.h"
 #include "teaselhill/support/result.h"
 #include "teaselhill/support/time.h"
@@ -31,13 +32,13 @@
 
   /// Ends the pending read, so that the connection closes with a refusal of
   /// `code`.
-  void Refuse(ResultCode code) {
-    if (!reading)
-      return;
-    refusal = code;
-    asio::error_code ignored;
-    tcp.cancel(ignored);
-  }
+  void Refuse(ResultCode code);
+
+  /// Ends a read that has not been started or has brought nothing.
+  void CancelRead();
+
+  /// Closes the connection without what is not sent.
+  void Abort();
 
   asio::ip::tcp::socket tcp;
   /// Keeps the certificates that were current at the handshake.
@@ -49,6 +50,8 @@
   size_t unanswered_bytes = 0;
   /// Code of the refusal with which the connection is to end.
   std::optional<ResultCode> refusal;
+  /// Null: what the connection receives is not counted.
+  std::unique_ptr<ReadGate::Reader> reader;
 };
 
 /// Channels of one server that are alive, in no order.
@@ -97,6 +100,7 @@
   /// its input, and taken by the socket that is closed.
   std::optional<ResultCode> fault;
   size_t refusals_open = 0;
+  std::shared_ptr<ReadGate> read_gate;  ///< null: reads are never put off
   ChannelList channels;
 };
 
@@ -134,6 +138,8 @@
   CallerSocket(asio::io_context& context, std::shared_ptr<SocketPolicy> policy)
       : policy_(std::move(policy)),
         channel_(std::make_shared<Channel>(context)) {
+    if (policy_->read_gate)
+      channel_->reader = std::make_unique<ReadGate::Reader>(policy_->read_gate);
     policy_->channels.Add(channel_);
   }
 
@@ -156,7 +162,10 @@
     channel_->tcp.async_wait(std::forward<Arguments>(arguments)...);
   }
 
-  void cancel(asio::error_code& error) { channel_->tcp.cancel(error); }
+  void cancel(asio::error_code& error) {
+    channel_->CancelRead();
+    channel_->tcp.cancel(error);
+  }
 
   // Handlers are taken by reference: Asio's composed operations move themselves
   // into the handler, and the buffers of the same call must be prepared first.
@@ -168,19 +177,28 @@
                     const asio::error_code& error, size_t size) mutable {
       channel->reading = false;
       channel->unanswered_bytes += size;
-      policy->fault = channel->refusal;
-      if (!policy->fault && !error &&
-          channel->unanswered_bytes > policy->max_unanswered_bytes)
+      const bool is_too_large =
+          !error && channel->unanswered_bytes > policy->max_unanswered_bytes;
+      if (is_too_large)
         policy->fault = ResultCode::kBodyTooLarge;
-      if (!policy->fault)
-        return handler(error, size);
-      // RESTinio ignores operation_aborted.
-      handler(asio::error_code(asio::error::message_size), 0);
+      // RESTinio would ignore the error of a read that was cancelled.
+      if (is_too_large || channel->refusal)
+        handler(asio::error_code(asio::error::message_size), 0);
+      else if (error || !channel->reader)
+        handler(error, size);
+      else
+        channel->reader->OnReceived(size, [&] { handler(error, size); });
     };
-    if (channel_->tls)
-      channel_->tls->async_read_some(buffers, std::move(done));
-    else
-      channel_->tcp.async_read_some(buffers, std::move(done));
+    if (!channel_->reader || channel_->reader->MayRead())
+      return StartRead(*channel_, buffers, std::move(done));
+    auto kept = std::make_shared<decltype(done)>(std::move(done));
+    channel_->reader->PutOff(
+        [channel = channel_, buffers, kept = std::move(kept)](bool is_granted) {
+          if (is_granted)
+            return StartRead(*channel, buffers, std::move(*kept));
+          asio::post(channel->tcp.get_executor(),
+                     [kept] { (*kept)(asio::error::operation_aborted, 0); });
+        });
   }
 
   template <typename Buffers, typename Handler>
@@ -204,6 +222,7 @@
                 asio::error_code& error);
 
   void close() {
+    channel_->CancelRead();
     asio::error_code ignored;
     channel_->tcp.close(ignored);
   }
@@ -213,6 +232,14 @@
                std::function<void(const asio::error_code&)> failed);
 
  private:
+  template <typename Buffers, typename Done>
+  static void StartRead(Channel& channel, const Buffers& buffers, Done done) {
+    if (channel.tls)
+      channel.tls->async_read_some(buffers, std::move(done));
+    else
+      channel.tcp.async_read_some(buffers, std::move(done));
+  }
+
   std::shared_ptr<SocketPolicy> policy_;
   std::shared_ptr<Channel> channel_;
 };
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -62,8 +62,19 @@
         kPipelinedRequests *
         (options_.max_body_bytes + options_.max_body_bytes / 4 +
          2 * options_.max_header_bytes);
+    if (options_.memory_budget)
+      policy_->read_gate =
+          std::make_shared<ReadGate>(*options_.memory_budget, loop_.timers());
   }
 
+  ~Impl() {
+    // Connections may outlive the server, the budget and the timers.
+    if (policy_->read_gate)
+      policy_->read_gate->Close();
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
   Status Start() {
     try {
       server_ = std::make_unique<RestinioServer>(
@@ -150,6 +161,10 @@
 
   restinio::request_handling_status_t Handle(
       restinio::request_handle_t request) {
+    std::unique_ptr<ReadGate::HeldRequest> held;
+    if (policy_->read_gate)
+      held = policy_->read_gate->OnRequestComplete(
+          HeaderBytes(request->header()) + request->body().size());
     // A request behind the last answer of a connection may have been read
     // before that answer was written. Its caller would get none.
     if (table_->IsClosing(request->connection_id()))
@@ -169,6 +184,8 @@
                                "all headers together exceed the size limit"});
     auto response = std::make_shared<RestinioResponse>(request, table_,
                                                        close_after_response_);
+    if (held)
+      response->UseBudget(*options_.memory_budget, std::move(held), policy_);
     table_->Add(request->connection_id(), response);
     handler_.Handle(ToRequest(*request), std::move(response));
     return restinio::request_accepted();
--- a/lib/net/memory_budget.cc
+++ b/lib/net/memory_budget.cc
@@ -4,13 +4,36 @@
 
 #include "teaselhill/net/memory_budget.h"
 
+#include <atomic>
 #include <utility>
+#include <vector>
 
 namespace teaselhill::net {
 
+/// Shared with the accounts, which may outlive the budget.
+struct MemoryBudget::State : std::enable_shared_from_this<State> {
+  bool IsExceeded() const { return held_bytes > max_bytes; }
+  void PostRelief();
+  void Relieve();
+  Account* Largest() const;
+
+  size_t max_bytes = 0;
+  Post post;  ///< null: the budget has been destroyed
+  std::atomic<size_t> held_bytes{0};
+  std::vector<Account*> accounts;
+  bool is_relief_posted = false;
+};
+
+MemoryBudget::Account::Account(std::shared_ptr<State> state, GiveWay give_way)
+    : state_(std::move(state)),
+      give_way_(std::move(give_way)),
+      index_(state_->accounts.size()) {
+  state_->accounts.push_back(this);
+}
+
 MemoryBudget::Account::~Account() {
   Set(0);
-  std::vector<Account*>& accounts = budget_.accounts_;
+  std::vector<Account*>& accounts = state_->accounts;
   accounts[index_] = accounts.back();
   accounts[index_]->index_ = index_;
   accounts.pop_back();
@@ -18,34 +41,47 @@
 
 void MemoryBudget::Account::Set(size_t bytes) {
   const bool has_grown = bytes > bytes_;
-  budget_.held_bytes_ += bytes - bytes_;
+  state_->held_bytes += bytes - bytes_;
   bytes_ = bytes;
-  if (!has_grown || !budget_.IsExceeded() || budget_.relief_posted_)
-    return;
-  budget_.relief_posted_ = true;
-  budget_.post_(
-      [budget = &budget_, alive = std::weak_ptr<int>(budget_.alive_)] {
-        if (alive.lock())
-          budget->Relieve();
-      });
+  if (has_grown && state_->IsExceeded())
+    state_->PostRelief();
 }
 
 MemoryBudget::MemoryBudget(size_t max_bytes, Post post)
-    : max_bytes_(max_bytes), post_(std::move(post)) {}
+    : state_(std::make_shared<State>()) {
+  state_->max_bytes = max_bytes;
+  state_->post = std::move(post);
+}
 
-MemoryBudget::~MemoryBudget() = default;
+MemoryBudget::~MemoryBudget() {
+  state_->post = nullptr;
+}
 
 std::unique_ptr<MemoryBudget::Account> MemoryBudget::Open(GiveWay give_way) {
-  auto account =
-      std::unique_ptr<Account>(new Account(*this, std::move(give_way)));
-  account->index_ = accounts_.size();
-  accounts_.push_back(account.get());
-  return account;
+  return std::unique_ptr<Account>(new Account(state_, std::move(give_way)));
+}
+
+size_t MemoryBudget::max_bytes() const {
+  return state_->max_bytes;
+}
+
+size_t MemoryBudget::held_bytes() const {
+  return state_->held_bytes;
+}
+
+void MemoryBudget::State::PostRelief() {
+  if (!post || is_relief_posted)
+    return;
+  is_relief_posted = true;
+  post([weak = weak_from_this()] {
+    if (const auto state = weak.lock())
+      state->Relieve();
+  });
 }
 
-MemoryBudget::Account* MemoryBudget::Largest() const {
+MemoryBudget::Account* MemoryBudget::State::Largest() const {
   Account* largest = nullptr;
-  for (Account* account : accounts_) {
+  for (Account* account : accounts) {
     if (account->give_way_ && account->bytes_ > 0 &&
         (!largest || account->bytes_ > largest->bytes_))
       largest = account;
@@ -53,17 +89,17 @@
   return largest;
 }
 
-void MemoryBudget::Relieve() {
-  relief_posted_ = false;
-  while (IsExceeded()) {
+void MemoryBudget::State::Relieve() {
+  is_relief_posted = false;
+  while (post && IsExceeded()) {
     Account* largest = Largest();
     if (!largest)
       return;
     // The function may destroy the account, and itself with it.
     const GiveWay give_way = largest->give_way_;
-    const size_t held_before = held_bytes_;
+    const size_t held_before = held_bytes;
     give_way();
-    if (held_bytes_ >= held_before)
+    if (held_bytes >= held_before)
       return;
   }
 }
--- a/lib/net/restinio_response.cc
+++ b/lib/net/restinio_response.cc
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "caller_socket.h"
 #include "connection_table.h"
 
 namespace teaselhill::net {
@@ -65,6 +66,18 @@
     table->Remove(connection_, this);
 }
 
+void RestinioResponse::UseBudget(MemoryBudget& budget,
+                                 std::unique_ptr<ReadGate::HeldRequest> request,
+                                 std::shared_ptr<SocketPolicy> sockets) {
+  held_request_ = std::move(request);
+  sockets_ = std::move(sockets);
+  remote_ = request_->remote_endpoint();
+  unsent_ = budget.Open([weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->GiveWay();
+  });
+}
+
 bool RestinioResponse::HasLaterRequest() const {
   const auto table = table_.lock();
   return table && table->HasLater(connection_, request_id_);
@@ -80,7 +93,9 @@
     return;
   auto response = request_->create_response(StatusLine(status));
   AddHeaders(response, headers);
+  whole_bytes_ = body.size();
   response.set_body(std::move(body));
+  CountUnsent();
   End();
   response.done(MarkSent());
   request_.reset();
@@ -101,7 +116,11 @@
     return;
   assert(stream_ && "Write() called before Start()");
   pending_bytes_ += data.size();
-  unflushed_ += data;
+  if (unflushed_.empty())
+    unflushed_ = std::move(data);
+  else
+    unflushed_ += data;
+  CountUnsent();
   if (!flushing_)
     Flush();
 }
@@ -159,6 +178,11 @@
   if (closed_)
     return;
   closed_ = true;
+  pending_bytes_ -= unflushed_.size();
+  unflushed_.clear();
+  unflushed_.shrink_to_fit();
+  held_request_.reset();
+  unsent_.reset();
   drain_handler_ = nullptr;
   const std::function<void()> handler = std::move(close_handler_);
   close_handler_ = nullptr;
@@ -168,6 +192,7 @@
 
 void RestinioResponse::End() {
   ended_ = true;
+  held_request_.reset();
   close_handler_ = nullptr;
   drain_handler_ = nullptr;
 }
@@ -175,11 +200,30 @@
 std::function<void(const asio::error_code&)> RestinioResponse::MarkSent() {
   return [self = shared_from_this()](const asio::error_code&) {
     self->sent_ = true;
+    self->unsent_.reset();
   };
 }
 
+void RestinioResponse::CountUnsent() {
+  // What is being written has left `unflushed_`, whose size `pending_bytes_`
+  // includes.
+  if (unsent_)
+    unsent_->Set(whole_bytes_ + pending_bytes_ - unflushed_.size() +
+                 unflushed_.capacity());
+}
+
+void RestinioResponse::GiveWay() {
+  sockets_->channels.ForEach([this](Channel& channel) {
+    asio::error_code error;
+    if (channel.tcp.remote_endpoint(error) == remote_ && !error)
+      channel.Abort();
+  });
+  OnConnectionClosed();
+}
+
 void RestinioResponse::OnWritten(size_t size, const asio::error_code& error) {
   pending_bytes_ -= size;
+  CountUnsent();
   flushing_ = false;
   if (error || closed_)
     return;
--- a/lib/net/restinio_response.h
+++ b/lib/net/restinio_response.h
@@ -11,11 +11,14 @@
 #include <restinio/all.hpp>
 #include <string>
 
+#include "read_gate.h"
 #include "teaselhill/net/http_server.h"
+#include "teaselhill/net/memory_budget.h"
 
 namespace teaselhill::net {
 
 class ConnectionTable;
+struct SocketPolicy;
 
 /// Returns the status line with the reason phrase of `status`.
 restinio::http_status_line_t StatusLine(int status);
@@ -36,6 +39,13 @@
         close_after_response_(std::move(close_after_response)) {}
   ~RestinioResponse() override;
 
+  /// Counts what is not sent towards `budget`, and `request` until the response
+  /// has ended. The connection is one of `sockets`. Call it before any other
+  /// function.
+  void UseBudget(MemoryBudget& budget,
+                 std::unique_ptr<ReadGate::HeldRequest> request,
+                 std::shared_ptr<SocketPolicy> sockets);
+
   void Respond(int status, Headers headers, std::string body) override;
   void Start(int status, Headers headers) override;
   void Write(std::string data) override;
@@ -69,6 +79,11 @@
 
   void End();
 
+  void CountUnsent();
+
+  /// Closes the connection, because the budget is exceeded.
+  void GiveWay();
+
   /// Returns a function that is called, and kept alive, until the end of the
   /// response has been written.
   std::function<void(const asio::error_code&)> MarkSent();
@@ -88,6 +103,12 @@
   std::string unflushed_;
   bool flushing_ = false;
   size_t pending_bytes_ = 0;
+  size_t whole_bytes_ = 0;  ///< of a body that was passed to Respond()
+  std::unique_ptr<ReadGate::HeldRequest> held_request_;
+  /// Null: unsent bytes are not counted, or are given up.
+  std::unique_ptr<MemoryBudget::Account> unsent_;
+  std::shared_ptr<SocketPolicy> sockets_;
+  restinio::endpoint_t remote_;
   bool closed_ = false;
   bool ended_ = false;
   bool sent_ = false;
