Bound what the relays of lib/router hold of unfinished answers

A faulty upstream that sent bytes without end filled the memory of teaselhilld: up to 16 MB of a body and 1 MB of an event for each attempt, and without any bound an event of a forwarded stream and an answer that is collected for a caller that does not stream. An engine that sent an endless error was read until the caller's deadline. Nothing bounded what all of these hold together.

An eighth of it, divided equally between the traffic threads but no less than one largest request each, is for unfinished messages: each relay has an account in a MemoryBudget. When the bound is exceeded, the largest unfinished answer gives way. Its attempt ends with kProtocolError and counts against its upstream, the coordinator retries where that is allowed, and the attempt_failed line names the upstream, the request and the bytes. A collected answer that gives way begins anew. A copy that is only kept for callers that retry is dropped first. Each answer also has a bound of its own: an event 1 MiB, a collected answer 4 MiB, a body 16 MiB, a stream 256 MiB; an engine's error is read up to 4 KiB and then taken as it is. The gauge teaselhill_held_bytes shows the sum.

--- a/include/teaselhill/router/answer.h
+++ b/include/teaselhill/router/answer.h
@@ -24,8 +24,9 @@
                bool store_answer,
                std::string request_id);
 
-  /// Adds complete events that carry `tokens` tokens in total.
-  void AddEvents(std::string events, uint32_t tokens);
+  /// Adds complete events that carry `tokens` tokens in total. Returns whether
+  /// an answer that is collected for its caller still has an allowed size.
+  bool AddEvents(std::string events, uint32_t tokens);
 
   /// Ends a complete answer.
   void Finish();
@@ -48,9 +49,23 @@
   /// is written when it is complete, so that an error event can follow at any
   /// time.
   void StartEventStream(int status, net::Headers headers);
-  void AddEventStream(std::string_view data);
+  bool AddEventStream(std::string_view data);  ///< false: event too large
   void FinishEventStream();
 
+  /// Bytes that are kept until the answer is complete, and those of them that
+  /// are only kept for callers that retry.
+  size_t held_bytes() const {
+    return content_.size() + partial_event_.size() + stored_bytes();
+  }
+  size_t stored_bytes() const { return stored_body_.size(); }
+
+  /// Does not store the answer.
+  void DropStored();
+
+  /// Forgets what the caller has not received. Returns whether the answer has
+  /// to begin anew.
+  bool DropCollected();
+
   /// Returns the stored answer, or null if it was not stored. Call once.
   std::shared_ptr<const StoredAnswer> TakeStoredAnswer();
 
--- a/include/teaselhill/router/relay.h
+++ b/include/teaselhill/router/relay.h
@@ -10,6 +10,7 @@
 
 #include "teaselhill/net/http_client.h"
 #include "teaselhill/net/http_server.h"
+#include "teaselhill/net/memory_budget.h"
 #include "teaselhill/router/answer.h"
 #include "teaselhill/router/ports.h"
 
@@ -34,6 +35,9 @@
   /// Secret shared by all hosts, which authenticates a forwarded request.
   std::string host_secret;
   std::string source_address;
+  /// Bound on what the relays of the thread hold of unfinished answers; null:
+  /// none.
+  net::MemoryBudget* budget = nullptr;
 };
 
 /// Relays one request; confined to one traffic thread. A hedged request has
@@ -83,11 +87,19 @@
   /// Ends an attempt whose stream cannot be relayed any further.
   void EndBrokenStream(Attempt& attempt, const Error& error);
   void OnEngineDone(Attempt& attempt);
+  void OnForwardedData(Attempt& attempt, std::string_view data);
+  void OnBodyData(Attempt& attempt, std::string_view data);
   void OnForwardedHead(Attempt& attempt);
   void OnPlainEnd(Attempt& attempt);
   void OnAttemptEnd(Attempt& attempt, const net::TransferEnd& end);
   void ReportEnd(Attempt& attempt, AttemptEnd end);
   void PauseForSlowCaller(Attempt& attempt);
+  size_t HeldBytes() const;
+  void CountHeldBytes();
+  void OpenAccount();
+  /// Drops what is held of the answer, since it is the largest one. Its attempt
+  /// ends, so that the coordinator can retry it.
+  void GiveWay();
 
   RelayContext context_;
   RequestInfo info_;
@@ -98,6 +110,7 @@
   int selected_attempt_ = -1;
   AnswerWriter answer_;
   bool finished_ = false;
+  std::unique_ptr<net::MemoryBudget::Account> account_;
 };
 
 }  // namespace teaselhill::router
--- a/include/teaselhill/router/settings.h
+++ b/include/teaselhill/router/settings.h
@@ -37,6 +37,7 @@
   LogLevel log_level = LogLevel::kInfo;
   uint64_t seed = 0;  ///< 0: from the operating system
   size_t max_body_bytes = 4 << 20;
+  size_t memory_bytes = 128 << 20;  ///< of the process
   Duration drain_timeout = std::chrono::minutes(10);
   Duration report_period = std::chrono::milliseconds(500);
   Duration host_list_period = std::chrono::seconds(1);
--- a/include/teaselhill/router/sse.h
+++ b/include/teaselhill/router/sse.h
@@ -32,6 +32,9 @@
 
   uint64_t total_tokens() const { return total_tokens_; }
 
+  /// Bytes of the event that is still incomplete.
+  size_t held_bytes() const { return partial_event_.size(); }
+
  private:
   std::string partial_event_;
   uint64_t total_tokens_ = 0;
--- a/include/teaselhill/router/traffic_worker.h
+++ b/include/teaselhill/router/traffic_worker.h
@@ -39,6 +39,8 @@
   std::string address = "127.0.0.1";
   uint16_t port = 0;
   size_t max_body_bytes = 4 << 20;
+  /// Bound on what all unfinished requests and answers hold together.
+  size_t max_unfinished_bytes = 4 << 20;
   Duration read_timeout = std::chrono::seconds(15);
   size_t max_connections = 20000;
   std::string host_secret;
@@ -84,6 +86,9 @@
   /// not left its socket. Callable from any thread.
   size_t open_requests() const { return open_requests_ + has_unsent_answers_; }
 
+  /// Bytes that unfinished messages hold. Callable from any thread.
+  size_t held_bytes() const;
+
  private:
   class Impl;
   std::atomic<size_t> open_requests_{0};
@@ -132,6 +137,12 @@
       open += worker->open_requests();
     return open;
   }
+  size_t held_bytes() const {
+    size_t held = 0;
+    for (const TrafficWorker* worker : workers_)
+      held += worker->held_bytes();
+    return held;
+  }
   void EndConnections() override {
     for (TrafficWorker* worker : workers_)
       worker->EndConnections();
--- a/lib/router/answer.cc
+++ b/lib/router/answer.cc
@@ -14,6 +14,11 @@
 /// A larger answer is not stored; a retry fails with kAnswerNotKept.
 constexpr size_t kMaxStoredAnswerBytes = 1 << 20;
 
+/// Maximum size of an answer that is collected for a caller that does not
+/// stream, and of one event that is passed through.
+constexpr size_t kMaxCollectedBytes = 4 << 20;
+constexpr size_t kMaxEventBytes = 1 << 20;
+
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kDataPrefix = "data: ";
 
@@ -41,11 +46,11 @@
       store_answer_(store_answer),
       request_id_(std::move(request_id)) {}
 
-void AnswerWriter::AddEvents(std::string events, uint32_t tokens) {
+bool AnswerWriter::AddEvents(std::string events, uint32_t tokens) {
   tokens_ += tokens;
   if (!stream_) {
     CollectContent(events);
-    return;
+    return content_.size() <= kMaxCollectedBytes;
   }
   if (!started_ && response_)
     response_->Start(200, StreamHeaders(request_id_));
@@ -53,6 +58,7 @@
   StoreEvents(events);
   if (response_)
     response_->Write(std::move(events));
+  return true;
 }
 
 void AnswerWriter::CollectContent(std::string_view events) {
@@ -151,16 +157,17 @@
     response_->Start(status, std::move(headers));
 }
 
-void AnswerWriter::AddEventStream(std::string_view data) {
+bool AnswerWriter::AddEventStream(std::string_view data) {
   partial_event_.append(data);
   const size_t end = partial_event_.rfind(kEventEnd);
   if (end == std::string::npos)
-    return;
+    return partial_event_.size() <= kMaxEventBytes;
   std::string rest = partial_event_.substr(end + kEventEnd.size());
   partial_event_.resize(end + kEventEnd.size());
   if (response_)
     response_->Write(std::move(partial_event_));
   partial_event_ = std::move(rest);
+  return partial_event_.size() <= kMaxEventBytes;
 }
 
 void AnswerWriter::FinishEventStream() {
@@ -178,12 +185,23 @@
 void AnswerWriter::StoreEvents(std::string_view data) {
   if (!store_answer_)
     return;
-  if (stored_body_.size() + data.size() > kMaxStoredAnswerBytes) {
-    store_answer_ = false;
-    stored_body_.clear();
-    return;
-  }
+  if (stored_body_.size() + data.size() > kMaxStoredAnswerBytes)
+    return DropStored();
   stored_body_.append(data);
 }
 
+void AnswerWriter::DropStored() {
+  store_answer_ = false;
+  std::string().swap(stored_body_);
+}
+
+bool AnswerWriter::DropCollected() {
+  std::string().swap(partial_event_);
+  if (stream_ || tokens_ == 0)
+    return false;
+  std::string().swap(content_);
+  tokens_ = 0;
+  return true;
+}
+
 }  // namespace teaselhill::router
--- a/lib/router/daemon.cc
+++ b/lib/router/daemon.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "teaselhill/router/control.h"
+#include "teaselhill/router/memory_shares.h"
 #include "teaselhill/router/tls_setup.h"
 #include "teaselhill/router/traffic_worker.h"
 #include "teaselhill/support/logger.h"
@@ -19,7 +20,7 @@
 namespace {
 
 constexpr int kResultCodesPerClass = 1000;
-constexpr std::chrono::seconds kDroppedLinesPeriod{1};
+constexpr std::chrono::seconds kGaugePeriod{1};
 
 /// Period of the check for replaced certificate files, which are reloaded
 /// without a signal.
@@ -53,6 +54,8 @@
   options.address = settings.address;
   options.port = settings.http_port;
   options.max_body_bytes = settings.max_body_bytes;
+  options.max_unfinished_bytes = UnfinishedBytesPerThread(
+      settings.memory_bytes, settings.traffic_threads, settings.max_body_bytes);
   options.host_secret = settings.peer_secret;
   options.tls_files = settings.tls;
   options.tls = tls.clients;
@@ -98,11 +101,14 @@
                    .Field("domain", settings.domain)
                    .Field("port", static_cast<int>(workers[0]->port()))
                    .Field("version", TEASELHILL_VERSION));
-  const auto dropped_lines =
-      control.loop().timers().Subscribe(kDroppedLinesPeriod, [&](TimePoint) {
+  const auto gauges =
+      control.loop().timers().Subscribe(kGaugePeriod, [&](TimePoint) {
         metrics.SetGauge("teaselhill_log_lines_dropped",
                          "Own log lines lost because the output was full",
                          static_cast<double>(logger.dropped()));
+        metrics.SetGauge("teaselhill_held_bytes",
+                         "Bytes that unfinished requests and answers hold",
+                         static_cast<double>(pool.held_bytes()));
       });
   bool stopping = false;
   const auto signals = net::HandleTermination(control.loop(), [&](int) {
--- a/lib/router/relay.cc
+++ b/lib/router/relay.cc
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include "teaselhill/router/sse.h"
+#include "relay_attempt.h"
 
 namespace teaselhill::router {
 
@@ -22,8 +22,14 @@
 /// receives a partial one.
 constexpr size_t kMaxPlainBodyBytes = 16 << 20;
 
+/// Part of an engine's error that is kept. An engine that sends more is not
+/// read any further.
 constexpr size_t kMaxErrorBodyBytes = 4 << 10;
 
+/// Maximum size of an event stream, most of which has been passed on. An answer
+/// of 500,000 tokens with 300 bytes for each event is smaller.
+constexpr size_t kMaxStreamBytes = 256 << 20;
+
 bool IsHopByHop(std::string_view name) {
   static constexpr std::string_view kHopByHopHeaders[] = {
       "Connection", "Keep-Alive",       "Transfer-Encoding", "Upgrade",
@@ -45,66 +51,41 @@
 
 }  // namespace
 
-/// One attempt of the request. Forwards the events of its transfer to the
-/// relay.
-class Relay::Attempt : public net::TransferHandler {
- public:
-  Attempt(std::shared_ptr<Relay> relay, const AttemptCommand& command)
-      : relay_(std::move(relay)), command_(command) {}
-
-  void OnHead(int status, const net::Headers& headers) override {
-    status_ = status;
-    headers_ = headers;
-    if (command_.to_host && !ended_)
-      relay_->OnForwardedHead(*this);
-  }
+void Relay::Attempt::OnHead(int status, const net::Headers& headers) {
+  status_ = status;
+  headers_ = headers;
+  if (command_.to_host && !ended_)
+    relay_->OnForwardedHead(*this);
+}
 
-  void OnData(std::string_view data) override {
-    if (ended_)
-      return;
-    if (passes_through_) {
-      relay_->answer_.AddEventStream(data);
-      relay_->PauseForSlowCaller(*this);
-      return;
-    }
-    if (IsEngineStream()) {
-      relay_->OnEngineData(*this, data);
-      return;
-    }
-    const size_t limit =
-        status_ >= 400 && !IsPlain() ? kMaxErrorBodyBytes : kMaxPlainBodyBytes;
-    overflow_ |= body_.size() + data.size() > limit;
-    if (!overflow_)
-      body_.append(data);
-  }
+void Relay::Attempt::OnData(std::string_view data) {
+  if (ended_)
+    return;
+  const std::shared_ptr<Relay> relay = relay_;
+  if (passes_through_)
+    relay->OnForwardedData(*this, data);
+  else if (IsEngineStream())
+    relay->OnEngineData(*this, data);
+  else
+    relay->OnBodyData(*this, data);
+  relay->CountHeldBytes();
+}
 
-  void OnEnd(const net::TransferEnd& end) override {
-    if (!ended_)
-      relay_->OnAttemptEnd(*this, end);
-  }
+void Relay::Attempt::OnEnd(const net::TransferEnd& end) {
+  if (ended_)
+    return;
+  const std::shared_ptr<Relay> relay = relay_;
+  relay->OnAttemptEnd(*this, end);
+  relay->CountHeldBytes();
+}
 
-  bool IsPlain() const {
-    return command_.to_host || relay_->info_.model.empty();
-  }
-  bool IsEngineStream() const {
-    return !IsPlain() && status_ == 200 && net::IsEventStream(headers_);
-  }
+bool Relay::Attempt::IsPlain() const {
+  return command_.to_host || relay_->info_.model.empty();
+}
 
-  std::shared_ptr<Relay> relay_;
-  AttemptCommand command_;
-  net::TransferId transfer_ = 0;
-  SseSplitter splitter_;
-  int status_ = 0;
-  net::Headers headers_;
-  std::string body_;
-  uint64_t tokens_ = 0;
-  uint32_t unreported_tokens_ = 0;
-  bool overflow_ = false;
-  bool passes_through_ = false;
-  bool ended_ = false;
-  bool paused_ = false;    ///< for a slow caller
-  bool replaced_ = false;  ///< paused, since another attempt replaces it
-};
+bool Relay::Attempt::IsEngineStream() const {
+  return !IsPlain() && status_ == 200 && net::IsEventStream(headers_);
+}
 
 Relay::Relay(const RelayContext& context,
              RequestInfo info,
@@ -132,6 +113,10 @@
   request.fresh_connection = true;
   request.close_connection = true;
   request.source_address = context_.source_address;
+  // One byte more, so that the relay finds that the body is too large.
+  request.max_body_bytes = info_.model.empty() && !command.to_host
+                               ? kMaxPlainBodyBytes + 1
+                               : kMaxStreamBytes;
   if (command.to_host) {
     request.url = command.url + outgoing_.caller_target;
     request.body = outgoing_.caller_body;
@@ -169,6 +154,7 @@
     return;
   if (command.replaces)
     PauseReplacedAttempt(*command.replaces);
+  OpenAccount();
   auto attempt = std::make_shared<Attempt>(shared_from_this(), command);
   attempts_[command.attempt] = attempt;
   attempt->transfer_ = context_.client->Start(BuildRequest(command), attempt);
@@ -183,6 +169,7 @@
   attempts_.erase(found);
   if (selected_attempt_ == attempt)
     selected_attempt_ = -1;
+  CountHeldBytes();
 }
 
 void Relay::PauseReplacedAttempt(int attempt) {
@@ -277,8 +264,12 @@
       TrySelectAttempt(number);
   if (relayed && first)
     context_.control->OnFirstToken(info_.id, number);
-  if (relayed && !batch->events.empty())
-    answer_.AddEvents(std::move(batch->events), batch->tokens);
+  if (relayed && !batch->events.empty() &&
+      !answer_.AddEvents(std::move(batch->events), batch->tokens)) {
+    answer_.DropCollected();
+    return EndBrokenStream(attempt, {ResultCode::kProtocolError,
+                                     "the collected answer is too large"});
+  }
   if (!batch->error_event.empty())
     return EndBrokenStream(attempt, {ResultCode::kUpstreamRefused,
                                      batch->error_event.substr(0, 200)});
@@ -320,6 +311,34 @@
   answer_.StartEventStream(attempt.status_, attempt.headers_);
 }
 
+void Relay::OnForwardedData(Attempt& attempt, std::string_view data) {
+  if (!answer_.AddEventStream(data))
+    return EndBrokenStream(attempt, {ResultCode::kProtocolError,
+                                     "an event of the answer is too large"});
+  PauseForSlowCaller(attempt);
+}
+
+void Relay::OnBodyData(Attempt& attempt, std::string_view data) {
+  const size_t limit =
+      attempt.IsPlain() ? kMaxPlainBodyBytes : kMaxErrorBodyBytes;
+  const size_t space = limit - attempt.body_.size();
+  if (data.size() <= space) {
+    attempt.body_.append(data);
+    return;
+  }
+  if (attempt.IsPlain())
+    return EndBrokenStream(attempt, {ResultCode::kProtocolError,
+                                     "the response body exceeds " +
+                                         std::to_string(limit) + " bytes"});
+  attempt.body_.append(data.substr(0, space));
+  const std::shared_ptr<Attempt> alive = attempts_[attempt.command_.attempt];
+  context_.client->Cancel(attempt.transfer_);
+  net::TransferEnd end;
+  end.status = attempt.status_;
+  end.may_have_been_sent = true;
+  OnAttemptEnd(attempt, end);
+}
+
 void Relay::OnPlainEnd(Attempt& attempt) {
   finished_ = true;
   CancelReplacedAttempt();
@@ -352,16 +371,11 @@
   // idempotent is passed to the caller.
   const bool refused =
       info_.idempotent && (attempt.status_ == 429 || attempt.status_ == 503);
-  const bool whole = end.code == ResultCode::kOk && !attempt.overflow_;
+  const bool whole = end.code == ResultCode::kOk;
   if (attempt.IsPlain() && whole && (!refused || attempt.command_.to_host)) {
     OnPlainEnd(attempt);
     report.complete = true;
     report.code = ResultCode::kOk;
-  } else if (end.code == ResultCode::kOk && attempt.IsPlain() &&
-             attempt.overflow_) {
-    report.code = ResultCode::kProtocolError;
-    report.detail = "the response body exceeds " +
-                    std::to_string(kMaxPlainBodyBytes) + " bytes";
   } else if (end.code == ResultCode::kOk && attempt.IsEngineStream()) {
     report.code = ResultCode::kConnectionLost;
     report.detail = "the stream ended before [DONE]";
--- a/lib/router/settings.cc
+++ b/lib/router/settings.cc
@@ -298,6 +298,14 @@
          return ParseNumber<size_t>(text, 1024, 64 << 20,
                                     &settings.max_body_bytes);
        }},
+      {"memory-bytes",
+       "memory of the process in bytes; unfinished requests and answers get an "
+       "eighth of it",
+       "a number from 33554432 to 1099511627776",
+       [](const std::string& text, Settings& settings) {
+         return ParseNumber<size_t>(text, size_t{32} << 20, size_t{1} << 40,
+                                    &settings.memory_bytes);
+       }},
       DurationSetting("drain-timeout",
                       "maximum wait for open requests at shutdown",
                       &Settings::drain_timeout, seconds(1), hours(24)),
@@ -342,6 +350,7 @@
       {"log-level", "info"},
       {"seed", std::to_string(defaults.seed)},
       {"max-body-bytes", std::to_string(defaults.max_body_bytes)},
+      {"memory-bytes", std::to_string(defaults.memory_bytes)},
       {"drain-timeout", DurationText(defaults.drain_timeout)},
       {"report-period", DurationText(defaults.report_period)},
       {"host-list-period", DurationText(defaults.host_list_period)},
--- a/lib/router/traffic_worker.cc
+++ b/lib/router/traffic_worker.cc
@@ -48,10 +48,15 @@
         shared_(shared),
         control_(control),
         open_requests_(open_requests),
+        budget_(options_.max_unfinished_bytes,
+                [this](std::function<void()> relief) {
+                  loop_.Post(std::move(relief));
+                }),
         client_(loop_),
         server_(loop_, ServerOptions(), *this) {
     client_.UseTls(options_.tls_files);
     context_.client = &client_;
+    context_.budget = &budget_;
     context_.control = &control_;
     context_.host_secret = options_.host_secret;
     context_.source_address = options_.address;
@@ -83,6 +88,7 @@
 
   net::EventLoop& loop() { return loop_; }
   net::HttpServer& server() { return server_; }
+  size_t held_bytes() const { return budget_.held_bytes(); }
 
   void Handle(net::HttpRequest request,
               std::shared_ptr<net::ResponseWriter> response) override {
@@ -149,7 +155,7 @@
   }
 
  private:
-  net::HttpServerOptions ServerOptions() const {
+  net::HttpServerOptions ServerOptions() {
     net::HttpServerOptions server;
     server.address = options_.address;
     server.port = options_.port;
@@ -158,6 +164,7 @@
     server.read_timeout = options_.read_timeout;
     server.tls = options_.tls;
     server.max_connections = options_.max_connections;
+    server.memory_budget = &budget_;
     return server;
   }
 
@@ -332,6 +339,7 @@
   ControlPort& control_;
   std::atomic<size_t>& open_requests_;
   net::EventLoop loop_;
+  net::MemoryBudget budget_;
   net::HttpClient client_;
   net::HttpServer server_;
   RelayContext context_;
@@ -366,6 +374,10 @@
   return impl_->server().port();
 }
 
+size_t TrafficWorker::held_bytes() const {
+  return impl_->held_bytes();
+}
+
 void TrafficWorker::EndConnections() {
   has_unsent_answers_ = true;
   impl_->loop().Post([this] {
--- a/unittests/router/metrics_test.cc
+++ b/unittests/router/metrics_test.cc
@@ -50,7 +50,8 @@
   const std::string exported =
       metrics.Exposition() +
       "teaselhill_peer_bytes_sent teaselhill_peer_bytes_received "
-      "teaselhill_members_reachable teaselhill_log_lines_dropped";
+      "teaselhill_members_reachable teaselhill_log_lines_dropped "
+      "teaselhill_held_bytes";
   const std::string page =
       GENERATE("alerts.md", "platform-outage.md", "partition.md",
                "crashing-request.md", "engine-orders.md");
--- a/unittests/router/relay_fixture.h
+++ b/unittests/router/relay_fixture.h
@@ -237,7 +237,16 @@
     return Run(relay, command);
   }
 
+  /// Bounds what the relays hold together.
+  void UseBudget(size_t max_bytes) {
+    budget = std::make_unique<net::MemoryBudget>(
+        max_bytes,
+        [this](std::function<void()> relief) { loop.Post(std::move(relief)); });
+    context.budget = budget.get();
+  }
+
   net::EventLoop loop;
+  std::unique_ptr<net::MemoryBudget> budget;
   net::HttpClient client{loop};
   RecordingControl control;
   RelayContext context;
