Refuse CBOR of other hosts that is nested deeply or has very many values

nlohmann's from_cbor() calls itself for each level, so a peer message of a megabyte of nested arrays ends the process with a segmentation fault (a program of that one call ended with code 139). A byte can also be a value of some 48 bytes in memory. IsBoundedCbor() parses without building anything and ends at 16 levels or 131,072 values; messages and stream records of other hosts pass it first. The test of texts that are no message has such a text as a further row.

--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "teaselhill/support/cbor_check.h"
+
 namespace teaselhill::gateway {
 
 namespace {
@@ -163,6 +165,9 @@
 }
 
 Result<PeerMessage> DecodePeerMessage(std::string_view text) {
+  if (!IsBoundedCbor(text))
+    return {ResultCode::kProtocolError,
+            "peer message: not CBOR, or nested too deeply or too long"};
   const Json object = Json::from_cbor(text.begin(), text.end(), /*strict=*/true,
                                       /*allow_exceptions=*/false);
   try {
--- a/lib/gateway/peer_streams.cc
+++ b/lib/gateway/peer_streams.cc
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "teaselhill/support/cbor_check.h"
+
 namespace teaselhill::gateway {
 
 namespace {
@@ -38,6 +40,9 @@
 template <typename Decode>
 auto DecodeCbor(const std::string& body, Decode decode)
     -> Result<decltype(decode(Json()))> {
+  if (!IsBoundedCbor(body))
+    return {ResultCode::kProtocolError,
+            "not CBOR, or nested too deeply or too long"};
   const Json json = Json::from_cbor(body, /*strict=*/true,
                                     /*allow_exceptions=*/false);
   try {
--- a/unittests/gateway/peer_exchange_test.cc
+++ b/unittests/gateway/peer_exchange_test.cc
@@ -169,6 +169,7 @@
 TEST_CASE("a text that is no message is refused") {
   const std::string text = GENERATE(
       std::string(), std::string("{}"), std::string("\xa0", 1),
+      std::string(1 << 20, '\x81'),
       EncodePeerMessage({1, "host-1", {MakeRecord()}, {}, {}}).substr(0, 40));
   CHECK_FALSE(DecodePeerMessage(text));
 }
