--- a/unittests/platform/upstream_prober_test.cc
+++ b/unittests/platform/upstream_prober_test.cc
@@ -23,7 +23,7 @@
 using Outcome = ProbeReport::Outcome;
 
 /// What stands at an upstream's address.
-enum class Listener { kNone, kCloses, kSilent, kResponds };
+enum class Listener { kNone, kCloses, kSilent, kResponds, kPours };
 
 /// Accepts one connection and treats it as told.
 class Address {
@@ -40,6 +40,8 @@
     acceptor_.async_accept(socket_, [this, listener](asio::error_code) {
       if (listener == Listener::kCloses)
         return Read([this] { socket_.close(); });
+      if (listener == Listener::kPours)
+        Read([this] { Pour(); });
       if (listener == Listener::kResponds)
         Read([this] {
           asio::write(socket_, asio::buffer(response_));
@@ -49,8 +51,19 @@
   }
 
   const std::string& address() const { return address_; }
+  size_t poured_bytes() const { return poured_bytes_; }
 
  private:
+  /// Writes the response again and again until the connection ends.
+  void Pour() {
+    asio::async_write(socket_, asio::buffer(response_),
+                      [this](asio::error_code error, size_t size) {
+                        poured_bytes_ += size;
+                        if (!error)
+                          Pour();
+                      });
+  }
+
   template <typename Then>
   void Read(Then then) {
     asio::async_read_until(
@@ -63,6 +76,7 @@
   std::string address_;
   std::string request_;
   std::string response_;
+  size_t poured_bytes_ = 0;
 };
 
 }  // namespace
@@ -139,6 +153,73 @@
   CHECK(report->identity.incarnation == row.incarnation);
 }
 
+// Health answers that do not end filled the memory of the host, and their
+// upstream counted as silent.
+TEST_CASE("a health answer without end counts by its head") {
+  struct Row {
+    const char* name;
+    const char* framing;
+    Listener listener;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"poured, unframed", "", Listener::kPours},
+      {"poured, with a length", "Content-Length: 999999999\r\n",
+       Listener::kPours},
+  }));
+  INFO(row.name);
+  constexpr size_t kMaxPouredBytes = 32 << 20;  // socket buffers
+  net::EventLoop loop;
+  net::HttpClient client(loop);
+  const UpstreamHeaders protocol;
+  UpstreamProber prober(client, protocol, std::chrono::milliseconds(10000));
+  const Address address(loop, row.listener,
+                        "HTTP/1.1 200 OK\r\nX-Instance-Id: e\r\n" +
+                            std::string(row.framing) + "\r\n" +
+                            std::string(1 << 20, 'x'));
+  UpstreamEntry upstream;
+  upstream.id = "e";
+  upstream.address = address.address();
+  std::optional<ProbeReport> report;
+  prober.Probe(upstream, "/healthz", [&](const ProbeReport& found) {
+    report = found;
+    loop.Stop();
+  });
+  loop.Run();
+  REQUIRE(report);
+  CHECK(report->outcome == Outcome::kAnswered);
+  CHECK(report->identity.id == "e");
+  CHECK_FALSE(report->identity.incarnation);
+  CHECK(address.poured_bytes() < kMaxPouredBytes);
+}
+
+// An upstream that sends its head and then a byte now and then is alive.
+TEST_CASE("a health answer that does not end in time counts by its head") {
+  net::EventLoop loop;
+  net::HttpClient client(loop);
+  const UpstreamHeaders protocol;
+  UpstreamProber prober(client, protocol, std::chrono::milliseconds(100));
+  asio::ip::tcp::acceptor acceptor(loop.context(),
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket socket(loop.context());
+  acceptor.async_accept(socket, [&](asio::error_code) {
+    asio::write(socket, asio::buffer(std::string(
+                            "HTTP/1.1 200 OK\r\nX-Instance-Id: e\r\n\r\nx")));
+  });
+  UpstreamEntry upstream;
+  upstream.id = "e";
+  upstream.address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::optional<ProbeReport> report;
+  prober.Probe(upstream, "/healthz", [&](const ProbeReport& found) {
+    report = found;
+    loop.Stop();
+  });
+  loop.Run();
+  REQUIRE(report);
+  CHECK(report->outcome == Outcome::kAnswered);
+  CHECK(report->identity.id == "e");
+}
+
 TEST_CASE("a probe of an invalid address says nothing on the upstream") {
   net::EventLoop loop;
   net::HttpClient client(loop);
