Read at most 64 KiB of a load report

A report is some hundred bytes. A longer one was collected up to the bound of Fetch() and, if its beginning could be read, trusted by placement. It now counts as no report.

--- a/include/teaselhill/gateway/report_fetcher.h
+++ b/include/teaselhill/gateway/report_fetcher.h
@@ -27,6 +27,8 @@
   /// Delay that each queued request of an engine is assumed to add for a new
   /// request.
   Duration queued_request_delay = std::chrono::milliseconds(60);
+  /// A longer report is not read.
+  size_t max_report_bytes = 64 << 10;
 };
 
 /// Used on the traffic thread. Stores reports in UpstreamHealth; requests that
--- a/lib/gateway/report_fetcher.cc
+++ b/lib/gateway/report_fetcher.cc
@@ -62,10 +62,12 @@
   net::ClientRequest request = protocol_.BuildReportRequest(upstream);
   request.connect_timeout = options_.max_wait;
   request.total_timeout = 2 * options_.max_wait;
-  client_.Fetch(std::move(request),
-                [this, id = upstream.id](Result<net::ClientResponse> response) {
-                  OnReportFetched(id, response);
-                });
+  client_.Fetch(
+      std::move(request),
+      [this, id = upstream.id](Result<net::ClientResponse> response) {
+        OnReportFetched(id, response);
+      },
+      options_.max_report_bytes);
 }
 
 void ReportFetcher::OnReportFetched(
--- a/unittests/gateway/report_fetcher_test.cc
+++ b/unittests/gateway/report_fetcher_test.cc
@@ -54,9 +54,11 @@
     if (unresponsive)
       pending_response = response;
     else
-      response->Respond(200, {}, "5");
+      response->Respond(200, {}, "5" + padding);
   }
 
+  std::string padding;
+
   int report_requests = 0;
   bool unresponsive = false;
   std::shared_ptr<net::ResponseWriter> pending_response;
@@ -101,4 +103,32 @@
           5 * reports.options().queued_request_delay);
 }
 
+// A report whose beginning can be read but that does not end filled the memory
+// of the host, and its placement relied on it.
+TEST_CASE("a report that is too long is not read") {
+  struct Row {
+    size_t padding;
+    bool is_read;
+  };
+  const Row row = GENERATE(values<Row>({{100, true}, {200'000, false}}));
+  CAPTURE(row.padding);
+  net::EventLoop loop;
+  Engine engine;
+  engine.padding = std::string(row.padding, ' ');
+  net::HttpServer server(loop, {}, engine);
+  REQUIRE(server.Start().ok());
+  net::HttpClient client(loop);
+  TextReports protocol;
+  UpstreamHealth health;
+  ReportOptions options;
+  options.max_wait = std::chrono::seconds(10);
+  ReportFetcher reports(loop, client, protocol, health, options);
+  UpstreamEntry upstream;
+  upstream.id = "e";
+  upstream.address = "127.0.0.1:" + std::to_string(server.port());
+  reports.RefreshReports({upstream}, [&] { loop.Stop(); });
+  loop.Run();
+  CHECK(health.HasRecentReport("e", BootNow()) == row.is_read);
+}
+
 }  // namespace teaselhill::gateway
