Bound what the unfinished answers of a gateway hold together

Callers of a host lost their requests when faulty upstreams poured answers without end: each answer is bounded, all together were not, and events that waited for the record of their stream had the bound of an answer only (64 MB).

An exchange now has an account in the budget of its loop, with the body that is buffered, the event that is not complete, events that wait, and what a replaced attempt holds. The largest gives way first: an answer of known length is passed on to its caller, since it is merely large; any other ends its attempt as broken, so that the request is sent elsewhere if it may be, and counts as a failed answer of its upstream, but not as a crash. The log line answer_gave_way names upstream, request, bytes and bound. The transfer is paused while more than 256 KiB of events wait. Attempts share the body of the request.

--- a/include/teaselhill/gateway/event_stream.h
+++ b/include/teaselhill/gateway/event_stream.h
@@ -31,7 +31,7 @@
 
   /// Discards a partially received event, before the stream is resumed at
   /// another upstream.
-  void DiscardPartial() { partial_event_.clear(); }
+  void DiscardPartial() { TakePartial(); }
 
   /// Takes out a partially received event, which RestorePartial() puts back.
   std::string TakePartial() { return std::exchange(partial_event_, {}); }
@@ -39,6 +39,9 @@
     partial_event_ = std::move(partial);
   }
 
+  /// Memory that a partially received event takes up.
+  size_t held_bytes() const { return partial_event_.capacity(); }
+
   /// Whether no event is partially received.
   bool at_boundary() const { return partial_event_.empty(); }
 
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -36,6 +36,7 @@
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_client.h"
 #include "teaselhill/net/http_server.h"
+#include "teaselhill/net/memory_budget.h"
 #include "teaselhill/support/ids.h"
 #include "teaselhill/support/rng.h"
 
@@ -52,6 +53,9 @@
   OverloadGateOptions overload_gate;
   CrashGuardOptions crash_guard;
   ExchangeLimits exchange_limits;
+  /// Bound on the unfinished messages of the gateway's loop; must outlive the
+  /// gateway. Null: none.
+  net::MemoryBudget* memory_budget = nullptr;
   /// Timeout for connecting to an upstream. A round trip takes a few
   /// milliseconds. Without the timeout, a lost first packet would delay the
   /// request by a second.
--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -63,6 +63,7 @@
 
   /// Builds the request by which another host serves a caller's request. Reads
   /// like the caller's, with the rest of the deadline.
+  /// The body may be sent from `request` instead of the copy.
   virtual net::ClientRequest BuildForwardRequest(
       const net::HttpRequest& request,
       const ForwardContext& context) const = 0;
@@ -126,6 +127,7 @@
 class UpstreamProtocol {
  public:
   virtual ~UpstreamProtocol() = default;
+  /// The body may be sent from `request` instead of the copy.
   virtual net::ClientRequest BuildRequest(
       const net::HttpRequest& request,
       const CallerRequest& caller,
--- a/lib/gateway/event_stream.cc
+++ b/lib/gateway/event_stream.cc
@@ -12,6 +12,9 @@
 
 constexpr size_t kMaxEventBytes = 1 << 20;
 
+/// Memory that a stream keeps for its next event, after a large one.
+constexpr size_t kMaxSpareBytes = 4 << 10;
+
 /// Returns the position after the empty line that ends the first event from
 /// `begin` on, or npos.
 size_t FindEventEnd(std::string_view data, size_t begin) {
@@ -68,6 +71,9 @@
   }
   std::string complete_events = partial_event_.substr(0, parsed_end);
   partial_event_.erase(0, parsed_end);
+  if (partial_event_.capacity() > kMaxSpareBytes &&
+      partial_event_.size() < kMaxSpareBytes / 2)
+    partial_event_.shrink_to_fit();
   if (partial_event_.size() > kMaxEventBytes)
     return {ResultCode::kProtocolError, "event exceeds 1048576 bytes"};
   return complete_events;
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -54,6 +54,8 @@
       exchange->PreferReplacedAttempt();
     if (exchange && IsCurrent(*exchange))
       exchange->OnHead(status, headers);
+    if (exchange)
+      exchange->UpdateHeldBytes();
   }
   void OnData(std::string_view data) override {
     const auto exchange = exchange_.lock();
@@ -61,13 +63,17 @@
       exchange->PreferReplacedAttempt();
     if (exchange && IsCurrent(*exchange))
       exchange->OnData(data);
+    if (exchange)
+      exchange->UpdateHeldBytes();
   }
   void OnEnd(const net::TransferEnd& end) override {
     const auto exchange = exchange_.lock();
     if (exchange && IsReplaced(*exchange))
-      return exchange->OnReplacedAttemptEnd(end);
-    if (exchange && IsCurrent(*exchange))
+      exchange->OnReplacedAttemptEnd(end);
+    else if (exchange && IsCurrent(*exchange))
       exchange->OnEnd(end);
+    if (exchange)
+      exchange->UpdateHeldBytes();
   }
 
  private:
@@ -113,6 +119,12 @@
     if (const auto self = weak.lock())
       self->OnCallerDisconnected();
   });
+  if (gateway_.options_.memory_budget)
+    memory_account_ =
+        gateway_.options_.memory_budget->Open([weak = weak_from_this()] {
+          if (const auto self = weak.lock())
+            self->GiveWay();
+        });
   if (TryRelay())
     return;
   if (NeedsStreamVersion())
@@ -250,7 +262,7 @@
       now);
   LogStream();
   net::ClientRequest request = gateway_.upstreams_.BuildRequest(
-      request_.http_request, request_.caller,
+      *request_.http_request, request_.caller,
       MakeAttemptContext(attempt_.upstream, now));
   StartTransfer(std::move(request), now);
 }
@@ -258,7 +270,7 @@
 void Exchange::BeginAttempt(TimePoint now) {
   attempt_.answer_started_at.reset();
   attempt_.response_head.reset();
-  attempt_.buffered_body.clear();
+  std::string().swap(attempt_.buffered_body);
   attempt_.sent_at = attempt_.progress_at = attempt_.data_at = now;
   stall_recheck_at_ = {};
   attempt_.silence_reported = false;
@@ -270,6 +282,11 @@
 void Exchange::StartTransfer(net::ClientRequest request, TimePoint now) {
   request.connect_timeout = std::min<Duration>(
       gateway_.options_.connect_timeout, state_.deadline - now);
+  if (!request.body.empty()) {
+    std::string().swap(request.body);
+    request.shared_body = std::shared_ptr<const std::string>(
+        request_.http_request, &request_.http_request->body);
+  }
   request.max_body_bytes = gateway_.options_.exchange_limits.max_answer_bytes;
   // A reused connection may carry the late answer of an earlier request or be
   // dead without notice, and libcurl would resend the request on its own.
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "teaselhill/gateway/event_stream.h"
 #include "teaselhill/gateway/gateway.h"
 #include "teaselhill/gateway/request_keys.h"
+#include "teaselhill/net/memory_budget.h"
 #include "teaselhill/support/hash.h"
 
 namespace teaselhill::gateway {
@@ -22,7 +23,8 @@
 /// A request that was resolved to a route and a service.
 struct AcceptedRequest {
   RequestId id = 0;
-  net::HttpRequest http_request;
+  /// Shared with the attempts, so that the body takes up memory once.
+  std::shared_ptr<const net::HttpRequest> http_request;
   CallerRequest caller;
   std::shared_ptr<const RouteTable> routes;  ///< keeps `route` alive
   const Route* route = nullptr;
@@ -40,7 +42,7 @@
   GateLevel gate_level() const { return {route->tier, tier}; }
 
   /// What crashes under the request are counted by.
-  CrashKeys Keys() const { return RequestKeys(http_request, caller, team); }
+  CrashKeys Keys() const { return RequestKeys(*http_request, caller, team); }
 
   /// Ids of the prompt segments that other requests may share, for logs:
   /// hexadecimal, separated by commas.
@@ -69,6 +71,10 @@
   /// Period in which it is checked whether a stalled attempt can be replaced.
   static constexpr std::chrono::milliseconds kStallRecheckPeriod{100};
 
+  /// Bytes above which the transfer is paused while they wait: for a slow
+  /// caller, or until the record of their stream is published.
+  static constexpr size_t kMaxUnsentBytes = 256 << 10;
+
   class AttemptHandler;
 
   /// One send of the request to an upstream or to another host.
@@ -96,9 +102,14 @@
     std::optional<TimePoint> answer_started_at;
     std::optional<ResponseHead> response_head;
     bool answer_framed = true;  ///< EndedTransfer::is_framed
+    bool has_length = false;    ///< HeldAnswer::has_length
     std::string buffered_body;
     std::string partial_event;  ///< while this is `replaced_attempt_`
 
+    size_t held_bytes() const {
+      return buffered_body.capacity() + partial_event.capacity();
+    }
+
     /// Time from the start of the answer; zero if there is none.
     Duration AnsweringFor(TimePoint now) const {
       return answer_started_at ? now - *answer_started_at : Duration::zero();
@@ -136,6 +147,7 @@
   void LogStream();
   /// Sends the events that waited until other hosts know the stream.
   void SendHeldEvents();
+  void OnStreamPublished();
   /// Time for which the request must not be run, because it may have crashed
   /// upstreams.
   Duration HoldTime(TimePoint now) const;
@@ -204,6 +216,14 @@
   void OnAnswerComplete();
   void StartAnswer();
   void WriteAnswer(std::string data);
+  void PauseTransfer();
+  /// Resumes a paused transfer if nothing has to wait any longer.
+  void ResumeTransfer();
+  /// Reports to the memory budget what the exchange holds of answers.
+  void UpdateHeldBytes();
+  /// Drops or passes on what the exchange holds, for the memory budget.
+  void GiveWay();
+  void LogGivenWay(const Attempt& attempt, std::string_view step) const;
   bool IsUpstreamInService(const Attempt& attempt) const;
   void ReportConnectionLost(const Attempt& attempt);
   /// Call before an attempt is given up.
@@ -317,6 +337,8 @@
   std::optional<TimePoint> first_event_at_;
   Duration max_event_gap_{};
   Duration upstream_retry_after_{};
+  /// Null without a memory budget.
+  std::unique_ptr<net::MemoryBudget::Account> memory_account_;
   TimerSubscription timeout_timer_;
   TimerSubscription hold_timer_;
 };
--- a/lib/gateway/exchange_answer.cc
+++ b/lib/gateway/exchange_answer.cc
@@ -10,10 +10,6 @@
 
 namespace {
 
-/// Unsent bytes for a slow caller above which reading from the upstream is
-/// paused.
-constexpr size_t kMaxUnsentBytes = 256 << 10;
-
 /// An answer that is not an event stream is buffered up to this size. A larger
 /// answer is relayed to the caller while it arrives.
 constexpr size_t kMaxBufferedBytes = 1 << 20;
@@ -23,8 +19,9 @@
 void Exchange::OnHead(int status, const net::Headers& headers) {
   attempt_.progress_at = attempt_.data_at = BootNow();
   attempt_.silence_reported = false;
-  attempt_.answer_framed = net::FindHeader(headers, "Content-Length") ||
-                           net::FindHeader(headers, "Transfer-Encoding");
+  attempt_.has_length = net::FindHeader(headers, "Content-Length").has_value();
+  attempt_.answer_framed =
+      attempt_.has_length || net::FindHeader(headers, "Transfer-Encoding");
   if (attempt_.relay_peer)
     return OnPeerHead(status, headers);
   gateway_.OnUpstreamReached(attempt_.sent_at);
@@ -135,6 +132,8 @@
   }
   if (publishing_stream_) {
     held_events_.append(*complete_events);
+    if (held_events_.size() > kMaxUnsentBytes)
+      PauseTransfer();
     return;
   }
   StartAnswer();
@@ -154,19 +153,12 @@
 
 void Exchange::WriteAnswer(std::string data) {
   response_->Write(std::move(data));
-  if (transfer_paused_ || !attempt_.handler ||
-      response_->pending_bytes() <= kMaxUnsentBytes)
+  if (!attempt_.handler || response_->pending_bytes() <= kMaxUnsentBytes)
     return;
-  transfer_paused_ = true;
-  gateway_.client_.Pause(attempt_.transfer);
+  PauseTransfer();
   response_->SetDrainHandler([weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (!self || !self->transfer_paused_ ||
-        self->response_->pending_bytes() > kMaxUnsentBytes / 2)
-      return;
-    self->transfer_paused_ = false;
-    if (self->attempt_.handler)
-      self->gateway_.client_.Resume(self->attempt_.transfer);
+    if (const auto self = weak.lock())
+      self->ResumeTransfer();
   });
 }
 
--- /dev/null
+++ b/lib/gateway/exchange_memory.cc
@@ -0,0 +1,91 @@
+/// \file
+/// Memory that an exchange holds of answers, and pauses of transfers that keep
+/// it small.
+
+#include <utility>
+
+#include "exchange.h"
+#include "teaselhill/gateway/answer_relief.h"
+
+namespace teaselhill::gateway {
+
+void Exchange::PauseTransfer() {
+  if (!attempt_.handler || std::exchange(transfer_paused_, true))
+    return;
+  gateway_.client_.Pause(attempt_.transfer);
+}
+
+void Exchange::ResumeTransfer() {
+  if (!transfer_paused_ || publishing_stream_ ||
+      response_->pending_bytes() > kMaxUnsentBytes / 2)
+    return;
+  transfer_paused_ = false;
+  if (attempt_.handler)
+    gateway_.client_.Resume(attempt_.transfer);
+}
+
+void Exchange::UpdateHeldBytes() {
+  if (!memory_account_)
+    return;
+  size_t bytes = attempt_.held_bytes() + event_stream_.held_bytes() +
+                 held_events_.capacity();
+  if (replaced_attempt_)
+    bytes += replaced_attempt_->held_bytes();
+  // An empty string counts for the few bytes that it holds in itself.
+  constexpr size_t kEmptyBytes = 128;
+  memory_account_->Set(bytes > kEmptyBytes ? bytes : 0);
+}
+
+void Exchange::GiveWay() {
+  if (finished_)
+    return;
+  const size_t replaced_bytes =
+      replaced_attempt_ ? replaced_attempt_->held_bytes() : 0;
+  if (replaced_bytes > memory_account_->bytes() / 2) {
+    LogGivenWay(*replaced_attempt_, "ended");
+    EndReplacedAttempt(AttemptOutcome::kBroken,
+                       "unfinished answer exceeds the memory bound");
+    return UpdateHeldBytes();
+  }
+  if (!attempt_.handler) {
+    std::string().swap(attempt_.buffered_body);
+    return UpdateHeldBytes();
+  }
+  HeldAnswer answer;
+  answer.is_success =
+      attempt_.response_head && attempt_.response_head->is_success;
+  answer.is_event_stream =
+      answer.is_success && attempt_.response_head->is_event_stream;
+  answer.has_length = attempt_.has_length;
+  answer.may_retry =
+      MayRetry(state_, gateway_.options_.exchange_limits, BootNow());
+  if (DecideAnswerRelief(answer) == AnswerRelief::kPassOn) {
+    LogGivenWay(attempt_, "passed_on");
+    StartAnswer();
+    WriteAnswer(std::exchange(attempt_.buffered_body, {}));
+  } else {
+    LogGivenWay(attempt_, "ended");
+    std::string().swap(attempt_.buffered_body);
+    EndAttempt(AttemptOutcome::kBroken,
+               "unfinished answer exceeds the memory bound");
+  }
+  UpdateHeldBytes();
+}
+
+void Exchange::LogGivenWay(const Attempt& attempt,
+                           std::string_view step) const {
+  const net::MemoryBudget& budget = *gateway_.options_.memory_budget;
+  gateway_.log_.Write(
+      LineKind::kFailure,
+      RequestLogLine("answer_gave_way")
+          .Field("upstream", attempt.upstream.id)
+          .Field("host", attempt.relay_peer ? attempt.relay_peer->host : "")
+          .Field("attempt", attempt.number)
+          .Field("step", step)
+          .Field("held_bytes", static_cast<uint64_t>(memory_account_->bytes()))
+          .Field("all_held_bytes", static_cast<uint64_t>(budget.held_bytes()))
+          .Field("max_held_bytes", static_cast<uint64_t>(budget.max_bytes())),
+      BootNow());
+}
+
+}  // namespace teaselhill::gateway
--- a/lib/gateway/exchange_relay.cc
+++ b/lib/gateway/exchange_relay.cc
@@ -74,7 +74,7 @@
   if (ResumesStream() || event_stream_.event_count() > 0)
     context.resumed_attempt_id = StreamId();
   net::ClientRequest request =
-      gateway_.callers_.BuildForwardRequest(request_.http_request, context);
+      gateway_.callers_.BuildForwardRequest(*request_.http_request, context);
   request.source_address = gateway_.options_.relay_source_address;
   RelayOrigin origin;
   origin.host = gateway_.options_.host;
--- a/lib/gateway/exchange_streams.cc
+++ b/lib/gateway/exchange_streams.cc
@@ -152,7 +152,7 @@
   gateway_.stream_peers_->Publish({record}, log_timeout,
                                   [weak = weak_from_this()] {
                                     if (const auto self = weak.lock())
-                                      self->SendHeldEvents();
+                                      self->OnStreamPublished();
                                   });
 }
 
@@ -183,6 +183,13 @@
   gateway_.stream_peers_->Append({record});
 }
 
+void Exchange::OnStreamPublished() {
+  SendHeldEvents();
+  UpdateHeldBytes();
+  if (!finished_)
+    ResumeTransfer();
+}
+
 void Exchange::SendHeldEvents() {
   if (!std::exchange(publishing_stream_, false) || finished_)
     return;
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -81,6 +81,8 @@
       brittle_upstreams_(EntropySeed()),
       retry_budget_(options_.retry_budget),
       overload_gate_(options_.overload_gate) {
+  client_.UseBudget(options_.memory_budget);
+  report_client_.UseBudget(options_.memory_budget);
   cleanup_timer_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
     const TimePoint now = BootNow();
     placement_->ExpireUnused(now);
@@ -131,7 +133,8 @@
         accepted_request.service, accepted_request.gate_level(),
         accepted_request.route->answer_target, rng_.Uniform(), rng_.Uniform(),
         accepted_request.arrived_at);
-  accepted_request.http_request = std::move(request);
+  accepted_request.http_request =
+      std::make_shared<const net::HttpRequest>(std::move(request));
   FollowUpstreams(accepted_request.arrived_at);
   accepted_request.id = ++last_id_;
   // The host that took a relayed request from its caller has counted it.
