Give the loops of a gateway a share of the host's memory for messages

A sixth of limits.ramMb (110 MB if it is missing; the template passes all fields on) bounds the unfinished messages of a host: a quarter of it, and at least 4 MiB, those of the control loop (store, other hosts), the rest requests of callers and their answers. Listeners and clients count towards it, but for the readiness listener, which has a small bound of its own, so that checks are answered whatever other messages hold. PeerExchangeOptions::max_message_bytes, which was not used, now bounds messages and answers of other hosts.

The gauges teaselhill_held_bytes and teaselhill_held_bytes_limit show both loops; free memory is given back once held bytes have fallen.

--- a/include/teaselhill/gateway/daemon.h
+++ b/include/teaselhill/gateway/daemon.h
@@ -44,6 +44,9 @@
   Duration crash_stop_delay = std::chrono::seconds(3);
   std::string placement_policy = "affinity";  ///< name of a plug-in
   size_t max_descriptors = 1024;
+  /// Memory above which the platform ends the process; see
+  /// UnfinishedMessageBounds(). Read at the start only.
+  size_t max_memory_bytes = 110'000'000;
   LogLevel log_level = LogLevel::kInfo;
 };
 
@@ -53,10 +56,17 @@
   virtual ~Adapter() = default;
   virtual const CallerProtocol& callers() const = 0;
   virtual const UpstreamProtocol& upstreams() const = 0;
+  /// What the three of them hold of unfinished answers counts towards
+  /// `memory_budget`.
   virtual std::unique_ptr<StateSource> MakeStateSource(
-      net::EventLoop& loop) = 0;
-  virtual std::unique_ptr<FleetLog> MakeFleetLog(net::EventLoop& loop) = 0;
-  virtual std::unique_ptr<StreamLog> MakeStreamLog(net::EventLoop& loop) = 0;
+      net::EventLoop& loop,
+      net::MemoryBudget& memory_budget) = 0;
+  virtual std::unique_ptr<FleetLog> MakeFleetLog(
+      net::EventLoop& loop,
+      net::MemoryBudget& memory_budget) = 0;
+  virtual std::unique_ptr<StreamLog> MakeStreamLog(
+      net::EventLoop& loop,
+      net::MemoryBudget& memory_budget) = 0;
 
   /// Reads the settings again. After an error, the previous settings stay in
   /// force.
--- a/include/teaselhill/gateway/peer_exchange.h
+++ b/include/teaselhill/gateway/peer_exchange.h
@@ -29,7 +29,10 @@
   /// of all hosts, and each host passes a message on once in the same way.
   size_t max_direct_peers = 8;
   Duration timeout = std::chrono::milliseconds(500);
+  /// Largest message, and largest answer to a call.
   size_t max_message_bytes = 1 << 20;
+  /// Counts unfinished answers; must outlive the exchange. Null: none.
+  net::MemoryBudget* memory_budget = nullptr;
   /// Messages that are remembered so that they are passed on only once.
   size_t max_known_messages = 4096;
 };
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "host_memory.h"
 #include "http_handlers.h"
 #include "loop_thread.h"
 #include "stream_peers_on_loop.h"
@@ -13,6 +14,7 @@
 #include "teaselhill/gateway/peer_notices.h"
 #include "teaselhill/gateway/peer_streams.h"
 #include "teaselhill/gateway/state_keeper.h"
+#include "teaselhill/support/allocator.h"
 
 namespace teaselhill::gateway {
 
@@ -51,17 +53,22 @@
 /// Connections from other hosts. A host sends a message to a few peers only.
 constexpr size_t kMaxPeerConnections = 64;
 
+constexpr size_t kMaxReadinessConnections = 64;
+constexpr size_t kMaxReadinessBodyBytes = 1024;
+
 /// File descriptors reserved for listeners, the store, metrics, files and event
 /// queues.
 constexpr size_t kReservedDescriptors = 256;
 
 net::HttpServerOptions MakeListenerOptions(const Endpoint& endpoint,
-                                           size_t max_connections) {
+                                           size_t max_connections,
+                                           net::MemoryBudget& memory_budget) {
   net::HttpServerOptions options;
   options.address = endpoint.address;
   options.port = endpoint.port;
   options.read_timeout = kIdleTimeout;
   options.max_connections = max_connections;
+  options.memory_budget = &memory_budget;
   return options;
 }
 
@@ -74,6 +81,7 @@
         adapter_(adapter),
         logger_("teaselhill-gateway/" + settings.host, settings.log_level),
         log_(logger_),
+        memory_(settings.max_memory_bytes, traffic_loop_, control_loop_),
         readiness_(shared_state_),
         metrics_handler_(metrics_),
         gateway_(traffic_loop_,
@@ -85,34 +93,37 @@
                  metrics_),
         caller_server_(traffic_loop_,
                        MakeListenerOptions(settings.caller_endpoint,
-                                           MaxCallerConnections()),
+                                           MaxCallerConnections(),
+                                           memory_.traffic()),
                        gateway_),
         relay_handler_(gateway_),
         relay_server_(traffic_loop_, MakeRelayOptions(), relay_handler_),
-        readiness_server_(control_loop_,
-                          MakeListenerOptions(settings.readiness_endpoint, 64),
-                          readiness_),
+        readiness_server_(control_loop_, MakeReadinessOptions(), readiness_),
         metrics_server_(control_loop_,
-                        MakeListenerOptions(settings.metrics_endpoint, 16),
+                        MakeListenerOptions(settings.metrics_endpoint,
+                                            16,
+                                            memory_.control()),
                         metrics_handler_),
-        peer_exchange_(
-            control_loop_,
-            settings.host,
-            MakeListenerOptions(settings.peer_endpoint, kMaxPeerConnections),
-            log_,
-            *this),
+        peer_exchange_(control_loop_,
+                       settings.host,
+                       MakeListenerOptions(settings.peer_endpoint,
+                                           kMaxPeerConnections,
+                                           memory_.control()),
+                       log_,
+                       *this,
+                       MakePeerExchangeOptions()),
         peer_notices_(peer_exchange_, settings.host, shared_state_),
         peer_streams_(peer_exchange_, gateway_.stream_versions()),
         state_keeper_(shared_state_, log_, BootNow),
         fleet_log_monitor_(log_, "fleet_log"),
-        source_(adapter.MakeStateSource(control_loop_)),
-        stream_log_(adapter.MakeStreamLog(control_loop_)),
+        source_(adapter.MakeStateSource(control_loop_, memory_.control())),
+        stream_log_(adapter.MakeStreamLog(control_loop_, memory_.control())),
         stream_peers_(traffic_loop_,
                       control_loop_,
                       peer_streams_,
                       *source_,
                       *stream_log_),
-        fleet_log_(adapter.MakeFleetLog(control_loop_)),
+        fleet_log_(adapter.MakeFleetLog(control_loop_, memory_.control())),
         fleet_size_(settings.host) {}
 
   int Run() {
@@ -284,9 +295,10 @@
                                      BootNow());
   }
 
-  GatewayOptions MakeGatewayOptions() const {
+  GatewayOptions MakeGatewayOptions() {
     GatewayOptions options;
     options.host = settings_.host;
+    options.memory_budget = &memory_.traffic();
     options.relay_source_address = settings_.relay_endpoint.address;
     options.placement_policy = settings_.placement_policy;
     options.placement.own_domain = settings_.domain;
@@ -297,6 +309,22 @@
     return options;
   }
 
+  /// A readiness check is answered however much other messages hold.
+  net::HttpServerOptions MakeReadinessOptions() {
+    net::HttpServerOptions options =
+        MakeListenerOptions(settings_.readiness_endpoint,
+                            kMaxReadinessConnections, memory_.control());
+    options.memory_budget = nullptr;
+    options.max_body_bytes = kMaxReadinessBodyBytes;
+    return options;
+  }
+
+  PeerExchangeOptions MakePeerExchangeOptions() {
+    PeerExchangeOptions options;
+    options.memory_budget = &memory_.control();
+    return options;
+  }
+
   /// Each caller may need a second descriptor for the connection to its
   /// upstream.
   size_t MaxCallerConnections() const {
@@ -306,9 +334,9 @@
     return std::max<size_t>(usable / 2, 1);
   }
 
-  net::HttpServerOptions MakeRelayOptions() const {
-    net::HttpServerOptions options =
-        MakeListenerOptions(settings_.relay_endpoint, MaxCallerConnections());
+  net::HttpServerOptions MakeRelayOptions() {
+    net::HttpServerOptions options = MakeListenerOptions(
+        settings_.relay_endpoint, MaxCallerConnections(), memory_.traffic());
     options.max_header_bytes += kRelayHeaderBytes;
     return options;
   }
@@ -344,6 +372,7 @@
 
   void ReportMetrics() {
     log_.ReportSuppressed();
+    memory_.Report(metrics_);
     metrics_.SetGauge("teaselhill_log_lines_dropped",
                       "Own log lines lost because the output was full",
                       static_cast<double>(logger_.dropped()));
@@ -429,6 +458,7 @@
   EventLog log_;
   Metrics metrics_;
   SharedState shared_state_;
+  HostMemory memory_;  ///< before the loops, which it must outlive
   net::EventLoop control_loop_;
   net::EventLoop traffic_loop_;
   ReadinessHandler readiness_;
@@ -475,6 +505,7 @@
 }
 
 int RunGateway(const GatewaySettings& settings, Adapter& adapter) {
+  ConfigureAllocator();
   return Daemon(settings, adapter).Run();
 }
 
--- a/lib/gateway/peer_exchange.cc
+++ b/lib/gateway/peer_exchange.cc
@@ -14,7 +14,15 @@
 
 constexpr const char* kMessagePath = "/v1/peer-message";
 constexpr size_t kMaxIdleConnections = 16;
-constexpr size_t kMaxAnswerBytes = 4 << 20;
+
+/// Of the answer to a message, which is empty.
+constexpr size_t kMaxMessageAnswerBytes = 1024;
+
+net::HttpServerOptions WithMessageBound(net::HttpServerOptions server,
+                                        const PeerExchangeOptions& options) {
+  server.max_body_bytes = options.max_message_bytes;
+  return server;
+}
 
 }  // namespace
 
@@ -30,7 +38,9 @@
       options_(options),
       rng_(EntropySeed()),
       client_(loop, kMaxIdleConnections),
-      server_(loop, std::move(server), *this) {}
+      server_(loop, WithMessageBound(std::move(server), options), *this) {
+  client_.UseBudget(options_.memory_budget);
+}
 
 void PeerExchange::AddPeers(const std::vector<HostRecord>& records) {
   for (const HostRecord& record : records) {
@@ -122,7 +132,7 @@
                            "status " + std::to_string(response->status)});
         callback(response->body);
       },
-      kMaxAnswerBytes);
+      options_.max_message_bytes);
 }
 
 std::vector<std::string> PeerExchange::PeersFor(const std::string& key,
@@ -150,11 +160,12 @@
 }
 
 void PeerExchange::SendToPeers(const std::string& body) {
+  const auto shared_body = std::make_shared<const std::string>(body);
   for (const std::string& address : PickPeers()) {
     net::ClientRequest request;
     request.method = "POST";
     request.url = "http://" + address + kMessagePath;
-    request.body = body;
+    request.shared_body = shared_body;
     request.connect_timeout = options_.timeout;
     request.total_timeout = options_.timeout;
     client_.Fetch(
@@ -168,7 +179,8 @@
                          .Field("code", static_cast<int>(response.error().code))
                          .Field("fault", response.error().message),
                      BootNow());
-        });
+        },
+        kMaxMessageAnswerBytes);
   }
 }
 
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -200,6 +200,26 @@
   CHECK_FALSE(DecodeReadPage(body.substr(0, 33), 9).ok());
 }
 
+// The store's answers may be cut off anywhere, and a length may be any number.
+TEST_CASE("a read page that is cut off or claims too much is refused") {
+  struct Row {
+    const char* name;
+    std::string records;
+    bool good;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"no record", "", true},
+      {"a record", std::string("\0\0\0\x03\x01kv", 7), true},
+      {"half of a length", std::string("\0\0", 2), false},
+      {"half of a record", std::string("\0\0\0\x03\x01k", 6), false},
+      {"a length of 4 GB", std::string("\xff\xff\xff\xff\x01kv", 7), false},
+      {"a length of 4 GB alone", std::string("\xff\xff\xff\xff", 4), false},
+  }));
+  INFO(row.name);
+  CHECK(DecodeReadPage(std::string(16, '\0') + row.records, 0).ok() ==
+        row.good);
+}
+
 TEST_CASE("values in a listing page may contain any bytes") {
   const auto page = DecodeListPage(
       R"({"items":[{"key":"a","value":"AAH/","offset":3},
@@ -471,6 +491,14 @@
   REQUIRE(with_contact.ok());
   CHECK(teaselhill::ToMilliseconds(with_contact->gateway.crash_stop_delay) ==
         Approx(1200));
+  CHECK(settings->gateway.max_memory_bytes == 110'000'000);
+  const auto with_memory = ParseBootSettings(
+      Replace(good, R"("maxFds":4100)", R"("maxFds":4100,"ramMb":260)"));
+  REQUIRE(with_memory.ok());
+  CHECK(with_memory->gateway.max_memory_bytes == 260'000'000);
+  CHECK_FALSE(ParseBootSettings(Replace(good, R"("maxFds":4100)",
+                                        R"("maxFds":4100,"ramMb":0)"))
+                  .ok());
   const auto invalid_settings = ParseBootSettings(
       Replace(Replace(good, R"("graceS":8)", R"("graceS":"8")"), ":8740", ""));
   REQUIRE_FALSE(invalid_settings.ok());
