Give each open request its final answer when the gateway stops

Callers of a host that was stopped lost their connections at the end of the grace without a word on whether their requests had run. Requests were taken, retried and hedged however little time was left, and a request that waited (as a suspect, for a retry, for the version of its stream) had no timer at all.

The stop was no event for an exchange. Gateway::StartDrain() now caps the deadline of each open and each later request at the time of the final answers, and arms its timer while no attempt runs, so that the existing final steps apply: not run (503 Draining), unknown (504) or cut short. A new request, a retry, a replacement or a relay begins only if it is likely to end by then: RouteDurations keeps the longest duration of each route lately; without it, the time left of the request itself counts. A request behind an unanswered one on its connection is refused, since its answer would be lost if that one were cut short. A resumable stream is refused as any other: beginning it at another host costs its caller less than a cut and the search for its version.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "teaselhill/gateway/report_fetcher.h"
 #include "teaselhill/gateway/restart_watch.h"
 #include "teaselhill/gateway/retry_budget.h"
+#include "teaselhill/gateway/route_durations.h"
 #include "teaselhill/gateway/shared_state.h"
 #include "teaselhill/gateway/stream_versions.h"
 #include "teaselhill/gateway/upstream_health.h"
@@ -105,6 +106,11 @@
   /// Rejects every request that arrives from now on. Call on the loop's thread.
   void RejectNewRequests() { rejecting_ = true; }
 
+  /// The host stops: each request gets its final answer by `final_answers_at`.
+  /// Requests that are not likely to end by then are refused from now on. Of
+  /// several calls, the earliest time holds. Call on the loop's thread.
+  void StartDrain(TimePoint final_answers_at);
+
   /// Call on the loop's thread.
   void SetRetryBudget(const RetryBudgetOptions& options) {
     retry_budget_.SetOptions(options);
@@ -228,6 +234,11 @@
   std::optional<Rejection> CheckCrashes(
       const net::HttpRequest& request,
       const AcceptedRequest& accepted_request);
+  /// While draining, rejects a request that is not likely to end in time, or
+  /// whose answer would be lost with the one before it.
+  std::optional<Rejection> CheckDrain(
+      const net::HttpRequest& request,
+      const AcceptedRequest& accepted_request) const;
   void RejectRequest(const net::HttpRequest& request,
                      const CallerRequest& caller,
                      net::ResponseWriter& response,
@@ -281,6 +292,9 @@
   OverloadGate overload_gate_;
   RequestId last_id_ = 0;
   bool rejecting_ = false;
+  /// While draining; see StartDrain().
+  std::optional<TimePoint> final_answers_at_;
+  RouteDurations route_durations_;
   std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges_;
   std::atomic<size_t> open_requests_{0};
   TimerSubscription cleanup_timer_;
--- a/include/teaselhill/net/http_server.h
+++ b/include/teaselhill/net/http_server.h
@@ -26,6 +26,8 @@
   Headers headers;
   std::string body;
   std::string remote_address;  ///< IP number without the port
+  /// A request before it on its connection has no whole answer yet.
+  bool behind_unanswered = false;
 };
 
 /// Writes the response to one request. All functions must be called on the
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -41,6 +41,15 @@
   return std::string(RouteKindName(route->kind)) + "-" + std::to_string(tier);
 }
 
+Duration AcceptedRequest::TimeLimit(Duration max_duration) const {
+  Duration limit = route->timeout;
+  if (caller.deadline > Duration::zero() &&
+      (limit == Duration::zero() || caller.deadline < limit))
+    limit = caller.deadline;
+  return limit == Duration::zero() || limit > max_duration ? max_duration
+                                                           : limit;
+}
+
 /// Forwards the callbacks of one transfer to the exchange while the transfer is
 /// the current attempt or the replaced one.
 class Exchange::AttemptHandler : public net::TransferHandler {
@@ -96,14 +105,11 @@
   if (request_.relay_origin)
     state_.max_attempts = std::clamp(request_.relay_origin->attempts_left, 1,
                                      state_.max_attempts);
-  Duration timeout = route.timeout;
-  if (request_.caller.deadline > Duration::zero() &&
-      (timeout == Duration::zero() || request_.caller.deadline < timeout))
-    timeout = request_.caller.deadline;
-  const Duration max_duration = gateway_.options_.exchange_limits.max_duration;
-  if (timeout == Duration::zero() || timeout > max_duration)
-    timeout = max_duration;
-  state_.deadline = request_.arrived_at + timeout;
+  own_deadline_ =
+      request_.arrived_at +
+      request_.TimeLimit(gateway_.options_.exchange_limits.max_duration);
+  state_.deadline = own_deadline_;
+  CapDeadline();
 }
 
 Exchange::~Exchange() = default;
@@ -113,6 +119,9 @@
     if (const auto self = weak.lock())
       self->OnCallerDisconnected();
   });
+  // The request may have to wait before its first attempt.
+  if (IsCutByDrain())
+    ArmTimer();
   if (TryRelay())
     return;
   if (NeedsStreamVersion())
@@ -178,6 +187,8 @@
 }
 
 void Exchange::PlaceOrShed() {
+  if (!MayBeginAttempt(BootNow()))
+    return EndByDrain();
   if (TryRelay())
     return;
   if (request_.relay_origin && IsCutOff())
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -39,6 +39,10 @@
 
   GateLevel gate_level() const { return {route->tier, tier}; }
 
+  /// Time from its arrival to the caller's deadline or the end of the route's
+  /// timeout, whichever is earlier; at most `max_duration`.
+  Duration TimeLimit(Duration max_duration) const;
+
   /// What crashes under the request are counted by.
   CrashKeys Keys() const { return RequestKeys(http_request, caller, team); }
 
@@ -65,6 +69,11 @@
   void Start();
   void OnCallerDisconnected();
 
+  /// Reports for how long the request has run so far.
+  void ReportDuration() const;
+  /// The host has begun to stop, or stops earlier than before.
+  void OnDrain();
+
  private:
   /// Period in which it is checked whether a stalled attempt can be replaced.
   static constexpr std::chrono::milliseconds kStallRecheckPeriod{100};
@@ -105,6 +114,19 @@
     }
   };
 
+  /// Moves the deadline to the final answers of a host that stops.
+  void CapDeadline();
+  /// Whether the stop of the host ends the request before its own deadline.
+  bool IsCutByDrain() const { return state_.deadline < own_deadline_; }
+  /// Whether an attempt that begins now is likely to end before the host stops.
+  bool MayBeginAttempt(TimePoint now) const;
+  /// Limits for another attempt that begins at `now` or later.
+  ExchangeLimits RetryLimits(TimePoint now) const;
+  /// `code`, unless the stop of the host is why the request is not run.
+  ResultCode NotRunCode(ResultCode code) const;
+  /// Ends a request that no attempt will answer before the host stops.
+  void EndByDrain();
+
   /// Fetches the load reports that placement needs, and places the request.
   void PrepareToPlace();
   void PlaceOrShed();
@@ -289,7 +311,8 @@
   AcceptedRequest request_;
   std::shared_ptr<net::ResponseWriter> response_;
   ExchangeState state_;
-  Attempt attempt_;  ///< the current or the last one
+  TimePoint own_deadline_{};  ///< ExchangeState::deadline of a host that stays
+  Attempt attempt_;           ///< the current or the last one
   /// A silent attempt whose replacement may still be refused.
   std::optional<Attempt> replaced_attempt_;
   TimePoint overlap_ends_at_{};
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "exchange.h"
+#include "teaselhill/gateway/shutdown_schedule.h"
 
 namespace teaselhill::gateway {
 
@@ -67,8 +68,7 @@
   CloseAttempt(outcome);
   const TimePoint now = BootNow();
   const Duration hold = HoldTime(now);
-  const bool retry_allowed =
-      MayRetry(state_, gateway_.options_.exchange_limits, now + hold);
+  const bool retry_allowed = MayRetry(state_, RetryLimits(now), now + hold);
   LogAttemptEnd(attempt_, outcome, detail, hold, retry_allowed);
   if (replaced_attempt_ && CannotHaveRun(outcome)) {
     replacement_not_sent_ = outcome == AttemptOutcome::kNotSent;
@@ -115,6 +115,9 @@
 }
 
 void Exchange::RetryOrFinish(AttemptOutcome outcome) {
+  // The request may have waited since the end of the attempt.
+  if (!MayBeginAttempt(BootNow()))
+    return ApplyFinalStep(DecideFinalStep(state_, outcome));
   if (RelayAgain(outcome))
     return;
   if (NeedsStreamVersion())
@@ -229,6 +232,8 @@
 }
 
 Duration Exchange::RetryAfter(ResultCode code) const {
+  if (code == ResultCode::kDraining)
+    return kDrainingRetryAfter;
   if (upstream_retry_after_ > Duration::zero())
     return upstream_retry_after_;
   // A restarting upstream is ready again or ejected after about a second; a
@@ -256,6 +261,11 @@
                                               request_.gate_level());
   const TimePoint now = BootNow();
   const bool success = code == ResultCode::kOk;
+  if (success)
+    gateway_.route_durations_.OnAnswered(request_.route->name,
+                                         now - request_.arrived_at, now);
+  else
+    ReportDuration();
   LogLine line = RequestLogLine(success ? "answered" : "failed");
   line.Field("code", static_cast<int>(code))
       .Field("reason", reason)
@@ -268,6 +278,8 @@
       .Field("forwarded_to",
              attempt_.relay_peer ? attempt_.relay_peer->host : "")
       .Field("total_ms", now - request_.arrived_at);
+  if (gateway_.final_answers_at_)
+    line.Field("final_answers_in_ms", *gateway_.final_answers_at_ - now);
   if (code == ResultCode::kCallerGone)
     line.Field("fingerprint", ToHex(request_.Keys().fingerprint));
   if (first_event_at_)
--- a/lib/gateway/exchange_hold.cc
+++ b/lib/gateway/exchange_hold.cc
@@ -41,8 +41,11 @@
             .Field("for_ms", duration)
             .Field("time_left_ms", state_.deadline - now),
         now);
-  if (now + duration + gateway_.options_.exchange_limits.min_retry_time >
-      state_.deadline) {
+  const ExchangeLimits limits = RetryLimits(now);
+  if (now + duration + limits.min_retry_time > state_.deadline) {
+    const ExchangeLimits& own_limits = gateway_.options_.exchange_limits;
+    if (now + duration + own_limits.min_retry_time <= own_deadline_)
+      return EndByDrain();
     upstream_retry_after_ = duration;
     return ApplyFinalStep(
         FinalStepAfterTimeout(state_, ResultCode::kNoUpstream));
--- a/lib/gateway/exchange_silence.cc
+++ b/lib/gateway/exchange_silence.cc
@@ -184,7 +184,7 @@
 void Exchange::ReplaceAgain() {
   const TimePoint now = BootNow();
   ReturnToReplacedAttempt("replacement_not_run");
-  if (MayRetry(state_, gateway_.options_.exchange_limits, now))
+  if (MayRetry(state_, RetryLimits(now), now))
     OnSilence(now);
 }
 
@@ -226,8 +226,7 @@
   const bool has_failure =
       outcome == AttemptOutcome::kErrorResponse && !state_.head_sent;
   if (has_failure || now >= *retry_wait_ends_at_ ||
-      !MayRetry(state_, gateway_.options_.exchange_limits,
-                now + kAwaitRetryPeriod))
+      !MayRetry(state_, RetryLimits(now), now + kAwaitRetryPeriod))
     return ApplyFinalStep(DecideFinalStep(state_, outcome));
   hold_timer_ = gateway_.loop_.timers().After(
       kAwaitRetryPeriod, [weak = weak_from_this(), outcome](TimePoint) {
--- a/lib/gateway/exchange_timeouts.cc
+++ b/lib/gateway/exchange_timeouts.cc
@@ -42,7 +42,7 @@
   TimePoint next_check = state_.deadline;
   if (request_.placement_request.is_engine && !wait_reported_)
     next_check = std::min(next_check, request_.arrived_at + GateReportDelay());
-  if (state_.retryable)
+  if (state_.retryable && attempt_.handler)
     next_check = std::min(next_check, StallCheckAt());
   if (replaced_attempt_)
     next_check = std::min(next_check, overlap_ends_at_);
@@ -96,15 +96,15 @@
     ReportGivenUp();
     RecordStall(now);
     StopAttempt(attempt_);
-    return ApplyFinalStep(
-        FinalStepAfterTimeout(state_, ResultCode::kDeadlineUnreachable));
+    return ApplyFinalStep(FinalStepAfterTimeout(
+        state_, NotRunCode(ResultCode::kDeadlineUnreachable)));
   }
   if (replaced_attempt_ && now + kAnswerMargin >= overlap_ends_at_)
     DropReplacedAttempt();
   if (state_.retryable && now + kAnswerMargin >= StallCheckAt()) {
     stall_recheck_at_ = now + kStallRecheckPeriod;
     if (attempt_.handler && !transfer_paused_ &&
-        MayRetry(state_, gateway_.options_.exchange_limits, now))
+        MayRetry(state_, RetryLimits(now), now))
       OnSilence(now);
   }
   if (!finished_)
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include "teaselhill/gateway/gateway.h"
 
 #include "exchange.h"
+#include "teaselhill/gateway/shutdown_schedule.h"
 #include "teaselhill/net/error_response.h"
 
 namespace teaselhill::gateway {
@@ -23,9 +24,6 @@
 /// source is read again within this time.
 constexpr std::chrono::seconds kNoConfigurationRetryAfter{1};
 
-/// Retry-After delay while draining: another host accepts the request at once.
-constexpr std::chrono::milliseconds kDrainingRetryAfter{50};
-
 PlacementRequest MakePlacementRequest(const CallerRequest& caller,
                                       const Service* service,
                                       const std::string& service_name) {
@@ -123,6 +121,8 @@
       ResolveRequest(request, accepted_request);
   if (!rejection)
     rejection = CheckCrashes(request, accepted_request);
+  if (!rejection)
+    rejection = CheckDrain(request, accepted_request);
   if (rejection)
     return RejectRequest(request, accepted_request.caller, *response,
                          rejection->error, rejection->retry_after);
@@ -352,17 +352,18 @@
                             const Error& error,
                             Duration retry_after) {
   const auto routes = shared_state_.routes();
-  log_.Write(
-      LineKind::kFailure,
-      LogLine(LogLevel::kInfo, "refused")
-          .Field("request", caller.attempt_id)
-          .Field("code", static_cast<int>(error.code))
-          .Field("reason", Describe(error.code).name)
-          .Field("host", caller.host)
-          .Field("path", request.path)
-          .Field("config_version", routes ? routes->version() : 0)
-          .Field("upstreams_known", shared_state_.upstreams() != nullptr),
-      BootNow());
+  const TimePoint now = BootNow();
+  LogLine line(LogLevel::kInfo, "refused");
+  line.Field("request", caller.attempt_id)
+      .Field("code", static_cast<int>(error.code))
+      .Field("reason", Describe(error.code).name)
+      .Field("host", caller.host)
+      .Field("path", request.path)
+      .Field("config_version", routes ? routes->version() : 0)
+      .Field("upstreams_known", shared_state_.upstreams() != nullptr);
+  if (final_answers_at_)
+    line.Field("final_answers_in_ms", *final_answers_at_ - now);
+  log_.Write(LineKind::kFailure, line, now);
   metrics_.CountOutcome("", "refused", error.code);
   RespondError(response, error, retry_after);
 }
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -159,8 +159,10 @@
                                "all headers together exceed the size limit"});
     auto response = std::make_shared<RestinioResponse>(request, table_,
                                                        close_after_response_);
+    HttpRequest received = ToRequest(*request);
+    received.behind_unanswered = table_->IsBusy(request->connection_id());
     table_->Add(request->connection_id(), response);
-    handler_.Handle(ToRequest(*request), std::move(response));
+    handler_.Handle(std::move(received), std::move(response));
     return restinio::request_accepted();
   }
 
--- a/unittests/platform/gateway_fixture.h
+++ b/unittests/platform/gateway_fixture.h
@@ -352,8 +352,10 @@
   void Begin(const std::string& path,
              ReceivedAnswer* answer,
              std::chrono::milliseconds deadline = std::chrono::seconds(4),
-             net::Headers further = {}) {
+             net::Headers further = {},
+             bool behind_unanswered = false) {
     net::HttpRequest request;
+    request.behind_unanswered = behind_unanswered;
     request.method = "GET";
     request.target = request.path = path;
     request.headers = {{"Host", kRouteHost},
