--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -186,8 +186,10 @@
                                                        close_after_response_);
     if (held)
       response->UseBudget(*options_.memory_budget, std::move(held), policy_);
+    HttpRequest received = ToRequest(*request);
+    received.behind_unanswered = table_->IsBusy(request->connection_id());
     table_->Add(request->connection_id(), response);
-    handler_.Handle(ToRequest(*request), std::move(response));
+    handler_.Handle(std::move(received), std::move(response));
     return restinio::request_accepted();
   }
 
