Let scenarios beside the soak use its fleet, callers and options

SOAK_PROGRAM names another program for scripts/soak.sh, and cases that pass print their figures.

The draws of random numbers are the same without the options.

--- a/scripts/lib/soak_cases.sh
+++ b/scripts/lib/soak_cases.sh
@@ -29,6 +29,7 @@
   shift 2
   if SKIP_BUILD=1 scripts/soak.sh --logs "$folder/$name" "$@" >"$folder/$name.out" 2>&1; then
     echo "passed: $name"
+    tail -n 1 "$folder/$name.out"
   else
     echo "FAILED: $name"
     cat "$folder/$name.out"
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
 [ -n "${SKIP_BUILD:-}" ] || scripts/build.sh teaselhill-gateway >/dev/null
-play() { python3 scripts/soak/soak.py --binary "$build/bin/teaselhill-gateway" "$@"; }
+play() { python3 "${SOAK_PROGRAM:-scripts/soak/soak.py}" --binary "$build/bin/teaselhill-gateway" "$@"; }
 if [ "${1:-}" = "--regressions" ]; then
   failed=0
   while IFS='|' read -r arguments cause; do
--- a/scripts/soak/caller.py
+++ b/scripts/soak/caller.py
@@ -33,7 +33,13 @@
 SLOW_BODY_S = (0.3, 2.0)
 
 
+# Time between the requests of a connection.
+PAUSE_S = (0.01, 0.08)
+
+
 class Caller:
+    pause_s = PAUSE_S
+
     def __init__(self, fleet, ledger, rng):
         self.fleet = fleet
         self.ledger = ledger
@@ -65,7 +71,7 @@
         """Sends requests on one connection until it closes."""
         incarnation = host.incarnation
         while time.monotonic() < end:
-            await asyncio.sleep(self.rng.uniform(0.01, 0.08))
+            await asyncio.sleep(self.rng.uniform(*self.pause_s))
             sent = [await self.send(host, writer)]
             if self.has_habit():
                 sent.append(await self.send(host, writer, at_once=True))
@@ -91,10 +97,13 @@
         or send a body slowly."""
         return self.fleet.options.caller_habits and self.rng.random() < HABIT_PART
 
+    def pick_kind(self):
+        return self.rng.choice(list(PATHS))
+
     async def send(self, host, writer, at_once=False):
         """Returns kind, id and time of a request. `at_once`: its body is not slow, so
         that it is whole before its caller knows that the connection will end."""
-        kind = self.rng.choice(list(PATHS))
+        kind = self.pick_kind()
         if time.monotonic() < self.fleet.drafts_until:
             kind = self.rng.choice(["draft", "draft", "draft", "stream"])
         request_id = uuid.UUID(int=self.rng.getrandbits(128)).hex
--- a/scripts/soak/fleet.py
+++ b/scripts/soak/fleet.py
@@ -16,8 +16,6 @@
 from upstream import Upstream
 from versions import CONTACT_S
 
-GRACE_S = 6
-
 # Last part of the address at which upstreams are registered, and of the addresses
 # by which it is replaced for the first hosts, so that each can be cut off alone.
 UPSTREAMS = 220
@@ -33,6 +31,9 @@
 RENEWAL_S = 1.2
 LAPSE_S = 3 * RENEWAL_S
 
+# Time in which the hosts that were started must be ready.
+READY_S = 15
+
 # Time from one replacement of a host's build to the next.
 UPGRADE_PERIOD_S = 4.0
 
@@ -59,8 +60,9 @@
 class Host:
     """One gateway; restarted by the soak whenever it ends."""
 
-    def __init__(self, number, binary, folder, network, store):
+    def __init__(self, number, binary, folder, network, store, options):
         self.number = number
+        self.options = options
         self.name = f"host-{number}"
         self.binary = binary
         self.address = f"{network}.{number + 1}"
@@ -94,9 +96,9 @@
             "ip": self.address,
             "listen": {"front": "%s:%d" % self.callers,
                        "ready": "%s:%d" % self.readiness},
-            "limits": {"maxFds": 1024},
+            "limits": {"maxFds": 1024, **self.memory_limit()},
             "portRange": [self.peer_port, self.relay_port],
-            "bounds": {"graceS": GRACE_S, "retryRatio": 0.2,
+            "bounds": {"graceS": self.options.grace, "retryRatio": 0.2,
                        "retryWindowS": 10, "retryExtra": 54, "drainMs": 2000},
             "provider": {"addr": f"{self.address}:{self.store_port}"},
             "extra": extra}
@@ -104,6 +106,12 @@
             json.dump(settings, file)
         os.replace(self.settings + ".new", self.settings)
 
+    def memory_limit(self):
+        """Hosts that are told no limit keep their default."""
+        if self.options.ram_mb is None:
+            return {}
+        return {"ramMb": self.options.ram_mb}
+
     async def keep_running(self):
         while not self.ending:
             self.incarnation += 1
@@ -144,11 +152,14 @@
                 and self.incarnation not in self.terminated)
 
     def peak_memory_mb(self):
-        """Of the present process; 0 if there is none."""
+        return self.memory_mb("VmHWM")
+
+    def memory_mb(self, name):
+        """A field of the present process's status; 0 if there is no process."""
         try:
             with open(f"/proc/{self.process.pid}/status") as status:
                 for line in status:
-                    if line.startswith("VmHWM:"):
+                    if line.startswith(name + ":"):
                         return int(line.split()[1]) / 1024
         except (OSError, AttributeError):
             pass
@@ -167,12 +178,15 @@
         self.send(signal.SIGCONT)
         self.send(signal.SIGTERM)
         try:
-            await asyncio.wait_for(self.process.wait(), GRACE_S + 2)
+            await asyncio.wait_for(self.process.wait(),
+                                   self.options.grace + 2)
         except asyncio.TimeoutError:
             self.process.kill()
 
 
 class Fleet:
+    upstream_type = Upstream
+
     def __init__(self, ledger, rng, options, folder, network):
         self.ledger, self.rng, self.options = ledger, rng, options
         self.folder, self.network = folder, network
@@ -215,7 +229,7 @@
                 f"{self.network}.{UPSTREAMS}:".encode(),
                 f"{self.upstreams_of(number)}:".encode()))
             host = Host(number, self.binary_of(number), self.folder, self.network,
-                        (self.network + ".200", port))
+                        (self.network + ".200", port), self.options)
             # Older builds do not answer, and without the store none is known.
             host.asks_others = not (self.options.production
                                     or self.options.store_away)
@@ -223,6 +237,13 @@
             await host.start()
         asyncio.create_task(self.renew())
 
+    async def wait_until_ready(self):
+        start = time.monotonic()
+        while not all(host.ready for host in self.hosts):
+            await asyncio.sleep(0.05)
+            if time.monotonic() - start > READY_S:
+                raise SystemExit("the hosts did not become ready")
+
     def upstreams_of(self, host):
         """Address at which this host, and no other, reaches all upstreams."""
         last = FIRST_VIEW + host if host < MOST_VIEWS else UPSTREAMS
@@ -270,7 +291,8 @@
         return ("", "-b") if self.options.other_services else ("",)
 
     async def add_upstream(self, name, service):
-        upstream = Upstream(name, service, self.ledger, self.rng, self.options)
+        upstream = self.upstream_type(name, service, self.ledger, self.rng,
+                                      self.options)
         upstream.on_restart = self.on_restart
         upstream.host_at = self.host_at
         upstream.version = self.next_version(service)
@@ -322,10 +344,13 @@
         return self.store.put("keyed.servers", upstream.name, {
             "service": upstream.service, "zone": "z1", "seq": 0,
             "slots": self.options.slots if upstream.brittle else 8,
-            "addr": f"{self.network}.{UPSTREAMS}:{upstream.port}", "state": state,
+            "addr": self.address_of(upstream), "state": state,
             "version": upstream.version,
             **({} if self.options.new_ids else {"born": upstream.born})})
 
+    def address_of(self, upstream):
+        return f"{self.network}.{UPSTREAMS}:{upstream.port}"
+
     async def renew(self):
         while True:
             await asyncio.sleep(RENEWAL_S)
--- a/scripts/soak/soak.py
+++ b/scripts/soak/soak.py
@@ -88,11 +88,7 @@
     """Starts the hosts and lets callers, probes and faults run beside each other."""
     await fleet.start(options.processes)
     asyncio.create_task(ledger.budget.lag.watch())
-    start = time.monotonic()
-    while not all(host.ready for host in fleet.hosts):
-        await asyncio.sleep(0.05)
-        if time.monotonic() - start > 15:
-            raise SystemExit("the hosts did not become ready")
+    await fleet.wait_until_ready()
     end = time.monotonic() + options.seconds
     callers = [Caller(fleet, ledger, random.Random(rng.random())).run(end + 2)
                for _ in range(min(CALLERS_PER_HOST * options.processes,
@@ -212,8 +208,9 @@
     return 1 if set(ledger.broken) - set(options.known_red) else 0
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
+def parser_of(description):
+    """The options that a fleet, its upstreams and its callers use, and the soak's."""
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--processes", type=int, default=4)
@@ -290,7 +287,18 @@
     parser.add_argument("--production", help="another build of the gateway, which "
                         "every second host starts with")
     parser.add_argument("--logs", help="folder for the hosts' logs")
-    raise SystemExit(asyncio.run(run(parser.parse_args())))
+    parser.add_argument("--grace", type=float, default=6,
+                        help="seconds that a host has from SIGTERM to its end")
+    parser.add_argument("--ram-mb", type=int, help="memory that hosts are told "
+                        "they have; default: none is named")
+    parser.add_argument("--answer-seconds", type=float, nargs=2,
+                        help="time that sound answers take, from and to; default: "
+                        "some milliseconds, and half a second for streams")
+    return parser
+
+
+def main():
+    raise SystemExit(asyncio.run(run(parser_of(__doc__).parse_args())))
 
 
 if __name__ == "__main__":
--- a/scripts/soak/upstream.py
+++ b/scripts/soak/upstream.py
@@ -31,6 +31,8 @@
 ENDLESS_S = 5.0
 
 EVENTS = 12
+EVENT_GAP_S = (0.005, 0.04)  # before each event, from and to
+CALL_S = (0.002, 0.03)  # time that an answer takes which is no stream
 LOOK_S = 0.1  # time after which a waiting request looks whether its caller left
 # Part of the answers that have neither a length nor chunks.
 UNFRAMED_PART = 0.1
@@ -285,7 +287,8 @@
         return await self.serve_call(request_id, common, writer)
 
     async def serve_call(self, request_id, common, writer):
-        await asyncio.sleep(self.rng.uniform(0.002, 0.03))
+        await asyncio.sleep(self.rng.uniform(
+            *(self.options.answer_seconds or CALL_S)))
         answer = f"{self.service} ran {request_id}".encode()
         common["X-Server-Seal"] = checksum(request_id, answer)
         framed = self.rng.random() >= UNFRAMED_PART
@@ -375,11 +378,14 @@
             return False
         silence = Silence(self)
         silent_before = self.rng.randint(first, EVENTS)
+        gap_s = EVENT_GAP_S
+        if self.options.answer_seconds:
+            gap_s = [self.rng.uniform(*self.options.answer_seconds) / EVENTS] * 2
         await silence.at("head")
         writer.write(head)
         await silence.at("body")
         for number in range(first, EVENTS + 1):
-            await asyncio.sleep(self.rng.uniform(0.005, 0.04))
+            await asyncio.sleep(self.rng.uniform(*gap_s))
             if number == silent_before:
                 await silence.at("events")
             if reader.at_eof():
