Let the bytes of other messages not hold up large requests

While answers that an upstream does not end fill the budget, large requests of innocent callers were put off until their time ended, because the gate looked at all bytes of the budget. It now looks at those of the server's requests only; answers give way to requests when the budget is exceeded.

The new test of this times out after 10 s on the code before: the first of six large requests is read whole and the others wait for its end. The other new test guards the order of large requests against callers that stall; without the check for stalled reads it times out.

--- a/lib/net/read_gate.cc
+++ b/lib/net/read_gate.cc
@@ -1,6 +1,6 @@
 /// \file
 /// Counts the requests of one server towards a memory budget and puts reads of
-/// large ones off while the budget is short.
+/// large ones off while requests hold much of it.
 
 #include "read_gate.h"
 
@@ -11,27 +11,22 @@
 
 namespace {
 
-/// Large requests go on in their order only while more than this part of the
-/// budget is held, and then at most so many at a time.
+/// Large requests go on in their order only while requests hold more than this
+/// part of the budget, and then at most so many at a time.
 constexpr double kOrderedShare = 0.5;
 constexpr size_t kMaxOrderedReads = 4;
 
-/// None goes on while more than this part of the budget is held and a large
-/// request is in progress, because its end releases bytes.
+/// None goes on while requests hold more than this part of the budget and a
+/// large one is in progress, because its end releases bytes.
 constexpr double kStopShare = 0.75;
 
 /// A read that has brought nothing for this long does not keep back others: a
 /// slow caller holds no more while nothing arrives.
 constexpr std::chrono::milliseconds kStalledAfter{20};
 
-/// Other parts release bytes of the budget without telling the gate.
+/// Reads stall without an event.
 constexpr std::chrono::milliseconds kCheckPeriod{10};
 
-bool IsHeld(const MemoryBudget& budget, double share) {
-  return static_cast<double>(budget.held_bytes()) >
-         share * static_cast<double>(budget.max_bytes());
-}
-
 }  // namespace
 
 ReadGate::Reader::Reader(std::shared_ptr<ReadGate> gate)
@@ -41,7 +36,8 @@
 }
 
 ReadGate::Reader::~Reader() {
-  account_.reset();
+  if (account_)
+    gate_->Count(*account_, 0);
   gate_->Leave(*this);
 }
 
@@ -56,7 +52,7 @@
 void ReadGate::Reader::PutOff(Read read) {
   put_off_ = std::move(read);
   ++gate_->put_off_count_;
-  gate_->WatchReleases();
+  gate_->WatchStalls();
 }
 
 void ReadGate::Reader::CancelRead() {
@@ -79,7 +75,7 @@
 
 ReadGate::HeldRequest::HeldRequest(std::shared_ptr<ReadGate> gate, size_t bytes)
     : gate_(std::move(gate)), account_(gate_->budget_->Open()) {
-  account_->Set(bytes);
+  gate_->Count(*account_, bytes);
   if (bytes > kSmallRequestBytes)
     ++gate_->large_held_;
 }
@@ -87,7 +83,7 @@
 ReadGate::HeldRequest::~HeldRequest() {
   if (account_->bytes() > kSmallRequestBytes)
     --gate_->large_held_;
-  account_.reset();
+  gate_->Count(*account_, 0);
   gate_->Check();
 }
 
@@ -102,7 +98,7 @@
   // A request that was behind another one is not passed on by a read. It lies
   // in the buffer of its connection, which is small.
   if (current_) {
-    current_->account_->Set(0);
+    Count(*current_->account_, 0);
     Leave(*current_);
   }
   return held;
@@ -121,10 +117,20 @@
   put_off_count_ = 0;
 }
 
+bool ReadGate::IsHeld(double share) const {
+  return static_cast<double>(held_bytes_) >
+         share * static_cast<double>(budget_->max_bytes());
+}
+
+void ReadGate::Count(MemoryBudget::Account& account, size_t bytes) {
+  held_bytes_ += bytes - account.bytes();
+  account.Set(bytes);
+}
+
 bool ReadGate::MayRead(const Reader& reader) const {
-  if (!budget_ || !reader.place_ || !IsHeld(*budget_, kOrderedShare))
+  if (!budget_ || !reader.place_ || !IsHeld(kOrderedShare))
     return true;
-  if (large_held_ > 0 && IsHeld(*budget_, kStopShare))
+  if (large_held_ > 0 && IsHeld(kStopShare))
     return false;
   const TimePoint now = timers_->Now();
   size_t reads = 0;
@@ -140,7 +146,7 @@
 }
 
 void ReadGate::SetBytes(Reader& reader, size_t bytes) {
-  reader.account_->Set(bytes);
+  Count(*reader.account_, bytes);
   if (bytes <= kSmallRequestBytes || reader.place_ || !budget_)
     return;
   reader.place_ = ++last_place_;
@@ -169,10 +175,10 @@
   put_off_count_ -= granted.size();
   for (Reader* reader : granted)
     std::exchange(reader->put_off_, nullptr)(true);
-  WatchReleases();
+  WatchStalls();
 }
 
-void ReadGate::WatchReleases() {
+void ReadGate::WatchStalls() {
   if (put_off_count_ == 0)
     return check_timer_.Cancel();
   check_timer_ =
--- a/lib/net/read_gate.h
+++ b/lib/net/read_gate.h
@@ -1,6 +1,6 @@
 /// \file
 /// Counts the requests of one server towards a memory budget and puts reads of
-/// large ones off while the budget is short.
+/// large ones off while requests hold much of it.
 
 #ifndef TEASELHILL_LIB_NET_READ_GATE_H_
 #define TEASELHILL_LIB_NET_READ_GATE_H_
@@ -20,7 +20,8 @@
 
 /// Large requests that are not received whole read on in the order in which
 /// they became large, so that the first ones end and release their bytes. Small
-/// requests are never put off. Used on the loop's thread only.
+/// requests are never put off. What other messages hold of the budget does not
+/// count here: those give way to requests. Used on the loop's thread only.
 class ReadGate : public std::enable_shared_from_this<ReadGate> {
  public:
   /// A request that has received more than this is large.
@@ -85,18 +86,22 @@
   void Close();
 
  private:
+  /// Whether requests hold more than `share` of the budget.
+  bool IsHeld(double share) const;
+  void Count(MemoryBudget::Account& account, size_t bytes);
   bool MayRead(const Reader& reader) const;
   void SetBytes(Reader& reader, size_t bytes);
   void Leave(Reader& reader);
 
   /// Grants the reads that may go on.
   void Check();
-  void WatchReleases();
+  void WatchStalls();
 
   MemoryBudget* budget_;  ///< null: closed
   TimerService* timers_;
   std::map<uint64_t, Reader*> large_;
   uint64_t last_place_ = 0;
+  size_t held_bytes_ = 0;  ///< of all requests
   size_t put_off_count_ = 0;
   size_t large_held_ = 0;
   Reader* current_ = nullptr;
--- a/unittests/net/budgeted_server_test.cc
+++ b/unittests/net/budgeted_server_test.cc
@@ -160,6 +160,39 @@
   CHECK(fixture.budget.held_bytes() <= kBudgetBytes + kSlackBytes);
 }
 
+// Answers that a faulty server does not end would keep large requests from
+// being read until their time ends.
+TEST_CASE("large requests are read although other messages fill the budget") {
+  constexpr size_t kCallers = 6;
+  KeepingHandler handler;
+  Fixture fixture(handler);
+  const auto answer = fixture.budget.Open();
+  answer->Set(kBudgetBytes * 7 / 8);
+  fixture.Send(kCallers, Post(kLargeBytes));
+  RunUntil(fixture.loop, [&] { return handler.held.size() == kCallers; });
+  handler.AnswerAll();
+  RunUntil(fixture.loop,
+           [&] { return fixture.CountCallers("large") == kCallers; });
+}
+
+// A slow caller may be the first in the order of large requests.
+TEST_CASE("callers that stall do not keep back the others") {
+  constexpr size_t kStalled = 8;
+  constexpr size_t kStalledBytes = 600'000;
+  constexpr size_t kCallers = 8;
+  KeepingHandler handler;
+  Fixture fixture(handler);
+  fixture.Send(kStalled, HeadOf(kLargeBytes) + std::string(kStalledBytes, 'b'));
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.budget.held_bytes() > kBudgetBytes / 2);
+  fixture.Send(kCallers, Post(kLargeBytes));
+  const auto answerer = fixture.loop.timers().Subscribe(
+      milliseconds(10), [&](TimePoint) { handler.AnswerAll(); });
+  RunUntil(
+      fixture.loop, [&] { return fixture.CountCallers("large") == kCallers; },
+      seconds(2));
+}
+
 // RESTinio closes a connection whose request does not arrive in time; a caller
 // whose read was put off must learn that its request did not run.
 TEST_CASE("a request that waits for the budget is refused when its time ends") {
