Release responses before their server in tests of the budget

RESTinio's connections must not outlive their server. With AddressSanitizer two of the new tests ended with a use of freed memory, because the handler that kept responses was destroyed last.

--- a/unittests/net/budgeted_server_test.cc
+++ b/unittests/net/budgeted_server_test.cc
@@ -49,6 +49,9 @@
     held.push_back({std::move(request.body), std::move(response)});
   }
 
+  /// A response must not outlive its server.
+  void DropAll() { held.clear(); }
+
   void AnswerAll() {
     for (auto& [body, response] : std::exchange(held, {})) {
       held_bytes -= body.size();
@@ -158,6 +161,7 @@
   RunUntil(fixture.loop,
            [&] { return fixture.CountCallers("small") == kSmallCallers; });
   CHECK(fixture.budget.held_bytes() <= kBudgetBytes + kSlackBytes);
+  handler.DropAll();
 }
 
 // Answers that a faulty server does not end would keep large requests from
@@ -220,6 +224,7 @@
   fixture.Send(30, Post(kLargeBytes));
   fixture.RunFor(milliseconds(300));
   CHECK(handler.held.size() < 30);
+  handler.DropAll();
 }
 
 namespace {
