--- a/unittests/net/budgeted_server_test.cc
+++ b/unittests/net/budgeted_server_test.cc
@@ -49,6 +49,9 @@
     held.push_back({std::move(request.body), std::move(response)});
   }
 
+  /// A response must not outlive its server.
+  void DropAll() { held.clear(); }
+
   void AnswerAll() {
     for (auto& [body, response] : std::exchange(held, {})) {
       held_bytes -= body.size();
@@ -158,6 +161,40 @@
   RunUntil(fixture.loop,
            [&] { return fixture.CountCallers("small") == kSmallCallers; });
   CHECK(fixture.budget.held_bytes() <= kBudgetBytes + kSlackBytes);
+  handler.DropAll();
+}
+
+// Answers that a faulty server does not end would keep large requests from
+// being read until their time ends.
+TEST_CASE("large requests are read although other messages fill the budget") {
+  constexpr size_t kCallers = 6;
+  KeepingHandler handler;
+  Fixture fixture(handler);
+  const auto answer = fixture.budget.Open();
+  answer->Set(kBudgetBytes * 7 / 8);
+  fixture.Send(kCallers, Post(kLargeBytes));
+  RunUntil(fixture.loop, [&] { return handler.held.size() == kCallers; });
+  handler.AnswerAll();
+  RunUntil(fixture.loop,
+           [&] { return fixture.CountCallers("large") == kCallers; });
+}
+
+// A slow caller may be the first in the order of large requests.
+TEST_CASE("callers that stall do not keep back the others") {
+  constexpr size_t kStalled = 8;
+  constexpr size_t kStalledBytes = 600'000;
+  constexpr size_t kCallers = 8;
+  KeepingHandler handler;
+  Fixture fixture(handler);
+  fixture.Send(kStalled, HeadOf(kLargeBytes) + std::string(kStalledBytes, 'b'));
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.budget.held_bytes() > kBudgetBytes / 2);
+  fixture.Send(kCallers, Post(kLargeBytes));
+  const auto answerer = fixture.loop.timers().Subscribe(
+      milliseconds(10), [&](TimePoint) { handler.AnswerAll(); });
+  RunUntil(
+      fixture.loop, [&] { return fixture.CountCallers("large") == kCallers; },
+      seconds(2));
 }
 
 // RESTinio closes a connection whose request does not arrive in time; a caller
@@ -187,6 +224,7 @@
   fixture.Send(30, Post(kLargeBytes));
   fixture.RunFor(milliseconds(300));
   CHECK(handler.held.size() < 30);
+  handler.DropAll();
 }
 
 namespace {
