Give the test of the last answers memory for its large answer

Since lib/net counts unsent responses towards the memory budget, the answer of 12 MiB in "a host is not done before its last answer has left" gave way at the default bound of 4 MiB (received 65536 of bytes). The answer has to be larger than the buffers of a loopback connection, so the test raises the bound; what it checks is unchanged.

--- a/unittests/router/last_answers_test.cc
+++ b/unittests/router/last_answers_test.cc
@@ -46,7 +46,7 @@
 };
 
 struct StoppingHost {
-  StoppingHost() : worker(0, {}, shared, control) {
+  StoppingHost() : worker(0, Options(), shared, control) {
     auto view = std::make_shared<config::ConfigView>();
     auto contract = std::make_shared<config::Contract>();
     contract->customer = "c";
@@ -62,6 +62,13 @@
   }
   ~StoppingHost() { worker.Stop(); }
 
+  /// A large answer must not give way.
+  static TrafficOptions Options() {
+    TrafficOptions options;
+    options.max_unfinished_bytes = 2 * kLargeAnswerBytes;
+    return options;
+  }
+
   PublishedState shared;
   WaitingControl control;
   TrafficWorker worker;
