Bound the answers of platform services and engine reports by their sizes

A service or an engine that sent bytes without end in place of a short answer filled the memory of teaselhilld with 1 MiB, or without a bound in an answer to an append; such an answer was taken for a good one. A host list of more than 1 MiB, on the other hand, could no longer be read.

Bounds: 16 KiB for the weight store, 64 KiB for appends and for the bounds of a stream, 64 KiB for a load report, 256 KiB for an engine's state, 4 MiB for the host list and for a page of cache events. An answer that exceeds its bound ends with kProtocolError, that of an append with kAppendUnknown.

--- a/include/teaselhill/router/report_poller.h
+++ b/include/teaselhill/router/report_poller.h
@@ -76,6 +76,7 @@
       Engine& engine,
       const std::string& path,
       bool Engine::*in_flight,
+      size_t max_bytes,
       std::function<void(Engine&, const std::string& body)> handle_body);
   void PollLoad(const std::string& name, Engine& engine);
   void PollEvents(const std::string& name, Engine& engine);
--- a/lib/router/orders_driver.cc
+++ b/lib/router/orders_driver.cc
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds kTickPeriod{500};
 constexpr std::chrono::milliseconds kStateTimeout{2000};
 constexpr std::chrono::milliseconds kOrderTimeout{5000};
+/// Maximum size of an engine's state: some hundred models with their adapters.
+constexpr size_t kMaxStateBytes = 256 << 10;
 
 services::LogTailOptions TailOptions() {
   services::LogTailOptions options;
@@ -172,12 +174,14 @@
     request.connect_timeout = kStateTimeout;
     request.total_timeout = kStateTimeout;
     context_.client->Fetch(
-        request, [this, name = name, requested_at = context_.timers->Now(),
-                  alive = std::weak_ptr<int>(alive_)](
-                     const Result<net::ClientResponse>& response) {
+        request,
+        [this, name = name, requested_at = context_.timers->Now(),
+         alive = std::weak_ptr<int>(alive_)](
+            const Result<net::ClientResponse>& response) {
           if (!alive.expired())
             OnEngineState(name, requested_at, response);
-        });
+        },
+        kMaxStateBytes);
   }
 }
 
--- a/lib/router/report_poller.cc
+++ b/lib/router/report_poller.cc
@@ -17,6 +17,11 @@
 
 constexpr std::chrono::milliseconds kPollTimeout{1000};
 
+/// Maximum size of a load report, which holds a few numbers, and of a page of
+/// cache events, of which each takes up to 100 bytes.
+constexpr size_t kMaxLoadReportBytes = 64 << 10;
+constexpr size_t kMaxEventPageBytes = 4 << 20;
+
 Error ReportError(const std::string& what) {
   return {ResultCode::kProtocolError, "engine report: " + what};
 }
@@ -156,6 +161,7 @@
     Engine& engine,
     const std::string& path,
     bool Engine::*in_flight,
+    size_t max_bytes,
     std::function<void(Engine&, const std::string& body)> handle_body) {
   engine.*in_flight = true;
   client_.Fetch(
@@ -171,11 +177,13 @@
         polled->*in_flight = false;
         if (response && response->status == 200)
           handle_body(*polled, response->body);
-      });
+      },
+      max_bytes);
 }
 
 void ReportPoller::PollLoad(const std::string& name, Engine& engine) {
   FetchFromEngine(name, engine, "/v1/load", &Engine::load_in_flight,
+                  kMaxLoadReportBytes,
                   [this, name](Engine&, const std::string& body) {
                     const auto report = ParseLoadReport(body);
                     if (!report)
@@ -188,7 +196,7 @@
 void ReportPoller::PollEvents(const std::string& name, Engine& engine) {
   const uint64_t from = engine.next_event;
   FetchFromEngine(name, engine, "/v1/cache/events?from=" + std::to_string(from),
-                  &Engine::events_in_flight,
+                  &Engine::events_in_flight, kMaxEventPageBytes,
                   [this, name, from](Engine& polled, const std::string& body) {
                     const auto page = ParseCacheEvents(body, from);
                     if (!page)
--- a/lib/services/host_list_client.cc
+++ b/lib/services/host_list_client.cc
@@ -19,6 +19,8 @@
 constexpr double kPeriodJitterFraction = 0.1;
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotModified = 304;
+/// Maximum size of a list: 20,000 entries of 200 bytes.
+constexpr size_t kMaxListBytes = 4 << 20;
 
 }  // namespace
 
@@ -86,11 +88,14 @@
   request.purpose = "host_list";
   if (!etag_.empty())
     request.headers.push_back({"If-None-Match", etag_});
-  client_.Fetch(std::move(request), [this, alive = std::weak_ptr<int>(alive_)](
-                                        Result<net::ClientResponse> answer) {
-    if (!alive.expired())
-      OnAnswer(std::move(answer));
-  });
+  client_.Fetch(
+      std::move(request),
+      [this,
+       alive = std::weak_ptr<int>(alive_)](Result<net::ClientResponse> answer) {
+        if (!alive.expired())
+          OnAnswer(std::move(answer));
+      },
+      kMaxListBytes);
 }
 
 void HttpHostListClient::OnAnswer(Result<net::ClientResponse> answer) {
--- a/lib/services/log_client.cc
+++ b/lib/services/log_client.cc
@@ -20,6 +20,8 @@
 /// has the retained range and no records.
 constexpr LogOffset kOffsetBeyondEnd = LogOffset{1} << 62;
 constexpr size_t kMaxPageBytes = 64 << 20;
+/// Maximum size of an answer without records.
+constexpr size_t kMaxShortAnswerBytes = 64 << 10;
 constexpr int kHttpOk = 200;
 constexpr int kHttpGone = 410;
 constexpr int kHttpTooManyRequests = 429;
@@ -143,6 +145,7 @@
   request.headers = {{"Content-Type", "application/json"}};
   request.source_address = source_address_;
   request.total_timeout = kAppendTimeout;
+  request.max_body_bytes = kMaxShortAnswerBytes;
   // On a reused connection libcurl may retry a request, which could append the
   // records twice.
   request.fresh_connection = true;
@@ -175,7 +178,7 @@
         if (!alive.expired())
           callback(ParseReadAnswer(answer));
       },
-      kMaxPageBytes);
+      read.from == kOffsetBeyondEnd ? kMaxShortAnswerBytes : kMaxPageBytes);
 }
 
 }  // namespace teaselhill::services
--- a/lib/services/weight_store_client.cc
+++ b/lib/services/weight_store_client.cc
@@ -13,6 +13,8 @@
 using Json = nlohmann::json;
 
 constexpr Duration kAnswerTimeout = std::chrono::seconds(5);
+/// Maximum size of an answer, which holds one number.
+constexpr size_t kMaxAnswerBytes = 16 << 10;
 constexpr int kHttpOk = 200;
 constexpr int kHttpTooManyRequests = 429;
 
@@ -57,7 +59,8 @@
           const Result<net::ClientResponse>& answer) {
         if (!alive.expired())
           callback(ParseAnswer(answer));
-      });
+      },
+      kMaxAnswerBytes);
 }
 
 }  // namespace teaselhill::services
