Derive the times of a planned stop of the gateway from its grace

With a grace of 3 s a host took requests until 0.2 s after its loops had stopped, so it never refused one; with any grace it stopped its loops 0.3 s before the end with requests open, and their connections ended without an answer.

The drain moves out of the daemon into a class Shutdown that follows ShutdownSchedule: the gateway is told the time of the final answers at once, idle connections are closed and the listeners of callers and of other hosts closed at 2.2 s and 2.9 s or by the final answers, and the process ends when nothing is open, or between the final answers and the SIGKILL. Requests that have arrived in part when the listeners close are refused as not run, since what follows would be refused as well. The listeners close at the latest with the final answers: a refused connection is certain not to have run, while a connection accepted later could end unread. A grace that is changed in a stop applies if it is shorter; a second SIGTERM changes nothing. A request tells whether it stands behind an unanswered one on its connection.

`stopped` shows open_requests 0. test/gateway.sh passes. The test of behind_unanswered in server_drain_test.cc passes; it has no counterpart on the code before, which lacks the field.

--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "http_handlers.h"
 #include "loop_thread.h"
+#include "shutdown.h"
 #include "stream_peers_on_loop.h"
 #include "teaselhill/gateway/peer_exchange.h"
 #include "teaselhill/gateway/peer_notices.h"
@@ -23,20 +24,6 @@
 constexpr std::chrono::seconds kMetricsPeriod{1};
 constexpr std::chrono::seconds kSettingsCheckPeriod{2};
 
-/// Time after the start of the drain at which the listener is closed. The load
-/// balancer sends new connections until two readiness checks, a second apart,
-/// have failed.
-constexpr std::chrono::milliseconds kStopAcceptingAfter{2900};
-
-/// Time from SIGTERM after which idle connections are closed; their callers
-/// then reconnect to another host.
-constexpr std::chrono::milliseconds kCloseIdleAfter{2200};
-constexpr std::chrono::milliseconds kDrainCheckPeriod{50};
-
-/// Time reserved before the SIGKILL for the last answers to leave the socket
-/// buffers.
-constexpr std::chrono::milliseconds kShutdownMargin{300};
-
 /// Timeout of idle caller connections. The configuration also has a limit for
 /// idle connections, but the listener opens before a configuration is known.
 constexpr std::chrono::seconds kIdleTimeout{30};
@@ -113,7 +100,11 @@
                       *source_,
                       *stream_log_),
         fleet_log_(adapter.MakeFleetLog(control_loop_)),
-        fleet_size_(settings.host) {}
+        fleet_size_(settings.host),
+        shutdown_(control_loop_,
+                  traffic_loop_,
+                  gateway_,
+                  {&caller_server_, &relay_server_}) {}
 
   int Run() {
     for (net::HttpServer* server : EnabledServers()) {
@@ -190,9 +181,12 @@
     });
     const LoopThread traffic(traffic_loop_, "traffic");
     control_loop_.Run();
-    logger_.Write(LogLine(LogLevel::kInfo, "stopped")
-                      .Field("open_requests",
-                             static_cast<uint64_t>(gateway_.open_requests())));
+    logger_.Write(
+        LogLine(LogLevel::kInfo, "stopped")
+            .Field("open_requests",
+                   static_cast<uint64_t>(gateway_.open_requests()))
+            .Field("grace_left_ms",
+                   shutdown_.GraceLeft(BootNow()).value_or(Duration::zero())));
     return 0;
   }
 
@@ -373,6 +367,7 @@
     }
     // Listeners are bound once, so changed addresses have no effect.
     settings_.shutdown_grace = reloaded->shutdown_grace;
+    shutdown_.ChangeGrace(reloaded->shutdown_grace);
     settings_.retry_budget = reloaded->retry_budget;
     traffic_loop_.Post([this, retry_budget = reloaded->retry_budget] {
       gateway_.SetRetryBudget(retry_budget);
@@ -385,42 +380,15 @@
   void StartDrain(int signal) {
     if (shared_state_.draining.exchange(true))
       return;
-    const TimePoint drain_started_at = BootNow();
+    const ShutdownSchedule schedule =
+        MakeShutdownSchedule(settings_.shutdown_grace);
     logger_.Write(LogLine(LogLevel::kInfo, "stopping")
                       .Field("signal", signal)
+                      .Field("grace_ms", settings_.shutdown_grace)
+                      .Field("final_answers_in_ms", schedule.final_answers)
                       .Field("open_requests",
                              static_cast<uint64_t>(gateway_.open_requests())));
-    traffic_loop_.Post([this] { caller_server_.CloseAfterResponses(); });
-    close_idle_timer_ =
-        control_loop_.timers().After(kCloseIdleAfter, [this](TimePoint) {
-          traffic_loop_.Post([this] { caller_server_.CloseIdle(); });
-        });
-    stop_accepting_timer_ =
-        control_loop_.timers().After(kStopAcceptingAfter, [this](TimePoint) {
-          accepting_connections_ = false;
-          traffic_loop_.Post([this] {
-            gateway_.RejectNewRequests();
-            caller_server_.Stop();
-            caller_server_.CloseIdle();
-          });
-        });
-    drain_check_timer_ = control_loop_.timers().Subscribe(
-        kDrainCheckPeriod, [this, drain_started_at](TimePoint) {
-          if (BootNow() - drain_started_at >=
-              settings_.shutdown_grace - kShutdownMargin)
-            control_loop_.Stop();
-          else if (!accepting_connections_)
-            traffic_loop_.Post([this] { StopWhenIdle(); });
-        });
-  }
-
-  /// Runs on the traffic thread. A request is removed from the count of open
-  /// requests before its answer is sent completely, so unsent responses are
-  /// checked as well.
-  void StopWhenIdle() {
-    if (gateway_.open_requests() == 0 && !caller_server_.HasUnsentResponses() &&
-        !relay_server_.HasUnsentResponses())
-      control_loop_.Stop();
+    shutdown_.Begin(settings_.shutdown_grace);
   }
 
   GatewaySettings settings_;
@@ -450,10 +418,7 @@
   std::unique_ptr<FleetLog> fleet_log_;
   FleetSize fleet_size_;
   FleetPosition published_position_;
-  bool accepting_connections_ = true;
-  TimerSubscription close_idle_timer_;
-  TimerSubscription stop_accepting_timer_;
-  TimerSubscription drain_check_timer_;
+  Shutdown shutdown_;
 };
 
 }  // namespace
--- a/unittests/net/server_drain_test.cc
+++ b/unittests/net/server_drain_test.cc
@@ -44,11 +44,13 @@
 /// Keeps all responses for the test.
 class HoldHandler : public HttpHandler {
  public:
-  void Handle(HttpRequest /*request*/,
+  void Handle(HttpRequest request,
               std::shared_ptr<ResponseWriter> response) override {
+    behind_unanswered.push_back(request.behind_unanswered);
     held.push_back(std::move(response));
   }
 
+  std::vector<bool> behind_unanswered;
   std::vector<std::shared_ptr<ResponseWriter>> held;
 };
 
@@ -158,6 +160,26 @@
   CHECK(fixture.handler.target == "/whole?a=%2F..&b");
 }
 
+// Guards against a request that is passed on though its answer would be lost
+// with the one before it.
+TEST_CASE("a request tells whether it stands behind an unanswered one") {
+  EventLoop loop;
+  HoldHandler handler;
+  HttpServer server(loop, {}, handler);
+  REQUIRE(server.Start().ok());
+  RawConnection caller(loop, server.port());
+  caller.Read();
+  caller.Send(std::string(kGet) + kGet);
+  RunUntil(loop, [&] { return handler.held.size() == 2; });
+  CHECK(handler.behind_unanswered == std::vector<bool>{false, true});
+  for (const auto& response : handler.held)
+    response->Respond(200, {}, "whole");
+  RunUntil(loop, [&] { return !server.HasUnsentResponses(); });
+  caller.Send(kGet);
+  RunUntil(loop, [&] { return handler.held.size() == 3; });
+  CHECK_FALSE(handler.behind_unanswered.back());
+}
+
 // Guards against a request that ran and gets no answer, because the answer
 // before it ended the connection of a host that stops.
 TEST_CASE("a drain answers all requests that a connection has passed on") {
