Send larger chunks in the scenario of unending bytes

The scenario itself was late by 3 s of 8 with 100 callers that read chunks of a kilobyte each. The last line states the statuses that callers got.

--- a/scripts/soak/pouring.py
+++ b/scripts/soak/pouring.py
@@ -16,7 +16,7 @@
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n"
 EVENTS = CHUNKED + b"Content-Type: text/event-stream\r\n\r\n"
 UNFRAMED = OK + b"Connection: close\r\n\r\n"
-TEXT = b"more of the same" * 64
+TEXT = b"more of the same" * 1024
 
 # Form: beginning, and what is repeated.
 FORMS = {
@@ -39,11 +39,11 @@
                 + b"X-Not-Run: 1\r\n\r\n", http_io.chunk(TEXT)),
 }
 
-WRITE_BYTES = 256 << 10
+WRITE_BYTES = 128 << 10
 
 # Time between writes of answers to requests, which callers have to read here. Probes
 # are too short for pauses.
-WRITE_PERIOD_S = 0.01
+WRITE_PERIOD_S = 0.04
 
 # A slow answer sends as much at once, and then little in each period.
 SLOW_BEGINNING_BYTES = (1 << 20) - (8 << 10)
--- a/scripts/soak/unending.py
+++ b/scripts/soak/unending.py
@@ -198,6 +198,7 @@
     print(json.dumps({
         "scenario": options.scenario, "seed": options.seed,
         "processes": options.processes, "callers": options.callers, **figures,
+        "requests": dict(sorted(ledger.requests.items())),
         "broken": dict(ledger.broken), "logs": folder}))
     return 1 if any(ledger.broken[name]
                     for name in (*CHECKED, "memory", "served")) else 0
