--- a/test/builds-side-by-side.sh
+++ b/test/builds-side-by-side.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 . scripts/lib/soak_cases.sh
 build=${BUILD_DIR:-build}
-last_landing=27b49b9
+last_landing=39983f5
 
 old=$build/production-$last_landing
 if [ ! -x "$old/build/bin/teaselhill-gateway" ]; then
