Close a link over which a peer sends a large message back

Hosts send their messages over links of their own, so nothing is expected over a link that a host has opened. A server in a peer's place could still send 32 MB there, which were held until the message was whole. Such a message may now have 1 KiB; the link is closed by a larger one and opened again later.

unexpected_messages_test.cc on the code before: with 1 MiB, server.closed false == true. Now peer_tests passes (678 assertions in 11 cases).

--- a/lib/peer/websocket_transport.cc
+++ b/lib/peer/websocket_transport.cc
@@ -50,6 +50,10 @@
 
 constexpr size_t kMaxMessageBytes = 32 << 20;
 
+/// Peers send their messages over links of their own, so nothing is expected
+/// over a link that this host has opened.
+constexpr size_t kMaxUnexpectedBytes = 1 << 10;
+
 /// Returns the size in bytes of a frame with `payload` bytes of payload. Frames
 /// from a client to a server are masked: their header has a mask of 4 bytes.
 size_t FrameBytes(size_t payload, bool masked) {
@@ -97,6 +101,7 @@
         on_message_(std::move(on_message)) {
     Configure(server_, loop_.context());
     Configure(client_, loop_.context());
+    client_.set_max_message_size(kMaxUnexpectedBytes);
     server_.set_reuse_addr(true);
     server_.set_validate_handler(
         [this](Handle handle) { return Validate(handle); });
