Give free memory of teaselhilld back to the system

glibc keeps memory that unfinished messages held, because it raises its thresholds to the largest block that was freed. The daemon fixes them before it starts threads, and gives free memory back once teaselhill_held_bytes has fallen, with the module that lib/gateway uses. What this gives back in teaselhilld has not been measured.

--- a/lib/router/daemon.cc
+++ b/lib/router/daemon.cc
@@ -13,6 +13,7 @@
 #include "teaselhill/router/memory_shares.h"
 #include "teaselhill/router/tls_setup.h"
 #include "teaselhill/router/traffic_worker.h"
+#include "teaselhill/support/allocator.h"
 #include "teaselhill/support/logger.h"
 
 namespace teaselhill::router {
@@ -73,6 +74,7 @@
 }  // namespace
 
 int RunDaemon(const Settings& settings) {
+  ConfigureAllocator();
   JsonLogger logger("teaselhilld/" + settings.host, settings.log_level);
   Metrics metrics;
   PublishedState shared;
@@ -101,6 +103,7 @@
                    .Field("domain", settings.domain)
                    .Field("port", static_cast<int>(workers[0]->port()))
                    .Field("version", TEASELHILL_VERSION));
+  MemoryReleaseSchedule memory_release;
   const auto gauges =
       control.loop().timers().Subscribe(kGaugePeriod, [&](TimePoint) {
         metrics.SetGauge("teaselhill_log_lines_dropped",
@@ -109,6 +112,8 @@
         metrics.SetGauge("teaselhill_held_bytes",
                          "Bytes that unfinished requests and answers hold",
                          static_cast<double>(pool.held_bytes()));
+        if (memory_release.IsDue(pool.held_bytes()))
+          ReleaseFreeMemory();
       });
   bool stopping = false;
   const auto signals = net::HandleTermination(control.loop(), [&](int) {
