Refuse large requests that stall while requests hold the whole budget

What callers saw: 200 large bodies whose last bytes came late were all read, because a read that brought nothing for 20 ms no longer kept back others.

Above the whole budget, requests that stall keep back the others, and the largest that has brought nothing for half a second is refused (408): it was never passed on. An account that holds a negligible part of the bound does not give way.

The new case of budgeted_server_test held all 40 bodies and refused none before.

--- a/include/teaselhill/net/memory_budget.h
+++ b/include/teaselhill/net/memory_budget.h
@@ -12,7 +12,8 @@
 namespace teaselhill::net {
 
 /// Sum of what accounts hold. When it exceeds the bound, the account that holds
-/// most is told to give way, and so on until the rest fits. This happens in a
+/// most is told to give way, and so on until the rest fits or what each account
+/// holds is a negligible part of the bound. This happens in a
 /// function that is posted to the loop, so an owner may report bytes from any
 /// callback. Accounts that outlive it count no more. Used on the loop's thread
 /// only, except for held_bytes().
--- a/lib/net/caller_socket.cc
+++ b/lib/net/caller_socket.cc
@@ -107,6 +107,8 @@
   }
   channel_->CancelRead();
   channel_->tcp.cancel(error);
+  // What has been received of the request is dropped with its connection.
+  channel_->reader.reset();
   auto& context =
       static_cast<asio::io_context&>(channel_->tcp.get_executor().context());
   std::make_shared<Refusal>(
--- a/lib/net/caller_socket.h
+++ b/lib/net/caller_socket.h
@@ -139,7 +139,10 @@
       : policy_(std::move(policy)),
         channel_(std::make_shared<Channel>(context)) {
     if (policy_->read_gate)
-      channel_->reader = std::make_unique<ReadGate::Reader>(policy_->read_gate);
+      channel_->reader = std::make_unique<ReadGate::Reader>(
+          policy_->read_gate, [channel = channel_.get()] {
+            channel->Refuse(ResultCode::kRequestTimeout);
+          });
     policy_->channels.Add(channel_);
   }
 
--- a/lib/net/memory_budget.cc
+++ b/lib/net/memory_budget.cc
@@ -10,6 +10,14 @@
 
 namespace teaselhill::net {
 
+namespace {
+
+/// Ending a message that holds less than this part of the budget, one of so
+/// many, would free next to nothing.
+constexpr size_t kMinGiveWayShare = 512;
+
+}  // namespace
+
 /// Shared with the accounts, which may outlive the budget.
 struct MemoryBudget::State : std::enable_shared_from_this<State> {
   bool IsExceeded() const { return held_bytes > max_bytes; }
@@ -82,7 +90,7 @@
 MemoryBudget::Account* MemoryBudget::State::Largest() const {
   Account* largest = nullptr;
   for (Account* account : accounts) {
-    if (account->give_way_ && account->bytes_ > 0 &&
+    if (account->give_way_ && account->bytes_ > max_bytes / kMinGiveWayShare &&
         (!largest || account->bytes_ > largest->bytes_))
       largest = account;
   }
--- a/lib/net/read_gate.cc
+++ b/lib/net/read_gate.cc
@@ -16,21 +16,27 @@
 constexpr double kOrderedShare = 0.5;
 constexpr size_t kMaxOrderedReads = 4;
 
-/// None goes on while requests hold more than this part of the budget and a
-/// large one is in progress, because its end releases bytes.
+/// While requests hold more than this part of the budget, one large request
+/// goes on at a time, and none while one is in progress, because its end
+/// releases bytes.
 constexpr double kStopShare = 0.75;
 
 /// A read that has brought nothing for this long does not keep back others: a
 /// slow caller holds no more while nothing arrives.
 constexpr std::chrono::milliseconds kStalledAfter{20};
 
+/// While requests hold the whole budget and none is in progress, the largest
+/// that has brought nothing for this long is refused.
+constexpr std::chrono::milliseconds kMaxStall{500};
+
 /// Reads stall without an event.
 constexpr std::chrono::milliseconds kCheckPeriod{10};
 
 }  // namespace
 
-ReadGate::Reader::Reader(std::shared_ptr<ReadGate> gate)
-    : gate_(std::move(gate)) {
+ReadGate::Reader::Reader(std::shared_ptr<ReadGate> gate,
+                         std::function<void()> refuse)
+    : gate_(std::move(gate)), refuse_(std::move(refuse)) {
   if (gate_->budget_)
     account_ = gate_->budget_->Open();
 }
@@ -132,14 +138,18 @@
     return true;
   if (large_held_ > 0 && IsHeld(kStopShare))
     return false;
+  const size_t max_reads = IsHeld(kStopShare) ? 1 : kMaxOrderedReads;
+  // Requests that stall keep their bytes, so beyond the whole budget others
+  // must not add to them.
+  const bool skips_stalled = !IsHeld(1);
   const TimePoint now = timers_->Now();
   size_t reads = 0;
   for (const auto& [place, other] : large_) {
     if (other == &reader)
       return true;
-    const bool is_stalled =
-        !other->put_off_ && now - other->granted_at_ >= kStalledAfter;
-    if (!is_stalled && ++reads == kMaxOrderedReads)
+    if (skips_stalled && other->IsStalledFor(kStalledAfter, now))
+      continue;
+    if (++reads == max_reads)
       return false;
   }
   return true;
@@ -175,9 +185,27 @@
   put_off_count_ -= granted.size();
   for (Reader* reader : granted)
     std::exchange(reader->put_off_, nullptr)(true);
+  RefuseStalled();
   WatchStalls();
 }
 
+void ReadGate::RefuseStalled() {
+  if (!budget_ || large_held_ > 0 || !IsHeld(1))
+    return;
+  const TimePoint now = timers_->Now();
+  Reader* largest = nullptr;
+  for (const auto& [place, reader] : large_) {
+    if (reader->IsStalledFor(kMaxStall, now) &&
+        (!largest || reader->account_->bytes() > largest->account_->bytes()))
+      largest = reader;
+  }
+  if (!largest)
+    return;
+  // Its connection ends before the next check.
+  largest->granted_at_ = now;
+  largest->refuse_();
+}
+
 void ReadGate::WatchStalls() {
   if (put_off_count_ == 0)
     return check_timer_.Cancel();
--- a/lib/net/read_gate.h
+++ b/lib/net/read_gate.h
@@ -33,7 +33,8 @@
   /// The unfinished request of one connection.
   class Reader {
    public:
-    explicit Reader(std::shared_ptr<ReadGate> gate);
+    /// `refuse` ends the connection with a refusal of its request.
+    Reader(std::shared_ptr<ReadGate> gate, std::function<void()> refuse);
     ~Reader();
     Reader(const Reader&) = delete;
     Reader& operator=(const Reader&) = delete;
@@ -54,7 +55,13 @@
    private:
     friend class ReadGate;
 
+    /// Whether a read has brought nothing for `period`.
+    bool IsStalledFor(Duration period, TimePoint now) const {
+      return !put_off_ && now - granted_at_ >= period;
+    }
+
     std::shared_ptr<ReadGate> gate_;
+    std::function<void()> refuse_;
     std::unique_ptr<MemoryBudget::Account> account_;
     /// Place in the order of large requests; nothing for a small one.
     std::optional<uint64_t> place_;
@@ -95,6 +102,8 @@
 
   /// Grants the reads that may go on.
   void Check();
+  /// Refuses a request that keeps back all others and does not arrive.
+  void RefuseStalled();
   void WatchStalls();
 
   MemoryBudget* budget_;  ///< null: closed
--- a/unittests/net/budgeted_server_test.cc
+++ b/unittests/net/budgeted_server_test.cc
@@ -197,6 +197,29 @@
       seconds(2));
 }
 
+// Many slow callers may hold a large body each that lacks its last bytes.
+TEST_CASE("requests that stall are refused before they exceed the budget") {
+  constexpr size_t kStalled = 40;
+  constexpr size_t kReadBytes = 4096;  // a read that exceeds the budget
+  KeepingHandler handler;
+  Fixture fixture(handler);
+  size_t most_held = 0;
+  const auto watch =
+      fixture.loop.timers().Subscribe(milliseconds(1), [&](TimePoint) {
+        most_held = std::max(most_held, fixture.budget.held_bytes());
+        handler.AnswerAll();
+      });
+  fixture.Send(kStalled,
+               HeadOf(kLargeBytes) + std::string(kLargeBytes - 1, 'b'));
+  fixture.RunFor(milliseconds(1500));
+  CHECK(most_held <= kBudgetBytes + kReadBytes);
+  CHECK(fixture.CountCallers("HTTP/1.1 408") > 0);
+  fixture.Send(1, Post(kLargeBytes));
+  RunUntil(
+      fixture.loop, [&] { return fixture.CountCallers("large") == 1; },
+      seconds(10));
+}
+
 // RESTinio closes a connection whose request does not arrive in time; a caller
 // whose read was put off must learn that its request did not run.
 TEST_CASE("a request that waits for the budget is refused when its time ends") {
--- a/unittests/net/memory_budget_test.cc
+++ b/unittests/net/memory_budget_test.cc
@@ -92,6 +92,19 @@
   CHECK(messages.budget.held_bytes() == 500);
 }
 
+// Requests that fill the budget would end every answer, down to single events.
+TEST_CASE("messages that hold next to nothing do not give way") {
+  Queue queue;
+  MemoryBudget budget(1 << 20, queue.poster());
+  bool gave_way = false;
+  const auto small = budget.Open([&] { gave_way = true; });
+  small->Set(1024);
+  const auto request = budget.Open();
+  request->Set(2 << 20);
+  queue.Run();
+  CHECK_FALSE(gave_way);
+}
+
 TEST_CASE("a relief that is still posted survives its budget") {
   Queue queue;
   {
