Test that a stop refuses requests which wait for the budget

A request whose read is put off would have ended a planned stop without an answer; RefuseUnread() ends such reads too.

--- a/lib/net/caller_socket.h
+++ b/lib/net/caller_socket.h
@@ -34,7 +34,7 @@
   /// `code`.
   void Refuse(ResultCode code);
 
-  /// Ends a read that has not been started or has brought nothing.
+  /// Ends a read that is put off; no effect without one.
   void CancelRead();
 
   /// Closes the connection without what is not sent.
--- a/unittests/net/budgeted_server_test.cc
+++ b/unittests/net/budgeted_server_test.cc
@@ -216,6 +216,25 @@
   RunUntil(fixture.loop, [&] { return fixture.budget.held_bytes() == 0; });
 }
 
+// A planned stop would end requests whose reads are put off without an answer.
+TEST_CASE("requests that wait for the budget are refused in a stop") {
+  constexpr size_t kCallers = 30;
+  KeepingHandler handler;
+  Fixture fixture(handler);
+  fixture.Send(kCallers, Post(kLargeBytes));
+  fixture.RunFor(milliseconds(500));
+  const size_t read = handler.held.size();
+  CHECK(read < kCallers);
+  fixture.server.RefuseUnread(ResultCode::kDraining);
+  RunUntil(fixture.loop, [&] {
+    return fixture.CountCallers("HTTP/1.1 503") == kCallers - read;
+  });
+  CHECK(fixture.CountCallers("\"outcome\":\"not-run\"") == kCallers - read);
+  handler.AnswerAll();
+  RunUntil(fixture.loop, [&] { return fixture.CountCallers("large") == read; });
+  RunUntil(fixture.loop, [&] { return fixture.budget.held_bytes() == 0; });
+}
+
 // Accounts and reads that are put off would use a budget and timers that have
 // been destroyed.
 TEST_CASE("a server that waits for its budget can be destroyed") {
