--- a/include/teaselhill/gateway/memory_bounds.h
+++ b/include/teaselhill/gateway/memory_bounds.h
@@ -13,7 +13,7 @@
   size_t control_bytes = 0;  ///< calls of the store and of other hosts
 };
 
-/// All unfinished messages together may hold a sixth of the process's memory:
+/// All unfinished messages together may hold an eighth of the process's memory:
 /// the rest is for what the gateway knows, and for buffers that are not counted
 /// (of sockets, of the HTTP libraries, and of strings that are being copied).
 MemoryBounds UnfinishedMessageBounds(size_t max_memory_bytes);
--- a/lib/gateway/memory_bounds.cc
+++ b/lib/gateway/memory_bounds.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr size_t kMessageShare = 6;  ///< one part of so many
+constexpr size_t kMessageShare = 8;  ///< one part of so many
 
 /// Part of the messages' share, one of so many, for the control loop.
 constexpr size_t kControlShare = 4;
