Do not reset small responses when other messages hold the memory

Callers of a host whose budget was held by unfinished bodies of others lost their answers: bodies do not give way, so the largest response did, however small, and its connection was reset. A response with less than 16 KiB unsent now stays.

--- a/lib/net/restinio_response.cc
+++ b/lib/net/restinio_response.cc
@@ -13,6 +13,9 @@
 
 namespace teaselhill::net {
 
+/// A response with fewer unsent bytes does not give way.
+constexpr size_t kMinGivenWayBytes = 16 << 10;
+
 restinio::http_status_line_t StatusLine(int status) {
   static const std::unordered_map<int, const char*> reasons = {
       {200, "OK"},
@@ -213,6 +216,9 @@
 }
 
 void RestinioResponse::GiveWay() {
+  // If the largest response is small, other messages hold the bytes.
+  if (!unsent_ || unsent_->bytes() < kMinGivenWayBytes)
+    return;
   sockets_->channels.ForEach([this](Channel& channel) {
     asio::error_code error;
     if (channel.tcp.remote_endpoint(error) == remote_ && !error)
