--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -184,10 +184,10 @@
                                "all headers together exceed the size limit"});
     auto response = std::make_shared<RestinioResponse>(request, table_,
                                                        close_after_response_);
-    if (held)
-      response->UseBudget(*options_.memory_budget, std::move(held), policy_);
     HttpRequest received = ToRequest(*request);
     received.behind_unanswered = table_->IsBusy(request->connection_id());
+    if (held)
+      response->UseBudget(*options_.memory_budget, std::move(held), policy_);
     table_->Add(request->connection_id(), response);
     handler_.Handle(std::move(received), std::move(response));
     return restinio::request_accepted();
