Let requests hold half of the memory budget at most

Callers lost answers though nothing was wrong with them: request bodies count in the same budget and never give way, so every answer did, down to 500 bytes.

Bytes of accounts that never give way now take half of the bound from the others at most, and large requests are put off by that half.

--- a/include/teaselhill/net/memory_budget.h
+++ b/include/teaselhill/net/memory_budget.h
@@ -58,6 +58,11 @@
   std::unique_ptr<Account> Open(GiveWay give_way = nullptr);
 
   size_t max_bytes() const;
+
+  /// Bytes that accounts which never give way should hold at most. More of them
+  /// do not make other accounts give way.
+  size_t max_fixed_bytes() const { return max_bytes() / 2; }
+
   bool IsExceeded() const { return held_bytes() > max_bytes(); }
 
   /// Callable from any thread.
--- a/lib/net/memory_budget.cc
+++ b/lib/net/memory_budget.cc
@@ -4,6 +4,7 @@
 
 #include "teaselhill/net/memory_budget.h"
 
+#include <algorithm>
 #include <atomic>
 #include <utility>
 #include <vector>
@@ -20,7 +21,11 @@
 
 /// Shared with the accounts, which may outlive the budget.
 struct MemoryBudget::State : std::enable_shared_from_this<State> {
-  bool IsExceeded() const { return held_bytes > max_bytes; }
+  /// Whether accounts have to give way.
+  bool IsExceeded() const {
+    const size_t fixed = std::min(fixed_bytes, max_bytes / 2);
+    return held_bytes - fixed_bytes > max_bytes - fixed;
+  }
   void PostRelief();
   void Relieve();
   Account* Largest() const;
@@ -28,6 +33,7 @@
   size_t max_bytes = 0;
   Post post;  ///< null: the budget has been destroyed
   std::atomic<size_t> held_bytes{0};
+  size_t fixed_bytes = 0;  ///< of accounts that never give way
   std::vector<Account*> accounts;
   bool is_relief_posted = false;
 };
@@ -50,6 +56,8 @@
 void MemoryBudget::Account::Set(size_t bytes) {
   const bool has_grown = bytes > bytes_;
   state_->held_bytes += bytes - bytes_;
+  if (!give_way_)
+    state_->fixed_bytes += bytes - bytes_;
   bytes_ = bytes;
   if (has_grown && state_->IsExceeded())
     state_->PostRelief();
--- a/lib/net/read_gate.cc
+++ b/lib/net/read_gate.cc
@@ -12,11 +12,11 @@
 namespace {
 
 /// Large requests go on in their order only while requests hold more than this
-/// part of the budget, and then at most so many at a time.
+/// part of their share, and then at most so many at a time.
 constexpr double kOrderedShare = 0.5;
 constexpr size_t kMaxOrderedReads = 4;
 
-/// While requests hold more than this part of the budget, one large request
+/// While requests hold more than this part of their share, one large request
 /// goes on at a time, and none while one is in progress, because its end
 /// releases bytes.
 constexpr double kStopShare = 0.75;
@@ -25,7 +25,7 @@
 /// slow caller holds no more while nothing arrives.
 constexpr std::chrono::milliseconds kStalledAfter{20};
 
-/// While requests hold the whole budget and none is in progress, the largest
+/// While requests hold their whole share and none is in progress, the largest
 /// that has brought nothing for this long is refused.
 constexpr std::chrono::milliseconds kMaxStall{500};
 
@@ -125,7 +125,7 @@
 
 bool ReadGate::IsHeld(double share) const {
   return static_cast<double>(held_bytes_) >
-         share * static_cast<double>(budget_->max_bytes());
+         share * static_cast<double>(budget_->max_fixed_bytes());
 }
 
 void ReadGate::Count(MemoryBudget::Account& account, size_t bytes) {
@@ -139,7 +139,7 @@
   if (large_held_ > 0 && IsHeld(kStopShare))
     return false;
   const size_t max_reads = IsHeld(kStopShare) ? 1 : kMaxOrderedReads;
-  // Requests that stall keep their bytes, so beyond the whole budget others
+  // Requests that stall keep their bytes, so beyond the whole share others
   // must not add to them.
   const bool skips_stalled = !IsHeld(1);
   const TimePoint now = timers_->Now();
