Reset no caller that reads when the memory budget is exceeded

Callers of sound upstreams lost answers that were just handed to their connections: what is unsent was counted with spare capacity, and the largest response was reset in the next turn of the loop, before the socket had a chance to take it.

A response below 512 KiB gives way only if its caller has read nothing for 250 ms, spare capacity is not counted once it is gone, and an exchange hands its bytes over before the response counts them. An account that keeps its bytes is passed over, and the next largest gives way.

--- a/include/teaselhill/net/memory_budget.h
+++ b/include/teaselhill/net/memory_budget.h
@@ -53,8 +53,9 @@
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
-  /// Opens an account without bytes. `give_way` must make it hold none, and may
-  /// destroy it; without a function, the account counts but never gives way.
+  /// Opens an account without bytes. `give_way` makes it hold none, and may
+  /// destroy it; if it keeps its bytes, the next largest account gives way.
+  /// Without a function, the account counts but never gives way.
   std::unique_ptr<Account> Open(GiveWay give_way = nullptr);
 
   size_t max_bytes() const;
--- a/lib/gateway/exchange_memory.cc
+++ b/lib/gateway/exchange_memory.cc
@@ -56,8 +56,8 @@
   answer.is_event_stream =
       answer.is_success && attempt_.response_head->is_event_stream;
   answer.has_length = attempt_.has_length;
-  answer.may_retry =
-      MayRetry(state_, gateway_.options_.exchange_limits, BootNow());
+  const TimePoint now = BootNow();
+  answer.may_retry = MayRetry(state_, RetryLimits(now), now);
   return answer;
 }
 
@@ -89,8 +89,12 @@
   }
   if (DecideAnswerRelief(DescribeHeldAnswer()) == AnswerRelief::kPassOn) {
     LogGivenWay(attempt_, "passed_on");
+    std::string body = std::exchange(attempt_.buffered_body, {});
+    body.shrink_to_fit();
+    // The response counts the bytes from now on.
+    UpdateHeldBytes();
     StartAnswer();
-    WriteAnswer(std::exchange(attempt_.buffered_body, {}));
+    WriteAnswer(std::move(body));
   } else {
     LogGivenWay(attempt_, "ended");
     std::string().swap(attempt_.buffered_body);
--- a/lib/net/memory_budget.cc
+++ b/lib/net/memory_budget.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -28,7 +29,9 @@
   }
   void PostRelief();
   void Relieve();
-  Account* Largest() const;
+  /// The account that holds most, but less than `limit`; null: none may give
+  /// way.
+  Account* Largest(size_t limit) const;
 
   size_t max_bytes = 0;
   Post post;  ///< null: the budget has been destroyed
@@ -95,10 +98,11 @@
   });
 }
 
-MemoryBudget::Account* MemoryBudget::State::Largest() const {
+MemoryBudget::Account* MemoryBudget::State::Largest(size_t limit) const {
   Account* largest = nullptr;
   for (Account* account : accounts) {
-    if (account->give_way_ && account->bytes_ > max_bytes / kMinGiveWayShare &&
+    if (account->give_way_ && account->bytes_ < limit &&
+        account->bytes_ > max_bytes / kMinGiveWayShare &&
         (!largest || account->bytes_ > largest->bytes_))
       largest = account;
   }
@@ -107,16 +111,19 @@
 
 void MemoryBudget::State::Relieve() {
   is_relief_posted = false;
+  size_t limit = std::numeric_limits<size_t>::max();
   while (post && IsExceeded()) {
-    Account* largest = Largest();
+    Account* largest = Largest(limit);
     if (!largest)
       return;
     // The function may destroy the account, and itself with it.
     const GiveWay give_way = largest->give_way_;
+    const size_t bytes = largest->bytes_;
     const size_t held_before = held_bytes;
     give_way();
+    // One that keeps its bytes is passed over.
     if (held_bytes >= held_before)
-      return;
+      limit = bytes;
   }
 }
 
--- a/lib/net/restinio_response.cc
+++ b/lib/net/restinio_response.cc
@@ -16,6 +16,11 @@
 /// A response with fewer unsent bytes does not give way.
 constexpr size_t kMinGivenWayBytes = 16 << 10;
 
+/// A response with fewer unsent bytes gives way only if its caller has read
+/// nothing for this long. A caller that reads must not lose its answer.
+constexpr size_t kMaxProtectedBytes = 512 << 10;
+constexpr std::chrono::milliseconds kMinUnreadTime{250};
+
 restinio::http_status_line_t StatusLine(int status) {
   static const std::unordered_map<int, const char*> reasons = {
       {200, "OK"},
@@ -97,6 +102,7 @@
   auto response = request_->create_response(StatusLine(status));
   AddHeaders(response, headers);
   whole_bytes_ = body.size();
+  progress_at_ = BootNow();
   response.set_body(std::move(body));
   CountUnsent();
   End();
@@ -118,6 +124,8 @@
   if (closed_ || ended_ || data.empty())
     return;
   assert(stream_ && "Write() called before Start()");
+  if (pending_bytes_ == 0)
+    progress_at_ = BootNow();
   pending_bytes_ += data.size();
   if (unflushed_.empty())
     unflushed_ = std::move(data);
@@ -138,6 +146,8 @@
       [self = shared_from_this(), size](const asio::error_code& error) {
         self->OnWritten(size, error);
       });
+  // The spare capacity of the string is gone.
+  CountUnsent();
 }
 
 void RestinioResponse::Finish() {
@@ -219,6 +229,9 @@
   // If the largest response is small, other messages hold the bytes.
   if (!unsent_ || unsent_->bytes() < kMinGivenWayBytes)
     return;
+  const bool is_read = BootNow() - progress_at_ < kMinUnreadTime;
+  if (is_read && unsent_->bytes() < kMaxProtectedBytes)
+    return;
   sockets_->channels.ForEach([this](Channel& channel) {
     asio::error_code error;
     if (channel.tcp.remote_endpoint(error) == remote_ && !error)
@@ -229,6 +242,7 @@
 
 void RestinioResponse::OnWritten(size_t size, const asio::error_code& error) {
   pending_bytes_ -= size;
+  progress_at_ = BootNow();
   CountUnsent();
   flushing_ = false;
   if (error || closed_)
--- a/lib/net/restinio_response.h
+++ b/lib/net/restinio_response.h
@@ -14,6 +14,7 @@
 #include "read_gate.h"
 #include "teaselhill/net/http_server.h"
 #include "teaselhill/net/memory_budget.h"
+#include "teaselhill/support/time.h"
 
 namespace teaselhill::net {
 
@@ -107,6 +108,8 @@
   std::unique_ptr<ReadGate::HeldRequest> held_request_;
   /// Null: unsent bytes are not counted, or are given up.
   std::unique_ptr<MemoryBudget::Account> unsent_;
+  /// When the caller last read, or the response was begun.
+  TimePoint progress_at_{};
   std::shared_ptr<SocketPolicy> sockets_;
   restinio::endpoint_t remote_;
   bool closed_ = false;
--- a/unittests/net/budgeted_server_test.cc
+++ b/unittests/net/budgeted_server_test.cc
@@ -43,6 +43,8 @@
  public:
   void Handle(HttpRequest request,
               std::shared_ptr<ResponseWriter> response) override {
+    if (request.method == "GET")
+      return response->Respond(200, {}, std::string(300'000, 'a') + "whole");
     if (request.body.size() < kLargeBytes)
       return response->Respond(200, {}, "small");
     held_bytes += request.body.size();
@@ -354,6 +356,19 @@
   CHECK(fixture.server.open_connections() == kReaders);
 }
 
+// Answers that had just been handed to their connections were reset while
+// others held the budget.
+TEST_CASE("a caller that reads gets its answer while others hold the budget") {
+  constexpr size_t kCallers = 20;
+  KeepingHandler handler;
+  Fixture fixture(handler, seconds(15), kBudgetBytes);
+  const auto other = fixture.budget.Open();
+  other->Set(kBudgetBytes);
+  fixture.Send(kCallers, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil(fixture.loop,
+           [&] { return fixture.CountCallers("whole") == kCallers; });
+}
+
 TEST_CASE("a whole answer that is not read gives way too") {
   EventLoop* loop = nullptr;
   StreamHandler handler(&loop);
