--- a/include/teaselhill/gateway/shutdown_schedule.h
+++ b/include/teaselhill/gateway/shutdown_schedule.h
@@ -17,9 +17,13 @@
 struct ShutdownSchedule {
   /// Idle connections are closed; their callers reconnect to another host.
   Duration close_idle{};
-  /// New connections are no longer accepted, and every new request is refused.
-  Duration stop_accepting{};
-  /// Each request that has no answer yet gets its final one.
+  /// The load balancer has had time to notice. The process ends from now on
+  /// when nothing is left to be answered. Until then it takes requests that are
+  /// likely to end in time: a load balancer sends to hosts that stop if it has
+  /// no others.
+  Duration leave_rotation{};
+  /// Each request that has no answer yet gets its final one. New connections
+  /// are no longer accepted, and every new request is refused.
   Duration final_answers{};
   /// The process ends, if answers have not left the socket buffers before.
   Duration end{};
--- a/lib/gateway/shutdown.cc
+++ b/lib/gateway/shutdown.cc
@@ -12,7 +12,8 @@
 
 constexpr std::chrono::milliseconds kIdleCheckPeriod{50};
 
-/// A refusal of a request that has arrived in part is not counted as an open
+/// Checks in a row that find no open answer before the rest is refused. A
+/// refusal of a request that has arrived in part is not counted as an open
 /// answer; it is written by the next check.
 constexpr int kIdleChecksToEnd = 2;
 
@@ -56,8 +57,9 @@
   traffic_loop_.Post(
       [this, final_answers_at] { gateway_.StartDrain(final_answers_at); });
   close_idle_timer_ = At(schedule.close_idle, [this] { CloseIdle(); });
+  watch_idle_timer_ = At(schedule.leave_rotation, [this] { WatchIdle(); });
   stop_accepting_timer_ =
-      At(schedule.stop_accepting, [this] { StopAccepting(); });
+      At(schedule.final_answers, [this] { StopAccepting(); });
   end_timer_ = At(schedule.end, [this] { control_loop_.Stop(); });
 }
 
@@ -76,27 +78,42 @@
   });
 }
 
+void Shutdown::WatchIdle() {
+  CloseIdle();
+  idle_check_timer_ = control_loop_.timers().Subscribe(
+      kIdleCheckPeriod,
+      [this](TimePoint) { traffic_loop_.Post([this] { EndWhenIdle(); }); });
+}
+
 void Shutdown::StopAccepting() {
-  if (!std::exchange(accepting_, false))
-    return;
   traffic_loop_.Post([this] {
+    if (!std::exchange(accepting_, false))
+      return;
     gateway_.RejectNewRequests();
-    for (net::HttpServer* server : servers_) {
-      server->Stop();
+    CloseListeners();
+    for (net::HttpServer* server : servers_)
       server->CloseIdle();
-    }
-    EndWhenIdle();
   });
-  idle_check_timer_ = control_loop_.timers().Subscribe(
-      kIdleCheckPeriod,
-      [this](TimePoint) { traffic_loop_.Post([this] { EndWhenIdle(); }); });
 }
 
-void Shutdown::EndWhenIdle() {
+void Shutdown::CloseListeners() {
+  if (!std::exchange(listening_, false))
+    return;
   for (net::HttpServer* server : servers_)
-    server->RefuseUnread(ResultCode::kDraining);
+    server->Stop();
+}
+
+void Shutdown::EndWhenIdle() {
   idle_checks_ = HasOpenAnswers() ? 0 : idle_checks_ + 1;
-  if (idle_checks_ >= kIdleChecksToEnd)
+  const bool is_idle = idle_checks_ >= kIdleChecksToEnd;
+  if (is_idle)
+    CloseListeners();
+  // Requests that arrive slowly do not prolong the stop.
+  if (is_idle || !accepting_) {
+    for (net::HttpServer* server : servers_)
+      server->RefuseUnread(ResultCode::kDraining);
+  }
+  if (idle_checks_ > kIdleChecksToEnd)
     control_loop_.Stop();
 }
 
--- a/lib/gateway/shutdown.h
+++ b/lib/gateway/shutdown.h
@@ -42,9 +42,14 @@
   /// Calls `step` at this time after the begin, or at once if that has passed.
   TimerSubscription At(Duration after_begin, std::function<void()> step);
   void CloseIdle();
+  /// From now on the stop ends when nothing is left to be answered.
+  void WatchIdle();
+  /// Refuses all further requests.
   void StopAccepting();
-  /// Refuses what has arrived in part, and ends the stop if nothing is left to
-  /// be answered. Runs on the traffic thread.
+  /// Call on the traffic thread.
+  void CloseListeners();
+  /// Ends the stop if nothing is left to be answered. Runs on the traffic
+  /// thread.
   void EndWhenIdle();
   bool HasOpenAnswers() const;
 
@@ -54,9 +59,11 @@
   std::vector<net::HttpServer*> servers_;  ///< on the traffic thread
   std::optional<TimePoint> begun_at_;
   Duration grace_{};
-  bool accepting_ = true;
-  int idle_checks_ = 0;  ///< in a row; on the traffic thread
+  bool accepting_ = true;  ///< on the traffic thread
+  bool listening_ = true;  ///< on the traffic thread
+  int idle_checks_ = 0;    ///< in a row; on the traffic thread
   TimerSubscription close_idle_timer_;
+  TimerSubscription watch_idle_timer_;
   TimerSubscription stop_accepting_timer_;
   TimerSubscription end_timer_;
   TimerSubscription idle_check_timer_;
--- a/lib/gateway/shutdown_schedule.cc
+++ b/lib/gateway/shutdown_schedule.cc
@@ -11,7 +11,7 @@
 
 /// The load balancer sends new connections until two readiness checks, a second
 /// apart, have failed.
-constexpr std::chrono::milliseconds kStopAcceptingAfter{2900};
+constexpr std::chrono::milliseconds kLeaveRotationAfter{2900};
 
 constexpr std::chrono::milliseconds kCloseIdleAfter{2200};
 
@@ -30,12 +30,10 @@
   ShutdownSchedule schedule;
   schedule.final_answers = grace - margin;
   schedule.end = grace - margin / 2;
-  // A listener that is closed by the time of the final answers leaves no
-  // connection behind that was accepted too late to be answered.
-  schedule.stop_accepting =
-      std::min<Duration>(kStopAcceptingAfter, schedule.final_answers);
+  schedule.leave_rotation =
+      std::min<Duration>(kLeaveRotationAfter, schedule.final_answers);
   schedule.close_idle =
-      std::min<Duration>(kCloseIdleAfter, schedule.stop_accepting);
+      std::min<Duration>(kCloseIdleAfter, schedule.leave_rotation);
   return schedule;
 }
 
--- a/unittests/gateway/shutdown_schedule_test.cc
+++ b/unittests/gateway/shutdown_schedule_test.cc
@@ -19,7 +19,7 @@
   struct Row {
     milliseconds grace;
     milliseconds close_idle;
-    milliseconds stop_accepting;
+    milliseconds leave_rotation;
     milliseconds final_answers;
   };
   const Row row = GENERATE(values<Row>({
@@ -39,7 +39,7 @@
   CAPTURE(row.grace.count());
   const ShutdownSchedule schedule = MakeShutdownSchedule(row.grace);
   CHECK(schedule.close_idle == row.close_idle);
-  CHECK(schedule.stop_accepting == row.stop_accepting);
+  CHECK(schedule.leave_rotation == row.leave_rotation);
   CHECK(schedule.final_answers == row.final_answers);
 }
 
@@ -48,8 +48,8 @@
     CAPTURE(grace.count());
     const ShutdownSchedule schedule = MakeShutdownSchedule(grace);
     CHECK(schedule.close_idle > Duration::zero());
-    CHECK(schedule.close_idle <= schedule.stop_accepting);
-    CHECK(schedule.stop_accepting <= schedule.final_answers);
+    CHECK(schedule.close_idle <= schedule.leave_rotation);
+    CHECK(schedule.leave_rotation <= schedule.final_answers);
     // To write the answers, and to end before the SIGKILL.
     CHECK(schedule.end - schedule.final_answers >= milliseconds(60));
     CHECK(grace - schedule.end >= milliseconds(60));
