Name the gauge of the held bytes' bound in the metrics test

alerts.md names a metric of the gateway's daemon since it describes both daemons; the check of the page against exported names is as before.

--- a/unittests/router/metrics_test.cc
+++ b/unittests/router/metrics_test.cc
@@ -46,12 +46,12 @@
   state.domains = {{"d", 1, 1}};
   ExportState(state, TimePoint{}, metrics);
   // The metrics named in the literal are set by the control thread and the
-  // daemon.
+  // daemons.
   const std::string exported =
       metrics.Exposition() +
       "teaselhill_peer_bytes_sent teaselhill_peer_bytes_received "
       "teaselhill_members_reachable teaselhill_log_lines_dropped "
-      "teaselhill_held_bytes";
+      "teaselhill_held_bytes teaselhill_held_bytes_limit";
   const std::string page =
       GENERATE("alerts.md", "platform-outage.md", "partition.md",
                "crashing-request.md", "engine-orders.md");
