Keep the body of a failure that may be forwarded after a wait

A request that waits after a failure of its upstream dropped the body when the memory budget was exceeded, and its caller would then get the failure with an empty body as a whole answer. Found by the review, by reading; no test plays it. The account now keeps its bytes, and the next largest gives way.

--- a/lib/gateway/exchange_memory.cc
+++ b/lib/gateway/exchange_memory.cc
@@ -83,10 +83,9 @@
                        "unfinished answer exceeds the memory bound");
     return UpdateHeldBytes();
   }
-  if (!attempt_.handler) {
-    std::string().swap(attempt_.buffered_body);
-    return UpdateHeldBytes();
-  }
+  // The body of a failure that may be forwarded after a wait.
+  if (!attempt_.handler)
+    return;
   if (DecideAnswerRelief(DescribeHeldAnswer()) == AnswerRelief::kPassOn) {
     LogGivenWay(attempt_, "passed_on");
     std::string body = std::exchange(attempt_.buffered_body, {});
