Bound the bodies of requests for metrics

16 connections could hold 4 MiB each in the control loop's budget, for requests that need no body. Found by the review, by reading. Metrics now have the bound of readiness checks, 1 KiB.

--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -41,7 +41,8 @@
 constexpr size_t kMaxPeerConnections = 64;
 
 constexpr size_t kMaxReadinessConnections = 64;
-constexpr size_t kMaxReadinessBodyBytes = 1024;
+constexpr size_t kMaxMetricsConnections = 16;
+constexpr size_t kMaxProbeBodyBytes = 1024;
 
 /// File descriptors reserved for listeners, the store, metrics, files and event
 /// queues.
@@ -85,12 +86,14 @@
                        gateway_),
         relay_handler_(gateway_),
         relay_server_(traffic_loop_, MakeRelayOptions(), relay_handler_),
-        readiness_server_(control_loop_, MakeReadinessOptions(), readiness_),
-        metrics_server_(control_loop_,
-                        MakeListenerOptions(settings.metrics_endpoint,
-                                            16,
-                                            memory_.control()),
-                        metrics_handler_),
+        readiness_server_(control_loop_,
+                          MakeProbeOptions(settings.readiness_endpoint,
+                                           kMaxReadinessConnections),
+                          readiness_),
+        metrics_server_(
+            control_loop_,
+            MakeProbeOptions(settings.metrics_endpoint, kMaxMetricsConnections),
+            metrics_handler_),
         peer_exchange_(control_loop_,
                        settings.host,
                        MakeListenerOptions(settings.peer_endpoint,
@@ -304,12 +307,13 @@
   }
 
   /// A readiness check is answered however much other messages hold.
-  net::HttpServerOptions MakeReadinessOptions() {
+  /// Of listeners whose requests need no body.
+  net::HttpServerOptions MakeProbeOptions(const Endpoint& endpoint,
+                                          size_t max_connections) {
     net::HttpServerOptions options =
-        MakeListenerOptions(settings_.readiness_endpoint,
-                            kMaxReadinessConnections, memory_.control());
+        MakeListenerOptions(endpoint, max_connections, memory_.control());
     options.memory_budget = nullptr;
-    options.max_body_bytes = kMaxReadinessBodyBytes;
+    options.max_body_bytes = kMaxProbeBodyBytes;
     return options;
   }
 
