--- a/lib/support/allocator.cc
+++ b/lib/support/allocator.cc
@@ -13,7 +13,8 @@
 namespace {
 
 /// Blocks of this size are mapped on their own, and unmapped when freed.
-constexpr int kMapThresholdBytes = 128 << 10;
+/// Strings that grow side by side by doubling would leave holes in the heap.
+constexpr int kMapThresholdBytes = 32 << 10;
 
 /// Free bytes at the end of the heap above which it shrinks.
 constexpr int kTrimThresholdBytes = 1 << 20;
