--- a/unittests/net/budgeted_server_test.cc
+++ b/unittests/net/budgeted_server_test.cc
@@ -369,6 +369,7 @@
            [&] { return fixture.CountCallers("whole") == kCallers; });
 }
 
+// An answer that is written at once filled the memory as a streamed one does.
 TEST_CASE("a whole answer that is not read gives way too") {
   EventLoop* loop = nullptr;
   StreamHandler handler(&loop);
--- a/unittests/net/memory_budget_test.cc
+++ b/unittests/net/memory_budget_test.cc
@@ -121,6 +121,7 @@
   CHECK_FALSE(gave_way);
 }
 
+// A loop may run the posted function after the budget has been destroyed.
 TEST_CASE("a relief that is still posted survives its budget") {
   Queue queue;
   {
