Join the messages between hosts in a burst

Cause: each piece of news was a message of its own, and a message costs a call from each host to each of its log2(n) neighbours.

Change: PeerOutbox holds what a host sends or passes on. A neighbour has one call in progress, and another one after an interval that grows with the fleet; what comes meanwhile goes in one call, with its age. The first message after a quiet time goes at once. A host of an older build answers the new path with 404 and gets single messages.

--- a/include/teaselhill/gateway/peer_exchange.h
+++ b/include/teaselhill/gateway/peer_exchange.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/fleet_size.h"
 #include "teaselhill/gateway/peer_message.h"
+#include "teaselhill/gateway/peer_outbox.h"
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/http_client.h"
 #include "teaselhill/net/http_server.h"
@@ -34,18 +36,22 @@
   /// Counts unfinished answers; must outlive the exchange. Null: none.
   net::MemoryBudget* memory_budget = nullptr;
   /// Messages that are remembered so that they are passed on only once.
-  size_t max_known_messages = 4096;
+  size_t max_known_messages = 16384;
+  PeerOutboxOptions outbox;
 };
 
 /// Messages reach the other hosts within milliseconds, also while the fleet's
-/// log is unreachable. Nothing is retried: the log brings crash records as
-/// well, and keeps them, and limits are seen again. Used on one event loop.
+/// log is unreachable; in a burst they are joined, and take somewhat longer.
+/// Nothing is retried: the log brings crash records as well, and keeps them,
+/// and limits are seen again. Used on one event loop.
 class PeerExchange : private net::HttpHandler {
  public:
   class Handler {
    public:
     virtual ~Handler() = default;
-    virtual void OnPeerMessage(PeerMessage message) = 0;
+    /// Messages that arrived together, each for the first time. Their ages are
+    /// up to date.
+    virtual void OnPeerMessages(std::vector<PeerMessage> messages) = 0;
   };
 
   /// `host`: name of this host. `server`: where to listen.
@@ -87,17 +93,35 @@
  private:
   void Handle(net::HttpRequest request,
               std::shared_ptr<net::ResponseWriter> response) override;
+  /// Passes on what is new among the messages, and tells the handler.
+  void Receive(std::vector<BundledMessage> messages,
+               const net::HttpRequest& request);
   void AnswerCall(const CallHandler& handler,
                   const net::HttpRequest& request,
                   net::ResponseWriter& response);
   void RefuseUnreadable(const net::HttpRequest& request,
                         const Error& error,
                         net::ResponseWriter& response);
+  void LogUnreadable(const net::HttpRequest& request, const Error& error);
   /// Returns whether the message was not known before.
   bool Remember(uint64_t message_id);
-  void SendToPeers(const std::string& body);
+  /// Calls each peer to which messages may be sent now, and arms the timer for
+  /// the others.
+  void SendHeld();
+  void SendBundle(const std::string& address,
+                  std::vector<BundledMessage> messages);
+  /// To a host of an older version, which takes no bundles.
+  void SendSingly(const std::string& address,
+                  const std::vector<BundledMessage>& messages);
+  net::ClientRequest MakeCall(const std::string& address,
+                              const char* path,
+                              std::string body) const;
+  void OnCallEnded(const std::string& address,
+                   const Result<net::ClientResponse>& response);
+  void LogUnreachable(const std::string& address, const Error& error);
   std::vector<std::string> PickPeers() const;
 
+  net::EventLoop& loop_;
   std::string host_;
   EventLog& log_;
   Handler& handler_;
@@ -109,6 +133,9 @@
   std::map<std::string, CallHandler> call_handlers_;   ///< by path
   std::unordered_set<uint64_t> known_messages_;
   std::deque<uint64_t> known_messages_by_age_;
+  PeerOutbox outbox_;
+  std::set<std::string> peers_without_bundles_;  ///< by address
+  TimerSubscription send_timer_;
 };
 
 }  // namespace teaselhill::gateway
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -211,17 +211,23 @@
     });
   }
 
-  void OnPeerMessage(PeerMessage message) override {
-    if (message.cut_off)
-      traffic_loop_.Post([this, host = message.sender, cut = *message.cut_off] {
-        gateway_.relay_peers().OnReach(host, cut, BootNow());
-      });
-    peer_notices_.Remember(message.observations);
-    ApplyObservations(std::move(message.observations));
-    if (message.records.empty())
+  void OnPeerMessages(std::vector<PeerMessage> messages) override {
+    std::vector<CrashRecord> records;
+    for (PeerMessage& message : messages) {
+      if (message.cut_off)
+        traffic_loop_.Post(
+            [this, host = message.sender, cut = *message.cut_off] {
+              gateway_.relay_peers().OnReach(host, cut, BootNow());
+            });
+      peer_notices_.Remember(message.observations);
+      ApplyObservations(std::move(message.observations));
+      std::move(message.records.begin(), message.records.end(),
+                std::back_inserter(records));
+    }
+    if (records.empty())
       return;
     fleet_log_->ExpectRecords();
-    OnCrashRecords(std::move(message.records));
+    OnCrashRecords(std::move(records));
   }
 
   void ApplyObservations(UpstreamObservations observations) {
--- a/lib/gateway/peer_exchange.cc
+++ b/lib/gateway/peer_exchange.cc
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr const char* kBundlePath = "/v1/peer-messages";
+/// The path of a single message, for hosts of an older version.
 constexpr const char* kMessagePath = "/v1/peer-message";
 constexpr size_t kMaxIdleConnections = 16;
 
@@ -32,28 +34,36 @@
                            EventLog& log,
                            Handler& handler,
                            PeerExchangeOptions options)
-    : host_(std::move(host)),
+    : loop_(loop),
+      host_(std::move(host)),
       log_(log),
       handler_(handler),
       options_(options),
       rng_(EntropySeed()),
       client_(loop, kMaxIdleConnections),
-      server_(loop, WithMessageBound(std::move(server), options), *this) {
+      server_(loop, WithMessageBound(std::move(server), options), *this),
+      outbox_(options.outbox) {
   client_.UseBudget(options_.memory_budget);
 }
 
 void PeerExchange::AddPeers(const std::vector<HostRecord>& records) {
   for (const HostRecord& record : records) {
-    if (record.host != host_ && !record.peer_address.empty())
-      peer_addresses_[record.host] = record.peer_address;
+    if (record.host == host_ || record.peer_address.empty())
+      continue;
+    peer_addresses_[record.host] = record.peer_address;
+    // The host may have started again with a newer version.
+    peers_without_bundles_.erase(record.peer_address);
   }
+  outbox_.SetFleetSize(peer_addresses_.size() + 1);
 }
 
 void PeerExchange::Send(PeerMessage message) {
   message.id = rng_.Next();
   message.sender = host_;
   Remember(message.id);
-  SendToPeers(EncodePeerMessage(message));
+  outbox_.Add({message.id, Duration::zero(), EncodePeerMessage(message)},
+              BootNow());
+  SendHeld();
 }
 
 void PeerExchange::Handle(net::HttpRequest request,
@@ -61,27 +71,61 @@
   const auto served = call_handlers_.find(request.path);
   if (served != call_handlers_.end())
     return AnswerCall(served->second, request, *response);
+  if (request.path == kBundlePath) {
+    Result<std::vector<BundledMessage>> bundle = DecodePeerBundle(request.body);
+    if (!bundle)
+      return RefuseUnreadable(request, bundle.error(), *response);
+    response->Respond(200, {}, "");
+    return Receive(std::move(*bundle), request);
+  }
   if (request.path != kMessagePath)
     return response->Respond(404, {}, "");
-  Result<PeerMessage> message = DecodePeerMessage(request.body);
+  const Result<PeerMessage> message = DecodePeerMessage(request.body);
   if (!message)
     return RefuseUnreadable(request, message.error(), *response);
   response->Respond(200, {}, "");
-  if (!Remember(message->id))
+  Receive({{message->id, Duration::zero(), request.body}}, request);
+}
+
+void PeerExchange::Receive(std::vector<BundledMessage> messages,
+                           const net::HttpRequest& request) {
+  const bool pass_on = peer_addresses_.size() > options_.max_direct_peers;
+  const TimePoint now = BootNow();
+  std::vector<PeerMessage> received;
+  size_t records = 0;
+  size_t limits = 0;
+  size_t notices = 0;
+  for (BundledMessage& bundled : messages) {
+    if (known_messages_.count(bundled.id) != 0)
+      continue;
+    Result<PeerMessage> message = DecodePeerMessage(bundled.text);
+    if (!message || message->id != bundled.id) {
+      LogUnreadable(request, message ? Error{ResultCode::kProtocolError,
+                                             "peer bundle: wrong message id"}
+                                     : message.error());
+      continue;
+    }
+    Remember(bundled.id);
+    AddAge(bundled.age, &*message);
+    records += message->records.size();
+    limits += message->observations.limits.size();
+    notices += message->observations.notices.size();
+    received.push_back(std::move(*message));
+    if (pass_on)
+      outbox_.Add(std::move(bundled), now);
+  }
+  if (received.empty())
     return;
-  log_.Write(
-      LineKind::kFailure,
-      LogLine(LogLevel::kInfo, "peer_message_received")
-          .Field("from", message->sender)
-          .Field("records", static_cast<uint64_t>(message->records.size()))
-          .Field("limits",
-                 static_cast<uint64_t>(message->observations.limits.size()))
-          .Field("notices",
-                 static_cast<uint64_t>(message->observations.notices.size())),
-      BootNow());
-  if (peer_addresses_.size() > options_.max_direct_peers)
-    SendToPeers(request.body);
-  handler_.OnPeerMessage(std::move(*message));
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kInfo, "peer_message_received")
+                 .Field("from", received.front().sender)
+                 .Field("messages", static_cast<uint64_t>(received.size()))
+                 .Field("records", static_cast<uint64_t>(records))
+                 .Field("limits", static_cast<uint64_t>(limits))
+                 .Field("notices", static_cast<uint64_t>(notices)),
+             now);
+  SendHeld();
+  handler_.OnPeerMessages(std::move(received));
 }
 
 void PeerExchange::AnswerCall(const CallHandler& handler,
@@ -96,6 +140,12 @@
 void PeerExchange::RefuseUnreadable(const net::HttpRequest& request,
                                     const Error& error,
                                     net::ResponseWriter& response) {
+  LogUnreadable(request, error);
+  response.Respond(400, {}, "");
+}
+
+void PeerExchange::LogUnreadable(const net::HttpRequest& request,
+                                 const Error& error) {
   log_.Write(LineKind::kFailure,
              LogLine(LogLevel::kWarning, "peer_message_unreadable")
                  .Field("from", request.remote_address)
@@ -103,7 +153,6 @@
                  .Field("code", static_cast<int>(error.code))
                  .Field("fault", error.message),
              BootNow());
-  response.Respond(400, {}, "");
 }
 
 void PeerExchange::Serve(const std::string& path, CallHandler handler) {
@@ -115,10 +164,7 @@
                         std::string body,
                         Duration timeout,
                         CallCallback callback) {
-  net::ClientRequest request;
-  request.method = "POST";
-  request.url = "http://" + address + path;
-  request.body = std::move(body);
+  net::ClientRequest request = MakeCall(address, path.c_str(), std::move(body));
   request.connect_timeout = timeout;
   request.total_timeout = timeout;
   client_.Fetch(
@@ -159,31 +205,86 @@
   return true;
 }
 
-void PeerExchange::SendToPeers(const std::string& body) {
-  const auto shared_body = std::make_shared<const std::string>(body);
+void PeerExchange::SendHeld() {
+  const TimePoint now = BootNow();
+  std::optional<TimePoint> next_due;
   for (const std::string& address : PickPeers()) {
-    net::ClientRequest request;
-    request.method = "POST";
-    request.url = "http://" + address + kMessagePath;
-    request.shared_body = shared_body;
-    request.connect_timeout = options_.timeout;
-    request.total_timeout = options_.timeout;
+    std::vector<BundledMessage> messages = outbox_.TakeFor(address, now);
+    if (!messages.empty()) {
+      SendBundle(address, std::move(messages));
+      continue;
+    }
+    const std::optional<TimePoint> due = outbox_.NextDue(address);
+    if (due && (!next_due || *due < *next_due))
+      next_due = due;
+  }
+  if (next_due)
+    send_timer_ =
+        loop_.timers().After(std::max(Duration::zero(), *next_due - now),
+                             [this](TimePoint) { SendHeld(); });
+}
+
+void PeerExchange::SendBundle(const std::string& address,
+                              std::vector<BundledMessage> messages) {
+  if (peers_without_bundles_.count(address) != 0)
+    return SendSingly(address, messages);
+  std::string body = EncodePeerBundle(messages);
+  client_.Fetch(
+      MakeCall(address, kBundlePath, std::move(body)),
+      [this, address, messages = std::move(messages)](
+          const Result<net::ClientResponse>& response) {
+        if (!response || response->status != 404)
+          return OnCallEnded(address, response);
+        peers_without_bundles_.insert(address);
+        SendSingly(address, messages);
+      },
+      kMaxMessageAnswerBytes);
+}
+
+void PeerExchange::SendSingly(const std::string& address,
+                              const std::vector<BundledMessage>& messages) {
+  for (size_t i = 0; i < messages.size(); ++i) {
+    const bool is_last = i + 1 == messages.size();
     client_.Fetch(
-        std::move(request),
-        [this, address](const Result<net::ClientResponse>& response) {
-          if (response)
-            return;
-          log_.Write(LineKind::kFailure,
-                     LogLine(LogLevel::kInfo, "peer_unreachable")
-                         .Field("address", address)
-                         .Field("code", static_cast<int>(response.error().code))
-                         .Field("fault", response.error().message),
-                     BootNow());
+        MakeCall(address, kMessagePath, messages[i].text),
+        [this, address, is_last](const Result<net::ClientResponse>& response) {
+          if (is_last)
+            OnCallEnded(address, response);
         },
         kMaxMessageAnswerBytes);
   }
 }
 
+net::ClientRequest PeerExchange::MakeCall(const std::string& address,
+                                          const char* path,
+                                          std::string body) const {
+  net::ClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + address + path;
+  request.body = std::move(body);
+  request.connect_timeout = options_.timeout;
+  request.total_timeout = options_.timeout;
+  return request;
+}
+
+void PeerExchange::OnCallEnded(const std::string& address,
+                               const Result<net::ClientResponse>& response) {
+  outbox_.OnCallEnded(address);
+  if (!response)
+    LogUnreachable(address, response.error());
+  SendHeld();
+}
+
+void PeerExchange::LogUnreachable(const std::string& address,
+                                  const Error& error) {
+  log_.Write(LineKind::kFailure,
+             LogLine(LogLevel::kInfo, "peer_unreachable")
+                 .Field("address", address)
+                 .Field("code", static_cast<int>(error.code))
+                 .Field("fault", error.message),
+             BootNow());
+}
+
 std::vector<std::string> PeerExchange::PickPeers() const {
   // The hosts form a ring in the order of their names.
   std::vector<std::string> ring;
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -35,6 +35,8 @@
 constexpr const char* kSilentField = "silent_us";
 constexpr const char* kGivenUpField = "given_up";
 constexpr const char* kTeamField = "team";
+constexpr const char* kMessagesField = "messages";
+constexpr const char* kTextField = "text";
 
 int64_t ToMicroseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration)
@@ -194,4 +196,47 @@
   }
 }
 
+void AddAge(Duration age, PeerMessage* message) {
+  for (CrashRecord& record : message->records)
+    record.age += age;
+  for (LimitObservation& limit : message->observations.limits)
+    limit.age += age;
+  for (NoticeObservation& notice : message->observations.notices)
+    notice.pause = std::max<Duration>(Duration::zero(), notice.pause - age);
+}
+
+std::string EncodePeerBundle(const std::vector<BundledMessage>& messages) {
+  Json list = Json::array();
+  for (const BundledMessage& message : messages) {
+    list.push_back({{kIdField, message.id},
+                    {kAgeField, ToMicroseconds(message.age)},
+                    {kTextField, Json::binary({message.text.begin(),
+                                               message.text.end()})}});
+  }
+  const std::vector<uint8_t> encoded =
+      Json::to_cbor({{kMessagesField, std::move(list)}});
+  return {encoded.begin(), encoded.end()};
+}
+
+Result<std::vector<BundledMessage>> DecodePeerBundle(std::string_view text) {
+  if (!IsBoundedCbor(text))
+    return {ResultCode::kProtocolError,
+            "peer bundle: not CBOR, or nested too deeply or too long"};
+  const Json object = Json::from_cbor(text.begin(), text.end(), /*strict=*/true,
+                                      /*allow_exceptions=*/false);
+  try {
+    std::vector<BundledMessage> messages;
+    for (const Json& item : object.at(kMessagesField)) {
+      const Json::binary_t& bytes = item.at(kTextField).get_binary();
+      messages.push_back({item.at(kIdField).get<uint64_t>(),
+                          ReadDuration(item, kAgeField),
+                          std::string(bytes.begin(), bytes.end())});
+    }
+    return messages;
+  } catch (const Json::exception& error) {
+    return {ResultCode::kProtocolError,
+            std::string("peer bundle: ") + error.what()};
+  }
+}
+
 }  // namespace teaselhill::gateway
--- a/unittests/gateway/peer_exchange_test.cc
+++ b/unittests/gateway/peer_exchange_test.cc
@@ -67,11 +67,13 @@
     return options;
   }
 
-  void OnPeerMessage(PeerMessage message) override {
-    received_.insert(received_.end(), message.records.begin(),
-                     message.records.end());
-    if (--waiting_ == 0)
-      loop_.Stop();
+  void OnPeerMessages(std::vector<PeerMessage> messages) override {
+    for (const PeerMessage& message : messages) {
+      received_.insert(received_.end(), message.records.begin(),
+                       message.records.end());
+      if (--waiting_ == 0)
+        loop_.Stop();
+    }
   }
 
   std::string name_;
--- a/unittests/gateway/peer_notices_test.cc
+++ b/unittests/gateway/peer_notices_test.cc
@@ -40,7 +40,7 @@
     }
     shared_state.SetUpstreams(std::move(list));
   }
-  void OnPeerMessage(PeerMessage message) override {}
+  void OnPeerMessages(std::vector<PeerMessage> messages) override {}
   HostRecord Announcement() const {
     return {name, {}, "127.0.1.80:" + std::to_string(exchange.port()), ""};
   }
--- a/unittests/gateway/peer_streams_test.cc
+++ b/unittests/gateway/peer_streams_test.cc
@@ -26,7 +26,7 @@
         streams(exchange, versions) {
     REQUIRE(exchange.Start());
   }
-  void OnPeerMessage(PeerMessage message) override {}
+  void OnPeerMessages(std::vector<PeerMessage> messages) override {}
   HostRecord Announcement() const {
     return {name, {}, "127.0.1.78:" + std::to_string(exchange.port()), ""};
   }
