Withdraw each crash record once in the fleet

Cause: each host that trusts a part of prompts withdrew each record of a crash under it, and did so again when the store brought the record after its withdrawal.

Change: hosts remember withdrawn records, which are neither counted nor withdrawn again. A host that hears of a crash under a trusted part waits up to a second, and keeps silent if another host withdraws the record meanwhile. Records that expire are withdrawn by their own host only. A loss whose verdict is revised gets a new record id, since it may be shared again.

--- a/include/teaselhill/gateway/crash_history.h
+++ b/include/teaselhill/gateway/crash_history.h
@@ -78,6 +78,15 @@
   /// Keys of answered requests that are remembered for `answer_retention`.
   size_t max_answered_keys = 4096;
   Duration answer_retention = std::chrono::minutes(2);
+  /// A host that hears of a crash under a part which it trusts withdraws the
+  /// record within this time, unless another host does so first. Without the
+  /// wait, each host of the fleet would withdraw the same record.
+  Duration withdrawal_spread = std::chrono::seconds(1);
+  /// Withdrawn records that are remembered for `withdrawn_retention`, so that a
+  /// record that arrives again by another way is neither counted nor withdrawn
+  /// once more.
+  size_t max_withdrawn_records = 8192;
+  Duration withdrawn_retention = std::chrono::minutes(2);
   /// Answers at this host in that time from which on a part of prompts is
   /// shared by so many sound requests that it is no suspect.
   int answers_to_trust_part = 5;
@@ -192,7 +201,9 @@
       : record_id_seed_(record_id_seed),
         options_(options),
         answered_requests_(options.max_answered_keys, options.answer_retention),
-        answered_parts_(options.max_answered_keys, options.answer_retention) {}
+        answered_parts_(options.max_answered_keys, options.answer_retention),
+        withdrawn_records_(options.max_withdrawn_records,
+                           options.withdrawn_retention) {}
 
   /// Whether no key has a crash; no fingerprint needs to be computed then.
   bool empty() const { return entries_.empty(); }
@@ -442,10 +453,20 @@
   void EvictLeastSuspected();
   void AddRecord(const CrashRecord& record, TimePoint now);
   void RemoveRecord(const CrashRecord& record);
-  /// Queues the withdrawal of a record.
+  /// Queues the withdrawal of a record, unless it was withdrawn before.
   void Withdraw(const CrashKey& key, uint64_t record_id);
+  bool IsWithdrawn(const CrashKey& key, uint64_t record_id) const;
   /// Queues the withdrawal of the entry's shared records.
   void WithdrawShared(const CrashKey& key, const Entry& entry);
+  /// The same for those of this host. The others drop their records themselves.
+  void WithdrawOwn(const CrashKey& key, const Entry& entry);
+  /// Withdraws a record of another host that does not count here.
+  void WithdrawForeign(const CrashRecord& record, TimePoint now);
+  /// Queues the delayed withdrawals that are due.
+  void WithdrawDue(TimePoint now);
+  /// Withdraws a loss of this host. It gets another record id, since it may be
+  /// shared again if its verdict is revised.
+  void WithdrawRevised(const CrashKey& key, Crash& crash);
 
   /// Whether recent answers clear the key.
   bool IsCleared(const CrashKey& key) const;
@@ -464,7 +485,14 @@
   AnswerMemory answered_requests_;
   AnswerMemory answered_parts_;
   int part_answers_ = 0;  ///< to requests with parts, since the start
+  AnswerMemory withdrawn_records_;
   std::vector<CrashRecord> withdrawals_;  ///< to share
+  struct DelayedWithdrawal {
+    TimePoint due_at;
+    CrashKey key;
+    uint64_t record_id = 0;
+  };
+  std::vector<DelayedWithdrawal> delayed_withdrawals_;
   std::vector<AbandonedTrial> abandoned_trials_;
   /// Whether TakeRecords() may have records to return.
   bool has_unshared_ = false;
--- a/lib/gateway/crash_history.cc
+++ b/lib/gateway/crash_history.cc
@@ -122,8 +122,8 @@
         continue;
       crash.verified = verdict.crashed;
       crash.refuted = !verdict.crashed;
-      if (crash.refuted && std::exchange(crash.shared, false))
-        Withdraw(key, crash.record_id);
+      if (crash.refuted)
+        WithdrawRevised(key, crash);
     }
   }
   has_unshared_ = true;
@@ -171,6 +171,7 @@
 void CrashHistory::Expire(TimePoint now) {
   answered_requests_.ForgetOld(now);
   answered_parts_.ForgetOld(now);
+  withdrawn_records_.ForgetOld(now);
   const auto is_over = [now](const AbandonedTrial& trial) {
     return now - trial.crash.crashed_at > kAbandonedTrialRetention;
   };
@@ -187,7 +188,7 @@
       ++it;
       continue;
     }
-    WithdrawShared(it->first, it->second);
+    WithdrawOwn(it->first, it->second);
     it = entries_.erase(it);
   }
   if (entries_.size() != before)
--- a/lib/gateway/crash_history_counts.cc
+++ b/lib/gateway/crash_history_counts.cc
@@ -109,11 +109,10 @@
         return crashed_at + kTimeTolerance < crash.sent_at &&
                crash.seen_alive_at < crashed_at + kTimeTolerance;
       };
-      crash.superseded = std::any_of(times.begin(), times.end(), precedes);
-      if (!crash.superseded || !crash.own ||
-          !std::exchange(crash.shared, false))
-        continue;
-      Withdraw(key, crash.record_id);
+      const bool was_superseded = std::exchange(
+          crash.superseded, std::any_of(times.begin(), times.end(), precedes));
+      if (crash.superseded && !was_superseded && crash.own)
+        WithdrawRevised(key, crash);
     }
   }
 }
