--- a/include/teaselhill/gateway/fleet_log.h
+++ b/include/teaselhill/gateway/fleet_log.h
@@ -41,7 +41,8 @@
   virtual ~FleetLog() = default;
   virtual void Subscribe(Handler& handler) = 0;
 
-  /// Another host said that it adds records; they should be read soon.
+  /// Another host said that it adds records. A read that waits for them and
+  /// does not bring any soon is taken for lost.
   virtual void ExpectRecords() = 0;
 
   /// Announces that this host runs.
--- a/unittests/platform/fleet_reads_test.cc
+++ b/unittests/platform/fleet_reads_test.cc
@@ -77,18 +77,20 @@
 
 }  // namespace
 
-TEST_CASE("a host reads at most ten times for one crash record") {
-  const int hosts = GENERATE(7, 88);
+// Hosts hear of crashes from each other; the read that waits at the store
+// returns with the record.
+TEST_CASE("a host reads at most four times for one crash record") {
+  const int hosts = GENERATE(7, 88, 195);
   Fleet fleet(hosts);
   const uint64_t before = fleet.request_count();
   fleet.WriteRecord();
   fleet.Run(seconds(10));
-  CHECK(fleet.request_count() - before <= 10U * hosts);
+  CHECK(fleet.request_count() - before <= 4U * hosts);
 }
 
-// The users' store serves 6,000 reads a second; a quarter is for this topic.
-TEST_CASE("all hosts read at most 1,500 times a second while crashes go on") {
-  const int hosts = GENERATE(7, 88, 250, 350);
+// Each read is paid for, and the users' store serves 6,000 of them a second.
+TEST_CASE("all hosts read at most 250 times a second while crashes go on") {
+  const int hosts = GENERATE(7, 88, 195, 350);
   constexpr milliseconds kRecordInterval{50};
   constexpr seconds kSpan{10};
   CAPTURE(hosts);
@@ -98,7 +100,7 @@
     fleet.WriteRecord();
     fleet.Run(kRecordInterval);
   }
-  CHECK(fleet.request_count() - before <= 1500U * kSpan.count());
+  CHECK(fleet.request_count() - before <= 250U * kSpan.count());
 }
 
 }  // namespace platform
