Take no stream that may outlast a planned stop once out of rotation

Cause: whether a request is likely to end is judged by the durations of earlier ones. A stream that has begun can only be cut, while any other request gets a whole final answer.

Change: from the moment at which the host is out of rotation (2.9 s) it takes a stream only if its own deadline ends before the final answers. The others are refused as not run and go on at another host.

Test: "a host out of rotation takes no stream that may outlast its stop".

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -111,9 +111,12 @@
   void RejectNewRequests() { rejecting_ = true; }
 
   /// The host stops: each request gets its final answer by `final_answers_at`.
-  /// Requests that are not likely to end by then are refused from now on. Of
-  /// several calls, the earliest time holds. Call on the loop's thread.
-  void StartDrain(TimePoint final_answers_at);
+  /// Requests that are not likely to end by then are refused from now on, and
+  /// from `out_of_rotation_at` on each stream that may not: its caller had time
+  /// to go elsewhere, and a stream that has begun can only be cut. Of several
+  /// calls, the earliest time holds. Call on the loop's thread.
+  void StartDrain(TimePoint final_answers_at,
+                  TimePoint out_of_rotation_at = TimePoint::max());
 
   /// Call on the loop's thread.
   void SetRetryBudget(const RetryBudgetOptions& options) {
@@ -298,6 +301,7 @@
   bool rejecting_ = false;
   /// While draining; see StartDrain().
   std::optional<TimePoint> final_answers_at_;
+  TimePoint out_of_rotation_at_ = TimePoint::max();
   RouteDurations route_durations_;
   std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges_;
   std::atomic<size_t> open_requests_{0};
--- a/lib/gateway/shutdown.cc
+++ b/lib/gateway/shutdown.cc
@@ -54,8 +54,10 @@
 void Shutdown::Arm() {
   const ShutdownSchedule schedule = MakeShutdownSchedule(grace_);
   const TimePoint final_answers_at = *begun_at_ + schedule.final_answers;
-  traffic_loop_.Post(
-      [this, final_answers_at] { gateway_.StartDrain(final_answers_at); });
+  const TimePoint out_of_rotation_at = *begun_at_ + schedule.leave_rotation;
+  traffic_loop_.Post([this, final_answers_at, out_of_rotation_at] {
+    gateway_.StartDrain(final_answers_at, out_of_rotation_at);
+  });
   close_idle_timer_ = At(schedule.close_idle, [this] { CloseIdle(); });
   watch_idle_timer_ = At(schedule.leave_rotation, [this] { WatchIdle(); });
   stop_accepting_timer_ =
--- a/unittests/platform/planned_stop_test.cc
+++ b/unittests/platform/planned_stop_test.cc
@@ -263,6 +263,48 @@
     CheckEnd(answer, End::kNotRun);
 }
 
+// Guards against a stream that a host takes long after it was told to stop, and
+// cuts because it lasts longer than the streams before it.
+TEST_CASE("a host out of rotation takes no stream that may outlast its stop") {
+  struct Row {
+    const char* name;
+    RouteKind kind;
+    milliseconds deadline;
+    bool out_of_rotation;
+    bool taken;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"stream", RouteKind::kStream, milliseconds(4000), true, false},
+      {"stream in rotation", RouteKind::kStream, milliseconds(4000), false,
+       true},
+      {"stream with an early deadline", RouteKind::kStream, milliseconds(200),
+       true, true},
+      // Its final answer is whole whatever the upstream does.
+      {"no stream", RouteKind::kNonIdempotent, milliseconds(4000), true, true},
+  }));
+  INFO(row.name);
+  gateway::Route route = RouteOf(row.kind);
+  route.resumable = false;
+  GatewayFixture fixture(route);
+  const ScriptedUpstream& upstream = fixture.AddUpstream({kAnswers});
+  LearnDuration(fixture);
+  const size_t before = upstream.requests().size();
+  const TimePoint stopped_at = BootNow();
+  fixture.gateway().StartDrain(
+      stopped_at + kUntilFinalAnswers,
+      row.out_of_rotation ? stopped_at : stopped_at + kUntilFinalAnswers);
+  ReceivedAnswer answer;
+  fixture.Begin("/x", &answer, row.deadline);
+  const auto end = fixture.loop().timers().After(
+      milliseconds(300), [&](TimePoint) { fixture.loop().Stop(); });
+  fixture.loop().Run();
+  CHECK(upstream.requests().size() - before == (row.taken ? 1 : 0));
+  if (row.taken)
+    CHECK(answer.status == 200);
+  else
+    CheckEnd(answer, End::kNotRun);
+}
+
 TEST_CASE("a request is sent again in a stop if it is likely to end in time") {
   const bool duration_known = GENERATE(true, false);
   CAPTURE(duration_known);
