--- a/unittests/platform/store_outage_test.cc
+++ b/unittests/platform/store_outage_test.cc
@@ -57,8 +57,8 @@
       : timers_(timers), store_(std::make_shared<SimulatedStore>(timers)) {}
 
   void Start() {
-    source_ = std::make_unique<StoreSource>(timers_, store_,
-                                            Duration(kMaxDrainDelay));
+    source_ = std::make_unique<StoreSource>(
+        timers_, store_, StoreSource::Bounds{kMaxDrainDelay, kMaxLag});
     fleet_log_ = std::make_unique<FleetTopic>(
         timers_, store_, gateway::HostRecord{"this", {}, "", ""});
     source_->Subscribe(*this);
