Read the store through other hosts of the failure domain

Change: in a failure domain of eight known hosts or more, the first of them by name, one in thirteen, read the store and keep the last records; the others ask one of these. Nothing is agreed on. A host reads for itself as soon as the host that it asks does not answer within 300 ms, knows less than itself, or has not known all records for 0.4 of the topic's bound (configMs, drainMs). What is known through others carries its age, which the watch on restarted upstreams takes into account. A fresh read and a listing always go to the store.

Pages between hosts hold no record that the asked host does not know to be without a gap.

--- a/include/teaselhill/gateway/daemon.h
+++ b/include/teaselhill/gateway/daemon.h
@@ -11,6 +11,7 @@
 
 #include "teaselhill/gateway/fleet_log.h"
 #include "teaselhill/gateway/gateway.h"
+#include "teaselhill/gateway/peer_calls.h"
 #include "teaselhill/gateway/protocol.h"
 #include "teaselhill/gateway/stream_log.h"
 #include "teaselhill/support/logger.h"
@@ -58,9 +59,11 @@
   virtual const UpstreamProtocol& upstreams() const = 0;
   /// What the three of them hold of unfinished answers counts towards
   /// `memory_budget`.
+  /// `peers` must outlive the source.
   virtual std::unique_ptr<StateSource> MakeStateSource(
       net::EventLoop& loop,
-      net::MemoryBudget& memory_budget) = 0;
+      net::MemoryBudget& memory_budget,
+      PeerCalls& peers) = 0;
   virtual std::unique_ptr<FleetLog> MakeFleetLog(
       net::EventLoop& loop,
       net::MemoryBudget& memory_budget) = 0;
--- a/include/teaselhill/gateway/fleet_size.h
+++ b/include/teaselhill/gateway/fleet_size.h
@@ -20,6 +20,8 @@
   std::string peer_address;  ///< IP address and port of PeerExchange; or empty
   /// IP address and port at which it serves requests of other hosts; or empty.
   std::string relay_address;
+  std::string
+      domain{};  ///< failure domain; empty for a host of an older version
 };
 
 /// Place of a host among the hosts of the fleet, in the order of their names.
--- a/include/teaselhill/gateway/peer_exchange.h
+++ b/include/teaselhill/gateway/peer_exchange.h
@@ -16,6 +16,7 @@
 
 #include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/fleet_size.h"
+#include "teaselhill/gateway/peer_calls.h"
 #include "teaselhill/gateway/peer_message.h"
 #include "teaselhill/gateway/peer_outbox.h"
 #include "teaselhill/net/event_loop.h"
@@ -44,7 +45,7 @@
 /// log is unreachable; in a burst they are joined, and take somewhat longer.
 /// Nothing is retried: the log brings crash records as well, and keeps them,
 /// and limits are seen again. Used on one event loop.
-class PeerExchange : private net::HttpHandler {
+class PeerExchange : public PeerCalls, private net::HttpHandler {
  public:
   class Handler {
    public:
@@ -72,19 +73,12 @@
   /// Fills in the id and the sender.
   void Send(PeerMessage message);
 
-  /// Answers the calls of other hosts to one path; returns the response body,
-  /// or an error for a call that cannot be decoded.
-  using CallHandler = std::function<Result<std::string>(const std::string&)>;
-  void Serve(const std::string& path, CallHandler handler);
-
-  /// Calls a path of one peer. `callback` gets the response body, or an error
-  /// after `timeout` at the latest.
-  using CallCallback = std::function<void(Result<std::string>)>;
+  void Serve(const std::string& path, CallHandler handler) override;
   void Call(const std::string& address,
             const std::string& path,
             std::string body,
             Duration timeout,
-            CallCallback callback);
+            CallCallback callback) override;
 
   /// Addresses of at most `count` peers, in an order that depends on the key
   /// and is the same on all hosts.
--- a/include/teaselhill/gateway/protocol.h
+++ b/include/teaselhill/gateway/protocol.h
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include "teaselhill/gateway/fleet_size.h"
+#include "teaselhill/gateway/reader_choice.h"
 #include "teaselhill/gateway/route_table.h"
 #include "teaselhill/gateway/upstream_directory.h"
 #include "teaselhill/gateway/upstream_notices.h"
@@ -166,6 +168,11 @@
     virtual void OnRecords(const std::vector<UpstreamRecord>& records) = 0;
     /// The source answered a read of upstreams.
     virtual void OnSourceAnswered() = 0;
+    /// Another host told in place of the source what upstreams there were `age`
+    /// ago.
+    virtual void OnSharedAnswer(Duration age) {}
+    /// How this host reads from now on, and how many read for a failure domain.
+    virtual void OnReadRole(ReadRole role, size_t readers) {}
     virtual void OnSourceUnreachable(const Error& error) = 0;
     /// A configuration or an upstream entry cannot be decoded. The
     /// configuration in force stays; the upstream is removed, since its record
@@ -177,6 +184,9 @@
   virtual ~StateSource() = default;
   virtual void Subscribe(Handler& handler) = 0;
 
+  /// Hosts that run, from which records may be learned.
+  virtual void OnHosts(const std::vector<HostRecord>& records) {}
+
   /// Reads the upstreams soon. `done`: whether a read that began after this
   /// call has been passed to the handler; called once, after `timeout` at the
   /// latest.
--- a/include/teaselhill/gateway/state_keeper.h
+++ b/include/teaselhill/gateway/state_keeper.h
@@ -5,10 +5,12 @@
 #ifndef TEASELHILL_GATEWAY_STATE_KEEPER_H_
 #define TEASELHILL_GATEWAY_STATE_KEEPER_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "teaselhill/gateway/dependency_monitor.h"
@@ -36,6 +38,8 @@
   void OnListing(const UpstreamListing& listing) override;
   void OnRecords(const std::vector<UpstreamRecord>& records) override;
   void OnSourceAnswered() override;
+  void OnSharedAnswer(Duration age) override;
+  void OnReadRole(ReadRole role, size_t readers) override;
   void OnSourceUnreachable(const Error& error) override;
   void OnRecordUnreadable(const std::string& name, const Error& error) override;
 
@@ -46,12 +50,19 @@
   void LogStateChange(const UpstreamRecord& record, TimePoint now);
   void PublishRenewals(const std::vector<UpstreamRecord>& records);
   void PublishUpstreams();
+  /// Counts a read whose records were current at `as_of`.
+  void CountRead(TimePoint as_of, TimePoint now);
 
   SharedState& shared_state_;
   EventLog& log_;
   Clock clock_;
   UpstreamDirectory directory_;
   EntryRenewals renewals_;
+  /// When the latest reads were counted, with the number of each; and the
+  /// number of the last one that was counted when the records in hand were
+  /// current.
+  std::deque<std::pair<TimePoint, uint64_t>> counted_reads_;
+  uint64_t current_read_ = 0;
   bool listing_received_ = false;
   DependencyMonitor source_monitor_;
   /// Last logged state of each upstream.
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -106,7 +106,9 @@
         peer_streams_(peer_exchange_, gateway_.stream_versions()),
         state_keeper_(shared_state_, log_, BootNow),
         fleet_log_monitor_(log_, "fleet_log"),
-        source_(adapter.MakeStateSource(control_loop_, memory_.control())),
+        source_(adapter.MakeStateSource(control_loop_,
+                                        memory_.control(),
+                                        peer_exchange_)),
         stream_log_(adapter.MakeStreamLog(control_loop_, memory_.control())),
         stream_peers_(traffic_loop_,
                       control_loop_,
@@ -254,6 +256,7 @@
   void OnHostRecords(std::vector<HostRecord> records) override {
     fleet_size_.OnRecords(records, BootNow());
     peer_exchange_.AddPeers(records);
+    source_->OnHosts(records);
     peer_notices_.AskOnce([this](UpstreamObservations observations) {
       ApplyObservations(std::move(observations));
     });
--- a/lib/gateway/state_keeper.cc
+++ b/lib/gateway/state_keeper.cc
@@ -3,8 +3,13 @@
 
 #include "teaselhill/gateway/state_keeper.h"
 
+#include <algorithm>
+
 namespace teaselhill::gateway {
 
+/// More reads than begin while the records of another host count as current.
+static constexpr size_t kMaxCountedReads = 32;
+
 void StateKeeper::OnConfig(std::shared_ptr<const RouteTable> routes) {
   const auto current = shared_state_.routes();
   if (current && routes->version() <= current->version())
@@ -43,8 +48,7 @@
 void StateKeeper::PublishRenewals(const std::vector<UpstreamRecord>& records) {
   for (const UpstreamRecord& record : records) {
     if (record.entry)
-      renewals_[record.id] = {record.entry->incarnation,
-                              shared_state_.upstream_reads()};
+      renewals_[record.id] = {record.entry->incarnation, current_read_};
     else
       renewals_.erase(record.id);
   }
@@ -54,11 +58,38 @@
 void StateKeeper::OnSourceAnswered() {
   const TimePoint now = clock_();
   shared_state_.SetUpstreamsReadAt(now);
-  shared_state_.CountUpstreamRead();
+  CountRead(now, now);
   if (source_monitor_.OnAnswered(now))
     directory_.OnSourceReachable(now);
 }
 
+void StateKeeper::OnSharedAnswer(Duration age) {
+  const TimePoint now = clock_();
+  shared_state_.SetUpstreamsReadAt(
+      std::max(shared_state_.upstreams_read_at(), now - age));
+  CountRead(now - age, now);
+}
+
+void StateKeeper::CountRead(TimePoint as_of, TimePoint now) {
+  shared_state_.CountUpstreamRead();
+  counted_reads_.emplace_back(now, shared_state_.upstream_reads());
+  if (counted_reads_.size() > kMaxCountedReads)
+    counted_reads_.pop_front();
+  current_read_ = 0;
+  for (const auto& [counted_at, number] : counted_reads_) {
+    if (counted_at <= as_of)
+      current_read_ = number;
+  }
+}
+
+void StateKeeper::OnReadRole(ReadRole role, size_t readers) {
+  log_.Write(LineKind::kState,
+             LogLine(LogLevel::kInfo, "read_role_changed")
+                 .Field("role", ReadRoleName(role))
+                 .Field("readers", static_cast<uint64_t>(readers)),
+             clock_());
+}
+
 void StateKeeper::OnSourceUnreachable(const Error& error) {
   const TimePoint now = clock_();
   const auto routes = shared_state_.routes();
--- /dev/null
+++ b/unittests/platform/shared_store_test.cc
@@ -0,0 +1,477 @@
+/// \file
+/// Guards against hosts that act on old configurations or lists of upstreams
+/// because they learn them from other hosts, and against fleets in which each
+/// host reads the store for itself.
+
+#include "platform/shared_store.h"
+
+#include <catch2/catch.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "platform/store_source.h"
+#include "simulated_store.h"
+#include "teaselhill/support/rng.h"
+
+namespace platform {
+
+namespace {
+
+namespace gateway = teaselhill::gateway;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using teaselhill::Duration;
+using teaselhill::ManualTimerService;
+using teaselhill::Result;
+using teaselhill::ResultCode;
+using teaselhill::TimePoint;
+
+constexpr const char* kConfigTopic = "keyed.op";
+constexpr milliseconds kStep{5};
+constexpr seconds kBound{4};
+
+/// Calls between simulated hosts. A host that is cut off hears nothing, and one
+/// that is frozen answers when the call has timed out.
+class Network {
+ public:
+  explicit Network(teaselhill::TimerService& timers) : timers_(timers) {}
+
+  struct Host : gateway::PeerCalls {
+    Host(Network& network, std::string address)
+        : network(network), address(std::move(address)) {}
+    void Serve(const std::string& path, CallHandler handler) override {
+      network.handlers_[address] = std::move(handler);
+    }
+    void Call(const std::string& to,
+              const std::string& path,
+              std::string body,
+              Duration timeout,
+              CallCallback callback) override {
+      network.Call(address, to, std::move(body), timeout, std::move(callback));
+    }
+    Network& network;
+    std::string address;
+  };
+
+  void SetCut(const std::string& address, bool cut) {
+    if (cut)
+      cut_.insert(address);
+    else
+      cut_.erase(address);
+  }
+
+ private:
+  void Call(const std::string& from,
+            const std::string& to,
+            std::string body,
+            Duration timeout,
+            gateway::PeerCalls::CallCallback callback) {
+    const bool lost = cut_.count(from) + cut_.count(to) > 0;
+    const uint64_t key = ++last_;
+    calls_[key] =
+        timers_.After(lost ? timeout : Duration(kStep),
+                      [this, key, lost, to, body, callback](TimePoint) {
+                        const auto done = std::move(calls_.at(key));
+                        calls_.erase(key);
+                        if (lost || cut_.count(to) != 0)
+                          return callback({ResultCode::kTimedOut, "lost"});
+                        callback(handlers_.at(to)(body));
+                      });
+  }
+
+  teaselhill::TimerService& timers_;
+  std::map<std::string, gateway::PeerCalls::CallHandler> handlers_;
+  std::set<std::string> cut_;
+  std::map<uint64_t, teaselhill::TimerSubscription> calls_;
+  uint64_t last_ = 0;
+};
+
+/// A store as one host reaches it: its answers may be lost or the host be
+/// turned away, while others are served.
+class Link : public Store {
+ public:
+  Link(teaselhill::TimerService& timers, SimulatedStore& store)
+      : timers_(timers), store_(store) {}
+
+  StoreRequestId ReadRecords(const std::string& topic,
+                             uint64_t from_offset,
+                             Duration max_wait,
+                             Duration timeout,
+                             Callback<ReadPage> callback) override {
+    ++requests_;
+    const StoreRequestId id = ++last_;
+    reads_[id] = {timers_.Now() + max_wait + timeout, callback, {}, {}};
+    if (lose_next_ > 0 || cut_) {
+      lose_next_ -= lose_next_ > 0 ? 1 : 0;
+      Lose(id);
+      return id;
+    }
+    reads_[id].at_store = store_.ReadRecords(
+        topic, from_offset, max_wait, timeout, [this, id](auto page) {
+          const Read read = std::move(reads_.at(id));
+          reads_.erase(id);
+          read.callback(std::move(page));
+        });
+    return id;
+  }
+  StoreRequestId ListKeys(const std::string& topic,
+                          const std::string& after_key,
+                          Callback<ListPage> callback) override {
+    const StoreRequestId id = ++last_;
+    listings_[id] = store_.ListKeys(topic, after_key, std::move(callback));
+    return id;
+  }
+  void AppendRecords(const std::string&,
+                     const std::vector<KeyedRecord>&,
+                     Callback<uint64_t>) override {}
+  void Cancel(StoreRequestId request) override {
+    const auto read = reads_.find(request);
+    if (read != reads_.end()) {
+      if (read->second.at_store)
+        store_.Cancel(*read->second.at_store);
+      reads_.erase(read);
+    }
+    if (listings_.count(request) != 0)
+      store_.Cancel(listings_[request]);
+  }
+  std::optional<TimePoint> LastReceivedAt(StoreRequestId) const override {
+    return std::nullopt;
+  }
+
+  /// The answer to the read in progress is lost, and to the next `count` - 1.
+  void LoseNext(int count) {
+    if (count == 0)
+      return;
+    LoseReads();
+    lose_next_ = count - 1;
+  }
+  /// While it is cut, no read is answered.
+  void SetCut(bool cut) {
+    cut_ = cut;
+    if (cut)
+      LoseReads();
+  }
+  int requests() const { return requests_; }
+
+ private:
+  struct Read {
+    TimePoint given_up_at;
+    Callback<ReadPage> callback;
+    std::optional<StoreRequestId> at_store;
+    teaselhill::TimerSubscription give_up_timer;
+  };
+
+  void LoseReads() {
+    for (const auto& [id, read] : reads_) {
+      if (read.at_store)
+        Lose(id);
+    }
+  }
+
+  void Lose(StoreRequestId id) {
+    Read& read = reads_.at(id);
+    if (read.at_store)
+      store_.Cancel(*std::exchange(read.at_store, std::nullopt));
+    read.give_up_timer =
+        timers_.After(read.given_up_at - timers_.Now(), [this, id](TimePoint) {
+          const Read lost = std::move(reads_.at(id));
+          reads_.erase(id);
+          lost.callback({ResultCode::kTimedOut, "lost"});
+        });
+  }
+
+  teaselhill::TimerService& timers_;
+  SimulatedStore& store_;
+  std::map<StoreRequestId, Read> reads_;
+  std::map<StoreRequestId, StoreRequestId> listings_;
+  StoreRequestId last_ = 0;
+  int requests_ = 0;
+  int lose_next_ = 0;
+  bool cut_ = false;
+};
+
+/// The hosts of one failure domain.
+class Domain {
+ public:
+  struct Host : gateway::StateSource::Handler {
+    Host(Domain& domain, int number)
+        : name("h" + std::to_string(100 + number)),
+          timers(domain.timers_),
+          calls(domain.network_, name),
+          link(std::make_shared<Link>(domain.timers_, *domain.store_)),
+          source(
+              std::make_unique<StoreSource>(domain.timers_,
+                                            link,
+                                            StoreSource::Bounds{kBound, kBound},
+                                            calls,
+                                            gateway::ReaderChoice(name, "d"))) {
+      source->Subscribe(*this);
+    }
+    void OnConfig(std::shared_ptr<const gateway::RouteTable> routes) override {
+      version = static_cast<int>(routes->version());
+    }
+    void OnListing(const gateway::UpstreamListing&) override {}
+    void OnRecords(const std::vector<gateway::UpstreamRecord>&) override {}
+    void OnSourceAnswered() override {}
+    void OnSourceUnreachable(const teaselhill::Error&) override {}
+    void OnRecordUnreadable(const std::string&,
+                            const teaselhill::Error&) override {}
+
+    std::string name;
+    teaselhill::TimerService& timers;
+    Network::Host calls;
+    std::shared_ptr<Link> link;
+    std::unique_ptr<StoreSource> source;
+    int version = 0;
+    /// Since when nothing disturbs the host.
+    TimePoint calm_since{};
+  };
+
+  explicit Domain(int size) {
+    WriteConfig();
+    std::vector<gateway::HostRecord> records;
+    for (int i = 0; i < size; ++i) {
+      hosts_.emplace_back(*this, i);
+      records.push_back({hosts_.back().name, {}, hosts_.back().name, "", "d"});
+    }
+    for (Host& host : hosts_)
+      host.source->OnHosts(records);
+    Run(seconds(5));
+  }
+
+  void WriteConfig() {
+    ++version_;
+    store_->Write(kConfigTopic, "config",
+                  R"({"version":)" + std::to_string(version_) +
+                      R"(,"routes":[],"services":[],"limits":{}})");
+    written_at_[version_] = timers_.Now();
+  }
+
+  void Run(Duration span) {
+    for (const TimePoint end = timers_.Now() + span; timers_.Now() < end;) {
+      timers_.Advance(kStep);
+      Check();
+    }
+  }
+
+  Host& host(size_t index) {
+    auto it = hosts_.begin();
+    std::advance(it, index);
+    return *it;
+  }
+  std::list<Host>& hosts() { return hosts_; }
+  Network& network() { return network_; }
+  TimePoint now() const { return timers_.Now(); }
+  int behind() const { return behind_; }
+  int went_back() const { return went_back_; }
+  int requests() const {
+    int sum = 0;
+    for (const Host& host : hosts_)
+      sum += host.link->requests();
+    return sum;
+  }
+
+ private:
+  /// Counts hosts in touch that are behind their bound.
+  void Check() {
+    const TimePoint due_at = timers_.Now() - kBound;
+    int due = 0;
+    for (const auto& [version, written_at] : written_at_) {
+      if (written_at <= due_at)
+        due = version;
+    }
+    for (Host& host : hosts_) {
+      const bool in_touch = host.calm_since <= due_at;
+      behind_ += in_touch && host.version < due ? 1 : 0;
+      int& seen = seen_[host.name];
+      went_back_ += host.version < seen ? 1 : 0;
+      seen = host.version;
+    }
+  }
+
+  ManualTimerService timers_;
+  std::shared_ptr<SimulatedStore> store_ =
+      std::make_shared<SimulatedStore>(timers_);
+  Network network_{timers_};
+  std::list<Host> hosts_;
+  int version_ = 0;
+  std::map<int, TimePoint> written_at_;
+  std::map<std::string, int> seen_;
+  int behind_ = 0;
+  int went_back_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("the reads of a calm failure domain do not grow with its hosts") {
+  struct Row {
+    int hosts;
+    double max_reads_per_second;
+  };
+  const Row row = GENERATE(values<Row>({{13, 5}, {26, 5}, {78, 14}}));
+  CAPTURE(row.hosts);
+  Domain domain(row.hosts);
+  const int before = domain.requests();
+  domain.Run(seconds(20));
+  CHECK(domain.requests() - before <= 20 * row.max_reads_per_second);
+  CHECK(domain.behind() == 0);
+}
+
+TEST_CASE("a change reaches all hosts in time whatever becomes of readers") {
+  struct Row {
+    const char* name;
+    int readers_cut;          ///< from the other hosts
+    int readers_turned_away;  ///< by the store
+    int answers_lost;         ///< of each reader, by the store
+  };
+  const Row row = GENERATE(values<Row>({
+      {"calm", 0, 0, 0},
+      {"one reader is cut off", 1, 0, 0},
+      {"all readers are cut off", 2, 0, 0},
+      {"the store turns one reader away", 0, 1, 0},
+      {"the store turns all readers away", 0, 2, 0},
+      {"answers to the readers are lost", 0, 0, 1},
+      {"answers to the readers are lost again", 0, 0, 2},
+  }));
+  INFO(row.name);
+  const milliseconds phase = GENERATE(milliseconds(0), milliseconds(370),
+                                      milliseconds(740), milliseconds(1110));
+  Domain domain(20);
+  domain.Run(phase);
+  for (int i = 0; i < 2; ++i) {
+    Domain::Host& reader = domain.host(static_cast<size_t>(i));
+    if (i < row.readers_cut)
+      domain.network().SetCut(reader.name, true);
+    reader.link->SetCut(i < row.readers_turned_away);
+    reader.link->LoseNext(row.answers_lost);
+    if (i < row.readers_cut || i < row.readers_turned_away ||
+        row.answers_lost > 1)
+      reader.calm_since = TimePoint::max();
+  }
+  domain.Run(milliseconds(20));
+  domain.WriteConfig();
+  domain.Run(seconds(6));
+  CHECK(domain.behind() == 0);
+}
+
+namespace {
+
+/// Changes, cuts and lost answers in a drawn order.
+void CheckDrawnDay(uint64_t seed) {
+  CAPTURE(seed);
+  teaselhill::Rng rng(seed);
+  Domain domain(9 + static_cast<int>(rng.Uniform() * 20));
+  for (int step = 0; step < 40; ++step) {
+    domain.Run(milliseconds(static_cast<int>(rng.Uniform() * 800)));
+    const auto index = static_cast<size_t>(
+        rng.Uniform() * static_cast<double>(domain.hosts().size()));
+    Domain::Host& host = domain.host(index);
+    const double choice = rng.Uniform();
+    if (choice < 0.3) {
+      domain.WriteConfig();
+    } else if (choice < 0.5) {
+      domain.network().SetCut(host.name, true);
+      host.link->SetCut(rng.Uniform() < 0.5);
+      host.calm_since = TimePoint::max();
+    } else if (choice < 0.7) {
+      host.link->LoseNext(1);
+    } else {
+      for (Domain::Host& other : domain.hosts()) {
+        if (other.calm_since != TimePoint::max())
+          continue;
+        domain.network().SetCut(other.name, false);
+        other.link->SetCut(false);
+        other.calm_since = domain.now();
+      }
+    }
+  }
+  CHECK(domain.behind() == 0);
+  CHECK(domain.went_back() == 0);
+}
+
+}  // namespace
+
+TEST_CASE("hosts in touch are never behind their bound, whatever the seed") {
+  CheckDrawnDay(GENERATE(range(uint64_t{1}, uint64_t{101})));
+}
+
+// By hand: build/platform_tests "[long]"
+TEST_CASE("the same with 10,000 seeds", "[.][long]") {
+  for (uint64_t seed = 101; seed <= 10100; ++seed)
+    CheckDrawnDay(seed);
+}
+
+TEST_CASE("a tail passes on only what it knows") {
+  TopicTail tail;
+  const TimePoint now(seconds(50));
+  ReadPage page;
+  page.era = 2;
+  page.end_offset = 12;
+  page.records = {{10, "a", "1"}, {11, "b", std::nullopt}};
+  tail.Add(10, page, now);
+  struct Row {
+    const char* name;
+    uint64_t from;
+    StoreEra era;
+    std::optional<size_t> records;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"all", 10, 2, 2},
+      {"the rest", 11, 2, 1},
+      {"nothing new", 12, 2, 0},
+      {"before the tail", 9, 2, std::nullopt},
+      {"beyond its end", 13, 2, std::nullopt},
+      {"an era that is not known here", 10, 3, std::nullopt},
+      {"an era that has ended", 10, 1, 0},
+  }));
+  INFO(row.name);
+  const auto shared = tail.PageFor({"t", row.from, row.era}, now + seconds(1));
+  REQUIRE(shared.has_value() == row.records.has_value());
+  if (!shared)
+    return;
+  CHECK(shared->records.size() == *row.records);
+  CHECK(shared->shared_age == seconds(1));
+  const Result<ReadPage> decoded = DecodeTailPage(EncodeTailPage(*shared));
+  REQUIRE(decoded);
+  CHECK(decoded->era == 2);
+  CHECK(decoded->end_offset == 12);
+  CHECK(decoded->records.size() == *row.records);
+}
+
+TEST_CASE("a tail that missed records or met a new era begins anew") {
+  TopicTail tail;
+  const TimePoint now(seconds(50));
+  ReadPage page;
+  page.era = 1;
+  page.end_offset = 11;
+  page.records = {{10, "a", "1"}};
+  tail.Add(10, page, now);
+  ReadPage later = page;
+  const bool new_era = GENERATE(true, false);
+  CAPTURE(new_era);
+  later.era = new_era ? 2 : 1;
+  later.end_offset = 21;
+  later.records = {{20, "b", "2"}};
+  tail.Add(20, later, now);
+  CHECK(tail.size() == 1);
+  CHECK_FALSE(tail.PageFor({"t", 10, later.era}, now));
+  // A page that is only a part does not tell that no others follow.
+  TopicTail partial;
+  page.end_offset = 30;
+  partial.Add(10, page, now);
+  CHECK_FALSE(partial.PageFor({"t", 10, 1}, now));
+}
+
+TEST_CASE("a text that is no question or page is refused") {
+  const std::string text = GENERATE(
+      std::string(), std::string("{}"), std::string("\xa0", 1),
+      std::string(1 << 12, '\x81'), EncodeTailQuery({"t", 1, 2}).substr(0, 9));
+  CHECK_FALSE(DecodeTailQuery(text));
+  CHECK_FALSE(DecodeTailPage(text));
+}
+
+}  // namespace platform
