Name the topic and the offset in a page from another host

A page that another host passes on said neither which topic it belongs to nor from where it was read, so an answer to another question could have been taken for this one. Both are checked now, and a page has a bounded size. By reading; shared_store_test has the cases.

--- a/unittests/platform/shared_store_test.cc
+++ b/unittests/platform/shared_store_test.cc
@@ -435,7 +435,12 @@
     return;
   CHECK(shared->records.size() == *row.records);
   CHECK(shared->shared_age == seconds(1));
-  const Result<ReadPage> decoded = DecodeTailPage(EncodeTailPage(*shared));
+  const TailQuery query = {"t", row.from, row.era};
+  const std::string text = EncodeTailPage(query, *shared);
+  // A late answer to an earlier question must not be taken for this one.
+  CHECK_FALSE(DecodeTailPage({"other", row.from, row.era}, text));
+  CHECK_FALSE(DecodeTailPage({"t", row.from + 1, row.era}, text));
+  const Result<ReadPage> decoded = DecodeTailPage(query, text);
   REQUIRE(decoded);
   CHECK(decoded->era == 2);
   CHECK(decoded->end_offset == 12);
@@ -466,12 +471,34 @@
   CHECK_FALSE(partial.PageFor({"t", 10, 1}, now));
 }
 
+TEST_CASE("a page of a tail has a bounded size and leaves no gap") {
+  TopicTail tail;
+  ReadPage page;
+  page.end_offset = 6;
+  for (uint64_t offset = 0; offset < 6; ++offset)
+    page.records.push_back({offset, "k", std::string(150 << 10, 'x')});
+  tail.Add(0, page, TimePoint(seconds(50)));
+  uint64_t next = 0;
+  int pages = 0;
+  while (next < 6) {
+    const auto part = tail.PageFor({"t", next, 0}, TimePoint(seconds(50)));
+    REQUIRE(part);
+    REQUIRE_FALSE(part->records.empty());
+    CHECK(part->records.size() <= 3);
+    CHECK(part->records.front().offset == next);
+    CHECK(part->end_offset == 6);
+    next = part->records.back().offset + 1;
+    ++pages;
+  }
+  CHECK(pages == 2);
+}
+
 TEST_CASE("a text that is no question or page is refused") {
   const std::string text = GENERATE(
       std::string(), std::string("{}"), std::string("\xa0", 1),
       std::string(1 << 12, '\x81'), EncodeTailQuery({"t", 1, 2}).substr(0, 9));
   CHECK_FALSE(DecodeTailQuery(text));
-  CHECK_FALSE(DecodeTailPage(text));
+  CHECK_FALSE(DecodeTailPage({"t", 1, 2}, text));
 }
 
 }  // namespace platform
