Keep less urgent requests out where a backlog keeps out urgent ones

Cause: a request that the overload gate rejects is let in after all if the chosen engine is nearly idle, by a backlog of a quarter of its own target. The target of a summary is 2 s, that of a note 0.6 s, so a backlog of 0.15 to 0.5 s let in the summaries and kept out the notes.

Change: the backlog is compared with the shortest target of the levels that may be rejected and are at least as urgent.

Test: "a backlog that keeps out a level keeps out the less urgent ones".

--- a/include/teaselhill/gateway/overload_gate.h
+++ b/include/teaselhill/gateway/overload_gate.h
@@ -127,8 +127,11 @@
 
   /// Admits a rejected request after all if the engine chosen for the request
   /// is nearly idle. Each host observes only a few answers, so a single long
-  /// prompt may have raised the pressure at this host.
-  GateDecision RecheckWithLoad(GateDecision rejected,
+  /// prompt may have raised the pressure at this host. A backlog that keeps out
+  /// a more urgent level keeps out this one too, however long its target is.
+  GateDecision RecheckWithLoad(const std::string& service,
+                               const GateLevel& level,
+                               GateDecision rejected,
                                const EngineLoad& load,
                                Duration target) const;
 
@@ -156,9 +159,15 @@
     double pressure = 0;
     TimePoint updated_at{};
     std::map<GateLevel, TimePoint> last_seen_by_level;
+    std::map<GateLevel, Duration> target_by_level;  ///< of the last request
     std::map<Tier, QueueWaitEstimator> wait_estimators;  ///< by route tier
   };
   double DecayedPressure(const ServiceState& state, TimePoint now) const;
+  /// The shortest target of the levels that may be rejected and are at least as
+  /// urgent; `target` if there are none.
+  static Duration ShortestTarget(const ServiceState& state,
+                                 const GateLevel& level,
+                                 Duration target);
 
   OverloadGateOptions options_;
   std::map<std::string, ServiceState> services_;
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -193,7 +193,8 @@
   if (!reported_running)
     return false;
   request_.gate_decision = gateway_.overload_gate_.RecheckWithLoad(
-      request_.gate_decision, {placement->expected_delay, *reported_running},
+      request_.service, request_.gate_level(), request_.gate_decision,
+      {placement->expected_delay, *reported_running},
       request_.route->answer_target);
   return request_.gate_decision.admitted;
 }
--- a/lib/gateway/overload_gate.cc
+++ b/lib/gateway/overload_gate.cc
@@ -65,6 +65,7 @@
                                  TimePoint now) {
   ServiceState& state = services_[service];
   state.last_seen_by_level[level] = now;
+  state.target_by_level[level] = target;
   for (auto entry = state.last_seen_by_level.begin();
        entry != state.last_seen_by_level.end();)
     entry = now - entry->second > kLevelExpiry
@@ -94,17 +95,36 @@
   return decision;
 }
 
-GateDecision OverloadGate::RecheckWithLoad(GateDecision rejected,
+GateDecision OverloadGate::RecheckWithLoad(const std::string& service,
+                                           const GateLevel& level,
+                                           GateDecision rejected,
                                            const EngineLoad& load,
                                            Duration target) const {
+  const auto state = services_.find(service);
+  const Duration shortest = state == services_.end()
+                                ? target
+                                : ShortestTarget(state->second, level, target);
   GateDecision decision = rejected;
   decision.load = load;
   decision.admitted = load.running_requests <= options_.max_running_requests &&
                       ToSeconds(load.backlog) <=
-                          ToSeconds(target) * options_.max_backlog_fraction;
+                          ToSeconds(shortest) * options_.max_backlog_fraction;
   return decision;
 }
 
+Duration OverloadGate::ShortestTarget(const ServiceState& state,
+                                      const GateLevel& level,
+                                      Duration target) {
+  Duration shortest = target;
+  for (const auto& [known, last_seen] : state.last_seen_by_level) {
+    const bool may_be_rejected =
+        known.route_tier != state.last_seen_by_level.begin()->first.route_tier;
+    if (may_be_rejected && !(level < known))
+      shortest = std::min(shortest, state.target_by_level.at(known));
+  }
+  return shortest;
+}
+
 void OverloadGate::OnWaitObserved(const std::string& service,
                                   const GateLevel& level,
                                   Duration waited,
--- a/unittests/gateway/overload_gate_test.cc
+++ b/unittests/gateway/overload_gate_test.cc
@@ -194,13 +194,50 @@
       gate.Admit("s", kDraftOfLeastUrgentTeam, kTarget, 0, 0, now);
   REQUIRE_FALSE(refused.admitted);
   const GateDecision decision =
-      gate.RecheckWithLoad(refused, {row.backlog, row.running}, kTarget);
+      gate.RecheckWithLoad("s", kDraftOfLeastUrgentTeam, refused,
+                           {row.backlog, row.running}, kTarget);
   CHECK(decision.admitted == row.admitted);
   CHECK(decision.retry_after == refused.retry_after);
   REQUIRE(decision.load);
   CHECK(decision.load->running_requests == row.running);
 }
 
+// Guards against an overload in which notes get nothing while long summaries,
+// which may start later, go on to fill the engines that the notes need.
+TEST_CASE("a backlog that keeps out a level keeps out the less urgent ones") {
+  constexpr GateLevel kNote{1, 1};
+  constexpr GateLevel kSummary{2, 2};
+  constexpr milliseconds kNoteTarget{600};
+  constexpr milliseconds kSummaryTarget{2000};
+  struct Row {
+    const char* name;
+    milliseconds backlog;
+    bool notes_known;
+    bool note_admitted;
+    bool summary_admitted;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"nearly idle", milliseconds(100), true, true, true},
+      {"too late for notes", milliseconds(300), true, false, false},
+      {"no notes", milliseconds(300), false, false, true},
+      {"too late for both", milliseconds(600), true, false, false},
+  }));
+  INFO(row.name);
+  OverloadGate gate;
+  const TimePoint now = TimePoint{} + std::chrono::hours(1);
+  gate.Admit("s", kUrgent, milliseconds(400), 0.5, 0.5, now);
+  gate.Admit("s", kSummary, kSummaryTarget, 0.5, 0.5, now);
+  if (row.notes_known)
+    gate.Admit("s", kNote, kNoteTarget, 0.5, 0.5, now);
+  GateDecision refused;
+  refused.admitted = false;
+  const EngineLoad load{row.backlog, 3};
+  CHECK(gate.RecheckWithLoad("s", kSummary, refused, load, kSummaryTarget)
+            .admitted == row.summary_admitted);
+  CHECK(gate.RecheckWithLoad("s", kNote, refused, load, kNoteTarget).admitted ==
+        row.note_admitted);
+}
+
 TEST_CASE(
     "the Retry-After delay is spread and leaves time to answer within the "
     "target") {
