--- a/include/teaselhill/gateway/peer_outbox.h
+++ b/include/teaselhill/gateway/peer_outbox.h
@@ -20,8 +20,8 @@
 struct PeerOutboxOptions {
   /// Time between two calls to one peer. It grows with the fleet, since each
   /// message reaches each host: the fleet as a whole then makes about the same
-  /// number of calls at any size. The sum of the waits on the way to the last
-  /// host stays below the hold of a request that crashed upstreams.
+  /// number of calls at any size. In a burst a message waits so at each host on
+  /// its way, log2(hosts) of them at most.
   Duration interval_per_host = std::chrono::microseconds(500);
   Duration min_interval = std::chrono::milliseconds(20);
   /// Messages that a peer has not been sent in this time, because it does not
