--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -142,8 +142,8 @@
 
     async def start(self, network):
         address = network.address()
-        server = await asyncio.start_server(self.serve, address, 0)
-        self.address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        self.listener = await asyncio.start_server(self.serve, address, 0)
+        self.address = "%s:%d" % self.listener.sockets[0].getsockname()[:2]
 
     def put(self, topic, key, value):
         """Returns when the store acknowledges the record."""
