--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -148,7 +148,10 @@
     def put(self, topic, key, value):
         """Returns when the store acknowledges the record."""
         data = None if value is None else json.dumps(value).encode()
-        self.topics[topic].append((key.encode(), data))
+        return self.put_bytes(topic, key.encode(), data)
+
+    def put_bytes(self, topic, key, data):
+        self.topics[topic].append((key, data))
         self.changed.set()
         self.changed = asyncio.Event()
         return time.monotonic()
@@ -207,7 +210,8 @@
             newest = {}
             for offset, (key, value) in enumerate(records):
                 newest[key] = (offset, value)
-            items = [{"key": key.decode(), "offset": offset,
+            # JSON holds text only: other bytes are shown as Latin-1.
+            items = [{"key": key.decode("latin-1"), "offset": offset,
                       "value": base64.b64encode(value).decode()}
                      for key, (offset, value) in newest.items()
                      if value is not None]
