--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -394,6 +394,11 @@
     record = Record(folder)
     gateways = []
 
+    def on_terminate(number, frame):
+        raise KeyboardInterrupt  # ends the processes on the way out
+
+    signal.signal(signal.SIGTERM, on_terminate)
+
     async def bounded():
         with tempfile.TemporaryDirectory() as temporary:
             try:
@@ -409,7 +414,7 @@
 
     try:
         verdict = asyncio.run(bounded())
-    except (CannotRun, asyncio.TimeoutError) as problem:
+    except (CannotRun, asyncio.TimeoutError, KeyboardInterrupt) as problem:
         record.write("cannot_run", why=repr(problem))
         verdict = NOT_RUN
     record.write("verdict", broken=verdict == BROKEN, code=verdict,
