Pass on sound events that arrive beside a spoilt one

Cause: EventStream::Append() counts each whole event as it parses it and returned an error at the first bad one. The sound events before it in the same data were dropped, but last_event_id() was past them, and the next upstream was asked to go on there. The same held for an event above the size limit.

Change: Append() returns the sound events and the fault together. The exchange passes the events on, then ends the attempt. The position is now always that of the events that were returned.

--- a/include/teaselhill/gateway/event_stream.h
+++ b/include/teaselhill/gateway/event_stream.h
@@ -15,6 +15,14 @@
 
 namespace teaselhill::gateway {
 
+/// What a piece of a stream has completed.
+struct ParsedEvents {
+  /// Whole events, byte for byte; empty if none is complete yet.
+  std::string complete;
+  /// Why the stream cannot go on behind `complete`; kProtocolError.
+  std::optional<Error> fault;
+};
+
 /// Returns whole events only, so that a broken stream can be resumed after the
 /// last event that the caller received.
 class EventStream {
@@ -24,10 +32,11 @@
   explicit EventStream(std::optional<uint64_t> last_event_id)
       : last_event_id_(last_event_id) {}
 
-  /// Appends data and returns the events that are complete now, byte for byte.
-  /// Fails with kProtocolError if an event id is not greater than the previous
-  /// one or not a number, or if an event exceeds the size limit.
-  Result<std::string> Append(std::string_view data);
+  /// Appends data and returns the events that are complete now. An event whose
+  /// id is no number or not greater than the previous one, or that exceeds the
+  /// size limit, is a fault. The events before it are returned all the same:
+  /// last_event_id() is past them, so no other upstream sends them again.
+  ParsedEvents Append(std::string_view data);
 
   /// Discards a partially received event, before the stream is resumed at
   /// another upstream.
@@ -45,7 +54,10 @@
   /// Whether no event is partially received.
   bool at_boundary() const { return partial_event_.empty(); }
 
+  /// Id of the last event that Append() has returned, or where the stream
+  /// began.
   std::optional<uint64_t> last_event_id() const { return last_event_id_; }
+  /// Events that Append() has returned.
   uint64_t event_count() const { return event_count_; }
 
  private:
--- a/lib/gateway/event_stream.cc
+++ b/lib/gateway/event_stream.cc
@@ -51,12 +51,13 @@
 
 }  // namespace
 
-Result<std::string> EventStream::Append(std::string_view data) {
+ParsedEvents EventStream::Append(std::string_view data) {
   // The end of an event may have arrived in part.
   constexpr size_t kEndBytes = 3;
   size_t search_from =
       partial_event_.size() - std::min(partial_event_.size(), kEndBytes - 1);
   partial_event_.append(data);
+  ParsedEvents events;
   size_t parsed_end = 0;
   while (true) {
     const size_t end = FindEventEnd(partial_event_, search_from);
@@ -64,19 +65,22 @@
       break;
     const Status checked = CheckEventId(
         std::string_view(partial_event_).substr(parsed_end, end - parsed_end));
-    if (!checked)
-      return checked.error();
+    if (!checked) {
+      events.fault = checked.error();
+      break;
+    }
     ++event_count_;
     parsed_end = search_from = end;
   }
-  std::string complete_events = partial_event_.substr(0, parsed_end);
+  events.complete = partial_event_.substr(0, parsed_end);
   partial_event_.erase(0, parsed_end);
   if (partial_event_.capacity() > kMaxSpareBytes &&
       partial_event_.size() < kMaxSpareBytes / 2)
     partial_event_.shrink_to_fit();
-  if (partial_event_.size() > kMaxEventBytes)
-    return {ResultCode::kProtocolError, "event exceeds 1048576 bytes"};
-  return complete_events;
+  if (!events.fault && partial_event_.size() > kMaxEventBytes)
+    events.fault =
+        Error{ResultCode::kProtocolError, "event exceeds 1048576 bytes"};
+  return events;
 }
 
 Status EventStream::CheckEventId(std::string_view event) {
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -236,6 +236,7 @@
   /// Reports when the upstream began to answer, for later placements.
   void ReportAnswerStarted(TimePoint now);
   void OnEvents(std::string_view data);
+  void PassOnEvents(std::string events);
   void OnAnswerComplete();
   void StartAnswer();
   void WriteAnswer(std::string data);
--- a/lib/gateway/exchange_answer.cc
+++ b/lib/gateway/exchange_answer.cc
@@ -103,11 +103,14 @@
 }
 
 void Exchange::OnEvents(std::string_view data) {
-  Result<std::string> complete_events = event_stream_.Append(data);
-  if (!complete_events)
-    return EndAttempt(AttemptOutcome::kBroken, complete_events.error().message);
-  if (complete_events->empty())
-    return;
+  ParsedEvents events = event_stream_.Append(data);
+  if (!events.complete.empty())
+    PassOnEvents(std::move(events.complete));
+  if (events.fault && !finished_)
+    EndAttempt(AttemptOutcome::kBroken, events.fault->message);
+}
+
+void Exchange::PassOnEvents(std::string events) {
   const TimePoint now = BootNow();
   if (first_event_at_)
     max_event_gap_ = std::max(max_event_gap_, now - attempt_.progress_at);
@@ -123,13 +126,13 @@
     BeginStream();
   }
   if (publishing_stream_) {
-    held_events_.append(*complete_events);
+    held_events_.append(events);
     if (held_events_.size() > kMaxUnsentBytes)
       PauseTransfer();
     return;
   }
   StartAnswer();
-  WriteAnswer(std::move(*complete_events));
+  WriteAnswer(std::move(events));
 }
 
 void Exchange::StartAnswer() {
--- a/unittests/gateway/event_stream_test.cc
+++ b/unittests/gateway/event_stream_test.cc
@@ -24,9 +24,9 @@
     std::string passed_on;
     for (size_t begin = 0; begin < text.size();) {
       const size_t size = *rc::gen::inRange<size_t>(1, text.size() - begin + 1);
-      const Result<std::string> whole = stream.Append(text.substr(begin, size));
-      RC_ASSERT(whole.ok());
-      passed_on += *whole;
+      const ParsedEvents whole = stream.Append(text.substr(begin, size));
+      RC_ASSERT(!whole.fault);
+      passed_on += whole.complete;
       RC_ASSERT(text.compare(0, passed_on.size(), passed_on) == 0);
       begin += size;
     }
@@ -54,7 +54,7 @@
   }));
   CAPTURE(row.data);
   EventStream stream(row.last_event_id);
-  CHECK(stream.Append(row.data).ok() == row.valid);
+  CHECK(!stream.Append(row.data).fault == row.valid);
 }
 
 // Guards against an event without end that arrives in small pieces and holds up
@@ -65,7 +65,7 @@
     EventStream stream(std::nullopt);
     const TimePoint start = SteadyNow();
     for (size_t sent = 0; sent < bytes; sent += piece.size())
-      CHECK(stream.Append(piece).ok());
+      CHECK_FALSE(stream.Append(piece).fault);
     return ToSeconds(SteadyNow() - start);
   };
   append_all(64 << 10);
@@ -76,11 +76,34 @@
 
 TEST_CASE("a partial event is discarded before the stream is resumed") {
   EventStream stream(std::nullopt);
-  CHECK(*stream.Append("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(stream.Append("id: 1\ndata: a\n\nid: 2\nda").complete ==
+        "id: 1\ndata: a\n\n");
   CHECK_FALSE(stream.at_boundary());
   stream.DiscardPartial();
   CHECK(stream.last_event_id() == 1u);
-  CHECK(*stream.Append("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+  CHECK(stream.Append("id: 2\ndata: b\n\n").complete == "id: 2\ndata: b\n\n");
+}
+
+// Guards against a resumed stream without an event: the position was past an
+// event that was dropped together with the spoilt one behind it.
+TEST_CASE("the position of a stream is that of the events that were returned") {
+  struct Row {
+    const char* name;
+    std::string spoilt;
+  };
+  const Row row = GENERATE(values<Row>({
+      {"id is no number", "id: x\n\n"},
+      {"id does not grow", "id: 2\n\n"},
+      {"event without end", std::string((1 << 20) + 1, 'x')},
+  }));
+  INFO(row.name);
+  const std::string sound = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  EventStream stream(std::nullopt);
+  const ParsedEvents events = stream.Append(sound + row.spoilt);
+  CHECK(events.fault);
+  CHECK(events.complete == sound);
+  CHECK(stream.last_event_id() == 2u);
+  CHECK(stream.event_count() == 2);
 }
 
 }  // namespace teaselhill::gateway
