Resume a stream only from a position that is certain

- An id that a spoilt byte has made too large (1, 7, then 3) moved the position past events that nobody had sent; the next upstream was asked to go on after 7.
- An event without an id behind one with an id was passed on, and came again from the next upstream.
The same for two events that a spoilt line end has made one, and for a stream without ids that broke off.

Change: an event without an id behind one with an id, and an event with two ids, are faults; the stream goes on after the last sound event. If the ids show that the last one may have been too large, or no event had an id, the answer breaks off instead of going on (position_known()).

Not told apart: a larger id that nothing contradicts before the stream breaks off, and a spoilt name of a field inside an event that keeps its id.

--- a/include/teaselhill/gateway/event_stream.h
+++ b/include/teaselhill/gateway/event_stream.h
@@ -30,12 +30,15 @@
   /// `last_event_id`: event id after which the caller asked to resume; nothing:
   /// the stream starts from its beginning.
   explicit EventStream(std::optional<uint64_t> last_event_id)
-      : last_event_id_(last_event_id) {}
-
-  /// Appends data and returns the events that are complete now. An event whose
-  /// id is no number or not greater than the previous one, or that exceeds the
-  /// size limit, is a fault. The events before it are returned all the same:
-  /// last_event_id() is past them, so no other upstream sends them again.
+      : last_event_id_(last_event_id),
+        previous_event_id_(last_event_id.value_or(0)) {}
+
+  /// Appends data and returns the events that are complete now. An event is a
+  /// fault if its id is no number, is not greater than the previous one, is
+  /// missing behind an event that had one, or stands beside another id, or if
+  /// the event exceeds the size limit. The events before it are returned all
+  /// the same: last_event_id() is past them, so no other upstream sends them
+  /// again.
   ParsedEvents Append(std::string_view data);
 
   /// Discards a partially received event, before the stream is resumed at
@@ -60,11 +63,20 @@
   /// Events that Append() has returned.
   uint64_t event_count() const { return event_count_; }
 
+  /// Whether the stream can go on after last_event_id() without leaving out an
+  /// event or sending one twice. It cannot after events without an id, nor if a
+  /// later event shows that the last id may have been too large.
+  bool position_known() const { return position_known_; }
+
  private:
-  Status CheckEventId(std::string_view event);
+  Status CheckEvent(std::string_view event);
+  Status CheckEventId(std::string_view text);
 
   std::string partial_event_;
   std::optional<uint64_t> last_event_id_;
+  /// Id of the event before the last one.
+  uint64_t previous_event_id_ = 0;
+  bool position_known_ = true;
   uint64_t event_count_ = 0;
 };
 
--- a/lib/gateway/event_stream.cc
+++ b/lib/gateway/event_stream.cc
@@ -27,9 +27,26 @@
   return crlf_end + 3;
 }
 
-/// Returns the value of the `id` field, or nothing.
-std::optional<std::string_view> FindEventId(std::string_view event) {
-  constexpr std::string_view kField = "id:";
+/// Fields of an event that say where its stream stands.
+struct EventFields {
+  std::optional<std::string_view> id;
+  int id_count = 0;
+  bool has_data = false;
+};
+
+/// Returns the value of the field `name` in a line, or nothing.
+std::optional<std::string_view> FieldValue(std::string_view line,
+                                           std::string_view name) {
+  if (line.substr(0, name.size()) != name)
+    return std::nullopt;
+  line.remove_prefix(name.size());
+  while (!line.empty() && line.front() == ' ')
+    line.remove_prefix(1);
+  return line;
+}
+
+EventFields ReadFields(std::string_view event) {
+  EventFields fields;
   size_t begin = 0;
   while (begin < event.size()) {
     size_t end = event.find('\n', begin);
@@ -38,15 +55,14 @@
     std::string_view line = event.substr(begin, end - begin);
     if (!line.empty() && line.back() == '\r')
       line.remove_suffix(1);
-    if (line.substr(0, kField.size()) == kField) {
-      line.remove_prefix(kField.size());
-      while (!line.empty() && line.front() == ' ')
-        line.remove_prefix(1);
-      return line;
+    if (const auto id = FieldValue(line, "id:")) {
+      fields.id = id;
+      ++fields.id_count;
     }
+    fields.has_data |= FieldValue(line, "data:").has_value();
     begin = end + 1;
   }
-  return std::nullopt;
+  return fields;
 }
 
 }  // namespace
@@ -63,7 +79,7 @@
     const size_t end = FindEventEnd(partial_event_, search_from);
     if (end == std::string_view::npos)
       break;
-    const Status checked = CheckEventId(
+    const Status checked = CheckEvent(
         std::string_view(partial_event_).substr(parsed_end, end - parsed_end));
     if (!checked) {
       events.fault = checked.error();
@@ -83,21 +99,39 @@
   return events;
 }
 
-Status EventStream::CheckEventId(std::string_view event) {
-  const std::optional<std::string_view> text = FindEventId(event);
-  if (!text)
+Status EventStream::CheckEvent(std::string_view event) {
+  const EventFields fields = ReadFields(event);
+  if (fields.id_count > 1)
+    return {ResultCode::kProtocolError, "event has two ids"};
+  if (fields.id)
+    return CheckEventId(*fields.id);
+  // Comments and fields without data are not delivered to an application.
+  if (!fields.has_data)
     return Ok{};
+  if (last_event_id_)
+    return {ResultCode::kProtocolError, "event without an id follows event " +
+                                            std::to_string(*last_event_id_)};
+  position_known_ = false;
+  return Ok{};
+}
+
+Status EventStream::CheckEventId(std::string_view text) {
   uint64_t id = 0;
   const auto [end, error] =
-      std::from_chars(text->data(), text->data() + text->size(), id);
-  if (error != std::errc() || end != text->data() + text->size())
+      std::from_chars(text.data(), text.data() + text.size(), id);
+  if (error != std::errc() || end != text.data() + text.size())
     return {
         ResultCode::kProtocolError,
-        "event id '" + std::string(text->substr(0, 32)) + "' is not a number"};
-  if (last_event_id_ && id <= *last_event_id_)
+        "event id '" + std::string(text.substr(0, 32)) + "' is not a number"};
+  if (last_event_id_ && id <= *last_event_id_) {
+    // The last event may have been any of those between the one before it and
+    // this one.
+    position_known_ &= id <= previous_event_id_ + 1;
     return {ResultCode::kProtocolError, "event id " + std::to_string(id) +
                                             " does not follow " +
                                             std::to_string(*last_event_id_)};
+  }
+  previous_event_id_ = last_event_id_.value_or(0);
   last_event_id_ = id;
   return Ok{};
 }
--- a/lib/gateway/exchange_answer.cc
+++ b/lib/gateway/exchange_answer.cc
@@ -106,6 +106,7 @@
   ParsedEvents events = event_stream_.Append(data);
   if (!events.complete.empty())
     PassOnEvents(std::move(events.complete));
+  state_.resumable &= event_stream_.position_known();
   if (events.fault && !finished_)
     EndAttempt(AttemptOutcome::kBroken, events.fault->message);
 }
--- a/unittests/platform/spoilt_event_test.cc
+++ b/unittests/platform/spoilt_event_test.cc
@@ -3,6 +3,8 @@
 /// event arrived beside one that could not be used.
 
 #include <catch2/catch.hpp>
+#include <optional>
+#include <string>
 
 #include "gateway_fixture.h"
 
@@ -79,6 +81,69 @@
   CHECK(answer.body == WholeStream());
 }
 
+// The position of the stream must be that of its caller: events behind a wrong
+// id would be left out, and an event without an id would come twice.
+TEST_CASE("a stream goes on only from a position that is certain") {
+  struct Position {
+    const char* name;
+    std::string events;
+    /// Event after which the second upstream is asked to go on; nothing: the
+    /// answer ends here, incomplete.
+    std::optional<int> resumes_after;
+    std::string passed_on;
+  };
+  const Position row = GENERATE(values<Position>({
+      {"id that is too large, then a lower one",
+       EventText(1) + EventText(7) + EventText(3),
+       {},
+       EventText(1) + EventText(7)},
+      {"id that is too large, then the same",
+       EventText(1) + EventText(7) + EventText(7),
+       {},
+       EventText(1) + EventText(7)},
+      {"first id that is too large",
+       EventText(7) + EventText(2),
+       {},
+       EventText(7)},
+      {"event without an id behind one with an id",
+       EventText(1) + EventText(2) + "i!: 3\ndata: x\n\n", 2,
+       EventText(1) + EventText(2)},
+      {"two events that have become one",
+       EventText(1) + EventText(2) + "id: 3\ndata: x!\nid: 4\ndata: x\n\n", 2,
+       EventText(1) + EventText(2)},
+      {"comments have no id",
+       EventText(1) + EventText(2) + ": alive\n\n" + "id: x\n\n", 2,
+       EventText(1) + EventText(2) + ": alive\n\n"},
+  }));
+  INFO(row.name);
+  GatewayFixture fixture(ResumableRoute(kTarget), ManyRetries());
+  fixture.AddUpstream({{{{}, StreamHead() + Chunk(row.events)}}});
+  const ScriptedUpstream& second =
+      fixture.AddUpstream({{{{}, StreamHead() + Rest(3)}}});
+  const ReceivedAnswer answer = fixture.Send();
+  if (!row.resumes_after) {
+    CHECK(answer.aborted);
+    CHECK(answer.body == row.passed_on);
+    return;
+  }
+  REQUIRE(second.requests().size() == 1);
+  CHECK(Resumes(second.requests().front(), *row.resumes_after));
+  CHECK(answer.complete);
+  CHECK(answer.body == row.passed_on + EventText(3) + EventText(4));
+}
+
+TEST_CASE("a stream without ids does not begin again") {
+  GatewayFixture fixture(ResumableRoute(kTarget), ManyRetries());
+  fixture.AddUpstream(
+      {{{{}, StreamHead() + Chunk("data: x\n\n")}, {milliseconds(20), ""}}});
+  const ScriptedUpstream& second =
+      fixture.AddUpstream({{{{}, StreamHead() + Rest(1)}}});
+  const ReceivedAnswer answer = fixture.Send();
+  CHECK(answer.aborted);
+  CHECK(answer.body == "data: x\n\n");
+  CHECK(second.requests().empty());
+}
+
 TEST_CASE("a relayed sound event beside a spoilt one reaches the caller") {
   const Row row = GENERATE(from_range(std::begin(kRows), std::end(kRows)));
   INFO(row.name);
