Read foreign text where it arrives, and survive a handler that throws

Cause: the key became the id of an upstream unchecked, and dump() of a crash record with that id throws on the control thread. The class is any text of another process that JSON or a header cannot hold.

--- a/include/teaselhill/net/event_loop.h
+++ b/include/teaselhill/net/event_loop.h
@@ -4,6 +4,7 @@
 #ifndef TEASELHILL_NET_EVENT_LOOP_H_
 #define TEASELHILL_NET_EVENT_LOOP_H_
 
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -29,6 +30,12 @@
   /// Runs until Stop(), also while no work is pending.
   void Run();
 
+  /// Calls `handler` on the loop's thread for each exception that leaves a
+  /// function, timer or socket handler; the loop goes on with the next one.
+  /// Without it Run() throws the exception. Call it before Run().
+  void SetExceptionHandler(
+      std::function<void(const std::exception& fault)> handler);
+
   /// Makes Run() return soon. Callable from any thread.
   void Stop();
 
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -134,6 +134,8 @@
             .Field("domain", settings_.domain)
             .Field("port", static_cast<int>(settings_.caller_endpoint.port))
             .Field("version", TEASELHILL_VERSION));
+    LogExceptions(control_loop_, "control");
+    LogExceptions(traffic_loop_, "traffic");
     StartPeerExchange();
     const auto termination = net::HandleTermination(
         control_loop_, [this](int signal) { StartDrain(signal); });
@@ -370,6 +372,16 @@
                       .Field("fault", started.error().message));
   }
 
+  /// What one message makes throw must not end the requests of all others.
+  void LogExceptions(net::EventLoop& loop, std::string_view thread) {
+    loop.SetExceptionHandler([this, thread](const std::exception& fault) {
+      logger_.Write(LogLine(LogLevel::kError, "handler_failed")
+                        .Field("thread", thread)
+                        .Field("code", static_cast<int>(ResultCode::kInternal))
+                        .Field("fault", fault.what()));
+    });
+  }
+
   int ReportFailure(const Error& error) {
     logger_.Write(LogLine(LogLevel::kError, "start_failed")
                       .Field("code", static_cast<int>(error.code))
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "teaselhill/support/cbor_check.h"
+#include "teaselhill/support/text.h"
 
 namespace teaselhill::gateway {
 
@@ -48,6 +49,22 @@
       std::max<int64_t>(0, object.at(field).get<int64_t>()));
 }
 
+/// Throws a Json::exception if the field is missing or not printable text,
+/// which CBOR does not assure.
+std::string ReadText(const Json& object, const char* field) {
+  std::string text = object.at(field).get<std::string>();
+  if (!IsPrintableText(text))
+    throw Json::other_error::create(
+        0, std::string(field) + " is not printable text", &object);
+  return text;
+}
+
+/// As ReadText(); a host that has no peers of its own sends no name.
+std::string ReadSender(const Json& object) {
+  const bool is_empty = object.at(kSenderField) == "";
+  return is_empty ? std::string() : ReadText(object, kSenderField);
+}
+
 Json EncodeProcess(const UpstreamProcess& process) {
   return {{kUpstreamField, process.id},
           {kIncarnationField, process.incarnation}};
@@ -55,7 +72,7 @@
 
 /// Throws a Json::exception if a field is missing or of another type.
 UpstreamProcess DecodeProcess(const Json& object) {
-  return {object.at(kUpstreamField).get<std::string>(),
+  return {ReadText(object, kUpstreamField),
           object.at(kIncarnationField).get<uint64_t>()};
 }
 
@@ -85,7 +102,7 @@
   record.withdrawn = object.at(kWithdrawnField).get<bool>();
   if (record.withdrawn)
     return record;
-  record.upstream.id = object.at(kUpstreamField).get<std::string>();
+  record.upstream.id = ReadText(object, kUpstreamField);
   record.upstream.incarnation = object.at(kIncarnationField).get<uint64_t>();
   record.age = ReadDuration(object, kAgeField);
   record.run_time = ReadDuration(object, kRunTimeField);
@@ -111,7 +128,7 @@
 /// Throws a Json::exception if a field is missing or of another type.
 LimitObservation DecodeLimit(const Json& object) {
   LimitObservation limit;
-  limit.upstream.id = object.at(kUpstreamField).get<std::string>();
+  limit.upstream.id = ReadText(object, kUpstreamField);
   limit.upstream.incarnation = object.at(kIncarnationField).get<uint64_t>();
   limit.age = ReadDuration(object, kAgeField);
   if (!object.contains(kLimitField))
@@ -132,7 +149,7 @@
 /// Throws a Json::exception if a field is missing or of another type.
 NoticeObservation DecodeNotice(const Json& object) {
   NoticeObservation notice;
-  notice.upstream.id = object.at(kUpstreamField).get<std::string>();
+  notice.upstream.id = ReadText(object, kUpstreamField);
   notice.upstream.incarnation = object.at(kIncarnationField).get<uint64_t>();
   notice.leaving = object.at(kLeavingField).get<bool>();
   notice.pause = ReadDuration(object, kPauseField);
@@ -175,7 +192,7 @@
   try {
     PeerMessage message;
     message.id = object.at(kIdField).get<uint64_t>();
-    message.sender = object.at(kSenderField).get<std::string>();
+    message.sender = ReadSender(object);
     for (const Json& record : object.at(kRecordsField))
       message.records.push_back(DecodeRecord(record));
     for (const Json& limit : object.at(kLimitsField))
--- a/lib/gateway/peer_streams.cc
+++ b/lib/gateway/peer_streams.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "teaselhill/support/cbor_check.h"
+#include "teaselhill/support/text.h"
 
 namespace teaselhill::gateway {
 
@@ -59,12 +60,21 @@
           {kKeepForField, ToMicroseconds(record.keep_for)}};
 }
 
+/// Throws a Json::exception if a field is missing or cannot stand in a header.
+StreamOrigin DecodeOrigin(const Json& json) {
+  StreamOrigin origin{json.at(kServiceField), json.at(kVersionField)};
+  for (const std::string* text : {&origin.service, &origin.version}) {
+    if (!text->empty() && !IsPrintableText(*text))
+      throw Json::other_error::create(0, "origin is not printable text", &json);
+  }
+  return origin;
+}
+
 std::vector<StreamRecord> DecodeRecords(const Json& json) {
   std::vector<StreamRecord> records;
   for (const Json& record : json)
     records.push_back(
-        {record.at(kAttemptField),
-         {record.at(kServiceField), record.at(kVersionField)},
+        {record.at(kAttemptField), DecodeOrigin(record),
          std::chrono::microseconds(record.at(kKeepForField).get<int64_t>())});
   return records;
 }
@@ -78,8 +88,7 @@
   const int kind = json.at(kKindField);
   if (kind < 0 || kind > static_cast<int>(Kind::kPastUnknown))
     throw Json::other_error::create(0, "kind is unknown", &json);
-  return {static_cast<Kind>(kind),
-          {json.at(kServiceField), json.at(kVersionField)}};
+  return {static_cast<Kind>(kind), DecodeOrigin(json)};
 }
 
 /// Answers to one query.
--- a/lib/net/event_loop.cc
+++ b/lib/net/event_loop.cc
@@ -71,6 +71,21 @@
 
 class EventLoop::Impl {
  public:
+  /// Runs handlers until the context is stopped.
+  void Run() {
+    while (true) {
+      try {
+        context.run();
+        return;
+      } catch (const std::exception& fault) {
+        if (!exception_handler)
+          throw;
+        exception_handler(fault);
+      }
+    }
+  }
+
+  std::function<void(const std::exception&)> exception_handler;
   asio::io_context context{1};
   AsioTimerService timers{context};
 };
@@ -87,12 +102,17 @@
   {
     // Released before the restart: the last work that ends stops the context.
     const auto guard = asio::make_work_guard(impl_->context);
-    impl_->context.run();
+    impl_->Run();
   }
   // Lets Run() be called again; a Stop() that came before it is not lost.
   impl_->context.restart();
 }
 
+void EventLoop::SetExceptionHandler(
+    std::function<void(const std::exception& fault)> handler) {
+  impl_->exception_handler = std::move(handler);
+}
+
 void EventLoop::Stop() {
   impl_->context.stop();
 }
--- a/lib/net/http_transfer.cc
+++ b/lib/net/http_transfer.cc
@@ -8,6 +8,7 @@
 
 #include <cerrno>
 #include <chrono>
+#include <exception>
 #include <string_view>
 #include <utility>
 
@@ -286,6 +287,16 @@
   return added.ok();
 }
 
+template <typename Function>
+bool Transfer::Deliver(Function function) {
+  try {
+    return function();
+  } catch (const std::exception& fault) {
+    fault_ = std::string("failed to handle the response: ") + fault.what();
+    return false;
+  }
+}
+
 size_t Transfer::OnHeaderLine(char* data,
                               size_t size,
                               size_t count,
@@ -299,7 +310,9 @@
   // The last line of a connection that ends inside the head.
   if (line.back() != '\n')
     return size * count;
-  return transfer->ReadHeadLine(line) ? size * count : 0;
+  return transfer->Deliver([&] { return transfer->ReadHeadLine(line); })
+             ? size * count
+             : 0;
 }
 
 size_t Transfer::OnBody(char* data, size_t size, size_t count, void* self) {
@@ -308,8 +321,11 @@
   if (!transfer->CountBytes(size * count, transfer->request_.max_body_bytes,
                             "body", &transfer->body_bytes_))
     return 0;  // aborts the transfer
-  transfer->handler_->OnData(std::string_view(data, size * count));
-  return size * count;
+  const bool delivered = transfer->Deliver([&] {
+    transfer->handler_->OnData(std::string_view(data, size * count));
+    return true;
+  });
+  return delivered ? size * count : 0;
 }
 
 }  // namespace teaselhill::net
--- a/lib/net/http_transfer.h
+++ b/lib/net/http_transfer.h
@@ -85,6 +85,10 @@
   /// Returns false if the line makes the head malformed, or completes a head
   /// without whose body the transfer ends; the transfer must end then.
   bool ReadHeadLine(std::string_view line);
+  /// Calls `function`, which returns whether the transfer goes on. libcurl
+  /// cannot be left by an exception, so one ends the transfer with a fault.
+  template <typename Function>
+  bool Deliver(Function function);
 
   /// Whether nothing has arrived on the reused connection of `socket`.
   bool IsQuiet(curl_socket_t socket) const;
--- a/lib/support/logger.cc
+++ b/lib/support/logger.cc
@@ -23,6 +23,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "teaselhill/support/text.h"
+
 namespace teaselhill {
 
 namespace logging = boost::log;
@@ -41,28 +43,11 @@
   return "info";
 }
 
-/// Returns the length of the valid UTF-8 sequence at the start of `text`, or 0.
-static size_t Utf8SequenceLength(std::string_view text) {
-  const auto lead = static_cast<unsigned char>(text[0]);
-  const size_t length = lead < 0x80           ? 1
-                        : (lead >> 5) == 0x06 ? 2
-                        : (lead >> 4) == 0x0e ? 3
-                        : (lead >> 3) == 0x1e ? 4
-                                              : 0;
-  if (length == 0 || length > text.size())
-    return 0;
-  for (size_t i = 1; i < length; ++i) {
-    if ((static_cast<unsigned char>(text[i]) >> 6) != 0x02)
-      return 0;
-  }
-  return length;
-}
-
 void AppendJsonString(std::string_view value, std::string* out) {
   static constexpr char kDigits[] = "0123456789abcdef";
   out->push_back('"');
   while (!value.empty()) {
-    const size_t length = Utf8SequenceLength(value);
+    const size_t length = Utf8CharacterBytes(value);
     const char c = value[0];
     if (length == 0) {
       out->append("\\ufffd");
