End responses that have no body with their head

Cause: RestinioResponse::Respond(), HttpServer::Impl::Refuse() and RefusalText() wrote the body whatever the method was, and a stream in answer to HEAD ended with a last chunk.

Change: a response to HEAD, or with a status that has no body (1xx, 204, 304), ends with its head; Content-Length still says what GET would get. Refuse() writes through the same class, so it is no writer of its own. Refusals below RESTinio look at the first bytes of the request.

Not told apart: a HEAD request that begins in the same read as the end of another one, whose refusal ends the connection.

--- a/lib/net/caller_socket.cc
+++ b/lib/net/caller_socket.cc
@@ -109,11 +109,12 @@
   channel_->tcp.cancel(error);
   // What has been received of the request is dropped with its connection.
   channel_->reader.reset();
+  const bool is_head = channel_->is_head;
   auto& context =
       static_cast<asio::io_context&>(channel_->tcp.get_executor().context());
   std::make_shared<Refusal>(
       std::exchange(channel_, std::make_shared<Channel>(context)), policy_,
-      policy_->refusal(*fault))
+      policy_->refusal(*fault, is_head))
       ->Start();
 }
 
--- a/lib/net/caller_socket.h
+++ b/lib/net/caller_socket.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <restinio/all.hpp>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -48,6 +49,8 @@
   bool writing = false;
   /// Bytes received since the last write ended.
   size_t unanswered_bytes = 0;
+  /// Whether these bytes begin with a HEAD request.
+  bool is_head = false;
   /// Code of the refusal with which the connection is to end.
   std::optional<ResultCode> refusal;
   /// Null: what the connection receives is not counted.
@@ -94,8 +97,9 @@
   /// Each chunk of a chunked body costs RESTinio a list entry however small it
   /// is, so that the input as such is limited as well.
   size_t max_unanswered_bytes = 0;
-  /// Serializes the response to a request that was not accepted.
-  std::function<std::string(ResultCode)> refusal;
+  /// Serializes the response to a request that was not accepted, for HEAD
+  /// without its body.
+  std::function<std::string(ResultCode, bool is_head)> refusal;
   /// Set by the logger hook just before RESTinio closes a connection because of
   /// its input, and taken by the socket that is closed.
   std::optional<ResultCode> fault;
@@ -175,10 +179,12 @@
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers& buffers, Handler&& handler) {
     channel_->reading = true;
-    auto done = [channel = channel_, policy = policy_,
+    auto done = [channel = channel_, policy = policy_, buffers,
                  handler = std::forward<Handler>(handler)](
                     const asio::error_code& error, size_t size) mutable {
       channel->reading = false;
+      if (channel->unanswered_bytes == 0)
+        channel->is_head = BeginsWithHead(buffers, size);
       channel->unanswered_bytes += size;
       const bool is_too_large =
           !error && channel->unanswered_bytes > policy->max_unanswered_bytes;
@@ -235,6 +241,13 @@
                std::function<void(const asio::error_code&)> failed);
 
  private:
+  template <typename Buffers>
+  static bool BeginsWithHead(const Buffers& buffers, size_t size) {
+    constexpr std::string_view kHead = "HEAD ";
+    return size >= kHead.size() &&
+           std::equal(kHead.begin(), kHead.end(), asio::buffers_begin(buffers));
+  }
+
   template <typename Buffers, typename Done>
   static void StartRead(Channel& channel, const Buffers& buffers, Done done) {
     if (channel.tls)
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -168,20 +168,22 @@
     // A request behind the last answer of a connection may have been read
     // before that answer was written. Its caller would get none.
     if (table_->IsClosing(request->connection_id()))
-      return Refuse(*request,
+      return Refuse(std::move(request),
                     {ResultCode::kMalformedRequest,
                      "the connection ends with the answer before it"});
     // RESTinio stops all of its timers for a connection that asks for an
     // upgrade.
     if (request->header().connection() ==
         restinio::http_connection_header_t::upgrade)
-      return Refuse(*request, {ResultCode::kBadHeader,
-                               "upgrade: other protocols are not supported"});
+      return Refuse(std::move(request),
+                    {ResultCode::kBadHeader,
+                     "upgrade: other protocols are not supported"});
     if (const auto fault = FindAmbiguity(request->header()))
-      return Refuse(*request, *fault);
+      return Refuse(std::move(request), *fault);
     if (HeaderBytes(request->header()) > options_.max_header_bytes)
-      return Refuse(*request, {ResultCode::kHeaderTooLarge,
-                               "all headers together exceed the size limit"});
+      return Refuse(std::move(request),
+                    {ResultCode::kHeaderTooLarge,
+                     "all headers together exceed the size limit"});
     auto response = std::make_shared<RestinioResponse>(request, table_,
                                                        close_after_response_);
     HttpRequest received = ToRequest(*request);
@@ -193,16 +195,14 @@
     return restinio::request_accepted();
   }
 
-  restinio::request_handling_status_t Refuse(restinio::request_t& request,
+  /// The connection ends with the refusal.
+  restinio::request_handling_status_t Refuse(restinio::request_handle_t request,
                                              const Error& error) {
-    table_->OnClosing(request.connection_id());
-    auto response =
-        request.create_response(StatusLine(Describe(error.code).http_status));
-    for (const Header& header : ErrorHeaders(error, Duration::zero()))
-      response.append_header(header.name, header.value);
-    response.connection_close();
-    response.set_body(ErrorBody(error));
-    return response.done();
+    static const auto kClose = std::make_shared<const bool>(true);
+    std::make_shared<RestinioResponse>(std::move(request), table_, kClose)
+        ->Respond(Describe(error.code).http_status,
+                  ErrorHeaders(error, Duration::zero()), ErrorBody(error));
+    return restinio::request_accepted();
   }
 
   EventLoop& loop_;
--- a/lib/net/request_fault.cc
+++ b/lib/net/request_fault.cc
@@ -40,7 +40,7 @@
     policy_->fault.reset();
 }
 
-std::string RefusalText(ResultCode code) {
+std::string RefusalText(ResultCode code, bool is_head) {
   const Error error{code, ""};
   const std::string body = ErrorBody(error);
   const restinio::http_status_line_t line =
@@ -51,7 +51,7 @@
       std::to_string(body.size()) + "\r\n";
   for (const Header& header : ErrorHeaders(error, Duration::zero()))
     text += header.name + ": " + header.value + "\r\n";
-  return text + "\r\n" + body;
+  return text + "\r\n" + (is_head ? "" : body);
 }
 
 }  // namespace teaselhill::net
--- a/lib/net/request_fault.h
+++ b/lib/net/request_fault.h
@@ -40,8 +40,9 @@
   std::shared_ptr<SocketPolicy> policy_;
 };
 
-/// Returns a whole response that ends the connection.
-std::string RefusalText(ResultCode code);
+/// Returns a whole response that ends the connection; a HEAD request gets no
+/// body.
+std::string RefusalText(ResultCode code, bool is_head);
 
 }  // namespace teaselhill::net
 
--- a/lib/net/restinio_response.cc
+++ b/lib/net/restinio_response.cc
@@ -99,6 +99,8 @@
 void RestinioResponse::Respond(int status, Headers headers, std::string body) {
   if (closed_ || ended_)
     return;
+  if (IsWithoutBody(status))
+    return RespondWithHead(status, headers, body.size());
   auto response = request_->create_response(StatusLine(status));
   AddHeaders(response, headers);
   whole_bytes_ = body.size();
@@ -110,9 +112,27 @@
   request_.reset();
 }
 
+bool RestinioResponse::IsWithoutBody(int status) const {
+  return is_head_ || status < 200 || status == 204 || status == 304;
+}
+
+void RestinioResponse::RespondWithHead(int status,
+                                       const Headers& headers,
+                                       size_t content_length) {
+  auto response = request_->create_response<restinio::user_controlled_output_t>(
+      StatusLine(status));
+  AddHeaders(response, headers);
+  response.set_content_length(content_length);
+  End();
+  response.done(MarkSent());
+  request_.reset();
+}
+
 void RestinioResponse::Start(int status, Headers headers) {
   if (closed_ || ended_ || stream_)
     return;
+  if (IsWithoutBody(status))
+    return RespondWithHead(status, headers, 0);
   stream_.emplace(request_->create_response<restinio::chunked_output_t>(
       StatusLine(status)));
   AddHeaders(*stream_, headers);
--- a/lib/net/restinio_response.h
+++ b/lib/net/restinio_response.h
@@ -35,6 +35,7 @@
       : request_(std::move(request)),
         connection_(request_->connection_id()),
         request_id_(request_->request_id()),
+        is_head_(request_->header().method() == restinio::http_method_head()),
         raw_connection_(restinio::impl::access_req_connection(*request_)),
         table_(std::move(table)),
         close_after_response_(std::move(close_after_response)) {}
@@ -69,6 +70,16 @@
   template <typename Builder>
   void AddHeaders(Builder& response, const Headers& headers) const;
 
+  /// Whether a response of this status has no body (RFC 9110, 6.4.1). What
+  /// follows its head would be read as the next response.
+  bool IsWithoutBody(int status) const;
+
+  /// Writes a response that ends with its head. `content_length`: of the body
+  /// that a GET would get.
+  void RespondWithHead(int status,
+                       const Headers& headers,
+                       size_t content_length);
+
   /// Whether the connection has passed on a request behind this one.
   bool HasLaterRequest() const;
   /// The connection ends with this response.
@@ -96,6 +107,7 @@
       stream_;
   restinio::connection_id_t connection_;
   restinio::request_id_t request_id_;
+  bool is_head_;
   std::weak_ptr<restinio::impl::connection_base_t> raw_connection_;
   std::weak_ptr<ConnectionTable> table_;
   std::shared_ptr<const bool> close_after_response_;
