Never write a refusal while the connection owes an answer

Cause: Channel::Refuse() and the limit of unanswered input write the refusal at once; only parser errors looked at whether an earlier request of the connection had its answer.

Change: CallerSocket::shutdown() writes no refusal then, whatever ended the connection. The gate of reads passes over a stalled upload whose connection owes an answer and refuses the next largest one; the upload is refused once the answer is written. So an upload that stalls behind a long stream keeps its memory for as long as the stream lasts, while other large uploads wait.

--- a/lib/net/caller_socket.cc
+++ b/lib/net/caller_socket.cc
@@ -100,6 +100,8 @@
   // of input or a parser error.
   if (!fault && channel_->reading && channel_->unanswered_bytes > 0)
     fault = ResultCode::kRequestTimeout;
+  if (fault && policy_->OwesAnswer(*channel_))
+    fault.reset();
   if (!fault || channel_->writing || !is_open() ||
       policy_->refusals_open >= kMaxRefusals) {
     channel_->tcp.shutdown(type, error);
--- a/lib/net/caller_socket.h
+++ b/lib/net/caller_socket.h
@@ -100,10 +100,20 @@
   /// Serializes the response to a request that was not accepted, for HEAD
   /// without its body.
   std::function<std::string(ResultCode, bool is_head)> refusal;
+  /// Whether a request on the connection of this peer has no whole answer yet.
+  /// Its caller would take a refusal for that answer.
+  std::function<bool(const asio::ip::tcp::endpoint& remote)> owes_answer;
   /// Set by the logger hook just before RESTinio closes a connection because of
   /// its input, and taken by the socket that is closed.
   std::optional<ResultCode> fault;
   size_t refusals_open = 0;
+
+  bool OwesAnswer(const Channel& channel) const {
+    asio::error_code error;
+    const auto remote = channel.tcp.remote_endpoint(error);
+    return !error && owes_answer(remote);
+  }
+
   std::shared_ptr<ReadGate> read_gate;  ///< null: reads are never put off
   ChannelList channels;
 };
@@ -144,8 +154,12 @@
         channel_(std::make_shared<Channel>(context)) {
     if (policy_->read_gate)
       channel_->reader = std::make_unique<ReadGate::Reader>(
-          policy_->read_gate, [channel = channel_.get()] {
+          policy_->read_gate,
+          [channel = channel_.get(), policy = policy_.get()] {
+            if (policy->OwesAnswer(*channel))
+              return false;
             channel->Refuse(ResultCode::kRequestTimeout);
+            return true;
           });
     policy_->channels.Add(channel_);
   }
--- a/lib/net/connection_table.cc
+++ b/lib/net/connection_table.cc
@@ -36,6 +36,12 @@
   return idle;
 }
 
+bool ConnectionTable::IsPeerBusy(const restinio::endpoint_t& remote) const {
+  return std::any_of(open_.begin(), open_.end(), [&](const auto& entry) {
+    return entry.second == remote && IsBusy(entry.first);
+  });
+}
+
 bool ConnectionTable::IsBusy(restinio::connection_id_t connection) const {
   const auto [first, last] = responses_.equal_range(connection);
   return std::any_of(first, last, [](const auto& entry) {
--- a/lib/net/connection_table.h
+++ b/lib/net/connection_table.h
@@ -31,6 +31,9 @@
   /// Peers of the connections that have no response in progress.
   std::set<restinio::endpoint_t> IdlePeers() const;
 
+  /// As IsBusy(), for the connection of a peer.
+  bool IsPeerBusy(const restinio::endpoint_t& remote) const;
+
   /// Whether the connection has a response that is not written whole.
   bool IsBusy(restinio::connection_id_t connection) const;
 
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -58,6 +58,10 @@
     policy_->tls = options_.tls;
     policy_->handshake_timeout = options_.read_timeout;
     policy_->refusal = RefusalText;
+    policy_->owes_answer = [table =
+                                table_](const restinio::endpoint_t& remote) {
+      return table->IsPeerBusy(remote);
+    };
     policy_->max_unanswered_bytes =
         kPipelinedRequests *
         (options_.max_body_bytes + options_.max_body_bytes / 4 +
--- a/lib/net/read_gate.cc
+++ b/lib/net/read_gate.cc
@@ -4,6 +4,7 @@
 
 #include "read_gate.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -26,7 +27,8 @@
 constexpr std::chrono::milliseconds kStalledAfter{20};
 
 /// While requests hold their whole share and none is in progress, the largest
-/// that has brought nothing for this long is refused.
+/// that has brought nothing for this long, and whose connection owes no answer,
+/// is refused.
 constexpr std::chrono::milliseconds kMaxStall{500};
 
 /// Reads stall without an event.
@@ -35,7 +37,7 @@
 }  // namespace
 
 ReadGate::Reader::Reader(std::shared_ptr<ReadGate> gate,
-                         std::function<void()> refuse)
+                         std::function<bool()> refuse)
     : gate_(std::move(gate)), refuse_(std::move(refuse)) {
   if (gate_->budget_)
     account_ = gate_->budget_->Open();
@@ -193,17 +195,22 @@
   if (!budget_ || large_held_ > 0 || !IsHeld(1))
     return;
   const TimePoint now = timers_->Now();
-  Reader* largest = nullptr;
+  std::vector<Reader*> stalled;
   for (const auto& [place, reader] : large_) {
-    if (reader->IsStalledFor(kMaxStall, now) &&
-        (!largest || reader->account_->bytes() > largest->account_->bytes()))
-      largest = reader;
+    if (reader->IsStalledFor(kMaxStall, now))
+      stalled.push_back(reader);
   }
-  if (!largest)
+  std::sort(stalled.begin(), stalled.end(),
+            [](const Reader* left, const Reader* right) {
+              return left->account_->bytes() > right->account_->bytes();
+            });
+  for (Reader* reader : stalled) {
+    if (!reader->refuse_())
+      continue;
+    // Its connection ends before the next check.
+    reader->granted_at_ = now;
     return;
-  // Its connection ends before the next check.
-  largest->granted_at_ = now;
-  largest->refuse_();
+  }
 }
 
 void ReadGate::WatchStalls() {
--- a/lib/net/read_gate.h
+++ b/lib/net/read_gate.h
@@ -33,8 +33,9 @@
   /// The unfinished request of one connection.
   class Reader {
    public:
-    /// `refuse` ends the connection with a refusal of its request.
-    Reader(std::shared_ptr<ReadGate> gate, std::function<void()> refuse);
+    /// `refuse` ends the connection with a refusal of its request and returns
+    /// true, or returns false if the connection owes an answer.
+    Reader(std::shared_ptr<ReadGate> gate, std::function<bool()> refuse);
     ~Reader();
     Reader(const Reader&) = delete;
     Reader& operator=(const Reader&) = delete;
@@ -61,7 +62,7 @@
     }
 
     std::shared_ptr<ReadGate> gate_;
-    std::function<void()> refuse_;
+    std::function<bool()> refuse_;
     std::unique_ptr<MemoryBudget::Account> account_;
     /// Place in the order of large requests; nothing for a small one.
     std::optional<uint64_t> place_;
