Let a request that may not be repeated wait behind an unanswered one

Cause: the server hands on the second request of a connection at once, and the answer can only follow the one before it.

Change: such a request waits until the answers before it have been written (ResponseWriter::SetTurnHandler), then it is resolved anew, with the time that it waited taken off its deadline. If the connection ends first, it has not run.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -204,9 +204,22 @@
   bool MayProbe(const UpstreamProcess& upstream) override;
   bool HasReachedUpstreamSince(TimePoint time) override;
 
+  /// Takes a request that has waited for its turn for `waited`.
   void Accept(net::HttpRequest request,
               std::optional<RelayOrigin> origin,
-              std::shared_ptr<net::ResponseWriter> response);
+              std::shared_ptr<net::ResponseWriter> response,
+              Duration waited);
+
+  /// Keeps a request until the answers before it on its connection have been
+  /// written.
+  void AwaitTurn(net::HttpRequest request,
+                 const AcceptedRequest& accepted_request,
+                 std::shared_ptr<net::ResponseWriter> response);
+
+  /// Takes the time that the request has waited off its deadline.
+  std::optional<Rejection> ShortenDeadline(
+      Duration waited,
+      AcceptedRequest& accepted_request) const;
 
   /// A connection to the upstream that was opened at `opened_at` brought a
   /// response, or ended without any.
@@ -298,6 +311,8 @@
   RetryBudget retry_budget_;
   OverloadGate overload_gate_;
   RequestId last_id_ = 0;
+  /// Functions that connections keep look at it before they use the gateway.
+  std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
   bool rejecting_ = false;
   /// While draining; see StartDrain().
   std::optional<TimePoint> final_answers_at_;
--- a/include/teaselhill/net/http_server.h
+++ b/include/teaselhill/net/http_server.h
@@ -62,6 +62,11 @@
 
   /// Sets the function called each time a write has completed.
   virtual void SetDrainHandler(std::function<void()> handler) = 0;
+
+  /// Sets the function called once when the responses to all requests before
+  /// this one on its connection have been written. It is dropped if the
+  /// connection closes before.
+  virtual void SetTurnHandler(std::function<void()> handler) = 0;
 };
 
 class HttpHandler {
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -104,23 +104,28 @@
 
 void Gateway::Handle(net::HttpRequest request,
                      std::shared_ptr<net::ResponseWriter> response) {
-  Accept(std::move(request), std::nullopt, std::move(response));
+  Accept(std::move(request), std::nullopt, std::move(response),
+         Duration::zero());
 }
 
 void Gateway::HandleRelayed(net::HttpRequest request,
                             RelayOrigin origin,
                             std::shared_ptr<net::ResponseWriter> response) {
-  Accept(std::move(request), std::move(origin), std::move(response));
+  Accept(std::move(request), std::move(origin), std::move(response),
+         Duration::zero());
 }
 
 void Gateway::Accept(net::HttpRequest request,
                      std::optional<RelayOrigin> origin,
-                     std::shared_ptr<net::ResponseWriter> response) {
+                     std::shared_ptr<net::ResponseWriter> response,
+                     Duration waited) {
   AcceptedRequest accepted_request;
   accepted_request.relay_origin = std::move(origin);
   accepted_request.arrived_at = BootNow();
   std::optional<Rejection> rejection =
       ResolveRequest(request, accepted_request);
+  if (!rejection)
+    rejection = ShortenDeadline(waited, accepted_request);
   if (!rejection)
     rejection = CheckCrashes(request, accepted_request);
   if (!rejection)
@@ -128,6 +133,9 @@
   if (rejection)
     return RejectRequest(request, accepted_request.caller, *response,
                          rejection->error, rejection->retry_after);
+  // The connection may end with an answer before this one.
+  if (request.behind_unanswered && !accepted_request.route->retryable())
+    return AwaitTurn(std::move(request), accepted_request, std::move(response));
   if (accepted_request.placement_request.is_engine)
     accepted_request.gate_decision = overload_gate_.Admit(
         accepted_request.service, accepted_request.gate_level(),
@@ -149,6 +157,40 @@
   exchange->Start();
 }
 
+void Gateway::AwaitTurn(net::HttpRequest request,
+                        const AcceptedRequest& accepted_request,
+                        std::shared_ptr<net::ResponseWriter> response) {
+  log_.Write(LineKind::kRoutine,
+             LogLine(LogLevel::kInfo, "awaits_turn")
+                 .Field("request", accepted_request.caller.attempt_id)
+                 .Field("route", accepted_request.route->name),
+             accepted_request.arrived_at);
+  request.behind_unanswered = false;
+  net::ResponseWriter& writer = *response;
+  writer.SetTurnHandler(
+      [this, alive = std::weak_ptr<const bool>(alive_),
+       kept = std::make_shared<net::HttpRequest>(std::move(request)),
+       origin = accepted_request.relay_origin, response = std::move(response),
+       arrived_at = accepted_request.arrived_at] {
+        if (!alive.expired())
+          Accept(std::move(*kept), origin, response, BootNow() - arrived_at);
+      });
+}
+
+std::optional<Gateway::Rejection> Gateway::ShortenDeadline(
+    Duration waited,
+    AcceptedRequest& accepted_request) const {
+  if (waited == Duration::zero())
+    return std::nullopt;
+  const Duration left =
+      accepted_request.TimeLimit(options_.exchange_limits.max_duration) -
+      waited;
+  if (left <= options_.exchange_limits.min_retry_time)
+    return Rejection{{ResultCode::kDeadlineUnreachable, ""}};
+  accepted_request.caller.deadline = left;
+  return std::nullopt;
+}
+
 std::optional<Gateway::Rejection> Gateway::ResolveRequest(
     const net::HttpRequest& request,
     AcceptedRequest& accepted_request) {
--- a/lib/net/connection_table.cc
+++ b/lib/net/connection_table.cc
@@ -59,6 +59,26 @@
   });
 }
 
+void ConnectionTable::GiveTurn(restinio::connection_id_t connection) {
+  std::shared_ptr<RestinioResponse> next;
+  const auto [first, last] = responses_.equal_range(connection);
+  for (auto entry = first; entry != last; ++entry) {
+    const std::shared_ptr<RestinioResponse> response = entry->second.lock();
+    if (response && !response->sent() &&
+        (!next || response->request_id() < next->request_id()))
+      next = response;
+  }
+  if (!next)
+    return;
+  // RESTinio must not be called back while it writes.
+  post_([weak = std::weak_ptr<RestinioResponse>(next)] {
+    const std::shared_ptr<RestinioResponse> response = weak.lock();
+    const auto handler = response ? response->TakeTurnHandler() : nullptr;
+    if (handler)
+      handler();
+  });
+}
+
 bool ConnectionTable::HasUnsent() const {
   return std::any_of(
       responses_.begin(), responses_.end(), [](const auto& entry) {
--- a/lib/net/connection_table.h
+++ b/lib/net/connection_table.h
@@ -5,6 +5,7 @@
 #define TEASELHILL_LIB_NET_CONNECTION_TABLE_H_
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <restinio/all.hpp>
 #include <set>
@@ -18,6 +19,11 @@
 /// Open connections and the responses in progress on each.
 class ConnectionTable {
  public:
+  /// `post` runs a function on the loop's thread, after the current one.
+  explicit ConnectionTable(
+      std::function<void(std::function<void()>)> post = nullptr)
+      : post_(std::move(post)) {}
+
   void Add(restinio::connection_id_t connection,
            const std::shared_ptr<RestinioResponse>& response);
   void Remove(restinio::connection_id_t connection,
@@ -41,6 +47,10 @@
   bool HasLater(restinio::connection_id_t connection,
                 restinio::request_id_t request) const;
 
+  /// Lets the first response of the connection that is not written whole
+  /// proceed, if it waits for its turn.
+  void GiveTurn(restinio::connection_id_t connection);
+
   /// The connection ends with a response that has begun; what follows on it is
   /// not handled.
   void OnClosing(restinio::connection_id_t connection) {
@@ -64,6 +74,7 @@
       responses_;
   std::unordered_map<restinio::connection_id_t, restinio::endpoint_t> open_;
   std::set<restinio::connection_id_t> closing_;
+  std::function<void(std::function<void()>)> post_;
 };
 
 /// Tells the open responses of a connection that it has been closed.
--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -53,7 +53,10 @@
         options_(std::move(options)),
         handler_(handler),
         port_(options_.port),
-        table_(std::make_shared<ConnectionTable>()),
+        table_(std::make_shared<ConnectionTable>(
+            [&loop](std::function<void()> function) {
+              loop.Post(std::move(function));
+            })),
         policy_(std::make_shared<SocketPolicy>()) {
     policy_->tls = options_.tls;
     policy_->handshake_timeout = options_.read_timeout;
--- a/lib/net/restinio_response.cc
+++ b/lib/net/restinio_response.cc
@@ -207,10 +207,21 @@
   drain_handler_ = std::move(handler);
 }
 
+void RestinioResponse::SetTurnHandler(std::function<void()> handler) {
+  turn_handler_ = std::move(handler);
+  if (const auto table = table_.lock())
+    table->GiveTurn(connection_);
+}
+
+std::function<void()> RestinioResponse::TakeTurnHandler() {
+  return std::exchange(turn_handler_, nullptr);
+}
+
 void RestinioResponse::OnConnectionClosed() {
   if (closed_)
     return;
   closed_ = true;
+  turn_handler_ = nullptr;
   pending_bytes_ -= unflushed_.size();
   unflushed_.clear();
   unflushed_.shrink_to_fit();
@@ -231,9 +242,12 @@
 }
 
 std::function<void(const asio::error_code&)> RestinioResponse::MarkSent() {
-  return [self = shared_from_this()](const asio::error_code&) {
+  return [self = shared_from_this()](const asio::error_code& error) {
     self->sent_ = true;
     self->unsent_.reset();
+    const auto table = self->table_.lock();
+    if (table && !error)
+      table->GiveTurn(self->connection_);
   };
 }
 
--- a/lib/net/restinio_response.h
+++ b/lib/net/restinio_response.h
@@ -62,6 +62,11 @@
 
   void SetCloseHandler(std::function<void()> handler) override;
   void SetDrainHandler(std::function<void()> handler) override;
+  void SetTurnHandler(std::function<void()> handler) override;
+
+  /// Returns what is to be called now that no response before this one is
+  /// unwritten; empty if nothing is, or it has been taken.
+  std::function<void()> TakeTurnHandler();
 
   /// Calls the close handler unless the response has ended.
   void OnConnectionClosed();
@@ -113,6 +118,7 @@
   std::shared_ptr<const bool> close_after_response_;
   std::function<void()> close_handler_;
   std::function<void()> drain_handler_;
+  std::function<void()> turn_handler_;
   std::string unflushed_;
   bool flushing_ = false;
   size_t pending_bytes_ = 0;
--- a/lib/standin/standin.cc
+++ b/lib/standin/standin.cc
@@ -55,6 +55,9 @@
   void SetDrainHandler(std::function<void()> handler) override {
     response_->SetDrainHandler(std::move(handler));
   }
+  void SetTurnHandler(std::function<void()> handler) override {
+    response_->SetTurnHandler(std::move(handler));
+  }
 
  private:
   bool MayForward() {
--- a/unittests/net/server_drain_test.cc
+++ b/unittests/net/server_drain_test.cc
@@ -180,6 +180,35 @@
   CHECK_FALSE(handler.behind_unanswered.back());
 }
 
+// Guards against a request that is run while the answer before it may still end
+// the connection.
+TEST_CASE("a response has its turn once those before it have been written") {
+  EventLoop loop;
+  HoldHandler handler;
+  HttpServer server(loop, {}, handler);
+  REQUIRE(server.Start().ok());
+  RawConnection caller(loop, server.port());
+  caller.Read();
+  caller.Send(std::string(kGet) + kGet);
+  RunUntil(loop, [&] { return handler.held.size() == 2; });
+  bool first_has_turn = false;
+  bool second_has_turn = false;
+  handler.held[0]->SetTurnHandler([&] { first_has_turn = true; });
+  handler.held[1]->SetTurnHandler([&] { second_has_turn = true; });
+  RunUntil(loop, [&] { return first_has_turn; });
+  handler.held[0]->Start(200, {});
+  handler.held[0]->Write("first");
+  RunUntil(loop, [&] { return caller.Count("first") == 1; });
+  CHECK_FALSE(second_has_turn);
+  const bool is_cut = GENERATE(false, true);
+  if (is_cut)
+    handler.held[0]->Abort();
+  else
+    handler.held[0]->Finish();
+  RunUntil(loop, [&] { return caller.closed() || second_has_turn; });
+  CHECK(second_has_turn == !is_cut);
+}
+
 // Guards against a request that ran and gets no answer, because the answer
 // before it ended the connection of a host that stops.
 TEST_CASE("a drain answers all requests that a connection has passed on") {
--- a/unittests/platform/gateway_fixture.h
+++ b/unittests/platform/gateway_fixture.h
@@ -234,6 +234,15 @@
     on_closed_ = std::move(handler);
   }
   void SetDrainHandler(std::function<void()>) override {}
+  void SetTurnHandler(std::function<void()> handler) override {
+    on_turn_ = std::move(handler);
+  }
+
+  /// The answers before this one have been written.
+  void GiveTurn() {
+    if (const auto handler = std::exchange(on_turn_, nullptr))
+      handler();
+  }
 
   /// The caller closes its connection.
   void Close() {
@@ -244,6 +253,7 @@
  private:
   ReceivedAnswer& answer_;
   std::function<void()> on_closed_;
+  std::function<void()> on_turn_;
 };
 
 /// A route of streams that may go on at another upstream. `target`: until the
--- a/unittests/router/access_test.cc
+++ b/unittests/router/access_test.cc
@@ -123,6 +123,7 @@
   size_t pending_bytes() const override { return 0; }
   void SetCloseHandler(std::function<void()>) override {}
   void SetDrainHandler(std::function<void()>) override {}
+  void SetTurnHandler(std::function<void()>) override {}
 
   int status = 0;
   std::string body;
--- a/unittests/router/relay_fixture.h
+++ b/unittests/router/relay_fixture.h
@@ -175,6 +175,7 @@
   size_t pending_bytes() const override { return answer_.unread_bytes; }
   void SetCloseHandler(std::function<void()>) override {}
   void SetDrainHandler(std::function<void()>) override {}
+  void SetTurnHandler(std::function<void()>) override {}
 
  private:
   ReceivedAnswer& answer_;
