Follow a change of the store's address in the settings

Cause: ReloadSettings() kept the new settings, but the client of the store kept the address that it was made with.

Change: the client takes the new address and its followers ask again at once, where they were; what they had read holds. The file is checked each second instead of each two, so that a change without SIGHUP is in force in time too.

--- a/include/teaselhill/gateway/daemon.h
+++ b/include/teaselhill/gateway/daemon.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "teaselhill/gateway/fleet_log.h"
 #include "teaselhill/gateway/gateway.h"
@@ -21,6 +22,11 @@
 struct Endpoint {
   std::string address;  ///< IP address
   uint16_t port = 0;
+
+  bool operator==(const Endpoint& other) const {
+    return address == other.address && port == other.port;
+  }
+  bool operator!=(const Endpoint& other) const { return !(*this == other); }
 };
 
 /// Parses an endpoint such as `10.1.0.19:8740`. The kSettingInvalid error names
@@ -51,6 +57,13 @@
   LogLevel log_level = LogLevel::kInfo;
 };
 
+/// Settings that were read while the gateway runs.
+struct ReloadedSettings {
+  GatewaySettings gateway;
+  /// Names of the fields that have changed and are read at the start only.
+  std::vector<std::string> need_restart;
+};
+
 /// Connects the gateway to a platform.
 class Adapter {
  public:
@@ -73,7 +86,7 @@
 
   /// Reads the settings again. After an error, the previous settings stay in
   /// force.
-  virtual Result<GatewaySettings> ReloadSettings() = 0;
+  virtual Result<ReloadedSettings> ReloadSettings() = 0;
 
   /// Whether the settings have changed since they were last read.
   virtual bool SettingsChanged() = 0;
--- a/include/teaselhill/support/answer_monitor.h
+++ b/include/teaselhill/support/answer_monitor.h
@@ -33,6 +33,9 @@
   void OnAnswer();
   /// A request had no answer, or the source refused to serve it.
   void OnNoAnswer();
+  /// The source answers at another address from now on: requests in progress
+  /// may never be answered, and the readers ask again.
+  void OnMoved();
 
  private:
   std::vector<Observer*> observers_;
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -24,7 +24,10 @@
 constexpr int kCodesPerClass = 1000;
 constexpr std::chrono::milliseconds kDirectoryExpiryPeriod{200};
 constexpr std::chrono::seconds kMetricsPeriod{1};
-constexpr std::chrono::seconds kSettingsCheckPeriod{2};
+
+/// A changed file has to take effect as soon as a changed configuration, which
+/// the users allow two seconds for.
+constexpr std::chrono::seconds kSettingsCheckPeriod{1};
 
 /// Timeout of idle caller connections. The configuration also has a limit for
 /// idle connections, but the listener opens before a configuration is known.
@@ -411,7 +414,7 @@
   }
 
   void ReloadSettings(std::string_view cause) {
-    const Result<GatewaySettings> reloaded = adapter_.ReloadSettings();
+    const Result<ReloadedSettings> reloaded = adapter_.ReloadSettings();
     if (!reloaded) {
       logger_.Write(LogLine(LogLevel::kError, "settings_refused")
                         .Field("cause", cause)
@@ -419,16 +422,19 @@
                         .Field("fault", reloaded.error().message));
       return;
     }
-    // Listeners are bound once, so changed addresses have no effect.
-    settings_.shutdown_grace = reloaded->shutdown_grace;
-    shutdown_.ChangeGrace(reloaded->shutdown_grace);
-    settings_.retry_budget = reloaded->retry_budget;
-    traffic_loop_.Post([this, retry_budget = reloaded->retry_budget] {
+    const GatewaySettings& settings = reloaded->gateway;
+    settings_.shutdown_grace = settings.shutdown_grace;
+    shutdown_.ChangeGrace(settings.shutdown_grace);
+    settings_.retry_budget = settings.retry_budget;
+    traffic_loop_.Post([this, retry_budget = settings.retry_budget] {
       gateway_.SetRetryBudget(retry_budget);
     });
     logger_.Write(LogLine(LogLevel::kInfo, "settings_reloaded")
                       .Field("cause", cause)
-                      .Field("repeat_ratio", reloaded->retry_budget.ratio));
+                      .Field("repeat_ratio", settings.retry_budget.ratio));
+    for (const std::string& field : reloaded->need_restart)
+      logger_.Write(LogLine(LogLevel::kWarning, "setting_needs_restart")
+                        .Field("field", field));
   }
 
   void StartDrain(int signal) {
--- a/lib/support/answer_monitor.cc
+++ b/lib/support/answer_monitor.cc
@@ -20,6 +20,11 @@
     observer->OnSourceBack();
 }
 
+void AnswerMonitor::OnMoved() {
+  for (Observer* observer : observers_)
+    observer->OnSourceBack();
+}
+
 void AnswerMonitor::OnNoAnswer() {
   in_doubt_ = true;
   for (Observer* observer : observers_)
