--- a/lib/net/http_server.cc
+++ b/lib/net/http_server.cc
@@ -205,8 +205,8 @@
   /// The connection ends with the refusal.
   restinio::request_handling_status_t Refuse(restinio::request_handle_t request,
                                              const Error& error) {
-    static const auto kClose = std::make_shared<const bool>(true);
-    std::make_shared<RestinioResponse>(std::move(request), table_, kClose)
+    std::make_shared<RestinioResponse>(std::move(request), table_,
+                                       std::make_shared<const bool>(true))
         ->Respond(Describe(error.code).http_status,
                   ErrorHeaders(error, Duration::zero()), ErrorBody(error));
     return restinio::request_accepted();
