--- a/include/teaselhill/gateway/event_stream.h
+++ b/include/teaselhill/gateway/event_stream.h
@@ -64,8 +64,9 @@
   uint64_t event_count() const { return event_count_; }
 
   /// Whether the stream can go on after last_event_id() without leaving out an
-  /// event or sending one twice. It cannot after events without an id, nor if a
-  /// later event shows that the last id may have been too large.
+  /// event or sending one twice. It cannot after events without an id, nor if
+  /// what follows shows that the last id may have been too large, or that the
+  /// last event has lost its data.
   bool position_known() const { return position_known_; }
 
  private:
@@ -76,6 +77,7 @@
   std::optional<uint64_t> last_event_id_;
   /// Id of the event before the last one.
   uint64_t previous_event_id_ = 0;
+  bool last_event_has_data_ = true;
   bool position_known_ = true;
   uint64_t event_count_ = 0;
 };
--- a/lib/gateway/event_stream.cc
+++ b/lib/gateway/event_stream.cc
@@ -103,14 +103,21 @@
   const EventFields fields = ReadFields(event);
   if (fields.id_count > 1)
     return {ResultCode::kProtocolError, "event has two ids"};
-  if (fields.id)
-    return CheckEventId(*fields.id);
+  if (fields.id) {
+    const Status checked = CheckEventId(*fields.id);
+    if (checked)
+      last_event_has_data_ = fields.has_data;
+    return checked;
+  }
   // Comments and fields without data are not delivered to an application.
   if (!fields.has_data)
     return Ok{};
-  if (last_event_id_)
+  if (last_event_id_) {
+    // These may be the data of the last event, behind a spoilt line end.
+    position_known_ &= last_event_has_data_;
     return {ResultCode::kProtocolError, "event without an id follows event " +
                                             std::to_string(*last_event_id_)};
+  }
   position_known_ = false;
   return Ok{};
 }
