--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -25,8 +25,8 @@
 constexpr std::chrono::milliseconds kDirectoryExpiryPeriod{200};
 constexpr std::chrono::seconds kMetricsPeriod{1};
 
-/// A changed file has to take effect as soon as a changed configuration, which
-/// the users allow two seconds for.
+/// Changes of the configuration are late by as much if the file names another
+/// address of the store.
 constexpr std::chrono::seconds kSettingsCheckPeriod{1};
 
 /// Timeout of idle caller connections. The configuration also has a limit for
--- a/lib/net/caller_socket.h
+++ b/lib/net/caller_socket.h
@@ -92,6 +92,12 @@
 
 /// State that the sockets of one server share; used on the loop's thread only.
 struct SocketPolicy {
+  bool OwesAnswer(const Channel& channel) const {
+    asio::error_code error;
+    const auto remote = channel.tcp.remote_endpoint(error);
+    return !error && owes_answer(remote);
+  }
+
   std::shared_ptr<TlsContext> tls;  ///< null: plain TCP
   Duration handshake_timeout{};
   /// Each chunk of a chunked body costs RESTinio a list entry however small it
@@ -107,13 +113,6 @@
   /// its input, and taken by the socket that is closed.
   std::optional<ResultCode> fault;
   size_t refusals_open = 0;
-
-  bool OwesAnswer(const Channel& channel) const {
-    asio::error_code error;
-    const auto remote = channel.tcp.remote_endpoint(error);
-    return !error && owes_answer(remote);
-  }
-
   std::shared_ptr<ReadGate> read_gate;  ///< null: reads are never put off
   ChannelList channels;
 };
