Refuse answers without a valid status, and parts that end before the upload

Callers could get a part of an answer as a whole one: an upstream that answers a long upload at once with a 200 without a length, ends its side of the connection and resets it while the upload is still being written was taken for a complete answer, since libcurl sees the end of the connection before the reset. An answer without framing whose connection ends before the request was sent is lost now.

Statuses that no answer may have were passed on: 600, 999 and '200OK' counted as answers, and the body of a 101 reached the handler without a head.

--- a/lib/net/http_transfer.cc
+++ b/lib/net/http_transfer.cc
@@ -113,12 +113,26 @@
     end.code = ResultCode::kConnectionLost;
     end.detail = "the connection ended inside the head of the response";
   }
+  if (end.code == ResultCode::kOk && EndsBeforeRequest()) {
+    end.code = ResultCode::kConnectionLost;
+    end.detail = "the connection ended before the request was sent";
+  }
   long request_bytes = 0;
   curl_easy_getinfo(easy(), CURLINFO_REQUEST_SIZE, &request_bytes);
   end.may_have_been_sent = request_bytes > 0;
   handler_->OnEnd(end);
 }
 
+bool Transfer::EndsBeforeRequest() const {
+  const bool has_body = status() != 204 && status() != 304 &&
+                        request_.method != "HEAD" && !request_.head_only;
+  if (!has_body || head_.is_framed())
+    return false;
+  curl_off_t uploaded = 0;
+  curl_easy_getinfo(easy(), CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  return uploaded < static_cast<curl_off_t>(body().size());
+}
+
 void Transfer::Configure() {
   CURL* easy = easy_.get();
   curl_easy_setopt(easy, CURLOPT_PRIVATE, this);
@@ -170,8 +184,7 @@
 }
 
 void Transfer::ConfigureBody() {
-  const std::string& body =
-      request_.shared_body ? *request_.shared_body : request_.body;
+  const std::string& body = this->body();
   if (request_.method == "GET" && body.empty())
     return;
   if (request_.method == "HEAD") {
@@ -269,8 +282,10 @@
     line.remove_suffix(1);
   // A status line also follows an interim response.
   if (!head_.is_open() && line.substr(0, 5) == "HTTP/") {
-    head_.Open();
-    return true;
+    const Status opened = head_.Open(line);
+    if (!opened.ok())
+      fault_ = opened.error().message;
+    return opened.ok();
   }
   // Trailers do not frame the response.
   if (head_delivered_)
--- a/lib/net/http_transfer.h
+++ b/lib/net/http_transfer.h
@@ -80,6 +80,15 @@
   /// Status of the response; 0 if there is none yet.
   int status() const;
 
+  const std::string& body() const {
+    return request_.shared_body ? *request_.shared_body : request_.body;
+  }
+
+  /// Whether the response ended with its connection while the request was still
+  /// being written. The server gave up then, and where its body was to end is
+  /// not known.
+  bool EndsBeforeRequest() const;
+
   void DeliverHead();
 
   /// Returns false if the line makes the head malformed, or completes a head
--- a/lib/net/response_head.cc
+++ b/lib/net/response_head.cc
@@ -40,11 +40,40 @@
   return length;
 }
 
+/// Whether the line is a version, blanks and a status from 100 to 599 without
+/// 101, which answers a request to change the protocol, and nothing or a blank
+/// behind it.
+bool HasValidStatus(std::string_view line) {
+  constexpr size_t kVersionLength = std::string_view("HTTP/1.1").size();
+  constexpr size_t kStatusLength = 3;
+  if (line.size() <= kVersionLength || line[kVersionLength] != ' ')
+    return false;
+  line.remove_prefix(
+      std::min(line.find_first_not_of(' ', kVersionLength), line.size()));
+  if (line.size() < kStatusLength ||
+      (line.size() > kStatusLength && line[kStatusLength] != ' '))
+    return false;
+  int status = 0;
+  const char* const end = line.data() + kStatusLength;
+  const auto [parsed, error] = std::from_chars(line.data(), end, status);
+  return error == std::errc() && parsed == end && status >= 100 &&
+         status < 600 && status != 101;
+}
+
 }  // namespace
 
-void ResponseHead::Open() {
+Status ResponseHead::Open(std::string_view line) {
   headers_.clear();
-  is_open_ = true;
+  is_open_ = HasValidStatus(line);
+  if (!is_open_)
+    return {ResultCode::kProtocolError,
+            "the response head has no valid status"};
+  return Ok{};
+}
+
+bool ResponseHead::is_framed() const {
+  return FindHeader(headers_, kLengthName) ||
+         FindHeader(headers_, kEncodingName);
 }
 
 Status ResponseHead::Add(std::string_view line) {
--- a/lib/net/response_head.h
+++ b/lib/net/response_head.h
@@ -17,8 +17,11 @@
 /// of a length and the last of several lengths.
 class ResponseHead {
  public:
-  /// Starts with a status line; forgets the lines of an interim response.
-  void Open();
+  /// Starts with a status line without its end; forgets the lines of an interim
+  /// response. Returns kProtocolError if the line names no status that an
+  /// answer may have: libcurl takes any three digits, also those of a longer
+  /// number.
+  Status Open(std::string_view line);
 
   /// Ends with the empty line.
   void Close() { is_open_ = false; }
@@ -29,6 +32,10 @@
   /// contradicts an earlier one.
   Status Add(std::string_view line);
 
+  /// Whether a header tells where the body ends, other than the end of the
+  /// connection.
+  bool is_framed() const;
+
   const Headers& headers() const { return headers_; }
 
  private:
