End the store's outage by an answer of another host

Cause: a host that had lost the store once and learned from readers since went on counting it as lost until a read of its own was answered. That late end opened the grace for entries that were removed meanwhile, and a server that had left without a word stayed in use for two seconds more.

StateKeeper::OnSharedAnswer() ends the outage if the answer is newer than the loss. The grace begins when the other host had its answer, not when it arrives here.

--- a/include/teaselhill/gateway/dependency_monitor.h
+++ b/include/teaselhill/gateway/dependency_monitor.h
@@ -18,6 +18,11 @@
   DependencyMonitor(EventLog& log, std::string name)
       : log_(log), name_(std::move(name)) {}
 
+  /// Whether the service is lost and was so before `time`.
+  bool LostBefore(TimePoint time) const {
+    return lost_since_ && *lost_since_ < time;
+  }
+
   /// A request to the service succeeded. Returns whether it was lost before.
   bool OnAnswered(TimePoint now);
   /// A request to the service failed. Returns whether it was not lost before.
--- a/lib/gateway/state_keeper.cc
+++ b/lib/gateway/state_keeper.cc
@@ -65,6 +65,10 @@
 
 void StateKeeper::OnSharedAnswer(Duration age) {
   const TimePoint now = clock_();
+  // Otherwise the next own read, maybe much later, would open the grace for
+  // entries that were removed meanwhile.
+  if (source_monitor_.LostBefore(now - age) && source_monitor_.OnAnswered(now))
+    directory_.OnSourceReachable(now - age);
   shared_state_.SetUpstreamsReadAt(
       std::max(shared_state_.upstreams_read_at(), now - age));
   CountRead(now - age, now);
