Add the part of the duties, and room for them in the daemon

The duties get a library part of their own, which the gateway and the adapter may use. The daemon has a list of duties, empty so far.

Builds; no behaviour changes.

--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -4,13 +4,14 @@
 #include "teaselhill/gateway/daemon.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "host_memory.h"
 #include "http_handlers.h"
+#include "listener_options.h"
 #include "loop_thread.h"
 #include "shutdown.h"
 #include "stream_peers_on_loop.h"
+#include "teaselhill/duties/duty.h"
 #include "teaselhill/gateway/peer_exchange.h"
 #include "teaselhill/gateway/peer_notices.h"
 #include "teaselhill/gateway/peer_streams.h"
@@ -29,10 +30,6 @@
 /// address of the store.
 constexpr std::chrono::seconds kSettingsCheckPeriod{1};
 
-/// Timeout of idle caller connections. The configuration also has a limit for
-/// idle connections, but the listener opens before a configuration is known.
-constexpr std::chrono::seconds kIdleTimeout{30};
-
 /// Time from the last moment at which a trial may begin to the end of
 /// GatewaySettings::crash_stop_delay.
 constexpr std::chrono::milliseconds kTrialMargin{500};
@@ -45,24 +42,6 @@
 
 constexpr size_t kMaxReadinessConnections = 64;
 constexpr size_t kMaxMetricsConnections = 16;
-constexpr size_t kMaxProbeBodyBytes = 1024;
-
-/// File descriptors reserved for listeners, the store, metrics, files and event
-/// queues.
-constexpr size_t kReservedDescriptors = 256;
-
-net::HttpServerOptions MakeListenerOptions(const Endpoint& endpoint,
-                                           size_t max_connections,
-                                           net::MemoryBudget& memory_budget) {
-  net::HttpServerOptions options;
-  options.address = endpoint.address;
-  options.port = endpoint.port;
-  options.read_timeout = kIdleTimeout;
-  options.max_connections = max_connections;
-  options.memory_budget = &memory_budget;
-  return options;
-}
-
 /// The running gateway. Members are used on the control thread unless noted
 /// otherwise.
 class Daemon : private FleetLog::Handler, private PeerExchange::Handler {
@@ -82,21 +61,24 @@
                  shared_state_,
                  log_,
                  metrics_),
-        caller_server_(traffic_loop_,
-                       MakeListenerOptions(settings.caller_endpoint,
-                                           MaxCallerConnections(),
-                                           memory_.traffic()),
-                       gateway_),
+        caller_server_(
+            traffic_loop_,
+            MakeListenerOptions(settings.caller_endpoint,
+                                MaxCallerConnections(settings_.max_descriptors),
+                                memory_.traffic()),
+            gateway_),
         relay_handler_(gateway_),
         relay_server_(traffic_loop_, MakeRelayOptions(), relay_handler_),
         readiness_server_(control_loop_,
                           MakeProbeOptions(settings.readiness_endpoint,
-                                           kMaxReadinessConnections),
+                                           kMaxReadinessConnections,
+                                           memory_.control()),
                           readiness_),
-        metrics_server_(
-            control_loop_,
-            MakeProbeOptions(settings.metrics_endpoint, kMaxMetricsConnections),
-            metrics_handler_),
+        metrics_server_(control_loop_,
+                        MakeProbeOptions(settings.metrics_endpoint,
+                                         kMaxMetricsConnections,
+                                         memory_.control()),
+                        metrics_handler_),
         peer_exchange_(control_loop_,
                        settings.host,
                        MakeListenerOptions(settings.peer_endpoint,
@@ -120,6 +102,7 @@
                       *stream_log_),
         fleet_log_(adapter.MakeFleetLog(control_loop_, memory_.control())),
         fleet_size_(settings.host),
+        duties_(MakeDuties()),
         shutdown_(control_loop_,
                   traffic_loop_,
                   gateway_,
@@ -320,16 +303,8 @@
     return options;
   }
 
-  /// A readiness check is answered however much other messages hold.
-  /// Of listeners whose requests need no body.
-  net::HttpServerOptions MakeProbeOptions(const Endpoint& endpoint,
-                                          size_t max_connections) {
-    net::HttpServerOptions options =
-        MakeListenerOptions(endpoint, max_connections, memory_.control());
-    options.memory_budget = nullptr;
-    options.max_body_bytes = kMaxProbeBodyBytes;
-    return options;
-  }
+  /// The duties that the settings list.
+  std::vector<std::unique_ptr<duties::Duty>> MakeDuties() { return {}; }
 
   PeerExchangeOptions MakePeerExchangeOptions() {
     PeerExchangeOptions options;
@@ -337,18 +312,10 @@
     return options;
   }
 
-  /// Each caller may need a second descriptor for the connection to its
-  /// upstream.
-  size_t MaxCallerConnections() const {
-    const size_t usable =
-        settings_.max_descriptors -
-        std::min(settings_.max_descriptors / 2, kReservedDescriptors);
-    return std::max<size_t>(usable / 2, 1);
-  }
-
   net::HttpServerOptions MakeRelayOptions() {
     net::HttpServerOptions options = MakeListenerOptions(
-        settings_.relay_endpoint, MaxCallerConnections(), memory_.traffic());
+        settings_.relay_endpoint,
+        MaxCallerConnections(settings_.max_descriptors), memory_.traffic());
     options.max_header_bytes += kRelayHeaderBytes;
     return options;
   }
@@ -479,27 +446,12 @@
   std::unique_ptr<FleetLog> fleet_log_;
   FleetSize fleet_size_;
   FleetPosition published_position_;
+  std::vector<std::unique_ptr<duties::Duty>> duties_;
   Shutdown shutdown_;
 };
 
 }  // namespace
 
-Result<Endpoint> ParseEndpoint(const std::string& text,
-                               const std::string& field) {
-  const size_t colon = text.rfind(':');
-  Endpoint endpoint;
-  if (colon != std::string::npos && colon > 0) {
-    endpoint.address = text.substr(0, colon);
-    const char* begin = text.data() + colon + 1;
-    const char* last = text.data() + text.size();
-    const auto [end, error] = std::from_chars(begin, last, endpoint.port);
-    if (error == std::errc() && end == last && endpoint.port != 0)
-      return endpoint;
-  }
-  return {ResultCode::kSettingInvalid,
-          field + ": '" + text + "' is not ADDRESS:PORT"};
-}
-
 int RunGateway(const GatewaySettings& settings, Adapter& adapter) {
   ConfigureAllocator();
   return Daemon(settings, adapter).Run();
