Add the lease on the duties, its runner and the platform's clients

A deployment whose settings list duties had nobody to do them. One host now holds a lease in the topic `duties` of the store, by appends that state the end of the topic which the host has read. A holder counts the lease from before its append was sent, others from when they read the record. The epoch is the store's era and the offset of the record that took the lease; a new era voids what was known. Six hosts follow the topic, the others look at it every 20 s. The runner passes calls on while the lease lasts longer than the call's timeout. There are no duties yet, and without `cloud` in the settings nothing runs.

--- a/include/teaselhill/gateway/daemon.h
+++ b/include/teaselhill/gateway/daemon.h
@@ -7,9 +7,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "teaselhill/duties/duty.h"
+#include "teaselhill/duties/duty_log.h"
+#include "teaselhill/duties/duty_settings.h"
 #include "teaselhill/gateway/fleet_log.h"
 #include "teaselhill/gateway/gateway.h"
 #include "teaselhill/gateway/peer_calls.h"
@@ -55,6 +59,10 @@
   /// UnfinishedMessageBounds(). Read at the start only.
   size_t max_memory_bytes = 110'000'000;
   LogLevel log_level = LogLevel::kInfo;
+  /// Nothing: the deployment lists no duties. Read at the start only.
+  std::optional<duties::DutySettings> duties;
+  /// Why the settings of the duties cannot be used; empty: they can.
+  std::string duties_fault;
 };
 
 /// Settings that were read while the gateway runs.
@@ -84,6 +92,13 @@
       net::EventLoop& loop,
       net::MemoryBudget& memory_budget) = 0;
 
+  /// Both are asked for only if GatewaySettings::duties is set.
+  virtual std::unique_ptr<duties::DutyLog> MakeDutyLog(
+      net::EventLoop& loop,
+      net::MemoryBudget& memory_budget) = 0;
+  virtual std::unique_ptr<duties::PlatformApi> MakePlatformApi(
+      net::EventLoop& loop) = 0;
+
   /// Reads the settings again. After an error, the previous settings stay in
   /// force.
   virtual Result<ReloadedSettings> ReloadSettings() = 0;
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "duty_host.h"
 #include "host_memory.h"
 #include "http_handlers.h"
 #include "listener_options.h"
@@ -102,7 +103,13 @@
                       *stream_log_),
         fleet_log_(adapter.MakeFleetLog(control_loop_, memory_.control())),
         fleet_size_(settings.host),
-        duties_(MakeDuties()),
+        duty_host_(settings_,
+                   adapter,
+                   control_loop_,
+                   memory_.control(),
+                   logger_,
+                   metrics_,
+                   MakeDuties()),
         shutdown_(control_loop_,
                   traffic_loop_,
                   gateway_,
@@ -245,6 +252,7 @@
     fleet_size_.OnRecords(records, BootNow());
     peer_exchange_.AddPeers(records);
     source_->OnHosts(records);
+    duty_host_.OnHosts(records);
     peer_notices_.AskOnce([this](UpstreamObservations observations) {
       ApplyObservations(std::move(observations));
     });
@@ -415,6 +423,7 @@
                       .Field("final_answers_in_ms", schedule.final_answers)
                       .Field("open_requests",
                              static_cast<uint64_t>(gateway_.open_requests())));
+    duty_host_.StartDrain();
     shutdown_.Begin(settings_.shutdown_grace);
   }
 
@@ -446,7 +455,7 @@
   std::unique_ptr<FleetLog> fleet_log_;
   FleetSize fleet_size_;
   FleetPosition published_position_;
-  std::vector<std::unique_ptr<duties::Duty>> duties_;
+  DutyHost duty_host_;
   Shutdown shutdown_;
 };
 
--- a/tools/teaselhill-gateway/main.cc
+++ b/tools/teaselhill-gateway/main.cc
@@ -66,6 +66,10 @@
     std::cerr << "teaselhill-gateway: " << settings.error().message << "\n";
     return kBadSettings;
   }
+  if (flags.check_only && !settings->gateway.duties_fault.empty()) {
+    std::cerr << "teaselhill-gateway: " << settings->gateway.duties_fault;
+    return kBadSettings;
+  }
   if (flags.check_only) {
     std::cout << "settings are valid\n";
     return 0;
