--- /dev/null
+++ b/unittests/duties/duty_runner_test.cc
@@ -0,0 +1,235 @@
+/// \file
+/// Guards the calls of duties against a lease that ends and a rate that is used
+/// up.
+
+#include "teaselhill/duties/duty_runner.h"
+
+#include <catch2/catch.hpp>
+
+namespace teaselhill::duties {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Accepts each append at once, unless it is down.
+class ObedientLog : public DutyLog {
+ public:
+  explicit ObedientLog(ManualTimerService& timers) : timers_(timers) {}
+
+  void Read(uint64_t from, Duration max_wait, ReadCallback callback) override {
+    LogPage page;
+    page.from = from;
+    page.end = end_;
+    page.era = 1;
+    if (!down_)
+      read_ = timers_.After(std::max<Duration>(max_wait, milliseconds(1)),
+                            [callback, page](TimePoint) { callback(page); });
+  }
+  void CancelRead() override { read_.Cancel(); }
+  void Append(const LogAppend& append, AppendCallback callback) override {
+    if (down_)
+      return;
+    appended_.push_back(append.record);
+    const AppendAnswer answer = {AppendOutcome::kAccepted, end_++, 1};
+    append_ = timers_.After(
+        milliseconds(1), [callback, answer](TimePoint) { callback(answer); });
+  }
+
+  bool down_ = false;
+  std::vector<LeaseRecord> appended_;
+
+ private:
+  ManualTimerService& timers_;
+  uint64_t end_ = 0;
+  TimerSubscription read_;
+  TimerSubscription append_;
+};
+
+class HeldApi : public PlatformApi {
+ public:
+  void ReportUsage(Epoch epoch,
+                   const UsageReport&,
+                   Callback callback) override {
+    epochs_.push_back(epoch);
+    open_ = std::move(callback);
+  }
+  void OrderServers(Epoch epoch, const PoolOrder&, Callback callback) override {
+    epochs_.push_back(epoch);
+    open_ = std::move(callback);
+  }
+  std::vector<Epoch> epochs_;
+  Callback open_;
+};
+
+class QuietDuty : public Duty {
+ public:
+  std::string_view name() const override { return "quiet"; }
+  void OnAcquired(DutyContext& context,
+                  const std::vector<std::string>&,
+                  TimePoint) override {
+    context_ = &context;
+  }
+  void OnLost(TimePoint) override { context_ = nullptr; }
+  void OnTick(TimePoint) override { ++ticks_; }
+  DutyContext* context_ = nullptr;
+  int ticks_ = 0;
+};
+
+struct Fixture {
+  Fixture() {
+    auto log = std::make_unique<ObedientLog>(timers);
+    auto api = std::make_unique<HeldApi>();
+    auto duty = std::make_unique<QuietDuty>();
+    this->log = log.get();
+    this->api = api.get();
+    this->duty = duty.get();
+    std::vector<std::unique_ptr<Duty>> duties;
+    duties.push_back(std::move(duty));
+    DutyRunnerOptions options;
+    options.host = "host-1";
+    options.writer = 1;
+    options.calls_per_second = 4;
+    runner = std::make_unique<DutyRunner>(
+        timers, [this] { return timers.Now() + skipped; }, std::move(log),
+        std::move(api), logger, metrics, std::move(duties), options);
+  }
+
+  void Acquire() {
+    runner->OnHosts({{"host-1", {}}});
+    timers.Advance(seconds(6));
+    REQUIRE(duty->context_);
+  }
+  ResultCode Call() {
+    const Status sent =
+        duty->context_->OrderServers({}, [this](CallOutcome) { ++answers; });
+    return sent ? ResultCode::kOk : sent.error().code;
+  }
+
+  ManualTimerService timers;
+  Duration skipped{};  ///< while the process was frozen
+  NullLogger logger;
+  Metrics metrics;
+  ObedientLog* log = nullptr;
+  HeldApi* api = nullptr;
+  QuietDuty* duty = nullptr;
+  int answers = 0;
+  std::unique_ptr<DutyRunner> runner;
+};
+
+}  // namespace
+
+TEST_CASE("nothing is read before hosts are known") {
+  // It guards against a fleet in which each host follows the log at its start.
+  Fixture fixture;
+  fixture.timers.Advance(seconds(60));
+  CHECK(fixture.log->appended_.empty());
+  fixture.Acquire();
+  CHECK(fixture.log->appended_.size() == 1);
+}
+
+TEST_CASE("the lease is renewed and the duty ticks") {
+  Fixture fixture;
+  fixture.Acquire();
+  const int ticks = fixture.duty->ticks_;
+  fixture.timers.Advance(seconds(13));
+  CHECK(fixture.log->appended_.size() == 1 + 10);
+  CHECK(fixture.duty->ticks_ - ticks >= 50);
+  CHECK(fixture.duty->ticks_ - ticks <= 53);
+}
+
+TEST_CASE("one call at a time, within a part of the rate") {
+  Fixture fixture;
+  fixture.Acquire();
+  CHECK(fixture.Call() == ResultCode::kOk);
+  CHECK(fixture.Call() == ResultCode::kQueueFull);
+  fixture.api->open_(CallOutcome::kAccepted);
+  CHECK(fixture.answers == 1);
+  int calls = 0;
+  for (int i = 0; i < 1000; ++i) {
+    fixture.timers.Advance(milliseconds(10));
+    if (fixture.Call() == ResultCode::kOk) {
+      ++calls;
+      fixture.api->open_(CallOutcome::kAccepted);
+    }
+  }
+  CHECK(calls >= 19);
+  CHECK(calls <= 22);
+}
+
+TEST_CASE("no call begins that may outlast the lease") {
+  Fixture fixture;
+  fixture.Acquire();
+  fixture.timers.Advance(milliseconds(100));
+  fixture.log->down_ = true;
+  SECTION("the process wakes after its lease") {
+    fixture.skipped = seconds(10);
+    CHECK(fixture.Call() == ResultCode::kOrderStale);
+    fixture.timers.Advance(milliseconds(250));
+    CHECK_FALSE(fixture.duty->context_);
+  }
+  SECTION("the lease lasts for less than a call") {
+    fixture.skipped = milliseconds(3100);
+    CHECK(fixture.Call() == ResultCode::kOrderStale);
+  }
+  CHECK(fixture.api->epochs_.empty());
+}
+
+TEST_CASE("a callback is not called once the lease is lost") {
+  Fixture fixture;
+  fixture.Acquire();
+  REQUIRE(fixture.Call() == ResultCode::kOk);
+  fixture.log->down_ = true;
+  bool kept = false;
+  fixture.duty->context_->Keep("quiet", "text",
+                               [&kept](const Status&) { kept = true; });
+  fixture.timers.Advance(seconds(5));
+  CHECK_FALSE(fixture.duty->context_);
+  fixture.api->open_(CallOutcome::kAccepted);
+  CHECK(fixture.answers == 0);
+  CHECK_FALSE(kept);
+}
+
+TEST_CASE("a text is kept by an append that renews the lease") {
+  Fixture fixture;
+  fixture.Acquire();
+  int kept = 0;
+  for (const char* text : {"one", "two"})
+    fixture.duty->context_->Keep("quiet", text, [&kept](const Status& status) {
+      kept += status.ok() ? 1 : 0;
+    });
+  fixture.timers.Advance(milliseconds(10));
+  CHECK(kept == 2);
+  REQUIRE(fixture.log->appended_.size() >= 3);
+  const LeaseRecord& last = fixture.log->appended_.back();
+  CHECK(last.kind == RecordKind::kText);
+  CHECK(last.text == "two");
+  CHECK(last.epoch == fixture.runner->epoch());
+}
+
+TEST_CASE("a host that stops releases once its call has ended") {
+  // It guards against a call of the last holder that arrives after one of the
+  // next, whose lease begins at the release.
+  Fixture fixture;
+  fixture.Acquire();
+  REQUIRE(fixture.Call() == ResultCode::kOk);
+  fixture.runner->StartDrain();
+  CHECK_FALSE(fixture.duty->context_);
+  fixture.timers.Advance(milliseconds(500));
+  const auto is_released = [&fixture] {
+    return fixture.log->appended_.back().kind == RecordKind::kRelease;
+  };
+  CHECK_FALSE(is_released());
+  const bool answered = GENERATE(true, false);
+  fixture.api->open_(answered ? CallOutcome::kAccepted : CallOutcome::kUnknown);
+  fixture.timers.Advance(milliseconds(100));
+  CHECK(is_released() == answered);
+  fixture.timers.Advance(milliseconds(1200));
+  CHECK(is_released());
+  const size_t appends = fixture.log->appended_.size();
+  fixture.timers.Advance(seconds(30));
+  CHECK(fixture.log->appended_.size() == appends);
+}
+
+}  // namespace teaselhill::duties
