Count the requests of teams that upstreams run

A request counts once for its team, at the host that sends it to the upstream: a stream with its first event, another request at the time of the send that an upstream has answered, or that it may have run. One that was not refused within a second counts while it still runs, since its window may be reported before it ends. A caller that resumes a stream by a further request makes a further count. Only with GatewayOptions::count_usage, which is off.

The fixture of the gateway tests has a team; requests without its key are as before.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaselhill/duties/usage_counter.h"
 #include "teaselhill/gateway/brittle_upstreams.h"
 #include "teaselhill/gateway/crash_guard.h"
 #include "teaselhill/gateway/event_log.h"
@@ -61,6 +62,8 @@
   /// milliseconds. Without the timeout, a lost first packet would delay the
   /// request by a second.
   Duration connect_timeout = std::chrono::milliseconds(200);
+  /// Counts the requests of teams that upstreams run, for the usage duty.
+  bool count_usage = false;
 };
 
 class Exchange;
@@ -182,6 +185,10 @@
   /// thread.
   size_t limited_upstreams() const { return limited_upstreams_; }
 
+  /// Null unless GatewayOptions::count_usage is set. The counter may be used on
+  /// any thread.
+  duties::UsageCounter* usage_counter() { return usage_counter_.get(); }
+
   /// Requests in progress. Callable from any thread.
   size_t open_requests() const { return open_requests_; }
 
@@ -318,6 +325,7 @@
   std::optional<TimePoint> final_answers_at_;
   TimePoint out_of_rotation_at_ = TimePoint::max();
   RouteDurations route_durations_;
+  std::unique_ptr<duties::UsageCounter> usage_counter_;
   std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges_;
   std::atomic<size_t> open_requests_{0};
   TimerSubscription cleanup_timer_;
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -239,6 +239,7 @@
   gateway_.placement_->OnRequestSent(request_.placement_request,
                                      attempt_.upstream, now);
   UseTurn();
+  NoteUsageSend(now);
   attempt_.open_request =
       gateway_.brittle_upstreams_.Open(attempt_.upstream.id);
   const std::optional<uint64_t> resume_after = ResumeAfter();
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -318,6 +318,21 @@
                      AttemptOutcome outcome,
                      TimePoint now);
   void ApplyFinalStep(const FinalStep& step);
+  /// Whether the request is counted by when it was sent, since nothing else
+  /// shows when it began to run. A stream counts with its first event.
+  bool CountsBySend() const;
+  /// The request is sent to an upstream.
+  void NoteUsageSend(TimePoint now);
+  /// The current attempt was not run.
+  void WithdrawUsageSend();
+  /// Counts the request for its team, once, and not if another host sent it to
+  /// the upstream.
+  void CountUsage(TimePoint began);
+  /// Counts a request that is counted by its send, unless no upstream can have
+  /// run it.
+  void CountUsageOfSend();
+  /// When CountUsageOfSend() is due for a request without an answer.
+  std::optional<TimePoint> UsageDueAt() const;
   void ForwardFailure();
   void FailRequest(const Error& error);
   void FinishRequest(ResultCode code, std::string_view reason);
@@ -363,6 +378,9 @@
   bool wait_reported_ = false;
   bool queued_at_gate_ = false;  ///< counted by the gate as waiting
   std::optional<TimePoint> first_event_at_;
+  /// Start of the first attempt that an upstream may run, if usage is counted.
+  std::optional<TimePoint> usage_sent_at_;
+  bool usage_counted_ = false;
   Duration max_event_gap_{};
   Duration upstream_retry_after_{};
   /// Null without a memory budget.
--- a/lib/gateway/exchange_answer.cc
+++ b/lib/gateway/exchange_answer.cc
@@ -61,6 +61,10 @@
                           " does not continue the stream");
   if (head.is_success)
     DropReplacedAttempt();
+  if (attempt_.relay_peer)
+    usage_counted_ = true;
+  else if (!is_stream && CountsBySend())
+    CountUsage(attempt_.sent_at);
   attempt_.response_head = std::move(head);
 }
 
@@ -118,6 +122,7 @@
   attempt_.progress_at = now;
   if (!first_event_at_) {
     first_event_at_ = now;
+    CountUsage(now);
     ReportWaitToGate(now);
     if (std::exchange(queued_at_gate_, false))
       gateway_.overload_gate_.OnAnswerStarted(request_.service,
@@ -201,6 +206,7 @@
 
 void Exchange::OnAnswerComplete() {
   const TimePoint now = BootNow();
+  CountUsage(attempt_.answer_started_at.value_or(now));
   RecordOutcome(attempt_, AttemptOutcome::kComplete, now);
   gateway_.crash_guard_.OnAnswerCompleted(request_.Keys());
   StopAttempt(attempt_);
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -54,8 +54,10 @@
   SendHeldEvents();
   RecordOutcome(attempt_, outcome, BootNow());
   logged_obstacle_.reset();
-  if (CannotHaveRun(outcome))
+  if (CannotHaveRun(outcome)) {
     state_.possible_runs -= attempt_.possible_runs;
+    WithdrawUsageSend();
+  }
   StopAttempt(attempt_);
   event_stream_.DiscardPartial();
   transfer_paused_ = false;
@@ -253,6 +255,7 @@
 
 void Exchange::FinishRequest(ResultCode code, std::string_view reason) {
   finished_ = true;
+  CountUsageOfSend();
   DropReplacedAttempt();
   timeout_timer_.Cancel();
   hold_timer_.Cancel();
--- a/lib/gateway/exchange_timeouts.cc
+++ b/lib/gateway/exchange_timeouts.cc
@@ -46,6 +46,8 @@
     next_check = std::min(next_check, StallCheckAt());
   if (replaced_attempt_)
     next_check = std::min(next_check, overlap_ends_at_);
+  if (const std::optional<TimePoint> usage_due_at = UsageDueAt())
+    next_check = std::min(next_check, *usage_due_at);
   const Duration delay = std::max<Duration>(next_check - now - kAnswerMargin,
                                             std::chrono::milliseconds(1));
   timeout_timer_ = gateway_.loop_.timers().After(
@@ -91,6 +93,9 @@
     return;
   if (now + kAnswerMargin >= request_.arrived_at + GateReportDelay())
     ReportWaitToGate(now);
+  const std::optional<TimePoint> usage_due_at = UsageDueAt();
+  if (usage_due_at && now + kAnswerMargin >= *usage_due_at)
+    CountUsageOfSend();
   if (now + 2 * kAnswerMargin >= state_.deadline) {
     SendHeldEvents();
     ReportGivenUp();
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -79,6 +79,8 @@
       brittle_upstreams_(EntropySeed()),
       retry_budget_(options_.retry_budget),
       overload_gate_(options_.overload_gate) {
+  if (options_.count_usage)
+    usage_counter_ = std::make_unique<duties::UsageCounter>(EntropySeed() | 1);
   client_.UseBudget(options_.memory_budget);
   report_client_.UseBudget(options_.memory_budget);
   cleanup_timer_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
--- a/unittests/platform/gateway_fixture.h
+++ b/unittests/platform/gateway_fixture.h
@@ -28,6 +28,7 @@
 constexpr char kRequestId[] = "a1";
 constexpr char kRouteHost[] = "h.example";
 constexpr char kDomain[] = "d1";
+constexpr char kTeamKey[] = "key";
 
 /// Bytes of an answer after a pause; an empty text after a pause closes the
 /// connection.
@@ -301,6 +302,7 @@
     config.version = 1;
     config.routes = {route_};
     config.services = {{"service", /*is_engine=*/false, "/healthz"}};
+    config.teams = {{"team", {kTeamKey}, std::nullopt}};
     shared_state_.SetRoutes(
         std::make_shared<gateway::RouteTable>(std::move(config)));
   }
