--- a/include/teaselhill/duties/usage_windows.h
+++ b/include/teaselhill/duties/usage_windows.h
@@ -73,7 +73,7 @@
   TimePoint StartOf(WindowNumber window, Duration wall_offset) const;
   /// Whether an answer of the host is worth waiting for.
   bool IsExpected(const Host& host, TimePoint now) const;
-  ClosedWindow Sum(WindowNumber window, TimePoint begin, TimePoint end) const;
+  UsageReport Sum(WindowNumber window, TimePoint begin, TimePoint end) const;
   /// Fills in what is known of the hosts.
   void CheckHosts(TimePoint begin,
                   TimePoint end,
--- a/include/teaselhill/gateway/peer_exchange.h
+++ b/include/teaselhill/gateway/peer_exchange.h
@@ -34,6 +34,9 @@
   Duration timeout = std::chrono::milliseconds(500);
   /// Largest message, and largest answer to a call.
   size_t max_message_bytes = 1 << 20;
+  /// Connections to other hosts that are kept for reuse. The holder of the
+  /// duties calls each host each second.
+  size_t max_idle_connections = 16;
   /// Counts unfinished answers; must outlive the exchange. Null: none.
   net::MemoryBudget* memory_budget = nullptr;
   /// Messages that are remembered so that they are passed on only once.
--- a/lib/duties/usage_windows.cc
+++ b/lib/duties/usage_windows.cc
@@ -108,13 +108,14 @@
     const TimePoint end = begin + window_;
     if (now < end + kMinDelay)
       break;
-    ClosedWindow window = Sum(*next_, begin, end);
+    ClosedWindow window;
     CheckHosts(begin, end, now, &window);
     const bool all_answered = window.hosts_answered == window.hosts_known;
     const bool is_overdue =
         now >= std::max(end + Duration(kMaxDelay), first_round_ends);
     if (window.hosts_answered == 0 || (!all_answered && !is_overdue))
       break;
+    window.report = Sum(*next_, begin, end);
     if (!window.report.requests_by_team.empty() || HasRunBefore(end))
       closed.push_back(std::move(window));
     ++*next_;
@@ -122,15 +123,15 @@
   return closed;
 }
 
-ClosedWindow UsageWindows::Sum(WindowNumber window,
-                               TimePoint begin,
-                               TimePoint end) const {
-  ClosedWindow sum;
-  sum.report.window = window;
+UsageReport UsageWindows::Sum(WindowNumber window,
+                              TimePoint begin,
+                              TimePoint end) const {
+  UsageReport sum;
+  sum.window = window;
   const auto last = counts_.lower_bound(FirstBinFrom(end));
   for (auto bin = counts_.lower_bound(FirstBinFrom(begin)); bin != last; ++bin)
     for (const auto& [team, requests] : bin->second)
-      sum.report.requests_by_team[teams_.NameOf(team)] += requests;
+      sum.requests_by_team[teams_.NameOf(team)] += requests;
   return sum;
 }
 
--- a/lib/gateway/peer_exchange.cc
+++ b/lib/gateway/peer_exchange.cc
@@ -15,7 +15,6 @@
 constexpr const char* kBundlePath = "/v1/peer-messages";
 /// The path of a single message, for hosts of an older version.
 constexpr const char* kMessagePath = "/v1/peer-message";
-constexpr size_t kMaxIdleConnections = 16;
 
 /// Of the answer to a message, which is empty.
 constexpr size_t kMaxMessageAnswerBytes = 1024;
@@ -40,7 +39,7 @@
       handler_(handler),
       options_(options),
       rng_(EntropySeed()),
-      client_(loop, kMaxIdleConnections),
+      client_(loop, options.max_idle_connections),
       server_(loop, WithMessageBound(std::move(server), options), *this),
       outbox_(options.outbox) {
   client_.UseBudget(options_.memory_budget);
