--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -12,7 +12,6 @@
 #include "loop_thread.h"
 #include "shutdown.h"
 #include "stream_peers_on_loop.h"
-#include "teaselhill/duties/duty.h"
 #include "teaselhill/gateway/peer_exchange.h"
 #include "teaselhill/gateway/peer_notices.h"
 #include "teaselhill/gateway/peer_streams.h"
@@ -104,12 +103,9 @@
         fleet_log_(adapter.MakeFleetLog(control_loop_, memory_.control())),
         fleet_size_(settings.host),
         duty_host_(settings_,
-                   adapter,
-                   control_loop_,
-                   memory_.control(),
-                   logger_,
-                   metrics_,
-                   MakeDuties()),
+                   {adapter, control_loop_, memory_.control(), peer_exchange_,
+                    logger_, log_, metrics_},
+                   {gateway_.usage_counter(), nullptr}),
         shutdown_(control_loop_,
                   traffic_loop_,
                   gateway_,
@@ -301,6 +297,7 @@
     GatewayOptions options;
     options.host = settings_.host;
     options.memory_budget = &memory_.traffic();
+    options.count_usage = settings_.duties && settings_.duties->usage;
     options.relay_source_address = settings_.relay_endpoint.address;
     options.placement_policy = settings_.placement_policy;
     options.placement.own_domain = settings_.domain;
@@ -311,9 +308,6 @@
     return options;
   }
 
-  /// The duties that the settings list.
-  std::vector<std::unique_ptr<duties::Duty>> MakeDuties() { return {}; }
-
   PeerExchangeOptions MakePeerExchangeOptions() {
     PeerExchangeOptions options;
     options.memory_budget = &memory_.control();
--- a/lib/gateway/duty_host.h
+++ b/lib/gateway/duty_host.h
@@ -8,29 +8,43 @@
 #include <vector>
 
 #include "teaselhill/duties/duty_runner.h"
+#include "teaselhill/duties/usage_duty.h"
 #include "teaselhill/gateway/daemon.h"
+#include "teaselhill/gateway/duty_poller.h"
+#include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/fleet_size.h"
+#include "teaselhill/gateway/peer_calls.h"
 #include "teaselhill/metrics/metrics.h"
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/memory_budget.h"
 
 namespace teaselhill::gateway {
 
-/// Used on the thread of `loop`. Without duties it does nothing.
+/// What the duties use of their host; all must outlive them.
+struct DutyEnvironment {
+  Adapter& adapter;
+  net::EventLoop& loop;
+  net::MemoryBudget& memory_budget;
+  PeerCalls& calls;
+  Logger& logger;
+  EventLog& log;
+  Metrics& metrics;
+};
+
+/// Used on the thread of the environment's loop. Without duties it does
+/// nothing.
 class DutyHost {
  public:
   DutyHost(const GatewaySettings& settings,
-           Adapter& adapter,
-           net::EventLoop& loop,
-           net::MemoryBudget& memory_budget,
-           Logger& logger,
-           Metrics& metrics,
-           std::vector<std::unique_ptr<duties::Duty>> duties);
+           const DutyEnvironment& environment,
+           HostReportSources sources);
 
   void OnHosts(const std::vector<HostRecord>& records);
   void StartDrain();
 
  private:
+  std::unique_ptr<DutyPoller> poller_;  ///< null: no duties
+  duties::UsageDuty* usage_ = nullptr;  ///< owned by the runner; null: not one
   std::unique_ptr<duties::DutyRunner> runner_;  ///< null: no duties
 };
 
