Let hosts that only look at the duties not try to take the lease

A host that looked every 20 s took a record older than 12 s for old although it had not read since, and sent an append at an end that had moved: three calls for each look. The age now counts up to the last read that was answered.

--- a/include/teaselhill/duties/candidate_choice.h
+++ b/include/teaselhill/duties/candidate_choice.h
@@ -55,11 +55,11 @@
   /// host is known.
   std::optional<size_t> rank() const;
 
-  /// `last_look`: begin of the last read, if any; `newest_read_at`: when the
-  /// newest record was read.
-  ReadPlan Plan(std::optional<TimePoint> last_look,
-                TimePoint newest_read_at,
-                TimePoint now);
+  /// `last_read_at`: begin of the last read, if any. `newest_age`: time from
+  /// when the newest record was read to the last read that was answered.
+  ReadPlan Plan(std::optional<TimePoint> last_read_at,
+                Duration newest_age,
+                TimePoint now) const;
 
  private:
   std::string host_;
--- a/include/teaselhill/duties/duty_runner.h
+++ b/include/teaselhill/duties/duty_runner.h
@@ -98,6 +98,7 @@
   void OnTextKept(uint64_t id);
   void SendAppend(TimePoint now);
   void SendRead(TimePoint now);
+  ReadPlan PlanRead(TimePoint now) const;
   void OnPage(Result<LogPage> page);
   void RememberTexts(const std::vector<LeaseRecord>& records);
   void ArmTimer(TimePoint now);
@@ -139,6 +140,7 @@
   bool reading_ = false;
   Duration read_wait_{};  ///< of the read in progress
   std::optional<TimePoint> last_read_at_;
+  TimePoint last_answered_read_at_;  ///< begin of the read
   TimePoint read_not_before_;
   int read_failures_ = 0;
 
--- a/lib/duties/candidate_choice.cc
+++ b/lib/duties/candidate_choice.cc
@@ -47,9 +47,9 @@
   return static_cast<size_t>(before);
 }
 
-ReadPlan CandidateChoice::Plan(std::optional<TimePoint> last_look,
-                               TimePoint newest_read_at,
-                               TimePoint now) {
+ReadPlan CandidateChoice::Plan(std::optional<TimePoint> last_read_at,
+                               Duration newest_age,
+                               TimePoint now) const {
   ReadPlan plan;
   plan.at = now;
   const std::optional<size_t> place = rank();
@@ -58,18 +58,18 @@
     plan.max_wait = options_.max_wait;
     return plan;
   }
-  if (!last_look) {
+  if (!last_read_at) {
     const uint64_t interval =
         static_cast<uint64_t>(options_.look_interval.count());
     plan.at = first_known_at_ + Duration(Hash64(host_) % interval);
     return plan;
   }
-  if (now - newest_read_at > options_.max_age) {
+  if (newest_age > options_.max_age) {
     plan.rank = options_.candidates + Hash64(host_) % kSharedRanks;
     plan.max_wait = options_.max_wait;
     return plan;
   }
-  plan.at = *last_look + options_.look_interval;
+  plan.at = *last_read_at + options_.look_interval;
   return plan;
 }
 
--- a/lib/duties/duty_runner.cc
+++ b/lib/duties/duty_runner.cc
@@ -288,11 +288,15 @@
   });
 }
 
+ReadPlan DutyRunner::PlanRead(TimePoint now) const {
+  return candidates_.Plan(
+      last_read_at_, last_answered_read_at_ - lease_.newest_read_at(), now);
+}
+
 void DutyRunner::SendRead(TimePoint now) {
   if (!candidates_.rank())
     return;
-  const ReadPlan plan =
-      candidates_.Plan(last_read_at_, lease_.newest_read_at(), now);
+  const ReadPlan plan = PlanRead(now);
   lease_.SetRank(lease_.known() ? plan.rank : std::nullopt);
   const bool urgent = lease_.known() && lease_.needs_read();
   if (reading_) {
@@ -322,6 +326,7 @@
     return Step();
   }
   read_failures_ = 0;
+  last_answered_read_at_ = *last_read_at_;
   const uint64_t offset = lease_.next_offset();
   lease_.OnPage(*page, now);
   if (lease_.next_offset() > offset && !page->dropped)
@@ -356,8 +361,7 @@
   if (candidates_.rank() && !reading_) {
     const bool urgent = lease_.known() && lease_.needs_read();
     const bool held = lease_.epoch() != 0;
-    const ReadPlan plan =
-        candidates_.Plan(last_read_at_, lease_.newest_read_at(), now);
+    const ReadPlan plan = PlanRead(now);
     if (urgent)
       wake_at(read_not_before_);
     else if (!held)
--- a/unittests/duties/candidate_choice_test.cc
+++ b/unittests/duties/candidate_choice_test.cc
@@ -32,7 +32,7 @@
     CandidateChoice choice(host.name);
     CHECK_FALSE(choice.rank());
     choice.OnHosts(hosts, kNow);
-    const ReadPlan first = choice.Plan(std::nullopt, kNow, kNow);
+    const ReadPlan first = choice.Plan(std::nullopt, {}, kNow);
     if (first.rank) {
       ranks.insert(*first.rank);
       CHECK(first.at == kNow);
@@ -42,12 +42,12 @@
     CHECK(first.max_wait == Duration::zero());
     CHECK(first.at - kNow < seconds(20));
     looks.insert(first.at - kNow);
-    // A record that was read of late: look again after the interval.
-    const ReadPlan next = choice.Plan(kNow, kNow, kNow + seconds(5));
+    // The last look brought a record: look again after the interval.
+    const ReadPlan next = choice.Plan(kNow, -seconds(1), kNow + seconds(20));
     CHECK_FALSE(next.rank);
     CHECK(next.at == kNow + seconds(20));
-    // None for long: the candidates may be lost.
-    const ReadPlan late = choice.Plan(kNow, kNow, kNow + seconds(13));
+    // It brought none for long: the candidates may be lost.
+    const ReadPlan late = choice.Plan(kNow, seconds(13), kNow + seconds(13));
     REQUIRE(late.rank);
     CHECK(*late.rank >= 6);
     CHECK(late.at == kNow + seconds(13));
--- a/unittests/duties/duty_fleet.cc
+++ b/unittests/duties/duty_fleet.cc
@@ -95,6 +95,7 @@
 
   void Read(uint64_t from, Duration max_wait, ReadCallback callback) override {
     const uint64_t number = ++last_read_;
+    ++fleet_.log_calls_;
     open_read_ = number;
     const TimePoint until = fleet_.now_ + max_wait;
     const auto finish = [this, number, callback](Result<LogPage> page) {
@@ -117,6 +118,7 @@
 
   void Append(const LogAppend& append, AppendCallback callback) override {
     const uint64_t number = ++last_append_;
+    ++fleet_.log_calls_;
     open_append_ = number;
     const auto finish = [this, number, callback](const AppendAnswer& answer) {
       if (open_append_ != number)
--- a/unittests/duties/duty_fleet.h
+++ b/unittests/duties/duty_fleet.h
@@ -76,6 +76,9 @@
   void SetRefused(size_t host, bool refused);
   void Keep(size_t host, const std::string& text);
 
+  /// Reads and appends that hosts have sent.
+  uint64_t log_calls() const { return log_calls_; }
+
   LogFaults& log_faults() { return log_faults_; }
   /// Drops all records that the log has.
   void DropHistory() { first_ = end(); }
@@ -117,6 +120,7 @@
   uint64_t era_ = 1;
   std::optional<size_t> copy_;
   LogFaults log_faults_;
+  uint64_t log_calls_ = 0;
   std::optional<Duration> next_append_delay_;
   TimePoint append_answers_lost_until_;
   std::vector<SimulatedCall> calls_;
--- a/unittests/duties/duty_fleet_test.cc
+++ b/unittests/duties/duty_fleet_test.cc
@@ -170,6 +170,19 @@
   CHECK(fleet.fault() == "");
 }
 
+TEST_CASE("hosts that are no candidates only look at the log") {
+  // It guards against calls of each host at each renewal, and against appends
+  // of hosts that have not read for long.
+  DutyFleet fleet(40, 1);
+  fleet.Run(seconds(60));
+  const uint64_t before = fleet.log_calls();
+  fleet.Run(seconds(200));
+  const uint64_t renewals = 200'000 / 1300;
+  const uint64_t looks = 34 * 10;
+  CHECK(fleet.log_calls() - before <= 6 * (renewals + 2) + looks + 34);
+  CHECK(fleet.fault() == "");
+}
+
 TEST_CASE("hosts that are no candidates take over when all candidates die") {
   DutyRunnerOptions options;
   options.candidates.candidates = 2;
