Read the duties 2 s after the first host is known

Hosts that start together each took themselves for a candidate, since few hosts were known, and all followed the topic.

--- a/include/teaselhill/duties/candidate_choice.h
+++ b/include/teaselhill/duties/candidate_choice.h
@@ -35,6 +35,10 @@
   /// once, and the next takes over within the lease's times.
   size_t candidates = 6;
   Duration max_wait = std::chrono::seconds(20);
+  /// Time from the first known host to the first read: hosts that start
+  /// together learn of each other within it, and not each of them takes itself
+  /// for a candidate.
+  Duration settle_time = std::chrono::seconds(2);
   /// Between two looks of all other hosts.
   Duration look_interval = std::chrono::seconds(20);
   /// Age of the newest record above which the candidates are taken for lost.
--- a/lib/duties/candidate_choice.cc
+++ b/lib/duties/candidate_choice.cc
@@ -56,6 +56,8 @@
   if (place && *place < options_.candidates) {
     plan.rank = place;
     plan.max_wait = options_.max_wait;
+    if (!last_read_at)
+      plan.at = first_known_at_ + options_.settle_time;
     return plan;
   }
   if (!last_read_at) {
