Take an own record of an earlier era for another host's

A renewal that was sent before the store came back from an older copy could be executed late behind the record of the new holder. Only records of appends that the host has sent in this era count as its own now.

--- a/lib/duties/duty_lease.cc
+++ b/lib/duties/duty_lease.cc
@@ -123,7 +123,10 @@
                          uint64_t offset,
                          TimePoint now) {
   const bool readable = record.kind != RecordKind::kUnreadable;
-  const bool own = readable && record.writer == writer_;
+  // An own append of an earlier era may be executed late after what another
+  // host has written in this one, so it says nothing about who held the lease.
+  const bool own =
+      readable && record.writer == writer_ && sent_.count(record.number) > 0;
   const bool same_writer =
       readable && newest_ && newest_->writer == record.writer;
   if (!own)
--- a/unittests/duties/duty_lease_test.cc
+++ b/unittests/duties/duty_lease_test.cc
@@ -194,6 +194,24 @@
   CHECK_FALSE(lease.IsHeld(kHeldAt + seconds(1)));
 }
 
+TEST_CASE("an own record of an earlier era does not free the lease") {
+  // It guards against a renewal that is executed late, after the log came back
+  // from an older copy, behind the record of a host that holds the lease.
+  DutyLease lease = MakeHolder();
+  const TimePoint now = kHeldAt + seconds(2);
+  const auto renewal = lease.NextAppend(nullptr, now);
+  REQUIRE(renewal);
+  lease.OnAppended({}, now + milliseconds(900));
+  lease.OnPage(Page(1, {}, /*era=*/2), now + seconds(1));
+  const TimePoint read_at = now + seconds(8);
+  lease.OnPage(
+      Page(0, {Record(RecordKind::kTake, kOther), renewal->record}, /*era=*/2),
+      read_at);
+  CHECK_FALSE(
+      lease.NextAppend(nullptr, read_at + kWholeWait - milliseconds(1)));
+  CHECK(lease.NextAppend(nullptr, read_at + kWholeWait));
+}
+
 TEST_CASE("an answer that does not tell its era gives no lease") {
   DutyLease lease = MakeLease();
   REQUIRE(lease.NextAppend(nullptr, kHeldAt));
