--- a/include/teaselhill/duties/candidate_choice.h
+++ b/include/teaselhill/duties/candidate_choice.h
@@ -35,6 +35,10 @@
   /// once, and the next takes over within the lease's times.
   size_t candidates = 6;
   Duration max_wait = std::chrono::seconds(20);
+  /// Time from the first known host to the first read: hosts that start
+  /// together learn of each other within it, and not each of them takes itself
+  /// for a candidate.
+  Duration settle_time = std::chrono::seconds(2);
   /// Between two looks of all other hosts.
   Duration look_interval = std::chrono::seconds(20);
   /// Age of the newest record above which the candidates are taken for lost.
@@ -55,11 +59,11 @@
   /// host is known.
   std::optional<size_t> rank() const;
 
-  /// `last_look`: begin of the last read, if any; `newest_read_at`: when the
-  /// newest record was read.
-  ReadPlan Plan(std::optional<TimePoint> last_look,
-                TimePoint newest_read_at,
-                TimePoint now);
+  /// `last_read_at`: begin of the last read, if any. `newest_age`: time from
+  /// when the newest record was read to the last read that was answered.
+  ReadPlan Plan(std::optional<TimePoint> last_read_at,
+                Duration newest_age,
+                TimePoint now) const;
 
  private:
   std::string host_;
