Let the poller of host reports learn of the lease as a duty

The runner tells its duties who holds the lease, and nobody else, so DutyPoller is a duty that keeps nothing and calls nothing. A usage report that the runner does not send, since another call is open or the rate is used up, is tried again at the next tick: with a growing pause the orders of servers would take each turn.

--- a/include/teaselhill/duties/usage_queue.h
+++ b/include/teaselhill/duties/usage_queue.h
@@ -54,8 +54,10 @@
 
   /// The report to be sent now, oldest first, one at a time.
   std::optional<UsageReport> TakeToSend(TimePoint now);
-  /// It was not sent, or the outcome is not known: it comes again.
-  void OnNotSent(TimePoint now);
+  /// The call was not made: it comes again at once, so that the reports are not
+  /// behind other calls each time.
+  void OnNotSent() { sending_ = false; }
+  /// Unless the outcome is final, it comes again after a pause.
   void OnSent(WindowNumber window, CallOutcome outcome, TimePoint now);
 
   /// Removes old reports; returns the windows that were never accepted.
--- a/include/teaselhill/gateway/duty_poller.h
+++ b/include/teaselhill/gateway/duty_poller.h
@@ -10,8 +10,10 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "teaselhill/duties/duty.h"
 #include "teaselhill/duties/host_report.h"
 #include "teaselhill/duties/report_cursors.h"
 #include "teaselhill/duties/usage_counter.h"
@@ -30,9 +32,10 @@
 };
 
 /// Answers the questions of the holder; while this host is the holder, asks
-/// each host, itself included, once a second, spread over the second. Used on
-/// the control thread.
-class DutyPoller {
+/// each host, itself included, once a second, spread over the second. It is a
+/// duty itself, so that it learns who is the holder. Used on the control
+/// thread.
+class DutyPoller : public duties::Duty {
  public:
   static constexpr std::chrono::seconds kPeriod{1};
   static constexpr std::chrono::milliseconds kTimeout{400};
@@ -50,11 +53,19 @@
   /// Adds the hosts that announce an address.
   void OnHosts(const std::vector<HostRecord>& records);
 
-  /// This host holds the duties: asks for all that hosts keep. `handlers` get
-  /// each report; not null.
-  void Start(std::vector<duties::HostReportHandler*> handlers);
+  /// Adds a receiver of each report, which must outlive the poller's last use.
+  void AddHandler(duties::HostReportHandler& handler) {
+    handlers_.push_back(&handler);
+  }
+
+  std::string_view name() const override { return "poll"; }
+  /// Asks for all that hosts keep.
+  void OnAcquired(duties::DutyContext& context,
+                  const std::vector<std::string>& kept,
+                  TimePoint now) override;
   /// Answers that are still on their way are dropped.
-  void Stop();
+  void OnLost(TimePoint now) override;
+  void OnTick(TimePoint) override {}
 
  private:
   static constexpr std::chrono::milliseconds kSlot{50};
--- a/lib/duties/usage_duty.cc
+++ b/lib/duties/usage_duty.cc
@@ -130,7 +130,7 @@
           OnReported(report, outcome);
       });
   if (!sent)
-    queue_.OnNotSent(now);
+    queue_.OnNotSent();
 }
 
 void UsageDuty::OnReported(const UsageReport& report, CallOutcome outcome) {
--- a/lib/duties/usage_queue.cc
+++ b/lib/duties/usage_queue.cc
@@ -119,17 +119,12 @@
   return std::nullopt;
 }
 
-void UsageQueue::OnNotSent(TimePoint now) {
-  sending_ = false;
-  send_backoff_.Fail(now);
-}
-
 void UsageQueue::OnSent(WindowNumber window,
                         CallOutcome outcome,
                         TimePoint now) {
-  if (outcome == CallOutcome::kUnknown || outcome == CallOutcome::kRateLimited)
-    return OnNotSent(now);
   sending_ = false;
+  if (outcome == CallOutcome::kUnknown || outcome == CallOutcome::kRateLimited)
+    return send_backoff_.Fail(now);
   send_backoff_.Succeed();
   const auto found = items_.find(window);
   if (found != items_.end())
--- a/lib/gateway/duty_poller.cc
+++ b/lib/gateway/duty_poller.cc
@@ -31,8 +31,9 @@
       addresses_[record.host] = record.peer_address;
 }
 
-void DutyPoller::Start(std::vector<duties::HostReportHandler*> handlers) {
-  handlers_ = std::move(handlers);
+void DutyPoller::OnAcquired(duties::DutyContext&,
+                            const std::vector<std::string>&,
+                            TimePoint) {
   holding_ = std::make_shared<const bool>(true);
   cursors_.Clear();
   unreachable_.clear();
@@ -40,10 +41,9 @@
   timer_ = timers_.Subscribe(kSlot, [this](TimePoint) { OnTimer(); });
 }
 
-void DutyPoller::Stop() {
+void DutyPoller::OnLost(TimePoint) {
   holding_.reset();
   timer_.Cancel();
-  handlers_.clear();
 }
 
 Result<std::string> DutyPoller::Answer(const std::string& body) {
--- a/unittests/gateway/duty_poller_test.cc
+++ b/unittests/gateway/duty_poller_test.cc
@@ -61,6 +61,24 @@
   std::vector<HostReport> reports;
 };
 
+/// Polls need nothing of the platform.
+class NoContext : public duties::DutyContext {
+ public:
+  void Keep(std::string_view,
+            std::string,
+            std::function<void(Status)>) override {
+    FAIL("kept a text");
+  }
+  Status ReportUsage(const duties::UsageReport&,
+                     duties::PlatformApi::Callback) override {
+    return {ResultCode::kInternal, "not expected"};
+  }
+  Status OrderServers(const duties::PoolOrder&,
+                      duties::PlatformApi::Callback) override {
+    return {ResultCode::kInternal, "not expected"};
+  }
+};
+
 struct Fixture {
   explicit Fixture(int hosts) {
     std::vector<HostRecord> records;
@@ -74,6 +92,11 @@
     records.push_back({"own", {}, "address-own", "", "d"});
     records.push_back({"without", {}, "", "", "d"});
     poller.OnHosts(records);
+    poller.AddHandler(handler);
+  }
+
+  void Acquire(DutyPoller& acquiring) {
+    acquiring.OnAcquired(context, {}, timers.Now());
   }
 
   static std::string AnswerOf(const std::string& host,
@@ -93,6 +116,7 @@
   RecordedCalls calls;
   UsageCounter counter{3};
   RecordingHandler handler;
+  NoContext context;
   DutyPoller poller{calls, timers, log, "own", {&counter, nullptr}, [this] {
                       return timers.Now();
                     }};
@@ -105,7 +129,7 @@
   Fixture fixture(hosts);
   fixture.timers.Advance(seconds(2));
   CHECK(fixture.calls.calls.empty());
-  fixture.poller.Start({&fixture.handler});
+  fixture.Acquire(fixture.poller);
   size_t most_at_once = 0;
   for (int tick = 0; tick < 60; ++tick) {
     const size_t before = fixture.calls.calls.size();
@@ -120,7 +144,7 @@
     CHECK(times == 3);
   CHECK(most_at_once <= static_cast<size_t>(1 + hosts / 5));
   CHECK(fixture.handler.reports.size() == 3);
-  fixture.poller.Stop();
+  fixture.poller.OnLost({});
   fixture.calls.calls.clear();
   fixture.timers.Advance(seconds(2));
   CHECK(fixture.calls.calls.empty());
@@ -128,14 +152,14 @@
 
 TEST_CASE("each host is asked once after the holder stood still") {
   Fixture fixture(30);
-  fixture.poller.Start({&fixture.handler});
+  fixture.Acquire(fixture.poller);
   TimePoint now{};
   // A poller whose timers are late by seconds.
   DutyPoller late(fixture.calls, fixture.timers, fixture.log, "own", {},
                   [&now] { return now; });
   late.OnHosts({{"h0", {}, "a0", "", "d"}, {"h1", {}, "a1", "", "d"}});
-  late.Start({});
-  fixture.poller.Stop();
+  fixture.Acquire(late);
+  fixture.poller.OnLost({});
   fixture.calls.calls.clear();
   now += seconds(7);
   fixture.timers.Advance(milliseconds(50));
@@ -159,7 +183,7 @@
   }));
   INFO(row.name);
   Fixture fixture(1);
-  fixture.poller.Start({&fixture.handler});
+  fixture.Acquire(fixture.poller);
   fixture.timers.Advance(seconds(1));
   REQUIRE(fixture.calls.calls.size() == 1);
   fixture.handler.reports.clear();
@@ -178,7 +202,7 @@
 
 TEST_CASE("an answer of another host or another holding is not used") {
   Fixture fixture(1);
-  fixture.poller.Start({&fixture.handler});
+  fixture.Acquire(fixture.poller);
   fixture.timers.Advance(seconds(1));
   REQUIRE(fixture.calls.calls.size() == 1);
   const auto call = fixture.calls.calls[0];
@@ -190,12 +214,12 @@
     call.callback(std::string("\xff\xff"));
   }
   SECTION("after the duties were lost") {
-    fixture.poller.Stop();
+    fixture.poller.OnLost({});
     call.callback(Fixture::AnswerOf("h0", 9, 2));
   }
   SECTION("after the duties were lost and taken again") {
-    fixture.poller.Stop();
-    fixture.poller.Start({&fixture.handler});
+    fixture.poller.OnLost({});
+    fixture.Acquire(fixture.poller);
     call.callback(Fixture::AnswerOf("h0", 9, 2));
     fixture.calls.calls.clear();
     fixture.timers.Advance(seconds(1));
@@ -210,7 +234,7 @@
 
 TEST_CASE("a count is older by half of the time that its report took") {
   Fixture fixture(1);
-  fixture.poller.Start({&fixture.handler});
+  fixture.Acquire(fixture.poller);
   while (fixture.calls.calls.empty())
     fixture.timers.Advance(milliseconds(50));
   fixture.handler.reports.clear();
