Read the fleet's records through readers, and ask a lost store less

The fleet's topic is read through the readers of the failure domain as the other two; a host with a claim reads it at the store. While a reader's knowledge is too old and the store leaves a host without an answer, that host asks the reader five times a second and the store once. The reader is passed over only if the store answers the host. An answer of another host that is newer than the last failure ends the doubt, so that reads wait again.

--- a/unittests/platform/shared_store_test.cc
+++ b/unittests/platform/shared_store_test.cc
@@ -13,6 +13,8 @@
 #include <string>
 #include <vector>
 
+#include "platform/fleet_records.h"
+#include "platform/fleet_topic.h"
 #include "platform/store_source.h"
 #include "simulated_store.h"
 #include "teaselhill/support/rng.h"
@@ -31,8 +33,10 @@
 using teaselhill::TimePoint;
 
 constexpr const char* kConfigTopic = "keyed.op";
+constexpr const char* kUpstreamTopic = "keyed.servers";
 constexpr milliseconds kStep{5};
 constexpr seconds kBound{4};
+constexpr seconds kFleetBound{8};
 
 /// Calls between simulated hosts. A host that is cut off hears nothing, and one
 /// that is frozen answers when the call has timed out.
@@ -57,6 +61,11 @@
     std::string address;
   };
 
+  int calls_by(const std::string& address) const {
+    const auto found = calls_by_.find(address);
+    return found == calls_by_.end() ? 0 : found->second;
+  }
+
   void SetCut(const std::string& address, bool cut) {
     if (cut)
       cut_.insert(address);
@@ -70,6 +79,7 @@
             std::string body,
             Duration timeout,
             gateway::PeerCalls::CallCallback callback) {
+    ++calls_by_[from];
     const bool lost = cut_.count(from) + cut_.count(to) > 0;
     const uint64_t key = ++last_;
     calls_[key] =
@@ -87,6 +97,7 @@
   std::map<std::string, gateway::PeerCalls::CallHandler> handlers_;
   std::set<std::string> cut_;
   std::map<uint64_t, teaselhill::TimerSubscription> calls_;
+  std::map<std::string, int> calls_by_;
   uint64_t last_ = 0;
 };
 
@@ -102,7 +113,7 @@
                              Duration max_wait,
                              Duration timeout,
                              Callback<ReadPage> callback) override {
-    ++requests_;
+    ++requests_[topic];
     const StoreRequestId id = ++last_;
     reads_[id] = {timers_.Now() + max_wait + timeout, callback, {}, {}};
     if (lose_next_ > 0 || cut_) {
@@ -155,7 +166,11 @@
     if (cut)
       LoseReads();
   }
-  int requests() const { return requests_; }
+  /// Reads so far.
+  int requests(const std::string& topic) const {
+    const auto found = requests_.find(topic);
+    return found == requests_.end() ? 0 : found->second;
+  }
 
  private:
   struct Read {
@@ -189,7 +204,7 @@
   std::map<StoreRequestId, Read> reads_;
   std::map<StoreRequestId, StoreRequestId> listings_;
   StoreRequestId last_ = 0;
-  int requests_ = 0;
+  std::map<std::string, int> requests_;  ///< by topic
   int lose_next_ = 0;
   bool cut_ = false;
 };
@@ -197,7 +212,7 @@
 /// The hosts of one failure domain.
 class Domain {
  public:
-  struct Host : gateway::StateSource::Handler {
+  struct Host : gateway::StateSource::Handler, gateway::FleetLog::Handler {
     Host(Domain& domain, int number)
         : name("h" + std::to_string(100 + number)),
           timers(domain.timers_),
@@ -208,8 +223,13 @@
                                             link,
                                             StoreSource::Bounds{kBound, kBound},
                                             calls,
-                                            gateway::ReaderChoice(name, "d"))) {
+                                            gateway::ReaderChoice(name, "d"))),
+          fleet_topic(std::make_unique<FleetTopic>(
+              domain.timers_,
+              source->store(),
+              gateway::HostRecord{name, {}, name, "", "d"})) {
       source->Subscribe(*this);
+      fleet_topic->Subscribe(*this);
     }
     void OnConfig(std::shared_ptr<const gateway::RouteTable> routes) override {
       version = static_cast<int>(routes->version());
@@ -220,13 +240,26 @@
     void OnSourceUnreachable(const teaselhill::Error&) override {}
     void OnRecordUnreadable(const std::string&,
                             const teaselhill::Error&) override {}
+    void OnCrashRecords(std::vector<gateway::CrashRecord> records) override {
+      for (const gateway::CrashRecord& record : records)
+        crash = std::max(crash, static_cast<int>(record.id));
+    }
+    void OnHostRecords(std::vector<gateway::HostRecord>) override {}
+    void OnTrialClaims(std::vector<gateway::TrialClaim>) override {}
+    void OnVersions(std::vector<gateway::StreamOrigin>) override {}
+    void OnRecordsListed() override {}
+    void OnFleetRecordUnreadable(const std::string&) override {}
+    void OnFleetLogAnswered() override {}
+    void OnFleetLogUnreachable(const teaselhill::Error&) override {}
 
     std::string name;
     teaselhill::TimerService& timers;
     Network::Host calls;
     std::shared_ptr<Link> link;
     std::unique_ptr<StoreSource> source;
+    std::unique_ptr<FleetTopic> fleet_topic;
     int version = 0;
+    int crash = 0;  ///< newest record that is known
     /// Since when nothing disturbs the host.
     TimePoint calm_since{};
   };
@@ -251,6 +284,23 @@
     written_at_[version_] = timers_.Now();
   }
 
+  void WriteCrash() {
+    gateway::CrashRecord crash;
+    crash.id = static_cast<uint64_t>(++crash_);
+    crash.key = {1, crash.id};
+    crash.upstream = {"e", 1};
+    const KeyedRecord record = EncodeCrash(crash, teaselhill::WallNow());
+    store_->Write(FleetTopic::kTopic, record.key, *record.value);
+    crash_written_at_[crash_] = timers_.Now();
+  }
+
+  void WriteUpstream() { store_->Write(kUpstreamTopic, "u", "{}"); }
+
+  void SetStoreCut(bool cut) {
+    for (Host& host : hosts_)
+      host.link->SetCut(cut);
+  }
+
   void Run(Duration span) {
     for (const TimePoint end = timers_.Now() + span; timers_.Now() < end;) {
       timers_.Advance(kStep);
@@ -268,25 +318,40 @@
   TimePoint now() const { return timers_.Now(); }
   int behind() const { return behind_; }
   int went_back() const { return went_back_; }
-  int requests() const {
+  /// Reads of the topic by the hosts from `first` on.
+  int requests(const std::string& topic, size_t first = 0) const {
     int sum = 0;
+    size_t index = 0;
     for (const Host& host : hosts_)
-      sum += host.link->requests();
+      sum += index++ < first ? 0 : host.link->requests(topic);
     return sum;
   }
+  int requests_of_all_topics(size_t first = 0) const {
+    return requests(kConfigTopic, first) + requests(kUpstreamTopic, first) +
+           requests(FleetTopic::kTopic, first);
+  }
 
  private:
+  using WriteTimes = std::map<int, TimePoint>;  ///< by number
+  static int NewestBefore(const WriteTimes& written_at, TimePoint time) {
+    int newest = 0;
+    for (const auto& [number, at] : written_at)
+      newest = at <= time ? number : newest;
+    return newest;
+  }
+
   /// Counts hosts in touch that are behind their bound.
   void Check() {
     const TimePoint due_at = timers_.Now() - kBound;
-    int due = 0;
-    for (const auto& [version, written_at] : written_at_) {
-      if (written_at <= due_at)
-        due = version;
-    }
+    const TimePoint crash_due_at = timers_.Now() - kFleetBound;
+    const int due = NewestBefore(written_at_, due_at);
+    const int crash_due = NewestBefore(crash_written_at_, crash_due_at);
     for (Host& host : hosts_) {
       const bool in_touch = host.calm_since <= due_at;
       behind_ += in_touch && host.version < due ? 1 : 0;
+      const bool knows_crashes =
+          host.calm_since > crash_due_at || host.crash >= crash_due;
+      behind_ += knows_crashes ? 0 : 1;
       int& seen = seen_[host.name];
       went_back_ += host.version < seen ? 1 : 0;
       seen = host.version;
@@ -299,7 +364,9 @@
   Network network_{timers_};
   std::list<Host> hosts_;
   int version_ = 0;
-  std::map<int, TimePoint> written_at_;
+  WriteTimes written_at_;
+  int crash_ = 0;
+  WriteTimes crash_written_at_;
   std::map<std::string, int> seen_;
   int behind_ = 0;
   int went_back_ = 0;
@@ -311,16 +378,98 @@
   struct Row {
     int hosts;
     double max_reads_per_second;
+    double max_fleet_reads_per_second;
   };
-  const Row row = GENERATE(values<Row>({{13, 5}, {26, 5}, {78, 14}}));
+  const Row row =
+      GENERATE(values<Row>({{13, 5, 1.1}, {26, 5, 1.1}, {78, 14, 3.1}}));
   CAPTURE(row.hosts);
   Domain domain(row.hosts);
-  const int before = domain.requests();
+  const auto reads = [&domain] {
+    return domain.requests(kConfigTopic) + domain.requests(kUpstreamTopic);
+  };
+  const int before = reads();
+  const int fleet_before = domain.requests(FleetTopic::kTopic);
   domain.Run(seconds(20));
-  CHECK(domain.requests() - before <= 20 * row.max_reads_per_second);
+  CHECK(reads() - before <= 20 * row.max_reads_per_second);
+  CHECK(domain.requests(FleetTopic::kTopic) - fleet_before <=
+        20 * row.max_fleet_reads_per_second);
   CHECK(domain.behind() == 0);
 }
 
+// Each record wakes all reads that wait for it at the store.
+TEST_CASE("the reads of crash records do not grow with the hosts") {
+  const int hosts = GENERATE(13, 26);
+  CAPTURE(hosts);
+  Domain domain(hosts);
+  const int before = domain.requests(FleetTopic::kTopic);
+  for (int i = 0; i < 100; ++i) {
+    domain.WriteCrash();
+    for (Domain::Host& host : domain.hosts())
+      host.fleet_topic->ExpectRecords();
+    domain.Run(milliseconds(100));
+  }
+  CHECK(domain.requests(FleetTopic::kTopic) - before <= 10 * 2 * 2);
+  domain.Run(seconds(3));
+  for (const Domain::Host& host : domain.hosts())
+    CHECK(host.crash == 100);
+}
+
+// A held request waits for the order of the claims.
+TEST_CASE("a host with a claim reads the records of the fleet for itself") {
+  Domain domain(20);
+  Domain::Host& host = domain.host(15);
+  host.fleet_topic->Append(std::vector<gateway::TrialClaim>{{}});
+  domain.Run(milliseconds(100));
+  domain.WriteCrash();
+  domain.Run(milliseconds(20));
+  CHECK(host.crash == 1);
+  domain.Run(seconds(10));
+  const int before = host.link->requests(FleetTopic::kTopic);
+  domain.Run(seconds(5));
+  CHECK(host.link->requests(FleetTopic::kTopic) == before);
+}
+
+// While the store is in doubt, a host asks again at once.
+TEST_CASE("a host whose own read failed does not ask its reader on and on") {
+  Domain domain(20);
+  Domain::Host& host = domain.host(15);
+  host.link->SetCut(true);
+  host.source->ReadUpstreams(milliseconds(150), [](bool) {});
+  domain.Run(seconds(2));
+  const int before = domain.network().calls_by(host.name);
+  domain.Run(seconds(10));
+  CHECK(domain.network().calls_by(host.name) - before <= 10 * 4);
+}
+
+// The reads of all hosts are paid for also while the store is away, and those
+// at its return meet all at once.
+TEST_CASE("few hosts ask a store that is away, and all hear of its return") {
+  const milliseconds span =
+      GENERATE(milliseconds(3000), milliseconds(4510), milliseconds(9000));
+  CAPTURE(span.count());
+  constexpr size_t kReaders = 2;
+  Domain domain(20);
+  domain.SetStoreCut(true);
+  domain.Run(seconds(1));
+  const int before = domain.requests_of_all_topics(kReaders);
+  domain.Run(span - seconds(1));
+  const int followers = 18;
+  const double per_second = 3.0 * followers;  // one of each topic
+  CHECK(domain.requests_of_all_topics(kReaders) - before <=
+        per_second * (teaselhill::ToSeconds(span) - 1) + 3.0 * followers);
+  domain.SetStoreCut(false);
+  domain.WriteConfig();
+  domain.WriteCrash();
+  const int at_return = domain.requests_of_all_topics(kReaders);
+  domain.Run(milliseconds(900));
+  for (const Domain::Host& host : domain.hosts())
+    CHECK(host.version == 2);
+  domain.Run(seconds(9));
+  for (const Domain::Host& host : domain.hosts())
+    CHECK(host.crash == 1);
+  CHECK(domain.requests_of_all_topics(kReaders) - at_return <= 4 * followers);
+}
+
 TEST_CASE("a change reaches all hosts in time whatever becomes of readers") {
   struct Row {
     const char* name;
@@ -354,7 +503,8 @@
   }
   domain.Run(milliseconds(20));
   domain.WriteConfig();
-  domain.Run(seconds(6));
+  domain.WriteCrash();
+  domain.Run(seconds(10));
   CHECK(domain.behind() == 0);
 }
 
@@ -373,6 +523,7 @@
     const double choice = rng.Uniform();
     if (choice < 0.3) {
       domain.WriteConfig();
+      domain.WriteCrash();
     } else if (choice < 0.5) {
       domain.network().SetCut(host.name, true);
       host.link->SetCut(rng.Uniform() < 0.5);
