--- a/include/teaselhill/gateway/reader_choice.h
+++ b/include/teaselhill/gateway/reader_choice.h
@@ -22,6 +22,8 @@
   /// What a few hosts save is not worth the call between them.
   size_t min_hosts = 8;
   size_t min_readers = 2;
+  /// To the nearest whole number of readers. A host of the smallest kind can
+  /// send the records to some twenty others.
   size_t hosts_per_reader = 13;
   /// A host that did not answer, or did not know enough, is passed over for
   /// this time, which doubles with each failure in a row.
--- a/lib/gateway/reader_choice.cc
+++ b/lib/gateway/reader_choice.cc
@@ -38,7 +38,7 @@
 }
 
 size_t ReaderChoice::readers() const {
-  const size_t share = (hosts_.size() + options_.hosts_per_reader - 1) /
+  const size_t share = (hosts_.size() + options_.hosts_per_reader / 2) /
                        options_.hosts_per_reader;
   return std::max(options_.min_readers, share);
 }
