Count the work sent to engines and order servers by it

Nothing feeds the planner of the server pool, and what a configuration says of a pool is not read.

WorkCounter counts requests, prompt tokens that have to be read, events, late starts and refusals by service, domain and tier, only for services with a pool.

--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaselhill/duties/work_counter.h"
 #include "teaselhill/gateway/brittle_upstreams.h"
 #include "teaselhill/gateway/crash_guard.h"
 #include "teaselhill/gateway/event_log.h"
@@ -182,6 +183,12 @@
   /// thread.
   size_t limited_upstreams() const { return limited_upstreams_; }
 
+  /// Work sent since the last call to engines whose number is ordered, for the
+  /// host that orders them. Callable from any thread.
+  std::vector<duties::EngineWork> TakeEngineWork() {
+    return work_counter_.Take();
+  }
+
   /// Requests in progress. Callable from any thread.
   size_t open_requests() const { return open_requests_; }
 
@@ -303,6 +310,7 @@
   StreamVersions stream_versions_;
   RestartWatch restart_watch_;
   StreamPeers* stream_peers_ = nullptr;
+  duties::WorkCounter work_counter_;
   std::shared_ptr<const UpstreamList> followed_upstreams_;
   LimitedAdmission limited_admission_;
   std::atomic<size_t> suspects_{0};
--- a/include/teaselhill/gateway/route_table.h
+++ b/include/teaselhill/gateway/route_table.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "teaselhill/duties/pool_spec.h"
 #include "teaselhill/support/time.h"
 
 namespace teaselhill::gateway {
@@ -58,6 +59,8 @@
   std::string name;
   bool is_engine = false;   ///< model engines, which cache prompt prefixes
   std::string health_path;  ///< of a health check; empty: unknown
+  /// If its number of servers is ordered.
+  std::optional<duties::PoolSpec> pool;
 };
 
 struct Team {
@@ -81,6 +84,8 @@
   std::vector<Service> services;
   std::vector<Team> teams;
   bool requires_key = false;
+  /// Faults that leave out a part of a service but not the service.
+  std::vector<std::string> warnings;
 };
 
 /// Routes, services and API keys of one configuration version, indexed for
@@ -101,6 +106,9 @@
 
   const Service* FindService(const std::string& name) const;
 
+  /// Whether the number of servers of any service is ordered.
+  bool has_pools() const { return has_pools_; }
+
  private:
   RouteConfig config_;
   /// Routes by lower-case host, then by path prefix.
@@ -108,6 +116,7 @@
       routes_by_host_;
   std::unordered_map<std::string, const Team*> teams_by_key_;
   std::unordered_map<std::string, const Service*> services_by_name_;
+  bool has_pools_ = false;
 };
 
 /// Picks a service of the route at random by weight. `sample` is a random
--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -34,6 +34,10 @@
   /// Version of the upstream's software. Events of one stream that come from
   /// different versions do not fit together.
   std::string version;
+  /// Costs less and may be reclaimed, with all others of its failure domain.
+  bool reclaimable = false;
+  /// While it drains: time until it leaves, as of when the entry was written.
+  std::optional<Duration> leaves_in;
 };
 
 /// One process of an upstream.
@@ -85,6 +89,8 @@
   std::unordered_set<std::string> draining_ids;
   /// Software versions of all upstreams of each service, leaving ones included.
   std::map<std::string, std::set<std::string>> versions_by_service;
+  /// Reclaimable upstreams that are leaving.
+  std::vector<UpstreamEntry> leaving_reclaimable;
 
   const std::vector<UpstreamEntry>& OfService(const std::string& service) const;
   /// The entry of the process; null if it is not the newest one known of its
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -229,6 +229,8 @@
   attempt_.relay_peer.reset();
   attempt_.expected_prefill = gateway_.placement_->ExpectedPrefill(
       request_.placement_request, attempt_.upstream, now);
+  if (HasPool())
+    CountEngineWork(now);
   ++state_.sends;
   attempt_.possible_runs = 1;
   state_.possible_runs += attempt_.possible_runs;
@@ -279,6 +281,29 @@
   StartTransfer(std::move(request), now);
 }
 
+bool Exchange::HasPool() const {
+  if (!request_.routes->has_pools())
+    return false;
+  const Service* service = request_.routes->FindService(request_.service);
+  return service && service->pool;
+}
+
+void Exchange::CountEngineWork(TimePoint now) {
+  const PlacementRequest& request = request_.placement_request;
+  uint64_t tokens = request.unique_tokens;
+  if (request.shared_prefix_tokens > 0) {
+    PlacementRequest unique = request;
+    unique.prefix_hash = 0;
+    unique.shared_prefix_tokens = 0;
+    const bool reads_prefix =
+        attempt_.expected_prefill >
+        gateway_.placement_->ExpectedPrefill(unique, attempt_.upstream, now);
+    tokens += reads_prefix ? request.shared_prefix_tokens : 0;
+  }
+  attempt_.engine_work = gateway_.work_counter_.OnSent(
+      request_.service, attempt_.upstream.domain, request_.route->tier, tokens);
+}
+
 void Exchange::BeginAttempt(TimePoint now) {
   attempt_.answer_started_at.reset();
   attempt_.response_head.reset();
@@ -333,6 +358,7 @@
   attempt.handler.reset();
   attempt.suspect_run.reset();
   attempt.open_request.reset();
+  attempt.engine_work.Reset();
   if (!handler)
     return;
   gateway_.client_.Cancel(attempt.transfer);
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -102,6 +102,7 @@
     /// Marks the attempt for the placement of other requests.
     std::unique_ptr<CrashGuard::SuspectRun> suspect_run;
     BrittleUpstreams::OpenRequest open_request;
+    duties::WorkCounter::Request engine_work;
     Duration expected_prefill{};
     TimePoint sent_at{};
     TimePoint progress_at{};  ///< last progress
@@ -219,6 +220,11 @@
   bool PassesGate(const std::optional<Placement>& placement);
   void ShedRequest();
   void SendToUpstream(const Placement& placement);
+  /// Whether the number of servers of the request's service is ordered, so that
+  /// its work is counted.
+  bool HasPool() const;
+  /// Counts the send of the current attempt.
+  void CountEngineWork(TimePoint now);
   /// Resets the state of the current attempt.
   void BeginAttempt(TimePoint now);
   void StartTransfer(net::ClientRequest request, TimePoint now);
--- a/lib/gateway/exchange_answer.cc
+++ b/lib/gateway/exchange_answer.cc
@@ -103,7 +103,12 @@
 }
 
 void Exchange::OnEvents(std::string_view data) {
+  const uint64_t events_before = event_stream_.event_count();
   ParsedEvents events = event_stream_.Append(data);
+  attempt_.engine_work.OnEvents(
+      event_stream_.event_count() - events_before,
+      !first_event_at_ && attempt_.data_at - request_.arrived_at >
+                              request_.route->answer_target);
   if (!events.complete.empty())
     PassOnEvents(std::move(events.complete));
   state_.resumable &= event_stream_.position_known();
--- a/lib/gateway/exchange_end.cc
+++ b/lib/gateway/exchange_end.cc
@@ -65,6 +65,8 @@
 }
 
 void Exchange::EndAttempt(AttemptOutcome outcome, std::string detail) {
+  if (outcome == AttemptOutcome::kNotRun)
+    attempt_.engine_work.OnRefused();
   CloseAttempt(outcome);
   const TimePoint now = BootNow();
   const Duration hold = HoldTime(now);
@@ -225,6 +227,8 @@
         .Field("running", gate_decision.load->running_requests);
   gateway_.log_.Write(LineKind::kFailure, line, BootNow());
   gateway_.metrics_.CountOutcome(request_.team, "shed", error.code);
+  if (HasPool())
+    gateway_.work_counter_.OnRefused(request_.service, request_.route->tier);
   gateway_.RespondError(*response_, error, gate_decision.retry_after);
   finished_ = true;
   // Must be the last use of this object: the table may hold the last reference.
--- a/lib/gateway/exchange_limits.cc
+++ b/lib/gateway/exchange_limits.cc
@@ -127,6 +127,8 @@
                           .Field("no_room", no_room)
                           .Field("retry_after_ms", upstream_retry_after_),
                       now);
+  if (HasPool())
+    gateway_.work_counter_.OnRefused(request_.service, request_.route->tier);
   ApplyFinalStep(FinalStepAfterTimeout(state_, ResultCode::kUpstreamsLimited));
 }
 
--- a/lib/gateway/route_table.cc
+++ b/lib/gateway/route_table.cc
@@ -28,8 +28,10 @@
     for (const std::string& key : team.keys)
       teams_by_key_.emplace(key, &team);
   }
-  for (const Service& service : config_.services)
+  for (const Service& service : config_.services) {
     services_by_name_.emplace(service.name, &service);
+    has_pools_ |= service.pool.has_value();
+  }
 }
 
 const Route* RouteTable::FindRoute(std::string_view host,
--- a/lib/gateway/state_keeper.cc
+++ b/lib/gateway/state_keeper.cc
@@ -22,6 +22,12 @@
                  .Field("services", routes->config().services.size())
                  .Field("teams", routes->config().teams.size()),
              clock_());
+  for (const std::string& warning : routes->config().warnings)
+    log_.Write(LineKind::kState,
+               LogLine(LogLevel::kWarning, "config_part_left_out")
+                   .Field("version", routes->version())
+                   .Field("fault", warning),
+               clock_());
   shared_state_.SetRoutes(std::move(routes));
 }
 
--- a/lib/gateway/upstream_directory.cc
+++ b/lib/gateway/upstream_directory.cc
@@ -97,10 +97,13 @@
       continue;
     list->versions_by_service[state.entry->service].insert(
         state.entry->version);
-    if (state.entry->draining)
+    if (state.entry->draining) {
       list->draining_ids.insert(id);
-    else
+      if (state.entry->reclaimable)
+        list->leaving_reclaimable.push_back(*state.entry);
+    } else {
       list->by_service[state.entry->service].push_back(*state.entry);
+    }
   }
   for (auto& [service, upstreams] : list->by_service) {
     std::sort(upstreams.begin(), upstreams.end(),
@@ -130,7 +133,8 @@
                          state.entry->slots == new_entry.slots &&
                          state.entry->draining == new_entry.draining &&
                          state.entry->incarnation == new_entry.incarnation &&
-                         state.entry->version == new_entry.version;
+                         state.entry->version == new_entry.version &&
+                         state.entry->reclaimable == new_entry.reclaimable;
   state.remove_at.reset();
   state.entry = std::move(new_entry);
   list_changed_ |= !unchanged;
