--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "teaselhill/duties/usage_counter.h"
+#include "teaselhill/duties/work_counter.h"
 #include "teaselhill/gateway/brittle_upstreams.h"
 #include "teaselhill/gateway/crash_guard.h"
 #include "teaselhill/gateway/event_log.h"
@@ -189,6 +190,12 @@
   /// any thread.
   duties::UsageCounter* usage_counter() { return usage_counter_.get(); }
 
+  /// Work sent since the last call to engines whose number is ordered, for the
+  /// host that orders them. Callable from any thread.
+  std::vector<duties::EngineWork> TakeEngineWork() {
+    return work_counter_.Take();
+  }
+
   /// Requests in progress. Callable from any thread.
   size_t open_requests() const { return open_requests_; }
 
@@ -310,6 +317,7 @@
   StreamVersions stream_versions_;
   RestartWatch restart_watch_;
   StreamPeers* stream_peers_ = nullptr;
+  duties::WorkCounter work_counter_;
   std::shared_ptr<const UpstreamList> followed_upstreams_;
   LimitedAdmission limited_admission_;
   std::atomic<size_t> suspects_{0};
