Wire the pool duty and the counts of engine work

The holder of the lease orders servers by the work that all hosts report. A holder keeps a connection to each host that it asks once a second.

--- a/include/teaselhill/duties/work_counter.h
+++ b/include/teaselhill/duties/work_counter.h
@@ -13,12 +13,13 @@
 #include <vector>
 
 #include "teaselhill/duties/host_report.h"
+#include "teaselhill/duties/work_source.h"
 
 namespace teaselhill::duties {
 
 /// Counts by service, failure domain of the engine and route tier. Callable
 /// from any thread: the traffic thread counts, the control thread reports.
-class WorkCounter {
+class WorkCounter : public WorkSource {
  private:
   struct Counts;
 
@@ -61,7 +62,7 @@
 
   /// Returns the work since the last call, and the open requests. Rows without
   /// either are left out.
-  std::vector<EngineWork> Take();
+  std::vector<EngineWork> TakeWork(TimePoint now) override;
 
  private:
   using Key = std::tuple<std::string, std::string, int>;
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -190,11 +190,9 @@
   /// any thread.
   duties::UsageCounter* usage_counter() { return usage_counter_.get(); }
 
-  /// Work sent since the last call to engines whose number is ordered, for the
-  /// host that orders them. Callable from any thread.
-  std::vector<duties::EngineWork> TakeEngineWork() {
-    return work_counter_.Take();
-  }
+  /// Work sent to engines whose number is ordered, for the host that orders
+  /// them. May be used on any thread.
+  duties::WorkSource& engine_work() { return work_counter_; }
 
   /// Requests in progress. Callable from any thread.
   size_t open_requests() const { return open_requests_; }
--- a/lib/duties/work_counter.cc
+++ b/lib/duties/work_counter.cc
@@ -68,7 +68,7 @@
   ++Row(service, "", tier).refused;
 }
 
-std::vector<EngineWork> WorkCounter::Take() {
+std::vector<EngineWork> WorkCounter::TakeWork(TimePoint) {
   const std::lock_guard<std::mutex> lock(counts_->mutex);
   std::vector<EngineWork> taken;
   for (auto entry = counts_->rows.begin(); entry != counts_->rows.end();) {
--- a/lib/gateway/daemon.cc
+++ b/lib/gateway/daemon.cc
@@ -104,8 +104,8 @@
         fleet_size_(settings.host),
         duty_host_(settings_,
                    {adapter, control_loop_, memory_.control(), peer_exchange_,
-                    logger_, log_, metrics_},
-                   {gateway_.usage_counter(), nullptr}),
+                    logger_, log_, metrics_, shared_state_},
+                   {gateway_.usage_counter(), &gateway_.engine_work()}),
         shutdown_(control_loop_,
                   traffic_loop_,
                   gateway_,
@@ -311,6 +311,9 @@
   PeerExchangeOptions MakePeerExchangeOptions() {
     PeerExchangeOptions options;
     options.memory_budget = &memory_.control();
+    // The holder of the duties asks each host once a second.
+    if (settings_.duties)
+      options.max_idle_connections = FleetSize::kMaxHosts;
     return options;
   }
 
--- a/lib/gateway/duty_host.cc
+++ b/lib/gateway/duty_host.cc
@@ -5,32 +5,20 @@
 
 #include <utility>
 
+#include "teaselhill/duties/pool_duty.h"
+#include "teaselhill/gateway/pool_view.h"
 #include "teaselhill/support/rng.h"
 
 namespace teaselhill::gateway {
 
 namespace {
 
-/// Asks all hosts for their reports while the lease is held.
-class PollingDuty : public duties::Duty {
- public:
-  PollingDuty(DutyPoller& poller,
-              std::vector<duties::HostReportHandler*> handlers)
-      : poller_(poller), handlers_(std::move(handlers)) {}
-
-  std::string_view name() const override { return "poll"; }
-  void OnAcquired(duties::DutyContext&,
-                  const std::vector<std::string>&,
-                  TimePoint) override {
-    poller_.Start(handlers_);
-  }
-  void OnLost(TimePoint) override { poller_.Stop(); }
-  void OnTick(TimePoint) override {}
-
- private:
-  DutyPoller& poller_;
-  std::vector<duties::HostReportHandler*> handlers_;
-};
+std::vector<duties::PoolService> PoolsOf(const SharedState& state) {
+  const auto routes = state.routes();
+  const auto upstreams = state.upstreams();
+  return routes && upstreams ? ListPools(*routes, *upstreams)
+                             : std::vector<duties::PoolService>();
+}
 
 }  // namespace
 
@@ -44,11 +32,12 @@
             .Field("fault", settings.duties_fault));
   if (!settings.duties)
     return;
-  poller_ =
+  auto poller =
       std::make_unique<DutyPoller>(environment.calls, environment.loop.timers(),
                                    environment.log, settings.host, sources);
+  poller_ = poller.get();
   std::vector<std::unique_ptr<duties::Duty>> all;
-  std::vector<duties::HostReportHandler*> handlers;
+  all.push_back(std::move(poller));
   if (settings.duties->usage) {
     duties::UsageDutyOptions options;
     options.window = settings.duties->report_window;
@@ -56,11 +45,17 @@
     auto usage = std::make_unique<duties::UsageDuty>(
         options, environment.logger, environment.metrics);
     usage_ = usage.get();
-    handlers.push_back(usage_);
+    poller_->AddHandler(*usage);
     all.push_back(std::move(usage));
   }
-  if (!handlers.empty())
-    all.push_back(std::make_unique<PollingDuty>(*poller_, handlers));
+  if (settings.duties->pool) {
+    auto pool = std::make_unique<duties::PoolDuty>(
+        duties::PoolDutyOptions(),
+        [&state = environment.state] { return PoolsOf(state); },
+        environment.logger, environment.metrics);
+    poller_->AddHandler(*pool);
+    all.push_back(std::move(pool));
+  }
   duties::DutyRunnerOptions options;
   options.host = settings.host;
   options.writer = EntropySeed();
--- a/lib/gateway/duty_host.h
+++ b/lib/gateway/duty_host.h
@@ -14,6 +14,7 @@
 #include "teaselhill/gateway/event_log.h"
 #include "teaselhill/gateway/fleet_size.h"
 #include "teaselhill/gateway/peer_calls.h"
+#include "teaselhill/gateway/shared_state.h"
 #include "teaselhill/metrics/metrics.h"
 #include "teaselhill/net/event_loop.h"
 #include "teaselhill/net/memory_budget.h"
@@ -29,6 +30,7 @@
   Logger& logger;
   EventLog& log;
   Metrics& metrics;
+  const SharedState& state;
 };
 
 /// Used on the thread of the environment's loop. Without duties it does
@@ -43,8 +45,9 @@
   void StartDrain();
 
  private:
-  std::unique_ptr<DutyPoller> poller_;  ///< null: no duties
-  duties::UsageDuty* usage_ = nullptr;  ///< owned by the runner; null: not one
+  // Owned by the runner; null if it does not have them.
+  DutyPoller* poller_ = nullptr;
+  duties::UsageDuty* usage_ = nullptr;
   std::unique_ptr<duties::DutyRunner> runner_;  ///< null: no duties
 };
 
--- a/unittests/duties/work_counter_test.cc
+++ b/unittests/duties/work_counter_test.cc
@@ -16,7 +16,7 @@
   WorkCounter::Request waiting = counter.OnSent("s", "a", 1, 900);
   answered.OnEvents(2, /*late=*/true);
   answered.OnEvents(3, /*late=*/false);
-  std::vector<EngineWork> work = counter.Take();
+  std::vector<EngineWork> work = counter.TakeWork(TimePoint());
   REQUIRE(work.size() == 1);
   CHECK(work[0].service == "s");
   CHECK(work[0].domain == "a");
@@ -28,7 +28,7 @@
   CHECK(work[0].waiting == 1);
   CHECK(work[0].started == 1);
   CHECK(work[0].started_late == 1);
-  work = counter.Take();
+  work = counter.TakeWork(TimePoint());
   REQUIRE(work.size() == 1);
   CHECK(work[0].requests == 0);
   CHECK(work[0].prompt_tokens == 0);
@@ -36,7 +36,7 @@
   CHECK(work[0].waiting == 1);
   answered.Reset();
   waiting.Reset();
-  CHECK(counter.Take().empty());
+  CHECK(counter.TakeWork(TimePoint()).empty());
 }
 
 // Rows of several engines that are mixed up.
@@ -46,7 +46,7 @@
   const WorkCounter::Request b = counter.OnSent("s", "b", 0, 2);
   const WorkCounter::Request c = counter.OnSent("s", "a", 1, 4);
   counter.OnRefused("t", 2);
-  const std::vector<EngineWork> work = counter.Take();
+  const std::vector<EngineWork> work = counter.TakeWork(TimePoint());
   REQUIRE(work.size() == 4);
   uint64_t tokens = 0;
   uint32_t refused = 0;
@@ -66,13 +66,13 @@
     WorkCounter::Request second = std::move(first);
     first = counter.OnSent("s", "a", 0, 1);
     first = std::move(second);
-    CHECK(counter.Take()[0].waiting == 1);
+    CHECK(counter.TakeWork(TimePoint())[0].waiting == 1);
     first.OnRefused();
     first.Reset();
     first.Reset();
     first.OnEvents(1, false);
   }
-  const std::vector<EngineWork> work = counter.Take();
+  const std::vector<EngineWork> work = counter.TakeWork(TimePoint());
   REQUIRE(work.size() == 1);
   CHECK(work[0].waiting == 0);
   CHECK(work[0].running == 0);
--- a/unittests/platform/engine_work_test.cc
+++ b/unittests/platform/engine_work_test.cc
@@ -86,7 +86,9 @@
     return answer;
   }
 
-  std::vector<EngineWork> TakeWork() { return gateway_.TakeEngineWork(); }
+  std::vector<EngineWork> TakeWork() {
+    return gateway_.engine_work().TakeWork(TimePoint());
+  }
 
  private:
   static gateway::GatewayOptions MakeOptions() {
