Reserve engines for the most urgent streams

Where engines run few requests at once, the events of urgent streams are late because their engine reads the chunks of long prompts between them.

Urgent streams go to the less loaded of two random reserved engines by their load reports; long prompts are ranked among the other engines. The route table now keeps the slots, event size and memory of the engines.

--- a/include/teaselhill/gateway/affinity_placement.h
+++ b/include/teaselhill/gateway/affinity_placement.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaselhill/gateway/engine_reserve.h"
 #include "teaselhill/gateway/placement.h"
 
 namespace teaselhill::gateway {
@@ -52,6 +53,11 @@
 /// other requests, which under load lengthens the queues that caused the
 /// request to move. A hot prefix gets additional candidates in proportion to
 /// its load.
+///
+/// Where engines run few requests at once, long prompts delay the events of the
+/// streams beside them. EngineReserve sets engines of such a service apart for
+/// the most urgent streams, which are placed by load alone; the prompts of the
+/// other requests are ranked among the rest.
 class AffinityPlacement : public PlacementPolicy {
  public:
   explicit AffinityPlacement(PlacementOptions options)
@@ -80,6 +86,13 @@
                            const UpstreamEntry& upstream,
                            TimePoint now) const override;
 
+  bool AlwaysNeedsReports(const PlacementRequest& request,
+                          const UpstreamList& upstreams) const override;
+
+  std::vector<ReserveChange> TakeReserveChanges() override {
+    return reserve_.TakeChanges();
+  }
+
   void ExpireUnused(TimePoint now) override;
 
   int in_flight(const std::string& upstream) const;
@@ -103,6 +116,23 @@
     bool has_prefix_cached = false;
   };
 
+  /// Divides the upstreams that the request may use; all are shared if none is
+  /// reserved or only ejected ones are left.
+  EngineGroups DivideCandidates(const PlacementRequest& request,
+                                const UpstreamList& upstreams,
+                                const EligibleUpstreams& eligible) const;
+  /// Places an urgent stream. `groups.reserved` must not be empty.
+  Placement ChooseReserved(const PlacementRequest& request,
+                           const EngineGroups& groups,
+                           const UpstreamHealth& health,
+                           TimePoint now);
+  /// Expected delay of an urgent stream. Also orders engines without a queue by
+  /// the requests that they run.
+  Duration UrgentDelay(const PlacementRequest& request,
+                       const UpstreamEntry& upstream,
+                       const UpstreamHealth& health,
+                       TimePoint now) const;
+
   /// Returns the upstreams sorted by descending hash of upstream id and prompt
   /// prefix. If the request has a prefix, only the first PrefixEngineCount()
   /// upstreams are returned. `upstreams` must not be empty; neither is the
@@ -126,6 +156,7 @@
 
   PlacementOptions options_;
   PrefixLoadTracker prefix_load_tracker_;
+  EngineReserve reserve_;
   std::unordered_map<std::string, UpstreamLoad> upstream_loads_;
   std::unordered_map<uint64_t, std::vector<CachingEngine>> caching_engines_;
 };
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -271,6 +272,8 @@
   void RemoveExchange(RequestId id);
   /// Logs ejections and readmissions of upstreams since the last call.
   void LogHealthEvents(TimePoint now);
+  /// Logs changes of the engines that are reserved for urgent streams.
+  void LogReserveChanges(TimePoint now);
 
   net::EventLoop& loop_;
   GatewayOptions options_;
@@ -285,6 +288,7 @@
   net::HttpClient report_client_;
   Rng rng_;
   std::unique_ptr<PlacementPolicy> placement_;
+  std::map<std::string, double> reserved_fractions_;  ///< by service
   UpstreamHealth upstream_health_;
   ReportFetcher report_fetcher_;
   CrashGuard crash_guard_;
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "teaselhill/gateway/route_table.h"
 #include "teaselhill/gateway/upstream_directory.h"
 #include "teaselhill/gateway/upstream_health.h"
 #include "teaselhill/kernel/registry.h"
@@ -47,6 +48,13 @@
 struct PlacementRequest {
   std::string service;
   bool is_engine = false;
+  EngineSpec engine_spec;
+  /// The service has streams that are more urgent than others; see
+  /// RouteTable::UrgentStreamTier().
+  bool has_urgent_streams = false;
+  /// The request is one of these streams.
+  bool is_urgent_stream = false;
+  uint64_t sample = 0;  ///< random
   /// Hash of the shared prompt prefix; 0: none.
   uint64_t prefix_hash = 0;
   uint32_t shared_prefix_tokens = 0;  ///< possibly cached
@@ -67,6 +75,9 @@
   kNearest,        ///< plain service: least expected delay
   kRoundRobin,     ///< baseline
   kLeastLoad,      ///< baseline
+  kReserved,       ///< urgent stream: least loaded of a few reserved engines
+  kReserveFull,    ///< urgent stream: the reserved engines that were looked at
+                   ///< are full
   kAllEjected,     ///< every upstream is ejected, so ejections are ignored
 };
 std::string_view PlacementReasonName(PlacementReason reason);
@@ -80,6 +91,15 @@
   int ejected_count = 0;
 };
 
+/// The part of a service's engines that is reserved for urgent streams has
+/// changed.
+struct ReserveChange {
+  std::string service;
+  double fraction = 0;       ///< of the service's engines
+  double busy_fraction = 0;  ///< estimate of the load: engines that the urgent
+                             ///< streams would fill, as such a fraction
+};
+
 /// Chooses upstreams and tracks the requests sent to them. A deterministic
 /// state machine: times are arguments and never decrease.
 class PlacementPolicy {
@@ -122,6 +142,14 @@
                                    const UpstreamEntry& upstream,
                                    TimePoint now) const = 0;
 
+  /// Whether the request is placed by load reports on a calm day too.
+  virtual bool AlwaysNeedsReports(const PlacementRequest& request,
+                                  const UpstreamList& upstreams) const {
+    return false;
+  }
+
+  virtual std::vector<ReserveChange> TakeReserveChanges() { return {}; }
+
   /// Removes the state of upstreams and prompt prefixes without a recent
   /// request. Call about once a second.
   virtual void ExpireUnused(TimePoint now) = 0;
--- a/include/teaselhill/gateway/route_table.h
+++ b/include/teaselhill/gateway/route_table.h
@@ -54,10 +54,19 @@
   }
 };
 
+/// What each model engine of a service is configured with; 0: unknown.
+struct EngineSpec {
+  int64_t slots = 0;          ///< requests that run at once
+  int64_t event_tokens = 0;   ///< tokens of one event of a stream
+  int64_t memory_tokens = 0;  ///< of running requests and cached prompts
+  int64_t token_bytes = 0;    ///< memory of one token
+};
+
 struct Service {
   std::string name;
   bool is_engine = false;   ///< model engines, which cache prompt prefixes
   std::string health_path;  ///< of a health check; empty: unknown
+  EngineSpec engine_spec{};
 };
 
 struct Team {
@@ -101,13 +110,21 @@
 
   const Service* FindService(const std::string& name) const;
 
+  /// Tier of the most urgent streams of the service; nothing unless there are
+  /// less urgent streams too and the most urgent ones have a target for the
+  /// time between two events.
+  std::optional<Tier> UrgentStreamTier(const std::string& service) const;
+
  private:
+  void IndexUrgentTiers();
+
   RouteConfig config_;
   /// Routes by lower-case host, then by path prefix.
   std::unordered_map<std::string, std::unordered_map<std::string, const Route*>>
       routes_by_host_;
   std::unordered_map<std::string, const Team*> teams_by_key_;
   std::unordered_map<std::string, const Service*> services_by_name_;
+  std::unordered_map<std::string, Tier> urgent_tiers_by_service_;
 };
 
 /// Picks a service of the route at random by weight. `sample` is a random
--- a/lib/gateway/affinity_placement.cc
+++ b/lib/gateway/affinity_placement.cc
@@ -13,12 +13,35 @@
 /// Maximum number of engines whose load reports are fetched for one request.
 static constexpr size_t kMaxReportCandidates = 2;
 
+/// Cost of placing an urgent stream at an engine, for each request that runs
+/// there and for one that is about to be full. A free slot is worth more than a
+/// shorter prefill, since a stream keeps its engine for seconds.
+static constexpr std::chrono::milliseconds kRunningRequestCost{4};
+static constexpr std::chrono::milliseconds kFullEngineCost{150};
+
+/// Reserved engines that are compared for one urgent stream. Two random ones
+/// keep the load even where each host knows little of it.
+static constexpr size_t kSampledEngines = 2;
+
 static const PlacementRegistration kAffinity(
     "affinity",
     [](const PlacementOptions& options) {
       return std::make_unique<AffinityPlacement>(options);
     });
 
+/// Returns random engines: the same ones for the same sample, as long as they
+/// are listed.
+static std::vector<const UpstreamEntry*> SampleEngines(
+    std::vector<const UpstreamEntry*> engines,
+    uint64_t sample) {
+  std::sort(engines.begin(), engines.end(),
+            [sample](const UpstreamEntry* a, const UpstreamEntry* b) {
+              return Hash64(a->id, sample) > Hash64(b->id, sample);
+            });
+  engines.resize(std::min(engines.size(), kSampledEngines));
+  return engines;
+}
+
 PrefixLoadTracker::Usage PrefixLoadTracker::DecayedUsage(const Usage& usage,
                                                          TimePoint now) const {
   const double factor = DecayFactor(now - usage.updated_at, half_life_);
@@ -66,8 +89,16 @@
       FindEligibleUpstreams(request, upstreams, health, now);
   if (eligible.candidates().empty())
     return std::nullopt;
-  std::vector<Candidate> candidates =
-      RankUpstreams(request, eligible.candidates(), now);
+  const EngineGroups groups = DivideCandidates(request, upstreams, eligible);
+  if (request.is_urgent_stream && !groups.reserved.empty()) {
+    Placement placement = ChooseReserved(request, groups, health, now);
+    placement.ejected_count = static_cast<int>(eligible.ejected.size());
+    return placement;
+  }
+  if (reserve_.AppliesTo(request, upstreams.OfService(request.service).size()))
+    reserve_.OnPlaced(request.service, {}, now);
+  std::vector<Candidate> candidates = RankUpstreams(
+      request, groups.shared.empty() ? groups.reserved : groups.shared, now);
   const uint64_t highest_rank = candidates.front().hash_rank;
   for (Candidate& candidate : candidates) {
     candidate.has_prefix_cached =
@@ -110,20 +141,108 @@
     const UpstreamHealth& health,
     TimePoint now) const {
   std::vector<UpstreamEntry> report_candidates;
-  if (!request.is_engine || request.prefix_hash == 0)
+  if (!request.is_engine ||
+      (request.prefix_hash == 0 && !request.is_urgent_stream))
     return report_candidates;
   const EligibleUpstreams eligible =
       FindEligibleUpstreams(request, upstreams, health, now);
   if (eligible.candidates().empty())
     return report_candidates;
-  for (const Candidate& candidate :
-       RankUpstreams(request, eligible.candidates(), now)) {
+  const EngineGroups groups = DivideCandidates(request, upstreams, eligible);
+  if (request.is_urgent_stream && !groups.reserved.empty()) {
+    for (const UpstreamEntry* engine :
+         SampleEngines(groups.reserved, request.sample))
+      report_candidates.push_back(*engine);
+    return report_candidates;
+  }
+  for (const Candidate& candidate : RankUpstreams(
+           request, groups.shared.empty() ? groups.reserved : groups.shared,
+           now)) {
     if (report_candidates.size() < kMaxReportCandidates)
       report_candidates.push_back(*candidate.upstream);
   }
   return report_candidates;
 }
 
+bool AffinityPlacement::AlwaysNeedsReports(
+    const PlacementRequest& request,
+    const UpstreamList& upstreams) const {
+  return request.is_urgent_stream &&
+         reserve_.AppliesTo(request,
+                            upstreams.OfService(request.service).size());
+}
+
+EngineGroups AffinityPlacement::DivideCandidates(
+    const PlacementRequest& request,
+    const UpstreamList& upstreams,
+    const EligibleUpstreams& eligible) const {
+  const std::vector<UpstreamEntry>& engines =
+      upstreams.OfService(request.service);
+  if (eligible.usable.empty() || !reserve_.AppliesTo(request, engines.size()))
+    return {{}, eligible.candidates()};
+  return DivideEngines(engines, eligible.usable,
+                       reserve_.Fraction(request.service));
+}
+
+Placement AffinityPlacement::ChooseReserved(const PlacementRequest& request,
+                                            const EngineGroups& groups,
+                                            const UpstreamHealth& health,
+                                            TimePoint now) {
+  std::vector<const UpstreamEntry*> candidates =
+      SampleEngines(groups.reserved, request.sample);
+  const auto slots = static_cast<double>(request.engine_spec.slots);
+  std::vector<double> reported_fills;
+  bool all_full = true;
+  for (const UpstreamEntry* engine : candidates) {
+    const std::optional<int> running = health.ReportedRunning(engine->id, now);
+    if (running)
+      reported_fills.push_back(std::min(1.0, *running / slots));
+    all_full &= running && *running + 1 >= slots;
+  }
+  reserve_.OnPlaced(request.service, reported_fills, now);
+  if (all_full) {
+    const auto others = SampleEngines(groups.shared, request.sample);
+    candidates.insert(candidates.end(), others.begin(), others.end());
+  }
+  Placement placement;
+  placement.reason =
+      all_full ? PlacementReason::kReserveFull : PlacementReason::kReserved;
+  placement.candidate_count = static_cast<int>(candidates.size());
+  placement.expected_delay = placement.second_best_delay = Duration::max();
+  for (const UpstreamEntry* engine : candidates) {
+    const Duration delay = UrgentDelay(request, *engine, health, now);
+    if (delay < placement.expected_delay) {
+      placement.second_best_delay = placement.expected_delay;
+      placement.expected_delay = delay;
+      placement.upstream = *engine;
+    } else {
+      placement.second_best_delay =
+          std::min(placement.second_best_delay, delay);
+    }
+  }
+  if (candidates.size() == 1)
+    placement.second_best_delay = placement.expected_delay;
+  return placement;
+}
+
+Duration AffinityPlacement::UrgentDelay(const PlacementRequest& request,
+                                        const UpstreamEntry& upstream,
+                                        const UpstreamHealth& health,
+                                        TimePoint now) const {
+  Candidate candidate;
+  candidate.upstream = &upstream;
+  const Duration delay = ExpectedDelay(request, candidate, health, now);
+  const auto slots = static_cast<double>(request.engine_spec.slots);
+  const std::optional<int> reported = health.ReportedRunning(upstream.id, now);
+  // An engine without a recent report is taken for one at the intended load.
+  const double running =
+      reported ? *reported : reserve_.options().target_fill * slots;
+  const Duration full_cost =
+      running + 1 >= slots ? Duration(kFullEngineCost) : Duration::zero();
+  return delay + FromSeconds(ToSeconds(kRunningRequestCost) * running) +
+         full_cost;
+}
+
 std::vector<AffinityPlacement::Candidate> AffinityPlacement::RankUpstreams(
     const PlacementRequest& request,
     const std::vector<const UpstreamEntry*>& upstreams,
@@ -244,6 +363,7 @@
 }
 
 void AffinityPlacement::ExpireUnused(TimePoint now) {
+  reserve_.Update(now);
   prefix_load_tracker_.ExpireUnused(now);
   for (auto entry = caching_engines_.begin();
        entry != caching_engines_.end();) {
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -28,6 +28,18 @@
 
 }  // namespace
 
+void AcceptedRequest::SetService(const std::string& name) {
+  service = name;
+  placement_request.service = name;
+  const Service* known = routes->FindService(name);
+  placement_request.is_engine = known && known->is_engine;
+  placement_request.engine_spec = known ? known->engine_spec : EngineSpec{};
+  const std::optional<Tier> urgent_tier = routes->UrgentStreamTier(name);
+  placement_request.has_urgent_streams = urgent_tier.has_value();
+  placement_request.is_urgent_stream =
+      route->kind == RouteKind::kStream && urgent_tier == route->tier;
+}
+
 std::string AcceptedRequest::SharedPartsText() const {
   std::string text;
   for (size_t i = 0; i + 1 < caller.prompt_segments.size(); ++i) {
@@ -146,6 +158,8 @@
   const bool wants_reports =
       request_.placement_request.is_engine &&
       (!request_.gate_decision.admitted ||
+       gateway_.placement_->AlwaysNeedsReports(
+           request_.placement_request, *gateway_.shared_state_.upstreams()) ||
        gateway_.upstream_health_.MeanServiceDelay(request_.service, now) >=
            gateway_.report_fetcher_.options().min_mean_delay);
   if (!wants_reports)
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -40,6 +40,9 @@
   /// Set if another host took the request from its caller.
   std::optional<RelayOrigin> relay_origin;
 
+  /// Sets the service, and what the configuration says of it.
+  void SetService(const std::string& name);
+
   GateLevel gate_level() const { return {route->tier, tier}; }
 
   /// Time from its arrival to the caller's deadline or the end of the route's
--- a/lib/gateway/exchange_streams.cc
+++ b/lib/gateway/exchange_streams.cc
@@ -122,10 +122,7 @@
                   });
   if (!is_allowed)
     return false;
-  request_.service = service;
-  request_.placement_request.service = service;
-  const Service* known = request_.routes->FindService(service);
-  request_.placement_request.is_engine = known && known->is_engine;
+  request_.SetService(service);
   return true;
 }
 
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -25,11 +25,9 @@
 constexpr std::chrono::seconds kNoConfigurationRetryAfter{1};
 
 PlacementRequest MakePlacementRequest(const CallerRequest& caller,
-                                      const Service* service,
-                                      const std::string& service_name) {
+                                      uint64_t sample) {
   PlacementRequest placement_request;
-  placement_request.service = service_name;
-  placement_request.is_engine = service && service->is_engine;
+  placement_request.sample = sample;
   uint32_t prompt_tokens = 0;
   // The last segment is unique to the request and never cached.
   for (size_t i = 0; i + 1 < caller.prompt_segments.size(); ++i) {
@@ -84,6 +82,7 @@
   cleanup_timer_ = loop_.timers().Subscribe(kCleanupPeriod, [this](TimePoint) {
     const TimePoint now = BootNow();
     placement_->ExpireUnused(now);
+    LogReserveChanges(now);
     upstream_health_.ExpireUpstreams(now);
     crash_guard_.Expire(now);
     const CrashCounts counts = crash_guard_.Count(now);
@@ -222,12 +221,11 @@
     return Rejection{{ResultCode::kBadKey, ""}};
   }
   accepted_request.tier = CombineTiers(team_tier, accepted_request.route->tier);
-  accepted_request.service =
+  const std::string& service =
       PickService(*accepted_request.route, rng_.Uniform());
-  accepted_request.placement_request = MakePlacementRequest(
-      accepted_request.caller,
-      accepted_request.routes->FindService(accepted_request.service),
-      accepted_request.service);
+  accepted_request.placement_request =
+      MakePlacementRequest(accepted_request.caller, rng_.Next());
+  accepted_request.SetService(service);
   return std::nullopt;
 }
 
@@ -438,6 +436,22 @@
   }
 }
 
+void Gateway::LogReserveChanges(TimePoint now) {
+  for (const ReserveChange& change : placement_->TakeReserveChanges()) {
+    reserved_fractions_[change.service] = change.fraction;
+    metrics_.SetGauges("teaselhill_reserved_engines_ratio",
+                       "Part of a service's engines that serves its most "
+                       "urgent streams only.",
+                       "service", reserved_fractions_);
+    log_.Write(LineKind::kState,
+               LogLine(LogLevel::kInfo, "engines_reserved")
+                   .Field("service", change.service)
+                   .Field("fraction", change.fraction)
+                   .Field("busy_fraction", change.busy_fraction),
+               now);
+  }
+}
+
 void Gateway::RemoveExchange(RequestId id) {
   exchanges_.erase(id);
   open_requests_ = exchanges_.size();
--- a/lib/gateway/placement.cc
+++ b/lib/gateway/placement.cc
@@ -22,6 +22,10 @@
       return "round_robin";
     case PlacementReason::kLeastLoad:
       return "least_load";
+    case PlacementReason::kReserved:
+      return "reserved";
+    case PlacementReason::kReserveFull:
+      return "reserve_full";
     case PlacementReason::kAllEjected:
       return "all_ejected";
   }
--- a/lib/gateway/route_table.cc
+++ b/lib/gateway/route_table.cc
@@ -30,6 +30,28 @@
   }
   for (const Service& service : config_.services)
     services_by_name_.emplace(service.name, &service);
+  IndexUrgentTiers();
+}
+
+void RouteTable::IndexUrgentTiers() {
+  // Pause target of each tier of streams; the shortest of several routes.
+  std::unordered_map<std::string, std::map<Tier, Duration>> gap_targets;
+  for (const Route& route : config_.routes) {
+    if (route.kind != RouteKind::kStream)
+      continue;
+    for (const WeightedService& weighted : route.services) {
+      const auto [target, is_new] = gap_targets[weighted.service].emplace(
+          route.tier, route.event_gap_target);
+      if (!is_new && route.event_gap_target > Duration::zero())
+        target->second = target->second == Duration::zero()
+                             ? route.event_gap_target
+                             : std::min(target->second, route.event_gap_target);
+    }
+  }
+  for (const auto& [service, targets] : gap_targets) {
+    if (targets.size() > 1 && targets.begin()->second > Duration::zero())
+      urgent_tiers_by_service_.emplace(service, targets.begin()->first);
+  }
 }
 
 const Route* RouteTable::FindRoute(std::string_view host,
@@ -59,6 +81,14 @@
   return found == services_by_name_.end() ? nullptr : found->second;
 }
 
+std::optional<Tier> RouteTable::UrgentStreamTier(
+    const std::string& service) const {
+  const auto found = urgent_tiers_by_service_.find(service);
+  if (found == urgent_tiers_by_service_.end())
+    return std::nullopt;
+  return found->second;
+}
+
 Tier CombineTiers(std::optional<Tier> team, Tier route) {
   return team.value_or(0) * kRouteTiersPerTeamTier +
          std::clamp<Tier>(route, 0, kRouteTiersPerTeamTier - 1);
--- a/unittests/gateway/route_table_test.cc
+++ b/unittests/gateway/route_table_test.cc
@@ -88,4 +88,38 @@
   CHECK(PickService(route, row.sample) == row.service);
 }
 
+// Guards streams that are taken for more urgent than others without a reason,
+// so that engines are set apart for them.
+TEST_CASE("urgent streams are those of the first of several tiers") {
+  struct Row {
+    const char* routes;
+    RouteKind second_kind;
+    Tier second_tier;
+    std::chrono::milliseconds first_gap_target;
+    bool has_urgent;
+  };
+  using std::chrono::milliseconds;
+  const Row row = GENERATE(values<Row>({
+      {"two tiers of streams", RouteKind::kStream, 1, milliseconds(250), true},
+      {"one tier", RouteKind::kStream, 0, milliseconds(250), false},
+      {"no target for pauses", RouteKind::kStream, 1, milliseconds(0), false},
+      {"no other streams", RouteKind::kIdempotent, 1, milliseconds(250), false},
+  }));
+  INFO(row.routes);
+  RouteConfig config;
+  Route urgent;
+  urgent.kind = RouteKind::kStream;
+  urgent.event_gap_target = row.first_gap_target;
+  urgent.services = {{"llm", 1}};
+  Route second = urgent;
+  second.kind = row.second_kind;
+  second.tier = row.second_tier;
+  second.event_gap_target = milliseconds(400);
+  config.routes = {urgent, second};
+  const RouteTable table(config);
+  CHECK(table.UrgentStreamTier("llm").has_value() == row.has_urgent);
+  CHECK(table.UrgentStreamTier("llm").value_or(0) == 0);
+  CHECK_FALSE(table.UrgentStreamTier("other").has_value());
+}
+
 }  // namespace teaselhill::gateway
--- a/unittests/platform/decode_test.cc
+++ b/unittests/platform/decode_test.cc
@@ -79,11 +79,41 @@
   CHECK(route.max_attempts == 2);
   CHECK(route.retryable());
   CHECK(config->services[0].is_engine);
+  CHECK(config->services[0].engine_spec.slots == 64);
+  CHECK(config->services[0].engine_spec.memory_tokens == 0);
   CHECK_FALSE(config->services[1].is_engine);
   CHECK(config->requires_key);
   CHECK(config->teams[0].tier == 1);
 }
 
+// Guards a configuration that is rejected, or an engine that is taken for one
+// of few slots, because of a figure that cannot be used.
+TEST_CASE("an engine's figures are read where they can be used") {
+  struct Row {
+    const char* engine;
+    int64_t slots;
+    int64_t event_tokens;
+    int64_t memory_tokens;
+    int64_t token_bytes;
+  };
+  const Row row = GENERATE(values<Row>({
+      {R"({"slots":12,"stride":5,"kvCapTokens":289176,"kvTokenBytes":327680})",
+       12, 5, 289176, 327680},
+      {R"({"models":[]})", 0, 0, 0, 0},
+      {R"({"slots":"12","stride":null,"kvCapTokens":-1,"kvTokenBytes":1.5})", 0,
+       0, 0, 0},
+  }));
+  const auto config =
+      DecodeConfig(Replace(kConfig, R"({"slots":64,"models":[]})", row.engine));
+  REQUIRE(config.ok());
+  const teaselhill::gateway::EngineSpec& spec = config->services[0].engine_spec;
+  CHECK(config->services[0].is_engine);
+  CHECK(spec.slots == row.slots);
+  CHECK(spec.event_tokens == row.event_tokens);
+  CHECK(spec.memory_tokens == row.memory_tokens);
+  CHECK(spec.token_bytes == row.token_bytes);
+}
+
 TEST_CASE("an invalid configuration is an error that names the field") {
   struct Row {
     const char* from;
