Fill the reserved engines further while answers begin late

Long prompts were refused in bursts while reserved engines had free slots: the reserve aims at half the slots in use. It now aims at 0.85 while the answers of the service begin 100 ms late in the mean, and then shrinks after a second instead of four.

--- a/include/teaselhill/gateway/engine_reserve.h
+++ b/include/teaselhill/gateway/engine_reserve.h
@@ -23,6 +23,11 @@
   /// Part of the slots of the reserved engines that is to be in use. The rest
   /// takes up bursts until the reserve has grown.
   double target_fill = 0.5;
+  /// The same while the answers of the service begin late by `late_delay` in
+  /// the mean: the long prompts then need the engines more than the streams
+  /// need the free slots.
+  double late_target_fill = 0.85;
+  Duration late_delay = std::chrono::milliseconds(100);
   /// Half-lives of the two means of the load. The short one only makes the
   /// reserve larger.
   Duration fill_half_life = std::chrono::seconds(10);
@@ -36,6 +41,7 @@
   /// engines that have not cached them.
   Duration min_growth_interval = std::chrono::milliseconds(800);
   Duration min_shrink_interval = std::chrono::seconds(4);
+  Duration late_shrink_interval = std::chrono::seconds(1);
   /// The reserve shrinks once it would have this part of `target_fill` at the
   /// smaller size.
   double shrink_fill_fraction = 0.85;
@@ -57,6 +63,9 @@
   /// the fraction `fill` is in use.
   void OnFillReported(double fill, TimePoint now);
 
+  /// How late the answers of the service begin in the mean.
+  void SetMeanDelay(Duration delay) { late_ = delay >= options_.late_delay; }
+
   /// Changes the size if it is due.
   void Update(TimePoint now);
 
@@ -77,6 +86,7 @@
 
   EngineReserveOptions options_;
   size_t level_ = kFirstLevel;
+  bool late_ = false;
   Mean steady_;
   Mean burst_;
   TimePoint decayed_at_{};
@@ -112,9 +122,11 @@
 
   /// Call for each request that is placed and to which the reserve applies.
   /// `reported_fills`: of each reserved engine whose load report was read for
-  /// the request, the part of the slots that is in use.
+  /// the request, the part of the slots that is in use. `mean_delay`: by which
+  /// the answers of the service begin late.
   void OnPlaced(const std::string& service,
                 const std::vector<double>& reported_fills,
+                Duration mean_delay,
                 TimePoint now);
 
   double Fraction(const std::string& service) const;
--- a/lib/gateway/affinity_placement.cc
+++ b/lib/gateway/affinity_placement.cc
@@ -96,7 +96,8 @@
     return placement;
   }
   if (reserve_.AppliesTo(request, upstreams.OfService(request.service).size()))
-    reserve_.OnPlaced(request.service, {}, now);
+    reserve_.OnPlaced(request.service, {},
+                      health.MeanServiceDelay(request.service, now), now);
   std::vector<Candidate> candidates = RankUpstreams(
       request, groups.shared.empty() ? groups.reserved : groups.shared, now);
   const uint64_t highest_rank = candidates.front().hash_rank;
@@ -199,7 +200,8 @@
       reported_fills.push_back(std::min(1.0, *running / slots));
     all_full &= running && *running + 1 >= slots;
   }
-  reserve_.OnPlaced(request.service, reported_fills, now);
+  reserve_.OnPlaced(request.service, reported_fills,
+                    health.MeanServiceDelay(request.service, now), now);
   if (all_full) {
     const auto others = SampleEngines(groups.shared, request.sample);
     candidates.insert(candidates.end(), others.begin(), others.end());
--- a/lib/gateway/engine_reserve.cc
+++ b/lib/gateway/engine_reserve.cc
@@ -52,9 +52,10 @@
 }
 
 double ReserveSize::NeededFraction(const Mean& mean) const {
-  return mean.count >= options_.min_reports
-             ? mean.sum / mean.count / options_.target_fill
-             : 0;
+  const double target =
+      late_ ? options_.late_target_fill : options_.target_fill;
+  return mean.count >= options_.min_reports ? mean.sum / mean.count / target
+                                            : 0;
 }
 
 void ReserveSize::Update(TimePoint now) {
@@ -74,7 +75,8 @@
     changed_at_ = now;
     return;
   }
-  if (level_ == 0 || since_change < options_.min_shrink_interval)
+  if (level_ == 0 || since_change < (late_ ? options_.late_shrink_interval
+                                           : options_.min_shrink_interval))
     return;
   const bool too_large =
       known && std::max(needed, needed_in_burst) <
@@ -127,11 +129,13 @@
 
 void EngineReserve::OnPlaced(const std::string& service,
                              const std::vector<double>& reported_fills,
+                             Duration mean_delay,
                              TimePoint now) {
   ServiceReserve& reserve =
       reserves_by_service_.try_emplace(service, options_).first->second;
   for (const double fill : reported_fills)
     reserve.size.OnFillReported(fill, now);
+  reserve.size.SetMeanDelay(mean_delay);
   reserve.size.Update(now);
   RecordChange(service, reserve, now);
 }
--- a/unittests/gateway/engine_reserve_test.cc
+++ b/unittests/gateway/engine_reserve_test.cc
@@ -151,6 +151,22 @@
   CHECK(size.fraction() == calm);
 }
 
+// Guards long prompts that are refused while the reserve has engines to spare.
+TEST_CASE("the reserve is filled further while answers begin late") {
+  const milliseconds mean_delay = GENERATE(milliseconds(20), milliseconds(300));
+  ReserveSize size{EngineReserveOptions{}};
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  constexpr double kBusy = 0.12;
+  for (int i = 0; i < 40; ++i, now += milliseconds(500)) {
+    size.OnFillReported(std::min(1.0, kBusy / size.fraction()), now);
+    size.SetMeanDelay(mean_delay);
+    size.Update(now);
+  }
+  const bool late = mean_delay == milliseconds(300);
+  CHECK(size.fraction() >= kBusy);
+  CHECK((size.fraction() < 0.21) == late);
+}
+
 // Guards hosts that disagree all the time, since each sees few reports: their
 // long prompts are read at engines which other hosts have reserved.
 TEST_CASE("hosts that sample the same engines agree on the reserve") {
