--- a/unittests/platform/engine_work_test.cc
+++ b/unittests/platform/engine_work_test.cc
@@ -87,7 +87,7 @@
   }
 
   std::vector<EngineWork> TakeWork() {
-    return gateway_.engine_work().TakeWork(TimePoint());
+    return gateway_.engine_work().TakeWork(teaselhill::BootNow());
   }
 
  private:
