Begin with a smaller reserve, and fill it further earlier

It now begins at 0.15, grows as before, and is filled to 0.85 once answers begin 40 ms late in the mean instead of 100.

--- a/include/teaselhill/gateway/engine_reserve.h
+++ b/include/teaselhill/gateway/engine_reserve.h
@@ -27,7 +27,7 @@
   /// the mean: the long prompts then need the engines more than the streams
   /// need the free slots.
   double late_target_fill = 0.85;
-  Duration late_delay = std::chrono::milliseconds(100);
+  Duration late_delay = std::chrono::milliseconds(40);
   /// Half-lives of the two means of the load. The short one only makes the
   /// reserve larger.
   Duration fill_half_life = std::chrono::seconds(10);
@@ -93,7 +93,7 @@
   TimePoint changed_at_{};
   TimePoint last_report_at_{};
 
-  static constexpr size_t kFirstLevel = 4;
+  static constexpr size_t kFirstLevel = 2;
 };
 
 /// Engines of a service by their use.
