Forget kept texts that the store lost, and what else a fresh reader found

A host that read a text before the store came back from an older copy handed it to its duties as kept, though the store no longer had it: the next holder could report that window anew. The runner forgets texts once the lease reads the log from an earlier offset.

Hosts whose last announcement is old are neither asked nor waited for. With one of three failure domains lost, reclaimable servers are spread evenly over the two that are left instead of to at most four fifths of what is asked.

Comments that a reader had to read twice are reworded. duties_tests: 83 cases pass.

--- a/include/teaselhill/duties/duty_lease.h
+++ b/include/teaselhill/duties/duty_lease.h
@@ -18,8 +18,8 @@
 namespace teaselhill::duties {
 
 struct LeaseOptions {
-  /// A holder that dies leaves the duties undone for this time, the pause and
-  /// the stagger.
+  /// If the holder fails, the duties stop for this time, the pause and the next
+  /// host's stagger.
   Duration length = std::chrono::seconds(4);
   /// Lets two renewals without an answer be repeated before the lease ends.
   Duration renew_after = std::chrono::milliseconds(1300);
@@ -135,7 +135,8 @@
   Epoch EpochAt(uint64_t offset) const;
   bool EnterEra(uint64_t era, TimePoint now);
   void StartOver(LossCause cause, TimePoint now);
-  /// Records that were not read may say anything up to now.
+  /// Forgets who holds the lease. For a whole lease from now on, another host
+  /// may hold it.
   void ForgetState(LossCause cause, TimePoint now);
   void OnRecord(const LeaseRecord& record, uint64_t offset, TimePoint now);
   void OnOwnRecord(const LeaseRecord& record, uint64_t offset, TimePoint now);
--- a/include/teaselhill/duties/duty_runner.h
+++ b/include/teaselhill/duties/duty_runner.h
@@ -100,6 +100,8 @@
   void SendRead(TimePoint now);
   ReadPlan PlanRead(TimePoint now) const;
   void OnPage(Result<LogPage> page);
+  /// Call after the lease may have begun to read the log anew.
+  void ForgetLostTexts(uint64_t previous_offset);
   void RememberTexts(const std::vector<LeaseRecord>& records);
   void ArmTimer(TimePoint now);
   Status CheckCall(TimePoint now);
--- a/include/teaselhill/duties/pool_duty.h
+++ b/include/teaselhill/duties/pool_duty.h
@@ -48,8 +48,8 @@
   void OnHostReport(const HostReport& report, TimePoint now) override;
 
  private:
-  /// Exists while the lease is held; callbacks of an earlier time find it gone.
-  struct Tenure {
+  /// Exists while the lease is held, so that late callbacks do nothing.
+  struct Hold {
     DutyContext& context;
   };
 
@@ -65,7 +65,7 @@
   Logger& logger_;
   Metrics& metrics_;
   PoolPlanner planner_;
-  std::shared_ptr<Tenure> tenure_;
+  std::shared_ptr<Hold> hold_;
   bool orders_changed_ = false;
   std::optional<TimePoint> kept_at_;
   std::optional<TimePoint> plans_logged_at_;
--- a/include/teaselhill/duties/usage_duty.h
+++ b/include/teaselhill/duties/usage_duty.h
@@ -46,8 +46,8 @@
   void OnHostReport(const HostReport& report, TimePoint now) override;
 
  private:
-  /// Exists while the lease is held; callbacks of an earlier time find it gone.
-  struct Tenure {
+  /// Exists while the lease is held, so that late callbacks do nothing.
+  struct Hold {
     DutyContext& context;
   };
 
@@ -64,7 +64,7 @@
   Metrics& metrics_;
   UsageWindows windows_;
   UsageQueue queue_;
-  std::shared_ptr<Tenure> tenure_;
+  std::shared_ptr<Hold> hold_;
 };
 
 }  // namespace teaselhill::duties
--- a/include/teaselhill/duties/usage_queue.h
+++ b/include/teaselhill/duties/usage_queue.h
@@ -22,7 +22,7 @@
 /// kProtocolError if the text is not that of a report.
 Result<UsageReport> DecodeUsageReport(std::string_view text);
 
-/// Sees to it that of each window one version only is ever sent: a report is
+/// Ensures that at most one version of a window's report is sent: a report is
 /// kept in the store before it is sent, and is not changed afterwards. What is
 /// known to be kept stays here while the lease is lost, in case the store loses
 /// it. Deterministic: time is an argument.
--- a/include/teaselhill/gateway/engine_reserve.h
+++ b/include/teaselhill/gateway/engine_reserve.h
@@ -81,7 +81,7 @@
     double count = 0;
   };
   void Decay(TimePoint now);
-  /// Parts of the engines that the load needs by each of the means.
+  /// Part of the engines that the load needs by this mean.
   double NeededFraction(const Mean& mean) const;
 
   EngineReserveOptions options_;
--- a/lib/duties/duty_lease.cc
+++ b/lib/duties/duty_lease.cc
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// An epoch holds the era of the log above the offset of a record.
+/// An epoch holds the era of the log above the offset of a record. 40 bits of
+/// offset outlast any log, and eras are few.
 constexpr int kOffsetBits = 40;
 constexpr uint64_t kMaxOffset = (uint64_t{1} << kOffsetBits) - 1;
 constexpr uint64_t kMaxEra = (uint64_t{1} << (64 - kOffsetBits)) - 1;
@@ -86,7 +87,7 @@
   if (era == era_)
     return true;
   caught_up_ = false;
-  // An answer that does not tell its era says nothing about this one.
+  // An answer from an earlier era, or without one, says nothing about this one.
   if (era < era_)
     return false;
   era_ = era;
@@ -229,7 +230,7 @@
   TimePoint at = std::max(whole_wait, changed_at_ + options_.min_return);
   if (!newest_)
     return at + options_.stagger * rank_.value_or(0);
-  // Nobody else has held the lease since, so nobody else's can still last.
+  // No other host has written since, so no other lease can be running.
   if (newest_->own)
     return at;
   const TimePoint free_at =
--- a/lib/duties/duty_runner.cc
+++ b/lib/duties/duty_runner.cc
@@ -10,11 +10,13 @@
 
 namespace {
 
-/// Part of the platform's rate that one holder uses.
+/// Part of the platform's rate that one holder uses: the one before it may have
+/// used the other half in the same second.
 constexpr double kRateShare = 0.5;
 
-/// Kept texts that are remembered for the next hold. The log retains less.
+/// Texts remembered for the next hold; more than the log retains.
 constexpr size_t kMaxKeptTexts = 512;
+/// Bounds memory while the store does not answer.
 constexpr size_t kMaxWaitingTexts = 64;
 
 constexpr std::chrono::milliseconds kMinReadDelay{200};
@@ -277,9 +279,10 @@
   log_->Append(*append, [this, append = *append](const AppendAnswer& answer) {
     const uint64_t offset = lease_.next_offset();
     lease_.OnAppended(answer, clock_());
+    ForgetLostTexts(offset);
     if (lease_.next_offset() > offset) {
       RememberTexts({append.record});
-      // It would bring the own record only.
+      // The read in progress would return only the record just appended.
       if (reading_)
         log_->CancelRead();
       reading_ = false;
@@ -329,6 +332,7 @@
   last_answered_read_at_ = *last_read_at_;
   const uint64_t offset = lease_.next_offset();
   lease_.OnPage(*page, now);
+  ForgetLostTexts(offset);
   if (lease_.next_offset() > offset && !page->dropped)
     RememberTexts(page->records);
   if (lease_.next_offset() == offset && lease_.needs_read())
@@ -336,6 +340,14 @@
   Step();
 }
 
+void DutyRunner::ForgetLostTexts(uint64_t previous_offset) {
+  // The log came back from an older copy, which may lack texts that were read.
+  if (lease_.next_offset() >= previous_offset)
+    return;
+  kept_.clear();
+  kept_ids_.clear();
+}
+
 void DutyRunner::RememberTexts(const std::vector<LeaseRecord>& records) {
   for (const LeaseRecord& record : records) {
     const std::pair id(record.writer, record.number);
--- a/lib/duties/pool_duty.cc
+++ b/lib/duties/pool_duty.cc
@@ -78,7 +78,7 @@
                           TimePoint now) {
   planner_.Reset(kept, now);
   planner_.OnServers(source_(), now);
-  tenure_ = std::make_shared<Tenure>(Tenure{context});
+  hold_ = std::make_shared<Hold>(Hold{context});
   orders_changed_ = false;
   kept_at_.reset();
   plans_logged_at_.reset();
@@ -86,18 +86,18 @@
 }
 
 void PoolDuty::OnLost(TimePoint now) {
-  tenure_.reset();
+  hold_.reset();
   planner_.Reset({}, now);
   ReportMetrics();
 }
 
 void PoolDuty::OnHostReport(const HostReport& report, TimePoint now) {
-  if (tenure_)
+  if (hold_)
     planner_.OnReport(report, now);
 }
 
 void PoolDuty::OnTick(TimePoint now) {
-  if (!tenure_)
+  if (!hold_)
     return;
   planner_.OnServers(source_(), now);
   SendNext(now);
@@ -109,10 +109,9 @@
   const std::optional<PlannedOrder> planned = planner_.Plan(now);
   if (!planned)
     return;
-  const Status sent = tenure_->context.OrderServers(
-      planned->order,
-      [this, planned = *planned,
-       weak = std::weak_ptr<Tenure>(tenure_)](CallOutcome outcome) {
+  const Status sent = hold_->context.OrderServers(
+      planned->order, [this, planned = *planned,
+                       weak = std::weak_ptr<Hold>(hold_)](CallOutcome outcome) {
         if (!weak.expired())
           OnOrdered(planned, outcome);
       });
@@ -146,9 +145,9 @@
     return;
   orders_changed_ = false;
   kept_at_ = now;
-  tenure_->context.Keep(
+  hold_->context.Keep(
       name(), planner_.Snapshot(),
-      [this, weak = std::weak_ptr<Tenure>(tenure_)](const Status& status) {
+      [this, weak = std::weak_ptr<Hold>(hold_)](const Status& status) {
         if (!weak.expired() && !status)
           orders_changed_ = true;
       });
--- a/lib/duties/pool_sizing.cc
+++ b/lib/duties/pool_sizing.cc
@@ -95,8 +95,8 @@
   for (const size_t i : order)
     weight_left +=
         1 / std::max(0.01, input.spec.PriceIn(input.domains[i].domain));
-  // Of two domains neither can be held below one half.
-  const double max_part = input.domains.size() < 3
+  // With fewer than three usable domains, an even split is the lowest bound.
+  const double max_part = order.size() < 3
                               ? 1.0 / std::max<size_t>(1, order.size())
                               : kMaxReclaimPart;
   const int max_share = RoundUp(servers * max_part);
--- a/lib/duties/usage_duty.cc
+++ b/lib/duties/usage_duty.cc
@@ -62,24 +62,24 @@
   }
   queue_.Start(reports, options_.wall_now());
   windows_.Start(queue_.last_window(), now);
-  tenure_ = std::make_shared<Tenure>(Tenure{context});
+  hold_ = std::make_shared<Hold>(Hold{context});
   KeepNext(now);
   SendNext(now);
 }
 
 void UsageDuty::OnLost(TimePoint) {
-  tenure_.reset();
+  hold_.reset();
   queue_.Stop();
   ReportMetrics();
 }
 
 void UsageDuty::OnHostReport(const HostReport& report, TimePoint now) {
-  if (tenure_)
+  if (hold_)
     windows_.OnReport(report, now);
 }
 
 void UsageDuty::OnTick(TimePoint now) {
-  if (!tenure_)
+  if (!hold_)
     return;
   const WallTime wall = options_.wall_now();
   for (const WindowNumber window : queue_.Expire(wall))
@@ -94,15 +94,15 @@
 }
 
 void UsageDuty::KeepNext(TimePoint now) {
-  if (!tenure_)
+  if (!hold_)
     return;
   const std::optional<UsageReport> report = queue_.TakeToKeep(now);
   if (!report)
     return;
-  tenure_->context.Keep(
+  hold_->context.Keep(
       name(), EncodeUsageReport(*report),
       [this, report = *report,
-       weak = std::weak_ptr<Tenure>(tenure_)](const Status& status) {
+       weak = std::weak_ptr<Hold>(hold_)](const Status& status) {
         if (!weak.expired())
           OnKept(report, status);
       });
@@ -118,14 +118,14 @@
 }
 
 void UsageDuty::SendNext(TimePoint now) {
-  if (!tenure_)
+  if (!hold_)
     return;
   const std::optional<UsageReport> report = queue_.TakeToSend(now);
   if (!report)
     return;
-  const Status sent = tenure_->context.ReportUsage(
+  const Status sent = hold_->context.ReportUsage(
       *report, [this, report = *report,
-                weak = std::weak_ptr<Tenure>(tenure_)](CallOutcome outcome) {
+                weak = std::weak_ptr<Hold>(hold_)](CallOutcome outcome) {
         if (!weak.expired())
           OnReported(report, outcome);
       });
@@ -164,7 +164,7 @@
 
 void UsageDuty::ReportMetrics() {
   double age = 0;
-  if (tenure_ && queue_.reported_until())
+  if (hold_ && queue_.reported_until())
     age = ToSeconds(options_.wall_now() - *queue_.reported_until());
   metrics_.SetGauge("teaselhill_usage_report_age_seconds",
                     "Time since the end of the last window whose usage report "
@@ -172,7 +172,7 @@
                     age);
   metrics_.SetGauge("teaselhill_usage_windows_pending",
                     "Closed windows whose usage report is not accepted",
-                    tenure_ ? static_cast<double>(queue_.pending()) : 0);
+                    hold_ ? static_cast<double>(queue_.pending()) : 0);
 }
 
 }  // namespace teaselhill::duties
--- a/lib/gateway/duty_host.cc
+++ b/lib/gateway/duty_host.cc
@@ -3,6 +3,8 @@
 
 #include "duty_host.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "teaselhill/duties/pool_duty.h"
@@ -72,10 +74,16 @@
 void DutyHost::OnHosts(const std::vector<HostRecord>& records) {
   if (!runner_)
     return;
-  poller_->OnHosts(records);
+  // A host that has not announced itself for long is gone.
+  std::vector<HostRecord> running;
+  std::copy_if(records.begin(), records.end(), std::back_inserter(running),
+               [](const HostRecord& record) {
+                 return record.age < FleetSize::kHostRetention;
+               });
+  poller_->OnHosts(running);
   std::vector<duties::KnownHost> hosts;
   std::vector<std::string> names;
-  for (const HostRecord& record : records) {
+  for (const HostRecord& record : running) {
     hosts.push_back({record.host, record.age});
     names.push_back(record.host);
   }
--- a/lib/gateway/engine_reserve.cc
+++ b/lib/gateway/engine_reserve.cc
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <iterator>
 #include <unordered_set>
+#include <utility>
 
 #include "teaselhill/support/decay.h"
 #include "teaselhill/support/hash.h"
