--- a/include/teaselhill/duties/duty.h
+++ b/include/teaselhill/duties/duty.h
@@ -47,6 +47,7 @@
   kRefused,        ///< wrong in itself; a repeat is refused as well
   kUnknown,        ///< failed or without an answer; it may have taken effect
 };
+std::string_view CallOutcomeName(CallOutcome outcome);
 
 /// The platform's API. Its calls do not outlive `kCallTimeout`.
 class PlatformApi {
--- a/lib/duties/duty_runner.cc
+++ b/lib/duties/duty_runner.cc
@@ -24,22 +24,6 @@
 /// Before a read whose answer told nothing new is repeated.
 constexpr std::chrono::seconds kEmptyReadDelay{1};
 
-std::string_view OutcomeText(CallOutcome outcome) {
-  switch (outcome) {
-    case CallOutcome::kAccepted:
-      return "accepted";
-    case CallOutcome::kNoneAvailable:
-      return "none_available";
-    case CallOutcome::kRateLimited:
-      return "rate_limited";
-    case CallOutcome::kRefused:
-      return "refused";
-    case CallOutcome::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 DutyRunner::DutyRunner(TimerService& timers,
@@ -147,7 +131,7 @@
                         "duty_call")
                     .Field("call", call == Call::kUsage ? "usage" : "servers")
                     .Field("epoch", epoch)
-                    .Field("outcome", OutcomeText(outcome))
+                    .Field("outcome", CallOutcomeName(outcome))
                     .Field("took_ms", clock_() - sent_at));
 }
 
--- a/lib/duties/pool_duty.cc
+++ b/lib/duties/pool_duty.cc
@@ -14,22 +14,6 @@
 constexpr std::chrono::seconds kKeepPeriod{2};
 constexpr std::chrono::seconds kPlanLogPeriod{2};
 
-std::string_view OutcomeName(CallOutcome outcome) {
-  switch (outcome) {
-    case CallOutcome::kAccepted:
-      return "accepted";
-    case CallOutcome::kNoneAvailable:
-      return "none_available";
-    case CallOutcome::kRateLimited:
-      return "rate_limited";
-    case CallOutcome::kRefused:
-      return "refused";
-    case CallOutcome::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 std::string_view KindName(bool reclaimable) {
   return reclaimable ? "reclaimable" : "on_demand";
 }
@@ -135,7 +119,7 @@
       .Field("present", planned.present)
       .Field("ready", planned.ready)
       .Field("reason", PoolReasonName(planned.reason))
-      .Field("outcome", OutcomeName(outcome));
+      .Field("outcome", CallOutcomeName(outcome));
   AddFigures(planned.figures, planned.target, &line);
   logger_.Write(line);
 }
--- a/lib/duties/usage_duty.cc
+++ b/lib/duties/usage_duty.cc
@@ -9,22 +9,6 @@
 
 namespace {
 
-std::string_view OutcomeName(CallOutcome outcome) {
-  switch (outcome) {
-    case CallOutcome::kAccepted:
-      return "accepted";
-    case CallOutcome::kNoneAvailable:
-      return "none_available";
-    case CallOutcome::kRateLimited:
-      return "rate_limited";
-    case CallOutcome::kRefused:
-      return "refused";
-    case CallOutcome::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 uint64_t SumOf(const UsageReport& report) {
   uint64_t sum = 0;
   for (const auto& [team, requests] : report.requests_by_team)
@@ -136,7 +120,7 @@
 void UsageDuty::OnReported(const UsageReport& report, CallOutcome outcome) {
   const TimePoint now = options_.now();
   queue_.OnSent(report.window, outcome, now);
-  LogReported(report.window, OutcomeName(outcome));
+  LogReported(report.window, CallOutcomeName(outcome));
   SendNext(now);
 }
 
