Learn the speeds of engines, and rank prompts by them

Its health checks answer, and a host of 62 sees an engine once in a quarter of a minute.

Change: lib/engines, a part of its own. EventIntervals takes the lower quartile of the intervals between a stream's events; EngineSpeeds compares it with the usual one and keeps a step of the square root of 2 for each engine. One stream raises a speed, two in a row lower it. Hosts tell each other changes, and all speeds to a host that starts. Placement ranks prompts by weighted rendezvous hashing, and divides the time to read and the reported backlog by the speed. Only for services to which the reserve for urgent streams applies.

--- a/include/teaselhill/gateway/affinity_placement.h
+++ b/include/teaselhill/gateway/affinity_placement.h
@@ -52,7 +52,8 @@
 /// candidates: each further prefill of the prefix takes engine time from all
 /// other requests, which under load lengthens the queues that caused the
 /// request to move. A hot prefix gets additional candidates in proportion to
-/// its load.
+/// its load. An engine is first in rank for a part of all prefixes that is in
+/// proportion to its speed.
 ///
 /// Where engines run few requests at once, long prompts delay the events of the
 /// streams beside them. EngineReserve sets engines of such a service apart for
@@ -89,6 +90,9 @@
   bool AlwaysNeedsReports(const PlacementRequest& request,
                           const UpstreamList& upstreams) const override;
 
+  bool UsesEngineSpeeds(const PlacementRequest& request,
+                        const UpstreamList& upstreams) const override;
+
   std::vector<ReserveChange> TakeReserveChanges() override {
     return reserve_.TakeChanges();
   }
@@ -111,11 +115,14 @@
 
   struct Candidate {
     const UpstreamEntry* upstream = nullptr;
-    uint64_t hash_rank = 0;
+    double rank = 0;  ///< higher is better
+    bool is_first_in_rank = false;
     Duration expected_delay{};
     bool has_prefix_cached = false;
   };
 
+  double SpeedOf(const UpstreamEntry& upstream) const;
+
   /// Divides the upstreams that the request may use; all are shared if none is
   /// reserved or only ejected ones are left.
   EngineGroups DivideCandidates(const PlacementRequest& request,
@@ -133,10 +140,10 @@
                        const UpstreamHealth& health,
                        TimePoint now) const;
 
-  /// Returns the upstreams sorted by descending hash of upstream id and prompt
-  /// prefix. If the request has a prefix, only the first PrefixEngineCount()
-  /// upstreams are returned. `upstreams` must not be empty; neither is the
-  /// result.
+  /// Returns the upstreams sorted by descending rank, from the hash of upstream
+  /// id and prompt prefix and from the speed of the upstream. If the request
+  /// has a prefix, only the first PrefixEngineCount() upstreams are returned.
+  /// `upstreams` must not be empty; neither is the result.
   std::vector<Candidate> RankUpstreams(
       const PlacementRequest& request,
       const std::vector<const UpstreamEntry*>& upstreams,
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -17,6 +17,7 @@
 
 #include "teaselhill/duties/usage_counter.h"
 #include "teaselhill/duties/work_counter.h"
+#include "teaselhill/engines/engine_speeds.h"
 #include "teaselhill/gateway/brittle_upstreams.h"
 #include "teaselhill/gateway/crash_guard.h"
 #include "teaselhill/gateway/event_log.h"
@@ -286,6 +287,9 @@
   void LogHealthEvents(TimePoint now);
   /// Logs changes of the engines that are reserved for urgent streams.
   void LogReserveChanges(TimePoint now);
+  /// Logs the engine speeds that have changed, tells the other hosts of those
+  /// that this one has found, and forgets engines that are gone.
+  void FollowEngineSpeeds(TimePoint now);
 
   net::EventLoop& loop_;
   GatewayOptions options_;
@@ -299,6 +303,7 @@
   /// a connection for each request.
   net::HttpClient report_client_;
   Rng rng_;
+  engines::EngineSpeeds engine_speeds_;
   std::unique_ptr<PlacementPolicy> placement_;
   std::map<std::string, double> reserved_fractions_;  ///< by service
   UpstreamHealth upstream_health_;
--- a/include/teaselhill/gateway/peer_notices.h
+++ b/include/teaselhill/gateway/peer_notices.h
@@ -1,10 +1,11 @@
 /// \file
-/// Upstreams that leave, told to hosts that start.
+/// What is known of upstreams, told to hosts that start.
 
 #ifndef TEASELHILL_GATEWAY_PEER_NOTICES_H_
 #define TEASELHILL_GATEWAY_PEER_NOTICES_H_
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 
@@ -14,9 +15,10 @@
 
 namespace teaselhill::gateway {
 
-/// Hosts tell each other once that an upstream leaves. A host that starts later
-/// asks others which upstreams they know to be leaving. Used on the event loop
-/// of its PeerExchange, which must outlive it.
+/// Hosts tell each other once that an upstream leaves or that the speed of an
+/// engine has changed. A host that starts later asks others which upstreams
+/// leave, and for the speeds. Used on the event loop of its PeerExchange, which
+/// must outlive it.
 class PeerNotices {
  public:
   /// `own_host`: name of this host, by which the hosts to ask are chosen.
@@ -42,6 +44,7 @@
   std::string own_host_;
   const SharedState& shared_state_;
   std::set<UpstreamProcess> leaving_;
+  std::map<UpstreamProcess, engines::EngineSpeed> speeds_;
   bool asked_ = false;
 };
 
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "teaselhill/engines/engine_speeds.h"
 #include "teaselhill/gateway/route_table.h"
 #include "teaselhill/gateway/upstream_directory.h"
 #include "teaselhill/gateway/upstream_health.h"
@@ -42,6 +43,8 @@
   double max_prefix_load_fraction = 0.7;
   /// Half-life of the counts that detect a hot shared prompt prefix.
   Duration prefix_load_half_life = std::chrono::seconds(4);
+  /// Must outlive the policy. Null: all engines have the same speed.
+  const engines::EngineSpeeds* engine_speeds = nullptr;
 };
 
 /// Properties of a request that placement depends on.
@@ -87,6 +90,7 @@
   PlacementReason reason = PlacementReason::kLeastDelay;
   Duration expected_delay{};     ///< before the answer starts
   Duration second_best_delay{};  ///< expected delay of the next candidate
+  double engine_speed = 1;       ///< of the upstream, see EngineSpeeds
   int candidate_count = 0;
   int ejected_count = 0;
 };
@@ -148,6 +152,13 @@
     return false;
   }
 
+  /// Whether the streams of the request's service show the speeds of their
+  /// engines, and the policy uses these.
+  virtual bool UsesEngineSpeeds(const PlacementRequest& request,
+                                const UpstreamList& upstreams) const {
+    return false;
+  }
+
   virtual std::vector<ReserveChange> TakeReserveChanges() { return {}; }
 
   /// Removes the state of upstreams and prompt prefixes without a recent
--- a/include/teaselhill/gateway/upstream_directory.h
+++ b/include/teaselhill/gateway/upstream_directory.h
@@ -10,11 +10,11 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
+#include "teaselhill/support/ids.h"
 #include "teaselhill/support/time.h"
 
 namespace teaselhill::gateway {
@@ -40,19 +40,6 @@
   std::optional<Duration> leaves_in;
 };
 
-/// One process of an upstream.
-struct UpstreamProcess {
-  std::string id;
-  uint64_t incarnation = 0;
-
-  friend bool operator==(const UpstreamProcess& a, const UpstreamProcess& b) {
-    return a.id == b.id && a.incarnation == b.incarnation;
-  }
-  friend bool operator<(const UpstreamProcess& a, const UpstreamProcess& b) {
-    return std::tie(a.id, a.incarnation) < std::tie(b.id, b.incarnation);
-  }
-};
-
 /// The newest record of an upstream's entry, which the upstream renews while it
 /// runs.
 struct EntryRenewal {
--- a/include/teaselhill/gateway/upstream_notices.h
+++ b/include/teaselhill/gateway/upstream_notices.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "teaselhill/engines/engine_speeds.h"
 #include "teaselhill/gateway/upstream_directory.h"
 #include "teaselhill/gateway/upstream_limits.h"
 #include "teaselhill/support/time.h"
@@ -35,7 +36,7 @@
   Duration pause{};  ///< time that is left of it
 };
 
-/// All that a host tells the others of upstreams' notices.
+/// All that a host tells the others of upstreams.
 struct UpstreamObservations {
   std::vector<LimitObservation> limits;
   std::vector<NoticeObservation> notices;
@@ -43,10 +44,12 @@
   std::vector<UpstreamProcess> refusals;
   /// Upstreams that could not be connected to and may start again.
   std::vector<UpstreamProcess> unreachable;
+  /// Speeds of engines that have changed.
+  std::vector<engines::EngineSpeed> speeds;
 
   bool empty() const {
     return limits.empty() && notices.empty() && refusals.empty() &&
-           unreachable.empty();
+           unreachable.empty() && speeds.empty();
   }
 };
 
--- a/include/teaselhill/support/ids.h
+++ b/include/teaselhill/support/ids.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace teaselhill {
 
@@ -32,6 +33,20 @@
   }
 };
 
+/// One process of an upstream. A restart under the same id has a greater
+/// incarnation number.
+struct UpstreamProcess {
+  std::string id;
+  uint64_t incarnation = 0;
+
+  friend bool operator==(const UpstreamProcess& a, const UpstreamProcess& b) {
+    return a.id == b.id && a.incarnation == b.incarnation;
+  }
+  friend bool operator<(const UpstreamProcess& a, const UpstreamProcess& b) {
+    return std::tie(a.id, a.incarnation) < std::tie(b.id, b.incarnation);
+  }
+};
+
 }  // namespace teaselhill
 
 #endif  // TEASELHILL_SUPPORT_IDS_H_
--- a/lib/gateway/affinity_placement.cc
+++ b/lib/gateway/affinity_placement.cc
@@ -4,6 +4,7 @@
 #include "teaselhill/gateway/affinity_placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "teaselhill/support/decay.h"
 #include "teaselhill/support/hash.h"
@@ -42,6 +43,13 @@
   return engines;
 }
 
+/// Rank by weighted rendezvous hashing: an engine gets the highest one for a
+/// part of all hashes that is in proportion to its speed.
+static double PrefixRank(uint64_t hash, double speed) {
+  const double uniform = (static_cast<double>(hash) + 1) * 0x1p-64;
+  return std::log(uniform) / speed;
+}
+
 PrefixLoadTracker::Usage PrefixLoadTracker::DecayedUsage(const Usage& usage,
                                                          TimePoint now) const {
   const double factor = DecayFactor(now - usage.updated_at, half_life_);
@@ -100,11 +108,11 @@
                       health.MeanServiceDelay(request.service, now), now);
   std::vector<Candidate> candidates = RankUpstreams(
       request, groups.shared.empty() ? groups.reserved : groups.shared, now);
-  const uint64_t highest_rank = candidates.front().hash_rank;
+  candidates.front().is_first_in_rank = true;
   for (Candidate& candidate : candidates) {
     candidate.has_prefix_cached =
         request.prefix_hash != 0 &&
-        (candidate.hash_rank == highest_rank ||
+        (candidate.is_first_in_rank ||
          HasPrefixCached(request.prefix_hash, *candidate.upstream, now));
     candidate.expected_delay = ExpectedDelay(request, candidate, health, now);
   }
@@ -112,7 +120,7 @@
             [](const Candidate& a, const Candidate& b) {
               return a.expected_delay != b.expected_delay
                          ? a.expected_delay < b.expected_delay
-                         : a.hash_rank > b.hash_rank;
+                         : a.rank > b.rank;
             });
   const Candidate& best = candidates.front();
   Placement placement;
@@ -121,13 +129,14 @@
   placement.second_best_delay = candidates.size() > 1
                                     ? candidates[1].expected_delay
                                     : best.expected_delay;
+  placement.engine_speed = SpeedOf(*best.upstream);
   placement.candidate_count = static_cast<int>(candidates.size());
   placement.ejected_count = static_cast<int>(eligible.ejected.size());
   if (eligible.usable.empty())
     placement.reason = PlacementReason::kAllEjected;
   else if (!request.is_engine)
     placement.reason = PlacementReason::kNearest;
-  else if (best.hash_rank == highest_rank)
+  else if (best.is_first_in_rank)
     placement.reason = PlacementReason::kAffinityOwner;
   else if (best.has_prefix_cached)
     placement.reason = PlacementReason::kPrefixCached;
@@ -173,6 +182,21 @@
                             upstreams.OfService(request.service).size());
 }
 
+bool AffinityPlacement::UsesEngineSpeeds(const PlacementRequest& request,
+                                         const UpstreamList& upstreams) const {
+  // An engine that runs many requests at once shows its load between events
+  // rather than its speed.
+  return options_.engine_speeds &&
+         reserve_.AppliesTo(request,
+                            upstreams.OfService(request.service).size());
+}
+
+double AffinityPlacement::SpeedOf(const UpstreamEntry& upstream) const {
+  return options_.engine_speeds ? options_.engine_speeds->SpeedOf(
+                                      upstream.id, upstream.incarnation)
+                                : 1;
+}
+
 EngineGroups AffinityPlacement::DivideCandidates(
     const PlacementRequest& request,
     const UpstreamList& upstreams,
@@ -224,6 +248,7 @@
   }
   if (candidates.size() == 1)
     placement.second_best_delay = placement.expected_delay;
+  placement.engine_speed = SpeedOf(placement.upstream);
   return placement;
 }
 
@@ -253,13 +278,13 @@
   for (const UpstreamEntry* upstream : upstreams) {
     Candidate candidate;
     candidate.upstream = upstream;
-    candidate.hash_rank = Hash64(upstream->id, request.prefix_hash);
+    candidate.rank = PrefixRank(Hash64(upstream->id, request.prefix_hash),
+                                SpeedOf(*upstream));
     ranked.push_back(candidate);
   }
-  std::sort(ranked.begin(), ranked.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.hash_rank > b.hash_rank;
-            });
+  std::sort(
+      ranked.begin(), ranked.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
   if (request.prefix_hash != 0)
     ranked.resize(PrefixEngineCount(request, ranked.size(), now));
   return ranked;
@@ -299,8 +324,11 @@
   const auto found = upstream_loads_.find(id);
   const UpstreamLoad load =
       found == upstream_loads_.end() ? UpstreamLoad{} : found->second;
-  double delay_ms =
-      ToMilliseconds(health.ExpectedDelay(id, now)) +
+  double delay_ms = ToMilliseconds(health.ExpectedDelay(id, now));
+  // A report counts requests; a slow engine takes longer for each.
+  if (health.HasRecentReport(id, now))
+    delay_ms /= SpeedOf(*candidate.upstream);
+  delay_ms +=
       ToMilliseconds(options_.failure_cost) * health.FailureFraction(id, now);
   if (!request.is_engine) {
     delay_ms += ToMilliseconds(options_.service_slot_cost) * load.in_flight;
@@ -311,7 +339,8 @@
   double tokens = load.unanswered_tokens;
   if (!candidate.has_prefix_cached)
     tokens += request.shared_prefix_tokens;
-  delay_ms += tokens / options_.prefill_tokens_per_ms;
+  delay_ms +=
+      tokens / options_.prefill_tokens_per_ms / SpeedOf(*candidate.upstream);
   return FromSeconds(delay_ms / 1000);
 }
 
@@ -361,7 +390,8 @@
   if (request.prefix_hash == 0 ||
       !HasPrefixCached(request.prefix_hash, upstream, now))
     tokens += request.shared_prefix_tokens;
-  return FromSeconds(tokens / options_.prefill_tokens_per_ms / 1000);
+  return FromSeconds(tokens / options_.prefill_tokens_per_ms /
+                     SpeedOf(upstream) / 1000);
 }
 
 void AffinityPlacement::ExpireUnused(TimePoint now) {
--- a/lib/gateway/exchange.cc
+++ b/lib/gateway/exchange.cc
@@ -249,6 +249,8 @@
   attempt_.possible_runs = 1;
   state_.possible_runs += attempt_.possible_runs;
   BeginAttempt(now);
+  attempt_.measures_speed = gateway_.placement_->UsesEngineSpeeds(
+      request_.placement_request, *gateway_.shared_state_.upstreams());
   if (attempt_.crash_assessment.isolate)
     attempt_.suspect_run = gateway_.crash_guard_.StartRun(
         attempt_.upstream.id, attempt_.crash_assessment);
@@ -276,6 +278,7 @@
           .Field("reason", PlacementReasonName(placement.reason))
           .Field("expected_ms", placement.expected_delay)
           .Field("second_best_ms", placement.second_best_delay)
+          .Field("engine_speed", placement.engine_speed)
           .Field("candidates", placement.candidate_count)
           .Field("ejected", placement.ejected_count)
           .Field("limited",
@@ -322,6 +325,8 @@
 void Exchange::BeginAttempt(TimePoint now) {
   attempt_.answer_started_at.reset();
   attempt_.response_head.reset();
+  attempt_.measures_speed = false;
+  attempt_.event_intervals = {};
   std::string().swap(attempt_.buffered_body);
   attempt_.sent_at = attempt_.progress_at = attempt_.data_at = now;
   stall_recheck_at_ = {};
@@ -379,9 +384,18 @@
   gateway_.client_.Cancel(attempt.transfer);
   if (attempt.relay_peer)
     return;
+  ReportEngineSpeed(attempt);
   gateway_.placement_->OnAttemptEnded(request_.placement_request,
                                       attempt.upstream.id,
                                       attempt.answer_started_at.has_value());
 }
 
+void Exchange::ReportEngineSpeed(const Attempt& attempt) {
+  const std::optional<Duration> interval = attempt.event_intervals.Typical();
+  if (interval)
+    gateway_.engine_speeds_.OnStream(
+        request_.service, request_.route->tier,
+        {attempt.upstream.id, attempt.upstream.incarnation}, *interval);
+}
+
 }  // namespace teaselhill::gateway
--- a/lib/gateway/exchange.h
+++ b/lib/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "teaselhill/engines/event_intervals.h"
 #include "teaselhill/gateway/answer_relief.h"
 #include "teaselhill/gateway/crash_keys.h"
 #include "teaselhill/gateway/event_stream.h"
@@ -106,6 +107,9 @@
     std::unique_ptr<CrashGuard::SuspectRun> suspect_run;
     BrittleUpstreams::OpenRequest open_request;
     duties::WorkCounter::Request engine_work;
+    /// Whether its events show the speed of the upstream.
+    bool measures_speed = false;
+    engines::EventIntervals event_intervals;
     Duration expected_prefill{};
     TimePoint sent_at{};
     TimePoint progress_at{};  ///< last progress
@@ -236,6 +240,8 @@
   AttemptContext MakeAttemptContext(const UpstreamEntry& upstream,
                                     TimePoint now) const;
   void StopAttempt(Attempt& attempt);
+  /// Reports how fast the engine of the attempt sent its events.
+  void ReportEngineSpeed(const Attempt& attempt);
   void OnHead(int status, const net::Headers& headers);
   /// Begins to relay the response, unless it cannot follow what the caller has
   /// got so far.
--- a/lib/gateway/exchange_answer.cc
+++ b/lib/gateway/exchange_answer.cc
@@ -109,10 +109,12 @@
 void Exchange::OnEvents(std::string_view data) {
   const uint64_t events_before = event_stream_.event_count();
   ParsedEvents events = event_stream_.Append(data);
+  const uint64_t new_events = event_stream_.event_count() - events_before;
+  if (attempt_.measures_speed && new_events > 0)
+    attempt_.event_intervals.OnEvents(new_events, attempt_.data_at);
   attempt_.engine_work.OnEvents(
-      event_stream_.event_count() - events_before,
-      !first_event_at_ && attempt_.data_at - request_.arrived_at >
-                              request_.route->answer_target);
+      new_events, !first_event_at_ && attempt_.data_at - request_.arrived_at >
+                                          request_.route->answer_target);
   if (!events.complete.empty())
     PassOnEvents(std::move(events.complete));
   state_.resumable &= event_stream_.position_known();
--- a/lib/gateway/exchange_memory.cc
+++ b/lib/gateway/exchange_memory.cc
@@ -25,6 +25,7 @@
 void Exchange::PauseTransfer() {
   if (!attempt_.handler || std::exchange(transfer_paused_, true))
     return;
+  attempt_.event_intervals.OnReadingPaused();
   gateway_.client_.Pause(attempt_.transfer);
 }
 
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -42,6 +42,15 @@
   return placement_request;
 }
 
+std::unique_ptr<PlacementPolicy> MakePlacement(
+    const GatewayOptions& options,
+    const engines::EngineSpeeds& engine_speeds) {
+  PlacementOptions placement = options.placement;
+  placement.engine_speeds = &engine_speeds;
+  return std::move(*PlacementRegistry::Instance().Create(
+      options.placement_policy, placement));
+}
+
 }  // namespace
 
 Gateway::Gateway(net::EventLoop& loop,
@@ -61,9 +70,7 @@
       client_(loop, /*max_idle_connections=*/16),
       report_client_(loop, kMaxIdleReportConnections),
       rng_(EntropySeed()),
-      placement_(std::move(
-          *PlacementRegistry::Instance().Create(options_.placement_policy,
-                                                options_.placement))),
+      placement_(MakePlacement(options_, engine_speeds_)),
       report_fetcher_(loop, report_client_, upstreams, upstream_health_),
       crash_guard_(loop,
                    client_,
@@ -85,6 +92,7 @@
     const TimePoint now = BootNow();
     placement_->ExpireUnused(now);
     LogReserveChanges(now);
+    FollowEngineSpeeds(now);
     upstream_health_.ExpireUpstreams(now);
     crash_guard_.Expire(now);
     const CrashCounts counts = crash_guard_.Count(now);
@@ -346,6 +354,7 @@
     if (upstream)
       brittle_upstreams_.OnRefused(*upstream, /*local=*/false, now);
   }
+  engine_speeds_.OnTold(observations.speeds);
   for (const UpstreamProcess& process : observations.unreachable)
     restart_watch_.OnUnreachable(process, shared_state_.upstream_reads(), now);
   LogNoticeChanges("peer", now);
@@ -454,6 +463,36 @@
   }
 }
 
+void Gateway::FollowEngineSpeeds(TimePoint now) {
+  for (const engines::EngineSpeedChange& change :
+       engine_speeds_.TakeChanges()) {
+    LogLine line(LogLevel::kInfo, "engine_speed");
+    line.Field("service", change.now.service)
+        .Field("upstream", change.now.engine.id)
+        .Field("speed", change.now.speed)
+        .Field("previous", change.previous)
+        .Field("source", change.told ? "peer" : "stream");
+    if (!change.told)
+      line.Field("interval_ms", change.interval)
+          .Field("usual_ms", change.usual);
+    log_.Write(LineKind::kState, line, now);
+  }
+  UpstreamObservations observations;
+  observations.speeds = engine_speeds_.TakeNews();
+  if (!observations.empty() && notice_publisher_)
+    notice_publisher_(std::move(observations));
+  const auto upstreams = shared_state_.upstreams();
+  if (upstreams)
+    engine_speeds_.Expire([&upstreams](const UpstreamProcess& process) {
+      return upstreams->Lists(process);
+    });
+  const std::map<std::string, double> slow = engine_speeds_.CountSlow();
+  if (!slow.empty())
+    metrics_.SetGauges("teaselhill_slow_engines",
+                       "Engines of a service below the usual speed.", "service",
+                       slow);
+}
+
 void Gateway::RemoveExchange(RequestId id) {
   exchanges_.erase(id);
   open_requests_ = exchanges_.size();
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -22,6 +22,9 @@
 constexpr const char* kNoticesField = "notices";
 constexpr const char* kRefusalsField = "refusals";
 constexpr const char* kUnreachableField = "unreachable";
+constexpr const char* kSpeedsField = "speeds";
+constexpr const char* kServiceField = "service";
+constexpr const char* kSpeedField = "speed";
 constexpr const char* kLeavingField = "leaving";
 constexpr const char* kCutOffField = "cut_off";
 constexpr const char* kPauseField = "pause_us";
@@ -156,6 +159,24 @@
   return notice;
 }
 
+Json EncodeSpeed(const engines::EngineSpeed& speed) {
+  Json object = EncodeProcess(speed.engine);
+  object[kServiceField] = speed.service;
+  object[kSpeedField] = speed.speed;
+  return object;
+}
+
+/// Throws a Json::exception if a field is missing or of another type.
+engines::EngineSpeed DecodeSpeed(const Json& object) {
+  engines::EngineSpeed speed;
+  speed.engine = DecodeProcess(object);
+  speed.service = ReadText(object, kServiceField);
+  speed.speed = object.at(kSpeedField).get<double>();
+  if (!(speed.speed > 0))
+    throw Json::other_error::create(0, "speed is not positive", &object);
+  return speed;
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -177,6 +198,8 @@
     object[kRefusalsField].push_back(EncodeProcess(upstream));
   for (const UpstreamProcess& upstream : message.observations.unreachable)
     object[kUnreachableField].push_back(EncodeProcess(upstream));
+  for (const engines::EngineSpeed& speed : message.observations.speeds)
+    object[kSpeedsField].push_back(EncodeSpeed(speed));
   if (message.cut_off)
     object[kCutOffField] = *message.cut_off;
   const std::vector<uint8_t> encoded = Json::to_cbor(object);
@@ -204,6 +227,8 @@
       message.observations.refusals.push_back(DecodeProcess(refusal));
     for (const Json& process : object.value(kUnreachableField, Json::array()))
       message.observations.unreachable.push_back(DecodeProcess(process));
+    for (const Json& speed : object.value(kSpeedsField, Json::array()))
+      message.observations.speeds.push_back(DecodeSpeed(speed));
     if (object.contains(kCutOffField))
       message.cut_off = object.at(kCutOffField).get<bool>();
     return message;
--- a/lib/gateway/peer_notices.cc
+++ b/lib/gateway/peer_notices.cc
@@ -1,5 +1,5 @@
 /// \file
-/// Asks other hosts for upstreams that leave, and answers such questions.
+/// Asks other hosts what they know of upstreams, and answers such questions.
 
 #include "teaselhill/gateway/peer_notices.h"
 
@@ -36,6 +36,8 @@
     if (notice.leaving)
       leaving_.insert(notice.upstream);
   }
+  for (const engines::EngineSpeed& speed : observations.speeds)
+    speeds_[speed.engine] = speed;
 }
 
 void PeerNotices::AskOnce(
@@ -50,7 +52,7 @@
                      if (!body)
                        return;
                      Result<PeerMessage> message = DecodePeerMessage(*body);
-                     if (!message || message->observations.notices.empty())
+                     if (!message || message->observations.empty())
                        return;
                      Remember(message->observations);
                      told(std::move(message->observations));
@@ -63,6 +65,8 @@
   PeerMessage message;
   for (const UpstreamProcess& process : leaving_)
     message.observations.notices.push_back({process, /*leaving=*/true, {}});
+  for (const auto& [process, speed] : speeds_)
+    message.observations.speeds.push_back(speed);
   return EncodePeerMessage(message);
 }
 
@@ -72,6 +76,8 @@
     return;
   for (auto it = leaving_.begin(); it != leaving_.end();)
     it = upstreams->Lists(*it) ? std::next(it) : leaving_.erase(it);
+  for (auto it = speeds_.begin(); it != speeds_.end();)
+    it = upstreams->Lists(it->first) ? std::next(it) : speeds_.erase(it);
 }
 
 }  // namespace teaselhill::gateway
--- a/unittests/gateway/peer_exchange_test.cc
+++ b/unittests/gateway/peer_exchange_test.cc
@@ -5,6 +5,7 @@
 #include "teaselhill/gateway/peer_exchange.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <list>
 
 #include "teaselhill/support/logger.h"
@@ -135,6 +136,7 @@
       {{"i-4", 7}, /*leaving=*/true, {}},
       {{"i-5", 8}, /*leaving=*/false, std::chrono::milliseconds(90)}};
   message.observations.refusals = {{"i-6", 9}};
+  message.observations.speeds = {{"llm", {"i-7", 10}, 0.5}};
   message.cut_off = GENERATE(true, false);
   const Result<PeerMessage> decoded =
       DecodePeerMessage(EncodePeerMessage(message));
@@ -142,6 +144,10 @@
   CHECK(decoded->cut_off == message.cut_off);
   REQUIRE(decoded->observations.refusals.size() == 1);
   CHECK(decoded->observations.refusals[0] == UpstreamProcess{"i-6", 9});
+  REQUIRE(decoded->observations.speeds.size() == 1);
+  CHECK(decoded->observations.speeds[0].service == "llm");
+  CHECK(decoded->observations.speeds[0].engine == UpstreamProcess{"i-7", 10});
+  CHECK(decoded->observations.speeds[0].speed == 0.5);
   CHECK(decoded->id == 9);
   CHECK(decoded->sender == "host-1");
   REQUIRE(decoded->records.size() == 2);
@@ -168,6 +174,13 @@
   CHECK_FALSE(decoded->observations.limits[1].requests_per_second);
 }
 
+TEST_CASE("a message with a speed that is not positive is refused") {
+  PeerMessage message;
+  message.observations.speeds = {
+      {"llm", {"i-7", 10}, GENERATE(0.0, -1.0, std::nan(""))}};
+  CHECK_FALSE(DecodePeerMessage(EncodePeerMessage(message)));
+}
+
 TEST_CASE("a text that is no message is refused") {
   const std::string text = GENERATE(
       std::string(), std::string("{}"), std::string("\xa0", 1),
--- a/unittests/gateway/peer_notices_test.cc
+++ b/unittests/gateway/peer_notices_test.cc
@@ -1,6 +1,7 @@
 /// \file
 /// Guards against requests that a host which has just started sends to an
-/// upstream that leaves, because the others were told before.
+/// upstream that leaves, and prompts that it ranks by other speeds than the
+/// rest, because the others were told before.
 
 #include "teaselhill/gateway/peer_notices.h"
 
@@ -79,7 +80,7 @@
   std::vector<HostRecord> records = {old.Announcement()};
   if (row.other_is_lost)
     records.push_back({"lost", {}, "127.0.1.81:1", ""});
-  old.notices.Remember({{}, row.known, {}, {}});
+  old.notices.Remember({{}, row.known, {}, {}, {}});
   std::vector<std::string> told;
   const auto collect = [&](const UpstreamObservations& observations) {
     for (const NoticeObservation& notice : observations.notices) {
@@ -109,4 +110,32 @@
   CHECK(told == row.told);
 }
 
+TEST_CASE("a host that starts learns the speeds of the listed engines") {
+  net::EventLoop loop;
+  JsonLogger logger("peer_notices_test", LogLevel::kError);
+  EventLog log(logger);
+  Host old(loop, "old", log);
+  Host started(loop, "started", log);
+  started.exchange.AddPeers({old.Announcement()});
+  UpstreamObservations known;
+  known.speeds = {{"llm", Process("stays"), 0.25},
+                  {"llm", Process("gone"), 0.5}};
+  old.notices.Remember(known);
+  // A later speed replaces an earlier one.
+  known.speeds = {{"llm", Process("stays"), 0.5}};
+  old.notices.Remember(known);
+  std::vector<engines::EngineSpeed> told;
+  started.notices.AskOnce([&](const UpstreamObservations& observations) {
+    told = observations.speeds;
+    loop.Stop();
+  });
+  const auto timeout = loop.timers().After(std::chrono::seconds(3),
+                                           [&](TimePoint) { loop.Stop(); });
+  loop.Run();
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].service == "llm");
+  CHECK(told[0].engine == Process("stays"));
+  CHECK(told[0].speed == 0.5);
+}
+
 }  // namespace teaselhill::gateway
