Agree among the hosts on the engines reserved for urgent streams

Long prompts of one host were read between the events of another's urgent streams.

Change: ReserveSize is a function of the load of the last seconds, with a gradual measure of lateness, and its estimate is in units of the size in use. ReserveAgreement (lib/engines) uses the median of the needs that hosts tell each other when they change. The reserve is filled to 0.56 (0.9 while late), as it no longer has to make up for hosts that disagree.

The test of "grows and shrinks" and the others hold unchanged but for the argument that names the size in use.

--- a/include/teaselhill/gateway/affinity_placement.h
+++ b/include/teaselhill/gateway/affinity_placement.h
@@ -63,7 +63,8 @@
  public:
   explicit AffinityPlacement(PlacementOptions options)
       : options_(std::move(options)),
-        prefix_load_tracker_(options_.prefix_load_half_life) {}
+        prefix_load_tracker_(options_.prefix_load_half_life),
+        reserve_(EngineReserveOptions{}, options_.own_host) {}
 
   std::optional<Placement> ChooseUpstream(const PlacementRequest& request,
                                           const UpstreamList& upstreams,
@@ -96,6 +97,13 @@
   std::vector<ReserveChange> TakeReserveChanges() override {
     return reserve_.TakeChanges();
   }
+  std::vector<engines::ReserveNeed> TakeReserveNeeds(TimePoint now) override {
+    return reserve_.TakeNeeds(now);
+  }
+  void OnReserveNeeds(const std::vector<engines::ReserveNeed>& needs,
+                      TimePoint now) override {
+    reserve_.OnNeeds(needs, now);
+  }
 
   void ExpireUnused(TimePoint now) override;
 
--- a/include/teaselhill/gateway/engine_reserve.h
+++ b/include/teaselhill/gateway/engine_reserve.h
@@ -5,10 +5,13 @@
 #define TEASELHILL_GATEWAY_ENGINE_RESERVE_H_
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "teaselhill/engines/reserve_agreement.h"
 #include "teaselhill/gateway/placement.h"
 #include "teaselhill/support/time.h"
 
@@ -22,12 +25,21 @@
   size_t min_engines = 24;
   /// Part of the slots of the reserved engines that is to be in use. The rest
   /// takes up bursts until the reserve has grown.
-  double target_fill = 0.5;
-  /// The same while the answers of the service begin late by `late_delay` in
-  /// the mean: the long prompts then need the engines more than the streams
-  /// need the free slots.
-  double late_target_fill = 0.85;
-  Duration late_delay = std::chrono::milliseconds(40);
+  double target_fill = 0.56;
+  /// The same while the answers of the service begin late: the long prompts
+  /// then need the engines more than the streams need the free slots.
+  double late_target_fill = 0.9;
+  /// Mean delay of the answers up to which they are in time, and that from
+  /// which on they are late; between the two, `target_fill` rises.
+  Duration in_time_delay = std::chrono::milliseconds(20);
+  Duration late_delay = std::chrono::milliseconds(60);
+  /// Half-life of how late the answers are. The delay itself differs from host
+  /// to host, and so would the sizes.
+  Duration lateness_half_life = std::chrono::seconds(8);
+  /// Part of the slots of all engines that is assumed to be in use at first,
+  /// and the number of load reports that this is worth.
+  double first_busy_fraction = 0.07;
+  double first_reports = 6;
   /// Half-lives of the two means of the load. The short one only makes the
   /// reserve larger.
   Duration fill_half_life = std::chrono::seconds(10);
@@ -35,65 +47,64 @@
   /// By how much the short mean has to exceed the size, since it is made of few
   /// reports.
   double burst_margin = 1.2;
-  /// Load reports below which a mean is not used.
-  double min_reports = 3;
-  /// Minimum time between two changes of the size, which move prompts to
-  /// engines that have not cached them.
-  Duration min_growth_interval = std::chrono::milliseconds(800);
-  Duration min_shrink_interval = std::chrono::seconds(4);
-  Duration late_shrink_interval = std::chrono::seconds(1);
-  /// The reserve shrinks once it would have this part of `target_fill` at the
-  /// smaller size.
-  double shrink_fill_fraction = 0.85;
+  /// A size is kept for this time after it was last needed: a change moves
+  /// prompts to engines that have not cached them.
+  Duration hold = std::chrono::seconds(4);
   /// A host that has seen no urgent stream for this time lets the reserve
   /// shrink.
   Duration idle_after = std::chrono::seconds(20);
 };
 
-/// The part of a service's engines that is reserved. Each host finds it from
-/// the load reports that it reads anyway to place urgent streams, so hosts
-/// agree without messages: all sample the same engines, and the size changes in
-/// a few large steps only. Deterministic: times are arguments and never
-/// decrease.
+/// The part of a service's engines that one host takes for needed, from the
+/// load reports that it reads anyway to place urgent streams. Deterministic:
+/// times are arguments and never decrease.
 class ReserveSize {
  public:
-  explicit ReserveSize(EngineReserveOptions options) : options_(options) {}
+  explicit ReserveSize(EngineReserveOptions options);
 
   /// An urgent stream read the load report of a reserved engine, of whose slots
-  /// the fraction `fill` is in use.
-  void OnFillReported(double fill, TimePoint now);
+  /// the fraction `fill` is in use. `reserved_fraction`: part of the engines
+  /// among which the hosts spread these streams now.
+  void OnFillReported(double fill, double reserved_fraction, TimePoint now);
 
   /// How late the answers of the service begin in the mean.
-  void SetMeanDelay(Duration delay) { late_ = delay >= options_.late_delay; }
+  void OnMeanDelay(Duration delay, TimePoint now);
 
-  /// Changes the size if it is due.
+  /// Finds the size by the load of the last seconds. Nothing else of the past
+  /// matters, so that hosts with the same estimate have the same size.
   void Update(TimePoint now);
 
-  /// Part of the engines.
-  double fraction() const;
+  /// Part of the engines; one of a few sizes.
+  double fraction() const { return fraction_; }
 
   /// Mean of the slots in use, as a fraction of the slots of all engines.
-  double BusyFraction(TimePoint now) const;
+  double BusyFraction() const { return steady_.value(); }
 
  private:
   struct Mean {
     double sum = 0;
     double count = 0;
+    double value() const { return sum / count; }
+  };
+  struct Need {
+    TimePoint at{};
+    double fraction = 0;  ///< of the engines
   };
   void Decay(TimePoint now);
-  /// Part of the engines that the load needs by this mean.
-  double NeededFraction(const Mean& mean) const;
+  /// Part of the engines that the load needs now.
+  double NeededFraction(TimePoint now) const;
+  /// The largest need since `options_.hold` ago.
+  double HeldNeed(double needed, TimePoint now);
 
   EngineReserveOptions options_;
-  size_t level_ = kFirstLevel;
-  bool late_ = false;
+  double fraction_ = 0;
+  double lateness_ = 0;  ///< 0: in time, 1: late
+  TimePoint lateness_at_{};
   Mean steady_;
   Mean burst_;
   TimePoint decayed_at_{};
-  TimePoint changed_at_{};
   TimePoint last_report_at_{};
-
-  static constexpr size_t kFirstLevel = 2;
+  std::deque<Need> needs_;  ///< each larger than all after it
 };
 
 /// Engines of a service by their use.
@@ -111,11 +122,12 @@
                            const std::vector<const UpstreamEntry*>& candidates,
                            double fraction);
 
-/// Sizes of the reserves of all services.
+/// Sizes of the reserves of all services, as agreed with the other hosts.
 class EngineReserve {
  public:
-  explicit EngineReserve(EngineReserveOptions options = {})
-      : options_(options) {}
+  explicit EngineReserve(EngineReserveOptions options = {},
+                         std::string own_host = "")
+      : options_(options), agreement_(std::move(own_host)) {}
 
   /// Whether some of the `engines` of the service of the request are reserved.
   bool AppliesTo(const PlacementRequest& request, size_t engines) const;
@@ -138,17 +150,26 @@
 
   std::vector<ReserveChange> TakeChanges();
 
+  /// Needs to tell the other hosts, and what they tell.
+  std::vector<engines::ReserveNeed> TakeNeeds(TimePoint now) {
+    return agreement_.TakeNews(now);
+  }
+  void OnNeeds(const std::vector<engines::ReserveNeed>& needs, TimePoint now) {
+    agreement_.OnTold(needs, now);
+  }
+
  private:
   struct ServiceReserve {
     explicit ServiceReserve(EngineReserveOptions options) : size(options) {}
     ReserveSize size;
     double logged_fraction = 0;
   };
-  void RecordChange(const std::string& service,
-                    ServiceReserve& reserve,
-                    TimePoint now);
+  void Follow(const std::string& service,
+              ServiceReserve& reserve,
+              TimePoint now);
 
   EngineReserveOptions options_;
+  engines::ReserveAgreement agreement_;
   std::map<std::string, ServiceReserve> reserves_by_service_;
   std::vector<ReserveChange> changes_;
 };
--- a/include/teaselhill/gateway/gateway.h
+++ b/include/teaselhill/gateway/gateway.h
@@ -287,9 +287,11 @@
   void LogHealthEvents(TimePoint now);
   /// Logs changes of the engines that are reserved for urgent streams.
   void LogReserveChanges(TimePoint now);
-  /// Logs the engine speeds that have changed, tells the other hosts of those
-  /// that this one has found, and forgets engines that are gone.
+  /// Logs the engine speeds that have changed, and forgets engines that are
+  /// gone.
   void FollowEngineSpeeds(TimePoint now);
+  /// Tells the other hosts what this one has found of engines.
+  void ShareEngineNews(TimePoint now);
 
   net::EventLoop& loop_;
   GatewayOptions options_;
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "teaselhill/engines/engine_speeds.h"
+#include "teaselhill/engines/reserve_agreement.h"
 #include "teaselhill/gateway/route_table.h"
 #include "teaselhill/gateway/upstream_directory.h"
 #include "teaselhill/gateway/upstream_health.h"
@@ -21,6 +22,7 @@
 
 struct PlacementOptions {
   std::string own_domain;
+  std::string own_host;
   /// Prompt tokens that an engine prefills per millisecond.
   double prefill_tokens_per_ms = 36;
   /// Cost of calling a plain service outside the failure domain of this host,
@@ -99,9 +101,11 @@
 /// changed.
 struct ReserveChange {
   std::string service;
-  double fraction = 0;       ///< of the service's engines
+  double fraction = 0;  ///< of the service's engines
+  double own_need = 0;  ///< such a fraction, that this host takes for needed
   double busy_fraction = 0;  ///< estimate of the load: engines that the urgent
                              ///< streams would fill, as such a fraction
+  size_t hosts = 0;          ///< that agreed
 };
 
 /// Chooses upstreams and tracks the requests sent to them. A deterministic
@@ -161,6 +165,14 @@
 
   virtual std::vector<ReserveChange> TakeReserveChanges() { return {}; }
 
+  /// What to tell the other hosts of the reserves, about once a second, and
+  /// what they tell.
+  virtual std::vector<engines::ReserveNeed> TakeReserveNeeds(TimePoint now) {
+    return {};
+  }
+  virtual void OnReserveNeeds(const std::vector<engines::ReserveNeed>& needs,
+                              TimePoint now) {}
+
   /// Removes the state of upstreams and prompt prefixes without a recent
   /// request. Call about once a second.
   virtual void ExpireUnused(TimePoint now) = 0;
--- a/include/teaselhill/gateway/upstream_notices.h
+++ b/include/teaselhill/gateway/upstream_notices.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "teaselhill/engines/engine_speeds.h"
+#include "teaselhill/engines/reserve_agreement.h"
 #include "teaselhill/gateway/upstream_directory.h"
 #include "teaselhill/gateway/upstream_limits.h"
 #include "teaselhill/support/time.h"
@@ -46,10 +47,12 @@
   std::vector<UpstreamProcess> unreachable;
   /// Speeds of engines that have changed.
   std::vector<engines::EngineSpeed> speeds;
+  /// Parts of services' engines that the host would reserve.
+  std::vector<engines::ReserveNeed> reserve_needs;
 
   bool empty() const {
     return limits.empty() && notices.empty() && refusals.empty() &&
-           unreachable.empty() && speeds.empty();
+           unreachable.empty() && speeds.empty() && reserve_needs.empty();
   }
 };
 
--- a/lib/gateway/engine_reserve.cc
+++ b/lib/gateway/engine_reserve.cc
@@ -20,72 +20,85 @@
 /// before, so that hosts whose estimates differ a little use the same size.
 constexpr double kFractions[] = {0.08, 0.11, 0.15, 0.2, 0.27, 0.36, 0.45};
 
+double SmallestFractionFor(double needed) {
+  const auto size =
+      std::lower_bound(std::begin(kFractions), std::end(kFractions), needed);
+  return size == std::end(kFractions) ? *std::prev(size) : *size;
+}
+
 }  // namespace
 
+ReserveSize::ReserveSize(EngineReserveOptions options) : options_(options) {
+  const Mean first = {options_.first_busy_fraction * options_.first_reports,
+                      options_.first_reports};
+  steady_ = burst_ = first;
+  fraction_ =
+      SmallestFractionFor(options_.first_busy_fraction / options_.target_fill);
+}
+
 void ReserveSize::Decay(TimePoint now) {
   const auto decay = [&](Mean& mean, Duration half_life) {
     const double factor = DecayFactor(now - decayed_at_, half_life);
     mean.sum *= factor;
     mean.count *= factor;
   };
-  decay(steady_, options_.fill_half_life);
-  decay(burst_, options_.burst_half_life);
+  // The first load is that of now, whenever the first report comes.
+  if (decayed_at_ != TimePoint{}) {
+    decay(steady_, options_.fill_half_life);
+    decay(burst_, options_.burst_half_life);
+  }
   decayed_at_ = now;
 }
 
-void ReserveSize::OnFillReported(double fill, TimePoint now) {
+void ReserveSize::OnFillReported(double fill,
+                                 double reserved_fraction,
+                                 TimePoint now) {
   Decay(now);
   // In units of all engines, so that earlier reports stay comparable after the
   // size has changed.
   for (Mean* mean : {&steady_, &burst_}) {
-    mean->sum += fill * fraction();
+    mean->sum += fill * reserved_fraction;
     mean->count += 1;
   }
   last_report_at_ = now;
 }
 
-double ReserveSize::fraction() const {
-  return kFractions[level_];
+void ReserveSize::OnMeanDelay(Duration delay, TimePoint now) {
+  const double late =
+      std::clamp(ToSeconds(delay - options_.in_time_delay) /
+                     ToSeconds(options_.late_delay - options_.in_time_delay),
+                 0.0, 1.0);
+  if (lateness_at_ != TimePoint{})
+    lateness_ +=
+        (late - lateness_) *
+        (1 - DecayFactor(now - lateness_at_, options_.lateness_half_life));
+  lateness_at_ = now;
 }
 
-double ReserveSize::BusyFraction(TimePoint now) const {
-  return steady_.count > 0 ? steady_.sum / steady_.count : 0;
+double ReserveSize::NeededFraction(TimePoint now) const {
+  if (now - last_report_at_ >= options_.idle_after)
+    return 0;
+  const double target =
+      options_.target_fill +
+      lateness_ * (options_.late_target_fill - options_.target_fill);
+  return std::max(steady_.value(), burst_.value() / options_.burst_margin) /
+         target;
 }
 
-double ReserveSize::NeededFraction(const Mean& mean) const {
-  const double target =
-      late_ ? options_.late_target_fill : options_.target_fill;
-  return mean.count >= options_.min_reports ? mean.sum / mean.count / target
-                                            : 0;
+double ReserveSize::HeldNeed(double needed, TimePoint now) {
+  while (!needs_.empty() && needs_.back().fraction <= needed)
+    needs_.pop_back();
+  needs_.push_back({now, needed});
+  while (now - needs_.front().at > options_.hold)
+    needs_.pop_front();
+  return needs_.front().fraction;
 }
 
 void ReserveSize::Update(TimePoint now) {
-  if (changed_at_ == TimePoint{})
-    changed_at_ = last_report_at_ = now;
+  if (last_report_at_ == TimePoint{})
+    last_report_at_ = now;
   Decay(now);
-  const Duration since_change = now - changed_at_;
-  const bool idle = now - last_report_at_ >= options_.idle_after;
-  const bool known = steady_.count >= options_.min_reports;
-  const double needed = NeededFraction(steady_);
-  const double needed_in_burst = NeededFraction(burst_);
-  if (level_ + 1 < std::size(kFractions) &&
-      since_change >= options_.min_growth_interval &&
-      (needed > fraction() ||
-       needed_in_burst > fraction() * options_.burst_margin)) {
-    ++level_;
-    changed_at_ = now;
-    return;
-  }
-  if (level_ == 0 || since_change < (late_ ? options_.late_shrink_interval
-                                           : options_.min_shrink_interval))
-    return;
-  const bool too_large =
-      known && std::max(needed, needed_in_burst) <
-                   kFractions[level_ - 1] * options_.shrink_fill_fraction;
-  if (too_large || idle) {
-    --level_;
-    changed_at_ = now;
-  }
+  fraction_ = SmallestFractionFor(HeldNeed(NeededFraction(now), now));
 }
 
 EngineGroups DivideEngines(const std::vector<UpstreamEntry>& engines,
@@ -135,33 +148,33 @@
   ServiceReserve& reserve =
       reserves_by_service_.try_emplace(service, options_).first->second;
   for (const double fill : reported_fills)
-    reserve.size.OnFillReported(fill, now);
-  reserve.size.SetMeanDelay(mean_delay);
-  reserve.size.Update(now);
-  RecordChange(service, reserve, now);
+    reserve.size.OnFillReported(fill, Fraction(service), now);
+  reserve.size.OnMeanDelay(mean_delay, now);
+  Follow(service, reserve, now);
 }
 
 double EngineReserve::Fraction(const std::string& service) const {
-  const auto found = reserves_by_service_.find(service);
-  return found == reserves_by_service_.end() ? ReserveSize(options_).fraction()
-                                             : found->second.size.fraction();
+  return agreement_.Agreed(service).value_or(ReserveSize(options_).fraction());
 }
 
 void EngineReserve::Update(TimePoint now) {
-  for (auto& [service, reserve] : reserves_by_service_) {
-    reserve.size.Update(now);
-    RecordChange(service, reserve, now);
-  }
+  for (auto& [service, reserve] : reserves_by_service_)
+    Follow(service, reserve, now);
+  agreement_.Expire(now);
 }
 
-void EngineReserve::RecordChange(const std::string& service,
-                                 ServiceReserve& reserve,
-                                 TimePoint now) {
-  const double fraction = reserve.size.fraction();
+void EngineReserve::Follow(const std::string& service,
+                           ServiceReserve& reserve,
+                           TimePoint now) {
+  reserve.size.Update(now);
+  agreement_.SetOwnNeed(service, reserve.size.fraction(), now);
+  const double fraction = Fraction(service);
   if (fraction == reserve.logged_fraction)
     return;
   reserve.logged_fraction = fraction;
-  changes_.push_back({service, fraction, reserve.size.BusyFraction(now)});
+  changes_.push_back({service, fraction, reserve.size.fraction(),
+                      reserve.size.BusyFraction(),
+                      agreement_.HostCount(service)});
 }
 
 std::vector<ReserveChange> EngineReserve::TakeChanges() {
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -47,6 +47,7 @@
     const engines::EngineSpeeds& engine_speeds) {
   PlacementOptions placement = options.placement;
   placement.engine_speeds = &engine_speeds;
+  placement.own_host = options.host;
   return std::move(*PlacementRegistry::Instance().Create(
       options.placement_policy, placement));
 }
@@ -93,6 +94,7 @@
     placement_->ExpireUnused(now);
     LogReserveChanges(now);
     FollowEngineSpeeds(now);
+    ShareEngineNews(now);
     upstream_health_.ExpireUpstreams(now);
     crash_guard_.Expire(now);
     const CrashCounts counts = crash_guard_.Count(now);
@@ -355,6 +357,7 @@
       brittle_upstreams_.OnRefused(*upstream, /*local=*/false, now);
   }
   engine_speeds_.OnTold(observations.speeds);
+  placement_->OnReserveNeeds(observations.reserve_needs, now);
   for (const UpstreamProcess& process : observations.unreachable)
     restart_watch_.OnUnreachable(process, shared_state_.upstream_reads(), now);
   LogNoticeChanges("peer", now);
@@ -458,6 +461,8 @@
                LogLine(LogLevel::kInfo, "engines_reserved")
                    .Field("service", change.service)
                    .Field("fraction", change.fraction)
+                   .Field("own_need", change.own_need)
+                   .Field("hosts", static_cast<uint64_t>(change.hosts))
                    .Field("busy_fraction", change.busy_fraction),
                now);
   }
@@ -477,10 +482,6 @@
           .Field("usual_ms", change.usual);
     log_.Write(LineKind::kState, line, now);
   }
-  UpstreamObservations observations;
-  observations.speeds = engine_speeds_.TakeNews();
-  if (!observations.empty() && notice_publisher_)
-    notice_publisher_(std::move(observations));
   const auto upstreams = shared_state_.upstreams();
   if (upstreams)
     engine_speeds_.Expire([&upstreams](const UpstreamProcess& process) {
@@ -493,6 +494,14 @@
                        slow);
 }
 
+void Gateway::ShareEngineNews(TimePoint now) {
+  UpstreamObservations observations;
+  observations.speeds = engine_speeds_.TakeNews();
+  observations.reserve_needs = placement_->TakeReserveNeeds(now);
+  if (!observations.empty() && notice_publisher_)
+    notice_publisher_(std::move(observations));
+}
+
 void Gateway::RemoveExchange(RequestId id) {
   exchanges_.erase(id);
   open_requests_ = exchanges_.size();
--- a/lib/gateway/peer_exchange.cc
+++ b/lib/gateway/peer_exchange.cc
@@ -94,6 +94,8 @@
   size_t records = 0;
   size_t limits = 0;
   size_t notices = 0;
+  size_t speeds = 0;
+  size_t reserve_needs = 0;
   for (BundledMessage& bundled : messages) {
     if (known_messages_.count(bundled.id) != 0)
       continue;
@@ -109,6 +111,8 @@
     records += message->records.size();
     limits += message->observations.limits.size();
     notices += message->observations.notices.size();
+    speeds += message->observations.speeds.size();
+    reserve_needs += message->observations.reserve_needs.size();
     received.push_back(std::move(*message));
     if (pass_on)
       outbox_.Add(std::move(bundled), now);
@@ -121,7 +125,9 @@
                  .Field("messages", static_cast<uint64_t>(received.size()))
                  .Field("records", static_cast<uint64_t>(records))
                  .Field("limits", static_cast<uint64_t>(limits))
-                 .Field("notices", static_cast<uint64_t>(notices)),
+                 .Field("notices", static_cast<uint64_t>(notices))
+                 .Field("speeds", static_cast<uint64_t>(speeds))
+                 .Field("reserve_needs", static_cast<uint64_t>(reserve_needs)),
              now);
   SendHeld();
   handler_.OnPeerMessages(std::move(received));
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -25,6 +25,9 @@
 constexpr const char* kSpeedsField = "speeds";
 constexpr const char* kServiceField = "service";
 constexpr const char* kSpeedField = "speed";
+constexpr const char* kReserveNeedsField = "reserve_needs";
+constexpr const char* kHostField = "host";
+constexpr const char* kFractionField = "fraction";
 constexpr const char* kLeavingField = "leaving";
 constexpr const char* kCutOffField = "cut_off";
 constexpr const char* kPauseField = "pause_us";
@@ -177,6 +180,23 @@
   return speed;
 }
 
+Json EncodeReserveNeed(const engines::ReserveNeed& need) {
+  return {{kHostField, need.host},
+          {kServiceField, need.service},
+          {kFractionField, need.fraction}};
+}
+
+/// Throws a Json::exception if a field is missing or of another type.
+engines::ReserveNeed DecodeReserveNeed(const Json& object) {
+  engines::ReserveNeed need;
+  need.host = ReadText(object, kHostField);
+  need.service = ReadText(object, kServiceField);
+  need.fraction = object.at(kFractionField).get<double>();
+  if (!(need.fraction > 0 && need.fraction <= 1))
+    throw Json::other_error::create(0, "fraction is not in (0, 1]", &object);
+  return need;
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -200,6 +220,8 @@
     object[kUnreachableField].push_back(EncodeProcess(upstream));
   for (const engines::EngineSpeed& speed : message.observations.speeds)
     object[kSpeedsField].push_back(EncodeSpeed(speed));
+  for (const engines::ReserveNeed& need : message.observations.reserve_needs)
+    object[kReserveNeedsField].push_back(EncodeReserveNeed(need));
   if (message.cut_off)
     object[kCutOffField] = *message.cut_off;
   const std::vector<uint8_t> encoded = Json::to_cbor(object);
@@ -229,6 +251,8 @@
       message.observations.unreachable.push_back(DecodeProcess(process));
     for (const Json& speed : object.value(kSpeedsField, Json::array()))
       message.observations.speeds.push_back(DecodeSpeed(speed));
+    for (const Json& need : object.value(kReserveNeedsField, Json::array()))
+      message.observations.reserve_needs.push_back(DecodeReserveNeed(need));
     if (object.contains(kCutOffField))
       message.cut_off = object.at(kCutOffField).get<bool>();
     return message;
--- a/unittests/gateway/engine_reserve_test.cc
+++ b/unittests/gateway/engine_reserve_test.cc
@@ -4,6 +4,7 @@
 
 #include "teaselhill/gateway/engine_reserve.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <map>
@@ -120,8 +121,8 @@
   TimePoint now = TimePoint{} + std::chrono::hours(1);
   for (int i = 0; i < 60; ++i, now += milliseconds(500)) {
     const double fill = std::min(1.0, row.busy_fraction / size.fraction());
-    size.OnFillReported(fill, now);
-    size.OnFillReported(fill, now);
+    size.OnFillReported(fill, size.fraction(), now);
+    size.OnFillReported(fill, size.fraction(), now);
     size.Update(now);
   }
   CHECK(size.fraction() >= row.min_fraction);
@@ -135,7 +136,8 @@
   const auto run = [&](double busy, Duration duration) {
     for (const TimePoint end = now + duration; now < end;
          now += milliseconds(250)) {
-      size.OnFillReported(std::min(1.0, busy / size.fraction()), now);
+      size.OnFillReported(std::min(1.0, busy / size.fraction()),
+                          size.fraction(), now);
       size.Update(now);
     }
   };
@@ -160,8 +162,9 @@
   TimePoint now = TimePoint{} + std::chrono::hours(1);
   constexpr double kBusy = 0.12;
   for (int i = 0; i < 40; ++i, now += milliseconds(500)) {
-    size.OnFillReported(std::min(1.0, kBusy / size.fraction()), now);
-    size.SetMeanDelay(mean_delay);
+    size.OnFillReported(std::min(1.0, kBusy / size.fraction()), size.fraction(),
+                        now);
+    size.OnMeanDelay(mean_delay, now);
     size.Update(now);
   }
   const bool late = mean_delay == milliseconds(300);
@@ -184,7 +187,8 @@
       for (int report = 0; report < 2; ++report) {
         std::binomial_distribution<int> running(
             kSlots, std::min(1.0, busy / host.fraction()));
-        host.OnFillReported(running(random) / static_cast<double>(kSlots), now);
+        host.OnFillReported(running(random) / static_cast<double>(kSlots),
+                            host.fraction(), now);
       }
       host.Update(now);
     }
@@ -196,6 +200,66 @@
   CHECK(count_by_fraction.size() <= 2);
 }
 
+// Guards the same hosts in a wave and a burst, while answers begin late at some
+// of them only. What a host reads depends on the reserves of all hosts.
+TEST_CASE("hosts agree on the reserve while the load changes") {
+  struct Row {
+    const char* load;
+    bool burst;
+    bool late;
+  };
+  const Row row = GENERATE(values<Row>({{"wave", false, false},
+                                        {"wave and burst", true, false},
+                                        {"wave and burst, late", true, true}}));
+  INFO(row.load);
+  constexpr size_t kHosts = 62;
+  constexpr int kTicks = 400;  // of 100 ms
+  std::mt19937 random(7);
+  std::uniform_real_distribution<> uniform(0, 1);
+  std::normal_distribution<> normal(0, 1);
+  std::vector<EngineReserve> hosts;
+  for (size_t i = 0; i < kHosts; ++i)
+    hosts.emplace_back(EngineReserveOptions{}, "host-" + std::to_string(i));
+  std::vector<double> delays_ms(kHosts, 20);
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  double spread = 0;
+  size_t messages = 0;
+  for (int tick = 0; tick < kTicks; ++tick, now += milliseconds(100)) {
+    const bool in_burst = row.burst && tick > 110 && tick < 160;
+    const double busy = 0.13 * (1 + 0.55 * std::sin(tick / 150.0 * 2 * M_PI)) *
+                        (in_burst ? 2.3 : 1);
+    std::vector<double> sizes;
+    for (const EngineReserve& host : hosts)
+      sizes.push_back(host.Fraction("llm"));
+    std::nth_element(sizes.begin(), sizes.begin() + kHosts / 2, sizes.end());
+    const double median = sizes[kHosts / 2];
+    std::vector<engines::ReserveNeed> needs;
+    for (size_t i = 0; i < kHosts; ++i) {
+      spread += std::abs(hosts[i].Fraction("llm") - median) / median;
+      delays_ms[i] = 0.93 * delays_ms[i] +
+                     0.07 * (row.late ? 90 : 20) * std::exp(normal(random));
+      std::vector<double> fills;
+      if (uniform(random) < 0.29) {
+        std::binomial_distribution<int> running(kSlots,
+                                                std::min(1.0, busy / median));
+        for (int report = 0; report < 2; ++report)
+          fills.push_back(running(random) / static_cast<double>(kSlots));
+      }
+      hosts[i].OnPlaced("llm", fills, FromSeconds(delays_ms[i] / 1000), now);
+      if (tick % 10 == static_cast<int>(i % 10)) {
+        for (engines::ReserveNeed& need : hosts[i].TakeNeeds(now))
+          needs.push_back(std::move(need));
+      }
+    }
+    messages += needs.size();
+    for (EngineReserve& host : hosts)
+      host.OnNeeds(needs, now);
+  }
+  CHECK(spread / kHosts / kTicks < 0.02);
+  // One in five seconds of each host; each message reaches each host.
+  CHECK(messages <= kHosts * kTicks / 50);
+}
+
 TEST_CASE("a host without urgent streams lets the reserve go") {
   ReserveSize size{EngineReserveOptions{}};
   TimePoint now = TimePoint{} + std::chrono::hours(1);
--- a/unittests/gateway/peer_exchange_test.cc
+++ b/unittests/gateway/peer_exchange_test.cc
@@ -137,6 +137,7 @@
       {{"i-5", 8}, /*leaving=*/false, std::chrono::milliseconds(90)}};
   message.observations.refusals = {{"i-6", 9}};
   message.observations.speeds = {{"llm", {"i-7", 10}, 0.5}};
+  message.observations.reserve_needs = {{"host-2", "llm", 0.27}};
   message.cut_off = GENERATE(true, false);
   const Result<PeerMessage> decoded =
       DecodePeerMessage(EncodePeerMessage(message));
@@ -148,6 +149,10 @@
   CHECK(decoded->observations.speeds[0].service == "llm");
   CHECK(decoded->observations.speeds[0].engine == UpstreamProcess{"i-7", 10});
   CHECK(decoded->observations.speeds[0].speed == 0.5);
+  REQUIRE(decoded->observations.reserve_needs.size() == 1);
+  CHECK(decoded->observations.reserve_needs[0].host == "host-2");
+  CHECK(decoded->observations.reserve_needs[0].service == "llm");
+  CHECK(decoded->observations.reserve_needs[0].fraction == 0.27);
   CHECK(decoded->id == 9);
   CHECK(decoded->sender == "host-1");
   REQUIRE(decoded->records.size() == 2);
--- a/unittests/gateway/peer_notices_test.cc
+++ b/unittests/gateway/peer_notices_test.cc
@@ -80,7 +80,7 @@
   std::vector<HostRecord> records = {old.Announcement()};
   if (row.other_is_lost)
     records.push_back({"lost", {}, "127.0.1.81:1", ""});
-  old.notices.Remember({{}, row.known, {}, {}, {}});
+  old.notices.Remember({{}, row.known, {}, {}, {}, {}});
   std::vector<std::string> told;
   const auto collect = [&](const UpstreamObservations& observations) {
     for (const NoticeObservation& notice : observations.notices) {
