Read reports of hosts that have refused a request

Cause: a refused request is counted in a row without a failure domain, and the decoder refused an empty domain and with it the host's whole report.

Change: a row may have no domain.

Test: "a report with requests that the host refused arrives whole", which goes from the counter through the encoding; it failed before.

--- a/include/teaselhill/duties/host_report.h
+++ b/include/teaselhill/duties/host_report.h
@@ -26,7 +26,7 @@
 /// domain since the last report.
 struct EngineWork {
   std::string service;
-  std::string domain;  ///< of the engines
+  std::string domain;  ///< of the engines; empty: none was chosen
   /// Route tier, 0 the most urgent.
   int tier = 0;
   uint32_t requests = 0;
--- a/lib/duties/host_report.cc
+++ b/lib/duties/host_report.cc
@@ -68,6 +68,13 @@
   return text;
 }
 
+/// As ReadText(); a request that was refused before an engine was chosen has no
+/// failure domain.
+std::string ReadDomain(const Json& object) {
+  const bool is_empty = object.at(kDomainField) == "";
+  return is_empty ? std::string() : ReadText(object, kDomainField);
+}
+
 uint64_t ToMillis(Duration age) {
   const Duration bounded = std::clamp<Duration>(age, Duration::zero(), kMaxAge);
   return static_cast<uint64_t>(
@@ -122,7 +129,7 @@
 EngineWork DecodeWork(const Json& object) {
   EngineWork work;
   work.service = ReadText(object, kServiceField);
-  work.domain = ReadText(object, kDomainField);
+  work.domain = ReadDomain(object);
   work.tier = static_cast<int>(ReadCount(object.at(kTierField), kMaxTier));
   work.requests = ReadUint32(object, kRequestsField);
   work.prompt_tokens = ReadUint64(object, kPromptTokensField);
--- a/unittests/duties/host_report_test.cc
+++ b/unittests/duties/host_report_test.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "teaselhill/duties/report_cursors.h"
+#include "teaselhill/duties/work_counter.h"
 
 namespace teaselhill::duties {
 
@@ -83,6 +84,23 @@
   CHECK(work.refused == 8);
 }
 
+// Guards usage windows that lack the counts of each host that has refused a
+// request: what is refused before an engine is chosen has no failure domain.
+TEST_CASE("a report with requests that the host refused arrives whole") {
+  WorkCounter counter;
+  counter.OnRefused("s", 1);
+  HostReport report = FullReport();
+  report.work = counter.TakeWork(TimePoint{std::chrono::hours(1)});
+  REQUIRE(report.work.size() == 1);
+  const Result<HostReport> read = DecodeHostReport(EncodeHostReport(report));
+  REQUIRE(read);
+  CHECK(read->usage.size() == 3);
+  REQUIRE(read->work.size() == 1);
+  CHECK(read->work[0].service == "s");
+  CHECK(read->work[0].domain.empty());
+  CHECK(read->work[0].refused == 1);
+}
+
 TEST_CASE("a query arrives whole") {
   const auto read = DecodeHostReportQuery(EncodeHostReportQuery({5, 9}));
   REQUIRE(read);
@@ -107,6 +125,19 @@
       {"empty name", "/host", ""},
       {"text as incarnation", "/incarnation", "3"},
       {"work without fields", "/work", {nlohmann::json::object()}},
+      {"control character in a domain",
+       "/work",
+       {nlohmann::json{{"service", "s"},
+                       {"domain", "a\nb"},
+                       {"tier", 0u},
+                       {"requests", 0u},
+                       {"prompt_tokens", 0u},
+                       {"generated_tokens", 0u},
+                       {"running", 0u},
+                       {"waiting", 0u},
+                       {"started", 0u},
+                       {"started_late", 0u},
+                       {"refused", 0u}}}},
   }));
   INFO(row.name);
   nlohmann::json object = ValidReport();
