Keep speeds and reserves sound after disturbances and beside idle hosts

- Speeds are found by an interval that is itself found by speeds, so after a disturbance all engines could stand at a quarter or at twice the usual speed for good.
Steps are shifted once a second if most engines have one.
- A sudden growth of all intervals slowed 111 of 140 engines for some seconds.
A stream now counts only if the usual interval and that of the newest streams agree.
- Hosts without urgent streams voted the reserve down to 0.08 (6 of 10 hosts).
They leave the size to the others.
- Told speeds acted on services that do not use them.
- One value of another build made a whole message unreadable, and with it the list of upstreams that leave.
Such entries are left out.
- A reserve that was full while answers are late did not grow, since the late fill times the burst margin was above 1; it is 0.8 now.

--- a/include/teaselhill/engines/engine_speeds.h
+++ b/include/teaselhill/engines/engine_speeds.h
@@ -26,6 +26,8 @@
   /// Place of the usual interval in the order of these. Below the middle, since
   /// streams of slow engines and spells of sound ones may be half of them.
   double usual_quantile = 0.4;
+  /// The newest of them, whose median shows that all intervals grow or shrink.
+  size_t newest_streams = 9;
   /// Slow streams in a row that lower a speed. One may come from a spell of
   /// less than a second.
   int slow_streams = 2;
@@ -83,9 +85,11 @@
   /// Number of engines below the usual speed, by service.
   std::map<std::string, double> CountSlow() const;
 
-  /// Removes the engines that `is_listed` does not know. Call about once a
-  /// second.
-  void Expire(const std::function<bool(const UpstreamProcess&)>& is_listed);
+  /// Removes the engines that `is_listed` does not know, and makes the usual
+  /// speed that of most engines again; `engine_count` tells how many a service
+  /// has. Call about once a second.
+  void Expire(const std::function<bool(const UpstreamProcess&)>& is_listed,
+              const std::function<size_t(const std::string&)>& engine_count);
 
  private:
   struct Engine {
@@ -98,12 +102,26 @@
   };
   /// Intervals of recent streams, as the usual engine would have them.
   using UsualIntervals = std::deque<Duration>;
+  /// The usual interval, as far as it is known while all intervals change.
+  struct UsualRange {
+    Duration shortest{};
+    Duration longest{};
+  };
+  /// Places on the ladder that a stream allows.
+  struct PositionRange {
+    double slowest = 0;
+    double fastest = 0;
+  };
 
   /// The engine's state, new if the process is a later one; null if it is an
   /// earlier one.
   Engine* FindOrAdd(const std::string& service, const UpstreamProcess& process);
+  UsualRange FindUsual(const UsualIntervals& intervals) const;
   /// Returns the step to which the stream moves the engine.
-  int StepAfterStream(Engine& engine, double position) const;
+  int StepAfterStream(Engine& engine, const PositionRange& position) const;
+  /// Steps are relative to an interval that is itself found by them, so all of
+  /// them may drift; shifts those of the service if most engines have one.
+  void Recenter(const std::string& service, size_t engine_count);
   EngineSpeedChange SetStep(const UpstreamProcess& process,
                             Engine& engine,
                             int step);
--- a/include/teaselhill/engines/reserve_agreement.h
+++ b/include/teaselhill/engines/reserve_agreement.h
@@ -21,7 +21,7 @@
   Duration need_expiry = std::chrono::seconds(45);
 };
 
-/// What a host takes for needed, as hosts tell it each other.
+/// What a host estimates as needed, as hosts tell it each other.
 struct ReserveNeed {
   std::string host;
   std::string service;
@@ -42,6 +42,10 @@
 
   void SetOwnNeed(const std::string& service, double fraction, TimePoint now);
 
+  /// This host has no streams by which to tell, so that it leaves the size to
+  /// the others.
+  void DropOwnNeed(const std::string& service);
+
   /// What other hosts tell.
   void OnTold(const std::vector<ReserveNeed>& needs, TimePoint now);
 
--- a/include/teaselhill/gateway/affinity_placement.h
+++ b/include/teaselhill/gateway/affinity_placement.h
@@ -129,7 +129,9 @@
     bool has_prefix_cached = false;
   };
 
-  double SpeedOf(const UpstreamEntry& upstream) const;
+  /// 1 for a service whose engines' speeds are not used.
+  double SpeedOf(const PlacementRequest& request,
+                 const UpstreamEntry& upstream) const;
 
   /// Divides the upstreams that the request may use; all are shared if none is
   /// reserved or only ejected ones are left.
@@ -172,6 +174,8 @@
   PlacementOptions options_;
   PrefixLoadTracker prefix_load_tracker_;
   EngineReserve reserve_;
+  /// As of the last placement, by service.
+  std::unordered_map<std::string, size_t> engine_counts_;
   std::unordered_map<std::string, UpstreamLoad> upstream_loads_;
   std::unordered_map<uint64_t, std::vector<CachingEngine>> caching_engines_;
 };
--- a/include/teaselhill/gateway/engine_reserve.h
+++ b/include/teaselhill/gateway/engine_reserve.h
@@ -27,8 +27,10 @@
   /// takes up bursts until the reserve has grown.
   double target_fill = 0.56;
   /// The same while the answers of the service begin late: the long prompts
-  /// then need the engines more than the streams need the free slots.
-  double late_target_fill = 0.9;
+  /// then need the engines more than the streams need the free slots. Times
+  /// `burst_margin` it is below 1, or a reserve that is full in a burst would
+  /// not grow.
+  double late_target_fill = 0.8;
   /// Mean delay of the answers up to which they are in time, and that from
   /// which on they are late; between the two, `target_fill` rises.
   Duration in_time_delay = std::chrono::milliseconds(20);
@@ -55,7 +57,7 @@
   Duration idle_after = std::chrono::seconds(20);
 };
 
-/// The part of a service's engines that one host takes for needed, from the
+/// The part of a service's engines that one host estimates as needed, from the
 /// load reports that it reads anyway to place urgent streams. Deterministic:
 /// times are arguments and never decrease.
 class ReserveSize {
@@ -74,6 +76,12 @@
   /// matters, so that hosts with the same estimate have the same size.
   void Update(TimePoint now);
 
+  /// Whether the host has read no load report of late, so that its size says
+  /// nothing of the load.
+  bool IsIdle(TimePoint now) const {
+    return !has_reports_ || now - last_report_at_ >= options_.idle_after;
+  }
+
   /// Part of the engines; one of a few sizes.
   double fraction() const { return fraction_; }
 
@@ -84,7 +92,8 @@
   struct Mean {
     double sum = 0;
     double count = 0;
-    double value() const { return sum / count; }
+    /// 0 once so much time has passed that nothing is left of the reports.
+    double value() const { return count > 1e-9 ? sum / count : 0; }
   };
   struct Need {
     TimePoint at{};
@@ -103,6 +112,7 @@
   Mean steady_;
   Mean burst_;
   TimePoint decayed_at_{};
+  bool has_reports_ = false;
   TimePoint last_report_at_{};
   std::deque<Need> needs_;  ///< each larger than all after it
 };
--- a/include/teaselhill/gateway/placement.h
+++ b/include/teaselhill/gateway/placement.h
@@ -102,10 +102,10 @@
 struct ReserveChange {
   std::string service;
   double fraction = 0;  ///< of the service's engines
-  double own_need = 0;  ///< such a fraction, that this host takes for needed
+  double own_need = 0;  ///< such a fraction, that this host estimates as needed
   double busy_fraction = 0;  ///< estimate of the load: engines that the urgent
                              ///< streams would fill, as such a fraction
-  size_t hosts = 0;          ///< that agreed
+  size_t hosts = 0;          ///< whose need is known
 };
 
 /// Chooses upstreams and tracks the requests sent to them. A deterministic
--- a/lib/engines/engine_speeds.cc
+++ b/lib/engines/engine_speeds.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace teaselhill::engines {
 
@@ -38,12 +39,12 @@
       std::lround(std::clamp<double>(position, kSlowestStep, kFastestStep)));
 }
 
-Duration Quantile(const std::deque<Duration>& durations, double quantile) {
-  std::vector<Duration> sorted(durations.begin(), durations.end());
+/// `durations` must not be empty.
+Duration Quantile(std::vector<Duration> durations, double quantile) {
   const auto place =
-      sorted.begin() + static_cast<std::ptrdiff_t>(
-                           quantile * static_cast<double>(sorted.size()));
-  std::nth_element(sorted.begin(), place, sorted.end());
+      durations.begin() + static_cast<std::ptrdiff_t>(
+                              quantile * static_cast<double>(durations.size()));
+  std::nth_element(durations.begin(), place, durations.end());
   return *place;
 }
 
@@ -57,34 +58,49 @@
   if (!state || interval <= Duration::zero())
     return;
   UsualIntervals& usual_intervals = usual_intervals_[{service, tier}];
+  const bool known = usual_intervals.size() >= options_.min_usual_streams;
+  const UsualRange usual = known ? FindUsual(usual_intervals) : UsualRange();
+  const PositionRange position = {
+      PositionOfSpeed(ToSeconds(usual.shortest) / ToSeconds(interval)),
+      PositionOfSpeed(ToSeconds(usual.longest) / ToSeconds(interval))};
+  if (known && position.slowest >= kImplausiblePosition)
+    return;
   usual_intervals.push_back(
       FromSeconds(ToSeconds(interval) * SpeedOfStep(state->step)));
   if (usual_intervals.size() > options_.usual_streams)
     usual_intervals.pop_front();
-  if (usual_intervals.size() < options_.min_usual_streams)
-    return;
-  const Duration usual = Quantile(usual_intervals, options_.usual_quantile);
-  const double position =
-      PositionOfSpeed(ToSeconds(usual) / ToSeconds(interval));
-  if (position >= kImplausiblePosition)
+  if (!known)
     return;
   const int step = StepAfterStream(*state, position);
   if (step == state->step)
     return;
   EngineSpeedChange change = SetStep(engine, *state, step);
   change.interval = interval;
-  change.usual = usual;
+  change.usual = usual.longest;
   AddNews(change.now);
   changes_.push_back(std::move(change));
 }
 
-int EngineSpeeds::StepAfterStream(Engine& engine, double position) const {
-  if (position > engine.step - kMinDistance) {
+EngineSpeeds::UsualRange EngineSpeeds::FindUsual(
+    const UsualIntervals& intervals) const {
+  const Duration usual =
+      Quantile({intervals.begin(), intervals.end()}, options_.usual_quantile);
+  const auto newest =
+      intervals.end() - static_cast<std::ptrdiff_t>(std::min(
+                            intervals.size(), options_.newest_streams));
+  const Duration now = Quantile({newest, intervals.end()}, 0.5);
+  return {std::min(usual, now), std::max(usual, now)};
+}
+
+int EngineSpeeds::StepAfterStream(Engine& engine,
+                                  const PositionRange& position) const {
+  if (position.fastest > engine.step - kMinDistance) {
     engine.slow_streams = 0;
-    return position >= engine.step + kMinDistance ? NearestStep(position)
-                                                  : engine.step;
+    return position.slowest >= engine.step + kMinDistance
+               ? NearestStep(position.slowest)
+               : engine.step;
   }
-  const int step = NearestStep(position);
+  const int step = NearestStep(position.fastest);
   engine.fastest_slow_step = engine.slow_streams == 0
                                  ? step
                                  : std::max(step, engine.fastest_slow_step);
@@ -93,6 +109,34 @@
                                                      : engine.fastest_slow_step;
 }
 
+void EngineSpeeds::Recenter(const std::string& service, size_t engine_count) {
+  std::vector<int> steps;
+  for (const auto& [id, engine] : engines_) {
+    if (engine.service == service)
+      steps.push_back(engine.step);
+  }
+  // Of other engines nothing is known, so they have the usual speed.
+  steps.resize(std::max(steps.size(), engine_count), 0);
+  if (steps.empty())
+    return;
+  const auto middle =
+      steps.begin() + static_cast<std::ptrdiff_t>(steps.size() / 2);
+  std::nth_element(steps.begin(), middle, steps.end());
+  const int shift = *middle;
+  if (shift == 0)
+    return;
+  for (auto& [id, engine] : engines_) {
+    if (engine.service == service)
+      engine.step = std::clamp(engine.step - shift, kSlowestStep, kFastestStep);
+  }
+  for (auto& [key, intervals] : usual_intervals_) {
+    if (key.first != service)
+      continue;
+    for (Duration& interval : intervals)
+      interval = FromSeconds(ToSeconds(interval) / SpeedOfStep(shift));
+  }
+}
+
 EngineSpeedChange EngineSpeeds::SetStep(const UpstreamProcess& process,
                                         Engine& engine,
                                         int step) {
@@ -158,10 +202,19 @@
 }
 
 void EngineSpeeds::Expire(
-    const std::function<bool(const UpstreamProcess&)>& is_listed) {
-  for (auto it = engines_.begin(); it != engines_.end();)
-    it = is_listed({it->first, it->second.incarnation}) ? std::next(it)
-                                                        : engines_.erase(it);
+    const std::function<bool(const UpstreamProcess&)>& is_listed,
+    const std::function<size_t(const std::string&)>& engine_count) {
+  std::set<std::string> services;
+  for (auto it = engines_.begin(); it != engines_.end();) {
+    if (!is_listed({it->first, it->second.incarnation})) {
+      it = engines_.erase(it);
+      continue;
+    }
+    services.insert(it->second.service);
+    ++it;
+  }
+  for (const std::string& service : services)
+    Recenter(service, engine_count(service));
 }
 
 }  // namespace teaselhill::engines
--- a/lib/engines/reserve_agreement.cc
+++ b/lib/engines/reserve_agreement.cc
@@ -33,6 +33,14 @@
   UpdateMedian(state);
 }
 
+void ReserveAgreement::DropOwnNeed(const std::string& service) {
+  const auto found = services_.find(service);
+  if (found == services_.end() || found->second.needs.erase(own_host_) == 0)
+    return;
+  found->second.last_told.reset();
+  UpdateMedian(found->second);
+}
+
 void ReserveAgreement::OnTold(const std::vector<ReserveNeed>& needs,
                               TimePoint now) {
   for (const ReserveNeed& told : needs) {
@@ -75,12 +83,14 @@
 }
 
 void ReserveAgreement::Expire(TimePoint now) {
-  for (auto& [name, service] : services_) {
+  for (auto it = services_.begin(); it != services_.end();) {
+    Service& service = it->second;
     for (auto need = service.needs.begin(); need != service.needs.end();)
       need = now - need->second.told_at >= options_.need_expiry
                  ? service.needs.erase(need)
                  : std::next(need);
     UpdateMedian(service);
+    it = service.needs.empty() ? services_.erase(it) : std::next(it);
   }
 }
 
--- a/lib/gateway/affinity_placement.cc
+++ b/lib/gateway/affinity_placement.cc
@@ -93,6 +93,7 @@
     const UpstreamList& upstreams,
     const UpstreamHealth& health,
     TimePoint now) {
+  engine_counts_[request.service] = upstreams.OfService(request.service).size();
   const EligibleUpstreams eligible =
       FindEligibleUpstreams(request, upstreams, health, now);
   if (eligible.candidates().empty())
@@ -129,7 +130,7 @@
   placement.second_best_delay = candidates.size() > 1
                                     ? candidates[1].expected_delay
                                     : best.expected_delay;
-  placement.engine_speed = SpeedOf(*best.upstream);
+  placement.engine_speed = SpeedOf(request, *best.upstream);
   placement.candidate_count = static_cast<int>(candidates.size());
   placement.ejected_count = static_cast<int>(eligible.ejected.size());
   if (eligible.usable.empty())
@@ -191,10 +192,13 @@
                             upstreams.OfService(request.service).size());
 }
 
-double AffinityPlacement::SpeedOf(const UpstreamEntry& upstream) const {
-  return options_.engine_speeds ? options_.engine_speeds->SpeedOf(
-                                      upstream.id, upstream.incarnation)
-                                : 1;
+double AffinityPlacement::SpeedOf(const PlacementRequest& request,
+                                  const UpstreamEntry& upstream) const {
+  const auto count = engine_counts_.find(request.service);
+  if (!options_.engine_speeds || count == engine_counts_.end() ||
+      !reserve_.AppliesTo(request, count->second))
+    return 1;
+  return options_.engine_speeds->SpeedOf(upstream.id, upstream.incarnation);
 }
 
 EngineGroups AffinityPlacement::DivideCandidates(
@@ -248,7 +252,7 @@
   }
   if (candidates.size() == 1)
     placement.second_best_delay = placement.expected_delay;
-  placement.engine_speed = SpeedOf(placement.upstream);
+  placement.engine_speed = SpeedOf(request, placement.upstream);
   return placement;
 }
 
@@ -279,7 +283,7 @@
     Candidate candidate;
     candidate.upstream = upstream;
     candidate.rank = PrefixRank(Hash64(upstream->id, request.prefix_hash),
-                                SpeedOf(*upstream));
+                                SpeedOf(request, *upstream));
     ranked.push_back(candidate);
   }
   std::sort(
@@ -327,7 +331,7 @@
   double delay_ms = ToMilliseconds(health.ExpectedDelay(id, now));
   // A report counts requests; a slow engine takes longer for each.
   if (health.HasRecentReport(id, now))
-    delay_ms /= SpeedOf(*candidate.upstream);
+    delay_ms /= SpeedOf(request, *candidate.upstream);
   delay_ms +=
       ToMilliseconds(options_.failure_cost) * health.FailureFraction(id, now);
   if (!request.is_engine) {
@@ -339,8 +343,8 @@
   double tokens = load.unanswered_tokens;
   if (!candidate.has_prefix_cached)
     tokens += request.shared_prefix_tokens;
-  delay_ms +=
-      tokens / options_.prefill_tokens_per_ms / SpeedOf(*candidate.upstream);
+  delay_ms += tokens / options_.prefill_tokens_per_ms /
+              SpeedOf(request, *candidate.upstream);
   return FromSeconds(delay_ms / 1000);
 }
 
@@ -391,7 +395,7 @@
       !HasPrefixCached(request.prefix_hash, upstream, now))
     tokens += request.shared_prefix_tokens;
   return FromSeconds(tokens / options_.prefill_tokens_per_ms /
-                     SpeedOf(upstream) / 1000);
+                     SpeedOf(request, upstream) / 1000);
 }
 
 void AffinityPlacement::ExpireUnused(TimePoint now) {
--- a/lib/gateway/engine_reserve.cc
+++ b/lib/gateway/engine_reserve.cc
@@ -60,6 +60,7 @@
     mean->sum += fill * reserved_fraction;
     mean->count += 1;
   }
+  has_reports_ = true;
   last_report_at_ = now;
 }
 
@@ -154,7 +155,12 @@
 }
 
 double EngineReserve::Fraction(const std::string& service) const {
-  return agreement_.Agreed(service).value_or(ReserveSize(options_).fraction());
+  const std::optional<double> agreed = agreement_.Agreed(service);
+  if (agreed)
+    return *agreed;
+  const auto own = reserves_by_service_.find(service);
+  return own == reserves_by_service_.end() ? ReserveSize(options_).fraction()
+                                           : own->second.size.fraction();
 }
 
 void EngineReserve::Update(TimePoint now) {
@@ -167,7 +173,10 @@
                            ServiceReserve& reserve,
                            TimePoint now) {
   reserve.size.Update(now);
-  agreement_.SetOwnNeed(service, reserve.size.fraction(), now);
+  if (reserve.size.IsIdle(now))
+    agreement_.DropOwnNeed(service);
+  else
+    agreement_.SetOwnNeed(service, reserve.size.fraction(), now);
   const double fraction = Fraction(service);
   if (fraction == reserve.logged_fraction)
     return;
--- a/lib/gateway/gateway.cc
+++ b/lib/gateway/gateway.cc
@@ -484,9 +484,13 @@
   }
   const auto upstreams = shared_state_.upstreams();
   if (upstreams)
-    engine_speeds_.Expire([&upstreams](const UpstreamProcess& process) {
-      return upstreams->Lists(process);
-    });
+    engine_speeds_.Expire(
+        [&upstreams](const UpstreamProcess& process) {
+          return upstreams->Lists(process);
+        },
+        [&upstreams](const std::string& service) {
+          return upstreams->OfService(service).size();
+        });
   const std::map<std::string, double> slow = engine_speeds_.CountSlow();
   if (!slow.empty())
     metrics_.SetGauges("teaselhill_slow_engines",
--- a/lib/gateway/peer_exchange.cc
+++ b/lib/gateway/peer_exchange.cc
@@ -19,6 +19,15 @@
 /// Of the answer to a message, which is empty.
 constexpr size_t kMaxMessageAnswerBytes = 1024;
 
+/// Speeds and needs change all day, without any failure.
+bool IsOnlyEngineNews(const PeerMessage& message) {
+  UpstreamObservations others = message.observations;
+  others.speeds.clear();
+  others.reserve_needs.clear();
+  return !message.observations.empty() && others.empty() &&
+         message.records.empty() && !message.cut_off;
+}
+
 net::HttpServerOptions WithMessageBound(net::HttpServerOptions server,
                                         const PeerExchangeOptions& options) {
   server.max_body_bytes = options.max_message_bytes;
@@ -119,7 +128,9 @@
   }
   if (received.empty())
     return;
-  log_.Write(LineKind::kFailure,
+  const bool only_engine_news =
+      std::all_of(received.begin(), received.end(), IsOnlyEngineNews);
+  log_.Write(only_engine_news ? LineKind::kRoutine : LineKind::kFailure,
              LogLine(LogLevel::kInfo, "peer_message_received")
                  .Field("from", received.front().sender)
                  .Field("messages", static_cast<uint64_t>(received.size()))
--- a/lib/gateway/peer_message.cc
+++ b/lib/gateway/peer_message.cc
@@ -169,15 +169,19 @@
   return object;
 }
 
-/// Throws a Json::exception if a field is missing or of another type.
-engines::EngineSpeed DecodeSpeed(const Json& object) {
+/// Adds the speed, unless a value is one that no host uses: another build must
+/// not cost this host the rest of the message. Throws a Json::exception if a
+/// field is missing or of another type.
+void DecodeSpeed(const Json& object,
+                 std::vector<engines::EngineSpeed>* speeds) {
   engines::EngineSpeed speed;
-  speed.engine = DecodeProcess(object);
-  speed.service = ReadText(object, kServiceField);
+  speed.engine.id = object.at(kUpstreamField).get<std::string>();
+  speed.engine.incarnation = object.at(kIncarnationField).get<uint64_t>();
+  speed.service = object.at(kServiceField).get<std::string>();
   speed.speed = object.at(kSpeedField).get<double>();
-  if (!(speed.speed > 0))
-    throw Json::other_error::create(0, "speed is not positive", &object);
-  return speed;
+  if (IsPrintableText(speed.engine.id) && IsPrintableText(speed.service) &&
+      speed.speed > 0)
+    speeds->push_back(std::move(speed));
 }
 
 Json EncodeReserveNeed(const engines::ReserveNeed& need) {
@@ -186,15 +190,16 @@
           {kFractionField, need.fraction}};
 }
 
-/// Throws a Json::exception if a field is missing or of another type.
-engines::ReserveNeed DecodeReserveNeed(const Json& object) {
+/// As DecodeSpeed().
+void DecodeReserveNeed(const Json& object,
+                       std::vector<engines::ReserveNeed>* needs) {
   engines::ReserveNeed need;
-  need.host = ReadText(object, kHostField);
-  need.service = ReadText(object, kServiceField);
+  need.host = object.at(kHostField).get<std::string>();
+  need.service = object.at(kServiceField).get<std::string>();
   need.fraction = object.at(kFractionField).get<double>();
-  if (!(need.fraction > 0 && need.fraction <= 1))
-    throw Json::other_error::create(0, "fraction is not in (0, 1]", &object);
-  return need;
+  if (IsPrintableText(need.host) && IsPrintableText(need.service) &&
+      need.fraction > 0 && need.fraction <= 1)
+    needs->push_back(std::move(need));
 }
 
 }  // namespace
@@ -250,9 +255,9 @@
     for (const Json& process : object.value(kUnreachableField, Json::array()))
       message.observations.unreachable.push_back(DecodeProcess(process));
     for (const Json& speed : object.value(kSpeedsField, Json::array()))
-      message.observations.speeds.push_back(DecodeSpeed(speed));
+      DecodeSpeed(speed, &message.observations.speeds);
     for (const Json& need : object.value(kReserveNeedsField, Json::array()))
-      message.observations.reserve_needs.push_back(DecodeReserveNeed(need));
+      DecodeReserveNeed(need, &message.observations.reserve_needs);
     if (object.contains(kCutOffField))
       message.cut_off = object.at(kCutOffField).get<bool>();
     return message;
--- a/lib/gateway/peer_notices.cc
+++ b/lib/gateway/peer_notices.cc
@@ -36,8 +36,13 @@
     if (notice.leaving)
       leaving_.insert(notice.upstream);
   }
-  for (const engines::EngineSpeed& speed : observations.speeds)
-    speeds_[speed.engine] = speed;
+  for (const engines::EngineSpeed& speed : observations.speeds) {
+    // A host that starts assumes the usual speed.
+    if (speed.speed == 1)
+      speeds_.erase(speed.engine);
+    else
+      speeds_[speed.engine] = speed;
+  }
 }
 
 void PeerNotices::AskOnce(
--- a/unittests/engines/reserve_agreement_test.cc
+++ b/unittests/engines/reserve_agreement_test.cc
@@ -77,6 +77,22 @@
   CHECK(agreement.TakeNews(kStart + seconds(29)).size() == 1);
 }
 
+// Guards streams whose reserve is voted away by hosts that have none of them.
+TEST_CASE("a host that cannot tell leaves the size to the others") {
+  ReserveAgreement agreement("own");
+  agreement.SetOwnNeed(kService, 0.08, kStart);
+  agreement.OnTold({{"a", kService, 0.27}}, kStart);
+  REQUIRE(agreement.Agreed(kService) == 0.08);
+  REQUIRE(agreement.TakeNews(kStart).size() == 1);
+  agreement.DropOwnNeed(kService);
+  CHECK(agreement.Agreed(kService) == 0.27);
+  CHECK(agreement.TakeNews(kStart + seconds(20)).empty());
+  agreement.Expire(kStart + seconds(45));
+  CHECK_FALSE(agreement.Agreed(kService));
+  agreement.SetOwnNeed(kService, 0.08, kStart + seconds(46));
+  CHECK(agreement.TakeNews(kStart + seconds(46)).size() == 1);
+}
+
 // Guards hosts that keep a size for others that are dead or cut off.
 TEST_CASE("hosts that tell nothing any more do not count") {
   ReserveAgreement agreement("own");
