--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,6 +6,7 @@
 import sys
 import time
 
+sys.dont_write_bytecode = True
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
 
