--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -399,6 +399,7 @@
         self.front, self.ready = (self.address, front), (self.address, ready)
         self.port_range = [peer, relay]
         self.store_address = fleet.store_address
+        self.more_settings = {}
         self.process = None
         self.starts = 0
 
@@ -420,7 +421,7 @@
                          "partMbS": 20.0, "readMbS": 80.0, "recordBytes": 262144,
                          "callBytes": 2097152, "keep_s": 300, "partMb": 200,
                          "minTtlMs": 1000},
-            **self.fleet.more_settings}
+            **self.fleet.more_settings, **self.more_settings}
 
     async def start(self):
         path = os.path.join(self.fleet.folder, self.name + ".json")
@@ -526,11 +527,15 @@
         for number in range(hosts):
             self.hosts.append(Host(self, number + 1))
         for host in self.hosts:
+            await self.prepare(host)
             await host.start()
         for host in self.hosts:
             await host.wait_ready()
         self.record.say(f"{hosts} gateways are ready")
 
+    async def prepare(self, host):
+        """For cases that put something between a gateway and what it uses."""
+
     async def stop(self):
         for host in self.hosts:
             host.send(signal.SIGCONT)
