--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -582,6 +583,7 @@
         return 2
     finally:
         await fleet.stop()
+        shutil.rmtree(fleet.folder, ignore_errors=True)
     for line in broken:
         record.say("BROKEN: " + line)
     record.say("the rule was broken" if broken else "the rule held")
@@ -591,5 +593,9 @@
 def main(folder, case):
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda *_: None)
-    code = loop.run_until_complete(asyncio.wait_for(run_case(folder, case), 115))
+    try:
+        code = loop.run_until_complete(asyncio.wait_for(run_case(folder, case), 110))
+    except Exception as fault:  # a fault of the case, not of what it tests
+        print(f"the case could not run: {fault!r}", flush=True)
+        code = 2
     os._exit(code)
