--- a/review/8/case.py
+++ b/review/8/case.py
@@ -142,16 +142,17 @@
             "ratePerS": 50.0, "duties": ["metering"], "dutyPerS": 50.0}}
 
 
-async def client(host, rng):
+async def client(host, rng, record):
     number = 0
     while True:
         await asyncio.sleep(rng.uniform(0.05, 0.15))
         number += 1
-        await stand.call(
+        attempt = f"{host.number:02x}{rng.getrandbits(40):010x}{number:04x}"
+        status, _, _ = await stand.call(
             host, "GET", f"/lookup/{number}",
-            {"X-Attempt-Id": f"{host.number:02x}{rng.getrandbits(40):010x}{number:04x}",
-             "X-Deadline-Ms": 1200,
+            {"X-Attempt-Id": attempt, "X-Deadline-Ms": 1200,
              "Authorization": f"Bearer {rng.choice(stand.KEYS)[1]}"}, timeout_s=1.2)
+        record.write(f"client of {host.name} {attempt} -> {status}")
 
 
 async def until(condition, limit_s, what):
@@ -169,7 +170,7 @@
     fleet.bounds.update(requireFence=False, leaseMs=3000, thawMs=300,
                         reportWindowS=WINDOW_S, usageOff=0.05, usageDelayS=10)
     await fleet.start(HOSTS)
-    clients = [asyncio.create_task(client(host, random.Random(host.number)))
+    clients = [asyncio.create_task(client(host, random.Random(host.number), record))
                for host in fleet.hosts]
     await until(lambda: len(api.reports) >= 2, 30, "no usage report came")
     holder = next(host for host in fleet.hosts if host.name == api.reports[-1][1])
